Move fewer and larger runs of keys; reckon ticks from the last call

Cause: ticks were reckoned from 'now' at each event, so that a busy grantor never looked at what waits (requests held to the deadline); the planner moved single keys for tiny surpluses, up to 1,500 pieces, whose renewals kept the grantor from answering; one lost answer turned a daemon away from its grantor. Change: due times from the last call; moves of at least 12% of a fair share, from a piece's end; two misses before a grantor is passed over; callers' patience tells who has tried before.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -124,6 +124,7 @@
     static constexpr Duration balancerTime = std::chrono::milliseconds{3200};
     /// Requests that come in the last part of a shutdown are refused, to end before it does.
     static constexpr Duration lastPart = std::chrono::milliseconds{1700};
+    static constexpr Duration shutdownTick = std::chrono::milliseconds{100};
     static constexpr Duration exitMargin = std::chrono::milliseconds{350};
 
     [[nodiscard]] static auto poolSettings(const Wire &wire) -> OutboundPoolSettings
@@ -430,6 +431,7 @@
 
     auto advanceShutdown(Instant moment) -> void
     {
+        this->shutdownDue = moment + shutdownTick;
         const auto age = moment - *this->stoppingSince;
         const auto isBalancerDone = age >= balancerTime;
         if (age >= this->settings.shutdownTimeout - lastPart) {
@@ -471,7 +473,7 @@
             consider(role->nextDue());
         }
         if (this->stoppingSince) {
-            consider(moment + std::chrono::milliseconds{100});
+            consider(this->shutdownDue);
         }
         const auto wait = std::max(Duration{200}, Duration{due - moment});
         this->timer.set(monotonicNow() + wait);
@@ -552,6 +554,7 @@
     std::uint64_t badDatagrams = 0;
     std::optional<Instant> registerAt;
     std::optional<Instant> stoppingSince;
+    Instant shutdownDue{};
     bool isSettling = false;
     bool isUnsettled = false;
 };
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -35,7 +35,7 @@
     RangePlannerSettings planner;
     /// All daemons hear from the grantor this often.
     Duration announceEvery = std::chrono::seconds{1};
-    Duration planEvery = std::chrono::milliseconds{400};
+    Duration planEvery = std::chrono::milliseconds{300};
     /// Pause after a store call that failed.
     Duration retryPause = std::chrono::milliseconds{200};
     Duration storeTimeout = std::chrono::milliseconds{800};
@@ -122,6 +122,7 @@
     bool isRecordUncertain = false;
     Instant recordDue{};
     Instant announceDue{};
+    Instant advancedAt{};
     Instant planDue{};
     Instant planHomelessDue{};
     bool isProlonged = false;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -114,6 +114,7 @@
         this->onElected(*elected);
     }
     const auto moment = this->now();
+    this->advancedAt = moment;
     if (this->ranges) {
         this->advanceRanges(moment);
     }
@@ -419,18 +420,19 @@
 auto GrantorRole::nextDue() const -> Instant
 {
     const auto moment = this->now();
-    auto due = moment + idleTick;
+    // Reckoned from the last call, so that a busy daemon doesn't put it off for ever.
+    auto due = this->advancedAt + idleTick;
     if (const auto next = this->election.nextDue()) {
         due = std::min(due, *next);
     }
     if (this->serving) {
-        if (const auto next = this->broker->nextDue(moment)) {
+        if (const auto next = this->broker->nextDue(this->advancedAt)) {
             due = std::min(due, *next);
         }
         due = std::min(due, this->announceDue);
     }
     if (this->ranges && this->isAdopted) {
-        due = std::min({due, this->ranges->nextDue(moment), this->planDue});
+        due = std::min({due, this->ranges->nextDue(this->advancedAt), this->planDue});
     }
     return std::max(due, moment + Duration{500});
 }
--- a/src/entry/internal/permitclient.cpp
+++ b/src/entry/internal/permitclient.cpp
@@ -5,6 +5,12 @@
 
 namespace gooseberrywall {
 
+namespace {
+
+constexpr int missesBeforePassing = 2;
+
+} // namespace
+
 PermitClient::PermitClient(Address self, std::uint64_t life, PermitClientSettings settings)
     : self(std::move(self))
     , life(life)
@@ -19,7 +25,7 @@
     if (term < known.term || (term == known.term && known.address == grantor)) {
         return;
     }
-    known = Grantor{grantor, term, Instant{}};
+    known = Grantor{grantor, term, Instant{}, 0};
     // Requests that wait at the earlier grantor are asked again at once.
     for (auto &[sequence, entry] : this->pending) {
         if (entry.request.service == service) {
@@ -49,7 +55,8 @@
         return id;
     }
     auto &grantor = found->second;
-    const auto isPassedOver = now < grantor.passedOverUntil;
+    // Further attempts depend on the grantor, so they try it all the same.
+    const auto isPassedOver = now < grantor.passedOverUntil && request.avoid.empty();
     if (isPassedOver) {
         this->results.push_back(PermitResult{exchange, id, std::nullopt});
         return id;
@@ -127,6 +134,10 @@
         return;
     }
     entry.unanswered = 0;
+    if (const auto grantor = this->grantors.find(entry.request.service);
+        grantor != this->grantors.end() && grantor->second.address == from) {
+        grantor->second.misses = 0;
+    }
     if (answer.verdict.kind == Kind::Queued) {
         entry.isQueued = true;
         entry.due = now + this->settings.askAgain;
@@ -169,7 +180,9 @@
     this->lastMissed = now;
     if (const auto grantor = this->grantors.find(entry.request.service);
         grantor != this->grantors.end() && grantor->second.address == entry.grantor) {
-        grantor->second.passedOverUntil = now + this->settings.passOver;
+        if (++grantor->second.misses >= missesBeforePassing) {
+            grantor->second.passedOverUntil = now + this->settings.passOver;
+        }
     }
     this->results.push_back(PermitResult{entry.exchange, entry.request.id, std::nullopt});
 }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -10,6 +10,8 @@
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
+/// A route's longest patience is forgotten after this time, as callers may change.
+constexpr Duration patienceMemory = std::chrono::seconds{30};
 
 auto toMilliseconds(Duration duration) -> std::int64_t
 {
@@ -58,6 +60,7 @@
     if (request.patience) {
         flow.answerDue = std::min(flow.answerDue, now + *request.patience);
     }
+    flow.targetAt = now + request.route.targetLatency - this->earlierTime(request, now);
     flow.request = std::move(request);
     auto &placed = this->flows.emplace(exchange, std::move(flow)).first->second;
     if (auto line = this->note(placed, "request_admitted", false, now)) {
@@ -72,6 +75,18 @@
     this->askPermit(placed, false, now);
 }
 
+auto RequestFlow::earlierTime(const FlowRequest &request, Instant now) -> Duration
+{
+    if (!request.patience) {
+        return Duration{0};
+    }
+    auto &known = this->patience[request.route.name];
+    if (*request.patience >= known.longest || now - known.seenAt > patienceMemory) {
+        known = Patience{*request.patience, now};
+    }
+    return known.longest - *request.patience;
+}
+
 auto RequestFlow::askPermit(Flow &flow, bool isRetry, Instant now) -> void
 {
     flow.permit =
@@ -85,7 +100,7 @@
     request.domain = this->settings.domain;
     request.priority = flow.request.route.priority;
     request.remaining = flow.answerDue - now;
-    request.untilTarget = flow.arrived + flow.request.route.targetLatency - now;
+    request.untilTarget = flow.targetAt - now;
     request.key = flow.request.key;
     request.isRetry = isRetry;
     request.avoid = flow.avoid;
--- a/src/entry/permitclient.h
+++ b/src/entry/permitclient.h
@@ -12,12 +12,12 @@
 struct PermitClientSettings
 {
     /// A request without any answer is sent again after this time.
-    Duration resendAfter = std::chrono::milliseconds{30};
+    Duration resendAfter = std::chrono::milliseconds{50};
     /// Sendings without an answer after which the grantor counts as unreachable.
     int sendings = 3;
     /// A queued request asks again this often, as its verdict may be lost.
     Duration askAgain = std::chrono::milliseconds{120};
-    /// A grantor that doesn't answer is passed over for this time.
+    /// A grantor that hasn't answered two requests in a row is passed over for this time.
     Duration passOver = std::chrono::milliseconds{400};
     auto operator==(const PermitClientSettings &) const -> bool = default;
 };
@@ -69,6 +69,8 @@
         Address address;
         std::uint64_t term = 0;
         Instant passedOverUntil{};
+        /// Requests in a row without an answer.
+        int misses = 0;
     };
     struct Pending
     {
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -51,6 +51,8 @@
         Instant timeoutAt;
         /// The earlier of the route's timeout and the caller's deadline.
         Instant answerDue;
+        /// When the route's target latency has passed, counted from the caller's first attempt.
+        Instant targetAt;
         std::vector<UpstreamId> avoid;
         std::optional<PermitId> permit;
         UpstreamId upstream;
@@ -64,6 +66,8 @@
         bool isAbandoned = false;
     };
 
+    /// @returns how long ago the caller first tried
+    [[nodiscard]] auto earlierTime(const FlowRequest &request, Instant now) -> Duration;
     auto askPermit(Flow &flow, bool isRetry, Instant now) -> void;
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
     auto retryOrEnd(Flow &flow, AttemptEnd end, Instant now) -> void;
@@ -79,7 +83,15 @@
     PermitClient &permits;
     DirectChoice &direct;
     RequestLog &log;
+    struct Patience
+    {
+        Duration longest{0};
+        Instant seenAt;
+    };
+
     std::map<ExchangeId, Flow> flows;
+    /// The longest time that callers of each route wait: those who wait less have tried before.
+    std::map<std::string, Patience> patience;
     std::vector<FlowCommand> commands;
     std::uint64_t directSends = 0;
 };
--- a/src/keyranges/internal/rangeplanner.cpp
+++ b/src/keyranges/internal/rangeplanner.cpp
@@ -17,28 +17,41 @@
 constexpr int mostHomelessParts = 6;
 /// Share of the difference between two upstreams that a move shifts.
 constexpr double shiftShare = 0.5;
+/// Smaller moves, as a share of an upstream's fair load, aren't worth the pause of their keys.
+constexpr double leastShift = 0.12;
+/// Moves to upstreams without keys in one round while all are quiet.
+constexpr std::size_t joinMoves = 4;
 
 } // namespace
 
 RangePlanner::RangePlanner(RangePlannerSettings settings)
     : settings(settings)
-    , rates(keyCount, 0.0)
+    , recent(keyCount, 0.0)
+    , lasting(keyCount, 0.0)
     , sums(keyCount + 1, 0.0)
 {
 }
 
 auto RangePlanner::observe(const std::map<KeyPosition, std::uint32_t> &counts, Instant now) -> void
 {
-    const auto span = std::chrono::duration<double>(now - this->observedAt).count();
-    const auto halfLife = std::chrono::duration<double>(this->settings.halfLife).count();
+    const auto span = now - this->observedAt;
     this->observedAt = now;
-    const auto kept = std::exp2(-span / halfLife);
-    for (auto &rate : this->rates) {
+    fade(this->recent, counts, this->settings.shortHalfLife, span);
+    fade(this->lasting, counts, this->settings.longHalfLife, span);
+}
+
+auto RangePlanner::fade(std::vector<double> &rates,
+                        const std::map<KeyPosition, std::uint32_t> &counts, Duration halfLife,
+                        Duration span) -> void
+{
+    const auto seconds = std::max(0.001, std::chrono::duration<double>(span).count());
+    const auto kept = std::exp2(-seconds / std::chrono::duration<double>(halfLife).count());
+    for (auto &rate : rates) {
         rate *= kept;
     }
-    const auto gain = (1 - kept) / std::max(span, 0.001);
+    const auto gain = (1 - kept) / seconds;
     for (const auto &[key, count] : counts) {
-        this->rates[key] += gain * count;
+        rates[key] += gain * count;
     }
 }
 
@@ -63,7 +76,8 @@
 {
     constexpr auto base = baseRate / static_cast<double>(keyCount);
     for (std::size_t key = 0; key < keyCount; ++key) {
-        this->sums[key + 1] = this->sums[key] + this->rates[key] + base;
+        this->sums[key + 1] =
+            this->sums[key] + base + std::max(this->recent[key], this->lasting[key]);
     }
 }
 
@@ -90,6 +104,7 @@
         if (const auto found = view.owner ? result.find(*view.owner) : result.end();
             found != result.end()) {
             found->second.load += this->loadOf(view.span);
+            ++found->second.spans;
         }
     }
     return result;
@@ -165,12 +180,10 @@
         }
         const auto meanUse = load / capacity;
         const auto isBusy = giver->use() > this->settings.quietUse
-                            && giver->use() > this->settings.imbalance * meanUse
-                            && giver->use() > 1.1 * taker->use();
+                            && giver->use() > this->settings.imbalance * meanUse;
         // A joined upstream gets keys also while all are quiet.
-        const auto isTakerEmpty = taker->load < 0.2 * meanUse * taker->capacity
-                                  && giver->use() > this->settings.imbalance * meanUse;
-        if (giver->isUsable && !isBusy && !isTakerEmpty) {
+        const auto isTakerNew = taker->spans == 0 && moves.size() < joinMoves;
+        if (giver->isUsable && !isBusy && !isTakerNew) {
             return;
         }
         RangeView *source = nullptr;
@@ -190,16 +203,19 @@
         const auto surplus = giver->isUsable ? (giver->use() - taker->use())
                                                    / (1 / giver->capacity + 1 / taker->capacity)
                                              : this->loadOf(source->span) * shiftShare;
-        const auto span = this->hottestRun(source->span, surplus);
+        const auto span = this->edgeRun(source->span, surplus);
         const auto shifted = this->loadOf(span);
-        if (giver->isUsable && shifted > 1.6 * surplus) {
-            // A single key is hotter than the difference: moving it would only move the problem.
+        const auto isTooSmall = surplus < leastShift * giver->capacity * meanUse;
+        // A single key that is hotter than the surplus would only carry the problem along.
+        const auto isTooHot = shifted > 1.5 * surplus + leastShift * taker->capacity * meanUse;
+        if (giver->isUsable && (isTooSmall || isTooHot)) {
             isDone.insert(giver->id);
             continue;
         }
         moves.push_back(RangeMove{span, taker->id});
         giver->load -= shifted;
         taker->load += shifted;
+        ++taker->spans;
         auto upper = *source;
         const auto hasLower = span.first > source->span.first;
         const auto hasUpper = span.last < source->span.last;
@@ -229,23 +245,28 @@
     return result;
 }
 
-auto RangePlanner::hottestRun(const KeySpan &span, double load) const -> KeySpan
+auto RangePlanner::edgeRun(const KeySpan &span, double load) const -> KeySpan
 {
     if (this->loadOf(span) <= load) {
         return span;
     }
-    auto best = span;
-    auto first = std::size_t{span.first};
-    for (auto last = std::size_t{span.first}; last <= span.last; ++last) {
-        while (first < last && this->sums[last + 1] - this->sums[first + 1] >= load) {
-            ++first;
-        }
-        const auto isEnough = this->sums[last + 1] - this->sums[first] >= load;
-        if (isEnough && last - first + 1 < best.size()) {
-            best = KeySpan{static_cast<KeyPosition>(first), static_cast<KeyPosition>(last)};
-        }
+    const auto begin = this->sums.begin() + span.first;
+    const auto end = this->sums.begin() + span.last + 2;
+    // The first key at which the lower run carries the load, and the last for the upper run.
+    const auto lower = std::lower_bound(begin + 1, end, this->sums[span.first] + load);
+    const auto upper =
+        std::upper_bound(begin, end - 1, this->sums[std::size_t{span.last} + 1] - load);
+    const KeySpan low{span.first, static_cast<KeyPosition>(lower - this->sums.begin() - 1)};
+    const KeySpan high{static_cast<KeyPosition>(
+                           std::max<std::ptrdiff_t>(span.first, upper - this->sums.begin() - 1)),
+                       span.last};
+    const auto miss = [&](const KeySpan &run) { return std::abs(this->loadOf(run) - load); };
+    const auto isLowFitter = miss(low) < 0.7 * miss(high);
+    const auto isHighFitter = miss(high) < 0.7 * miss(low);
+    if (isLowFitter || isHighFitter) {
+        return isLowFitter ? low : high;
     }
-    return best;
+    return low.size() <= high.size() ? low : high;
 }
 
 } // namespace gooseberrywall
--- a/src/keyranges/rangeplanner.h
+++ b/src/keyranges/rangeplanner.h
@@ -14,13 +14,15 @@
     /// An upstream busier than this share of the mean gives keys away.
     double imbalance = 1.25;
     /// Below this share of its slots' time an upstream never gives keys away.
-    double quietUse = 0.4;
+    double quietUse = 0.5;
     /// Moves started at once.
-    int movesPerRound = 8;
+    int movesPerRound = 10;
     /// A span stays with its owner for at least this long.
-    Duration settleTime = std::chrono::milliseconds{1500};
-    /// Requests count half after this time.
-    Duration halfLife = std::chrono::milliseconds{1500};
+    Duration settleTime = std::chrono::milliseconds{900};
+    /// Requests count half after this time. The short memory finds a run of keys that turns hot;
+    /// the long one keeps the chance of a few requests from looking like a change.
+    Duration shortHalfLife = std::chrono::milliseconds{600};
+    Duration longHalfLife = std::chrono::seconds{4};
     auto operator==(const RangePlannerSettings &) const -> bool = default;
 };
 
@@ -48,10 +50,13 @@
         /// Requests a second that it can serve.
         double capacity = 0;
         double load = 0;
+        int spans = 0;
         bool isUsable = false;
         [[nodiscard]] auto use() const -> double { return this->load / this->capacity; }
     };
 
+    static auto fade(std::vector<double> &rates, const std::map<KeyPosition, std::uint32_t> &counts,
+                     Duration halfLife, Duration span) -> void;
     auto sumLoads() -> void;
     [[nodiscard]] auto loadOf(const KeySpan &span) const -> double;
     [[nodiscard]] auto candidatesOf(const std::vector<RangeView> &views,
@@ -63,13 +68,14 @@
     auto balance(const std::vector<RangeView> &views, std::map<UpstreamId, Candidate> &candidates,
                  std::vector<RangeMove> &moves, Instant now) const -> void;
     [[nodiscard]] auto splitByLoad(const KeySpan &span, int parts) const -> std::vector<KeySpan>;
-    /// @returns the shortest run of keys within `span` that carries `load`; `span` where none does
-    [[nodiscard]] auto hottestRun(const KeySpan &span, double load) const -> KeySpan;
+    /// @returns the run at one end of `span` that carries about `load`; the whole where none does
+    [[nodiscard]] auto edgeRun(const KeySpan &span, double load) const -> KeySpan;
 
     RangePlannerSettings settings;
-    /// Requests a second for each key, fading.
-    std::vector<double> rates;
-    /// Sums of the rates and of a small base load, for spans.
+    /// Requests a second for each key, by the short and the long memory.
+    std::vector<double> recent;
+    std::vector<double> lasting;
+    /// Sums of the higher of the two rates and of a small base load, for spans.
     std::vector<double> sums;
     Instant observedAt{};
 };
