--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -68,12 +68,14 @@
         next.emplace(entry.id, std::move(upstream));
     }
     this->upstreams = std::move(next);
+    this->assignOwners();
     this->match(now);
 }
 
 auto SlotBroker::setOwners(std::vector<OwnedSpan> spans, Instant now) -> void
 {
     this->owners = std::move(spans);
+    this->assignOwners();
     this->match(now);
 }
 
@@ -100,7 +102,13 @@
     if (request.key) {
         ++this->keyCounts[*request.key];
     }
-    Waiting entry{request, now, now + request.remaining, now + request.untilTarget};
+    Waiting entry{request, now + request.remaining, now + request.untilTarget,
+                  this->ownerOf(request)};
+    // Where a slot is free nobody waits for it: whoever waited has been given one before.
+    if (auto *upstream = this->pick(entry, now)) {
+        this->grant(entry, *upstream, now);
+        return;
+    }
     const auto outlook = this->forecast(entry, now);
     if (outlook.wait + outlook.service > request.remaining
         || this->waiting.size() >= this->settings.waitingLimit) {
@@ -110,12 +118,7 @@
         return;
     }
     this->waiting.push_back(std::move(entry));
-    this->match(now);
-    const auto isStillWaiting =
-        !this->waiting.empty() && this->waiting.back().request.id == request.id;
-    if (isStillWaiting) {
-        this->verdicts.push_back(IssuedVerdict{request.id, PermitVerdict{}});
-    }
+    this->verdicts.push_back(IssuedVerdict{request.id, PermitVerdict{}});
 }
 
 auto SlotBroker::report(const PermitReport &report, Instant now) -> void
@@ -139,16 +142,23 @@
         this->release(permit->second, now);
         this->permits.erase(permit);
     }
-    this->match(now);
+    if (found != this->upstreams.end()) {
+        this->matchFreed(found->second, now);
+    }
 }
 
 auto SlotBroker::cancel(const PermitId &id, Instant now) -> void
 {
     std::erase_if(this->waiting, [&](const Waiting &entry) { return entry.request.id == id; });
-    if (const auto permit = this->permits.find(id); permit != this->permits.end()) {
-        this->release(permit->second, now);
-        this->permits.erase(permit);
-        this->match(now);
+    const auto permit = this->permits.find(id);
+    if (permit == this->permits.end()) {
+        return;
+    }
+    this->release(permit->second, now);
+    const auto upstream = this->upstreams.find(permit->second.upstream);
+    this->permits.erase(permit);
+    if (upstream != this->upstreams.end()) {
+        this->matchFreed(upstream->second, now);
     }
 }
 
@@ -200,32 +210,47 @@
 
 auto SlotBroker::match(Instant now) -> void
 {
-    if (this->waiting.empty()) {
-        return;
-    }
-    const auto hasFree =
-        std::any_of(this->upstreams.begin(), this->upstreams.end(),
-                    [&](const auto &row) { return this->hasRoom(row.second, now); });
-    if (!hasFree) {
-        return;
-    }
-    std::vector<std::size_t> order(this->waiting.size());
-    for (std::size_t index = 0; index < order.size(); ++index) {
-        order[index] = index;
+    for (auto &[id, upstream] : this->upstreams) {
+        if (this->waiting.empty()) {
+            return;
+        }
+        this->matchFreed(upstream, now);
     }
-    std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-        return this->ranksBefore(this->waiting[left], this->waiting[right], now);
-    });
-    std::vector<bool> isDone(this->waiting.size(), false);
-    for (const auto index : order) {
-        auto *upstream = this->pick(this->waiting[index].request, now);
-        if (upstream != nullptr) {
-            this->grant(this->waiting[index], *upstream, now);
-            isDone[index] = true;
+}
+
+auto SlotBroker::matchFreed(Upstream &upstream, Instant now) -> void
+{
+    while (!this->waiting.empty() && this->hasRoom(upstream, now)) {
+        auto best = this->waiting.end();
+        for (auto at = this->waiting.begin(); at != this->waiting.end(); ++at) {
+            const auto mayRunHere = this->isKeyed(at->request) ? at->owner == &upstream : true;
+            if (mayRunHere && (best == this->waiting.end() || this->ranksBefore(*at, *best, now))) {
+                best = at;
+            }
+        }
+        if (best == this->waiting.end()) {
+            return;
+        }
+        // Another upstream with room may suit the request better than the one that was freed.
+        auto *chosen = this->pick(*best, now);
+        if (chosen == nullptr) {
+            return;
         }
+        this->grant(*best, *chosen, now);
+        this->waiting.erase(best);
     }
-    std::size_t index = 0;
-    std::erase_if(this->waiting, [&](const Waiting &) { return isDone[index++]; });
+}
+
+auto SlotBroker::assignOwners() -> void
+{
+    for (auto &entry : this->waiting) {
+        entry.owner = this->ownerOf(entry.request);
+    }
+}
+
+auto SlotBroker::isKeyed(const PermitRequest &request) const -> bool
+{
+    return this->isSharded && request.key.has_value();
 }
 
 auto SlotBroker::grant(const Waiting &waiting, Upstream &upstream, Instant now) -> void
@@ -235,7 +260,7 @@
     verdict.upstream = upstream.entry.id;
     verdict.address = upstream.entry.address;
     if (this->isSharded && waiting.request.key) {
-        verdict.owned = this->ownerOf(*waiting.request.key)->span;
+        verdict.owned = this->spanOf(*waiting.request.key)->span;
     }
     if (upstream.inFlight == 0) {
         upstream.busySince = now;
@@ -260,13 +285,8 @@
     std::erase_if(this->waiting, [&](const Waiting &entry) {
         const auto left = entry.deadline - now;
         auto service = this->meanLatency;
-        if (this->isSharded && entry.request.key) {
-            const auto *owned = this->ownerOf(*entry.request.key);
-            const auto found = owned != nullptr && owned->owner
-                                   ? this->upstreams.find(*owned->owner)
-                                   : this->upstreams.end();
-            service =
-                found == this->upstreams.end() ? service : this->latencyOf(found->second, now);
+        if (entry.owner != nullptr) {
+            service = this->latencyOf(*entry.owner, now);
         }
         const auto isAway = this->isOwnerAway(entry, now);
         if (!isAway && left >= scaled(service, leastShareLeft)) {
@@ -290,7 +310,7 @@
     }
 }
 
-auto SlotBroker::ownerOf(KeyPosition key) const -> const OwnedSpan *
+auto SlotBroker::spanOf(KeyPosition key) const -> const OwnedSpan *
 {
     const auto after =
         std::upper_bound(this->owners.begin(), this->owners.end(), key,
@@ -302,16 +322,22 @@
     return span.span.contains(key) ? &span : nullptr;
 }
 
-auto SlotBroker::pick(const PermitRequest &request, Instant now) -> Upstream *
+auto SlotBroker::ownerOf(const PermitRequest &request) -> Upstream *
 {
-    if (this->isSharded && request.key) {
-        const auto *owned = this->ownerOf(*request.key);
-        if (owned == nullptr || !owned->owner) {
-            return nullptr;
-        }
-        const auto found = this->upstreams.find(*owned->owner);
-        const auto isFree = found != this->upstreams.end() && this->hasRoom(found->second, now);
-        return isFree ? &found->second : nullptr;
+    const auto *owned = this->isKeyed(request) ? this->spanOf(*request.key) : nullptr;
+    if (owned == nullptr || !owned->owner) {
+        return nullptr;
+    }
+    const auto found = this->upstreams.find(*owned->owner);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+auto SlotBroker::pick(const Waiting &waiting, Instant now) -> Upstream *
+{
+    const auto &request = waiting.request;
+    if (this->isKeyed(request)) {
+        const auto isFree = waiting.owner != nullptr && this->hasRoom(*waiting.owner, now);
+        return isFree ? waiting.owner : nullptr;
     }
     Upstream *best = nullptr;
     double bestScore = 0;
@@ -380,25 +406,17 @@
     const auto ranksAhead = [&](const Waiting &other) {
         return this->ranksBefore(other, waiting, now);
     };
-    if (this->isSharded && waiting.request.key) {
-        const auto *owned = this->ownerOf(*waiting.request.key);
-        if (owned == nullptr) {
-            return Forecast{Duration{0}, this->meanLatency};
-        }
-        if (!owned->owner) {
-            const auto away = std::max(Duration{0}, Duration{owned->readyAt - now});
-            return Forecast{away, this->meanLatency};
-        }
-        const auto found = this->upstreams.find(*owned->owner);
-        if (found == this->upstreams.end()) {
-            return Forecast{Duration{0}, this->meanLatency};
-        }
-        const auto &upstream = found->second;
+    if (this->isKeyed(waiting.request) && waiting.owner == nullptr) {
+        const auto *owned = this->spanOf(*waiting.request.key);
+        const auto readyAt = owned == nullptr ? now : owned->readyAt;
+        return Forecast{std::max(Duration{0}, Duration{readyAt - now}), this->meanLatency};
+    }
+    if (waiting.owner != nullptr) {
+        const auto &upstream = *waiting.owner;
         const auto latency = this->latencyOf(upstream, now);
         const auto ahead =
             std::count_if(this->waiting.begin(), this->waiting.end(), [&](const Waiting &other) {
-                const auto *span = other.request.key ? this->ownerOf(*other.request.key) : nullptr;
-                return span != nullptr && span->owner == owned->owner && ranksAhead(other);
+                return other.owner == waiting.owner && ranksAhead(other);
             });
         const auto blocked = std::max(Duration{0}, Duration{upstream.health.blockedTill() - now});
         const auto isFree = this->hasRoom(upstream, now) && ahead == 0;
@@ -452,10 +470,10 @@
 
 auto SlotBroker::isOwnerAway(const Waiting &waiting, Instant now) const -> bool
 {
-    if (!this->isSharded || !waiting.request.key) {
+    if (!this->isKeyed(waiting.request)) {
         return false;
     }
-    const auto *owned = this->ownerOf(*waiting.request.key);
+    const auto *owned = this->spanOf(*waiting.request.key);
     return owned != nullptr && !owned->owner
            && std::max(now, owned->readyAt) + this->meanLatency > waiting.deadline;
 }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -104,9 +104,10 @@
     struct Waiting
     {
         PermitRequest request;
-        Instant arrived;
         Instant deadline;
         Instant target;
+        /// Keyed requests only: the upstream that owns the key; nullptr while there is none.
+        Upstream *owner = nullptr;
     };
     struct Permit
     {
@@ -125,12 +126,17 @@
     };
 
     auto match(Instant now) -> void;
+    auto matchFreed(Upstream &upstream, Instant now) -> void;
+    auto assignOwners() -> void;
     auto grant(const Waiting &waiting, Upstream &upstream, Instant now) -> void;
     auto refuse(const PermitRequest &request, Reason reason, Duration retryAfter) -> void;
     auto refuseHopeless(Instant now) -> void;
     auto release(const Permit &permit, Instant now) -> void;
-    [[nodiscard]] auto ownerOf(KeyPosition key) const -> const OwnedSpan *;
-    [[nodiscard]] auto pick(const PermitRequest &request, Instant now) -> Upstream *;
+    /// @returns whether only the owner of the request's key can run it
+    [[nodiscard]] auto isKeyed(const PermitRequest &request) const -> bool;
+    [[nodiscard]] auto spanOf(KeyPosition key) const -> const OwnedSpan *;
+    [[nodiscard]] auto ownerOf(const PermitRequest &request) -> Upstream *;
+    [[nodiscard]] auto pick(const Waiting &waiting, Instant now) -> Upstream *;
     [[nodiscard]] auto hasRoom(const Upstream &upstream, Instant now) const -> bool;
     [[nodiscard]] auto isSilent(const Upstream &upstream, Instant now) const -> bool;
     [[nodiscard]] auto latencyOf(const Upstream &upstream, Instant now) const -> Duration;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -249,8 +249,7 @@
             load += role->isLeading() ? 1 : 0;
         }
         for (auto &[name, role] : this->roles) {
-            const auto found =
-                this->noteView.items().find(this->roleSettings().notePrefix + name.value);
+            const auto found = this->noteView.items().find(this->notePrefix + name.value);
             std::optional<GrantorNote> note;
             if (found != this->noteView.items().end()) {
                 note = GrantorNote{found->second.value, found->second.created};
@@ -545,6 +544,7 @@
     std::unique_ptr<PrefixView> upstreamView;
     std::map<ServiceName, std::unique_ptr<GrantorRole>> roles;
     std::shared_ptr<const RouteTable> routes;
+    std::string notePrefix = GrantorRoleSettings{}.notePrefix;
     std::vector<PermitMessage> local;
     ClockTimer timer;
     Instant startedAt{};
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -16,6 +16,9 @@
 /// While anything is in transition, it is looked at this often.
 constexpr Duration tick = std::chrono::milliseconds{50};
 
+/// Renewals that fall due together are sent together.
+constexpr Duration leastPause = std::chrono::milliseconds{20};
+
 } // namespace
 
 RangeGrantor::RangeGrantor(RangeGrantorSettings settings, std::uint64_t term)
@@ -430,8 +433,11 @@
 {
     auto due = now + this->settings.renewEvery;
     for (const auto &piece : this->pieces) {
-        if (piece.phase == Phase::Held) {
-            due = std::min(due, std::max(piece.renewAt, now + Duration{1000}));
+        if (piece.call.value != 0) {
+            continue;
+        }
+        if (piece.phase == Phase::Held && this->isUsable(*piece.holder)) {
+            due = std::min(due, std::max(piece.renewAt, now + leastPause));
         } else {
             due = std::min(due, now + tick);
         }
