Keep grants and leadership through a store outage; forecast late requests with those that overtake them

Entry daemons without their grantor knew owners only from their own requests. Requests past their target were overtaken until their deadline and refused late. Change: all grants are renewed for the longest time while the lease isn't; the lease is renewed beyond the authority's end; owners are read from the store's record when a grantor is missing; the forecast of late requests counts those that overtake.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/slotbroker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gooseberrywall {
@@ -23,6 +24,10 @@
 constexpr Duration leastSilence = milliseconds{250};
 /// Share of the expected latency that must be left for an attempt to be worth its slot.
 constexpr double leastShareLeft = 0.6;
+/// Share of the slots that late requests are assumed to get when all are wanted by others.
+constexpr double leastShareForLate = 0.05;
+/// Late requests' chances are forecast anew this often.
+constexpr Duration lateCheckEvery = milliseconds{40};
 /// Cold upstreams take about twice as long.
 constexpr double coldFactor = 2.0;
 /// Least time after which a refused caller is asked to come back.
@@ -37,6 +42,18 @@
 
 } // namespace
 
+auto ArrivalRate::count(Instant now) -> void
+{
+    this->rate = this->perSecond(now) + 1;
+    this->countedAt = now;
+}
+
+auto ArrivalRate::perSecond(Instant now) const -> double
+{
+    const auto seconds = std::chrono::duration<double>(now - this->countedAt).count();
+    return this->rate * std::exp(-std::max(0.0, seconds));
+}
+
 auto SlotBroker::IdHash::operator()(const PermitId &id) const noexcept -> std::size_t
 {
     return std::hash<std::uint64_t>{}(id.life * 1000003U + id.sequence);
@@ -104,6 +121,9 @@
     }
     Waiting entry{request, now + request.remaining, now + request.untilTarget,
                   this->ownerOf(request)};
+    if (!this->isLate(entry, now)) {
+        (entry.owner != nullptr ? entry.owner->fresh : this->fresh).count(now);
+    }
     // Where a slot is free nobody waits for it: whoever waited has been given one before.
     if (auto *upstream = this->pick(entry, now)) {
         this->grant(entry, *upstream, now);
@@ -282,20 +302,30 @@
 
 auto SlotBroker::refuseHopeless(Instant now) -> void
 {
-    std::erase_if(this->waiting, [&](const Waiting &entry) {
+    const auto isLateChecked = now >= this->lateCheckAt;
+    if (isLateChecked) {
+        this->lateCheckAt = now + lateCheckEvery;
+    }
+    std::vector<bool> isHopeless(this->waiting.size(), false);
+    for (std::size_t index = 0; index < this->waiting.size(); ++index) {
+        const auto &entry = this->waiting[index];
         const auto left = entry.deadline - now;
-        auto service = this->meanLatency;
-        if (entry.owner != nullptr) {
-            service = this->latencyOf(*entry.owner, now);
+        const auto service =
+            entry.owner != nullptr ? this->latencyOf(*entry.owner, now) : this->meanLatency;
+        isHopeless[index] = left < scaled(service, leastShareLeft);
+        if (!isHopeless[index] && isLateChecked && this->isLate(entry, now)) {
+            const auto outlook = this->forecast(entry, now);
+            isHopeless[index] = outlook.wait + scaled(outlook.service, leastShareLeft) > left;
         }
-        const auto isAway = this->isOwnerAway(entry, now);
-        if (!isAway && left >= scaled(service, leastShareLeft)) {
-            return false;
+        if (isHopeless[index] || this->isOwnerAway(entry, now)) {
+            isHopeless[index] = true;
+            this->refuse(entry.request,
+                         this->isOwnerAway(entry, now) ? Reason::NoOwner : Reason::DeadlineTooShort,
+                         this->spread(this->meanLatency / 2));
         }
-        this->refuse(entry.request, isAway ? Reason::NoOwner : Reason::DeadlineTooShort,
-                     this->spread(this->meanLatency / 2));
-        return true;
-    });
+    }
+    std::size_t index = 0;
+    std::erase_if(this->waiting, [&](const Waiting &) { return isHopeless[index++]; });
 }
 
 auto SlotBroker::release(const Permit &permit, Instant now) -> void
@@ -420,7 +450,10 @@
             });
         const auto blocked = std::max(Duration{0}, Duration{upstream.health.blockedTill() - now});
         const auto isFree = this->hasRoom(upstream, now) && ahead == 0;
-        const auto queue = isFree ? Duration{0} : latency * (ahead + 1) / upstream.entry.slots;
+        const auto perSecond =
+            upstream.entry.slots / std::max(0.001, std::chrono::duration<double>(latency).count());
+        const auto overtaking = this->isLate(waiting, now) ? upstream.fresh.perSecond(now) : 0.0;
+        const auto queue = isFree ? Duration{0} : this->queueTime(ahead, perSecond, overtaking);
         return Forecast{std::max(blocked, queue), latency};
     }
     double slotsPerMicrosecond = 0;
@@ -443,8 +476,21 @@
         // Nothing usable is known; an upstream may come or recover while the request waits.
         return Forecast{waiting.request.remaining / 2, this->meanLatency};
     }
-    const auto wait = static_cast<double>(ahead + 1) / slotsPerMicrosecond;
-    return Forecast{Duration{static_cast<std::int64_t>(wait)}, this->meanLatency};
+    const auto overtaking = this->isLate(waiting, now) ? this->fresh.perSecond(now) : 0.0;
+    return Forecast{this->queueTime(ahead, slotsPerMicrosecond * 1e6, overtaking),
+                    this->meanLatency};
+}
+
+auto SlotBroker::isLate(const Waiting &waiting, Instant now) const -> bool
+{
+    return now + this->meanLatency > waiting.target;
+}
+
+auto SlotBroker::queueTime(std::ptrdiff_t ahead, double perSecond, double overtaking) const
+    -> Duration
+{
+    const auto left = std::max(perSecond - overtaking, leastShareForLate * perSecond);
+    return Duration{static_cast<std::int64_t>(1e6 * static_cast<double>(ahead + 1) / left)};
 }
 
 auto SlotBroker::ranksBefore(const Waiting &left, const Waiting &right, Instant now) const -> bool
@@ -454,8 +500,8 @@
     }
     // Those that can still meet their target go before those that can't: under overload, serving
     // strictly by age would make every answer late.
-    const auto isLeftLate = now + this->meanLatency > left.target;
-    const auto isRightLate = now + this->meanLatency > right.target;
+    const auto isLeftLate = this->isLate(left, now);
+    const auto isRightLate = this->isLate(right, now);
     if (isLeftLate != isRightLate) {
         return isRightLate;
     }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -5,6 +5,7 @@
 #include "dispatch/types/upstreamentry.h"
 #include "dispatch/upstreamhealth.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,6 +30,18 @@
     auto operator==(const SlotBrokerSettings &) const -> bool = default;
 };
 
+/// Requests a second, over about the last second.
+class ArrivalRate
+{
+public:
+    auto count(Instant now) -> void;
+    [[nodiscard]] auto perSecond(Instant now) const -> double;
+
+private:
+    double rate = 0;
+    Instant countedAt{};
+};
+
 /// Keys with one owner, or with none for a while.
 struct OwnedSpan
 {
@@ -98,6 +111,8 @@
         /// Requests that other daemons have there, as told by its answers.
         int foreign = 0;
         Instant foreignUntil{};
+        /// Requests for its keys that can still meet their target, a second.
+        ArrivalRate fresh;
         /// When the oldest run of permits without any answer has begun.
         Instant busySince{};
     };
@@ -145,6 +160,11 @@
     [[nodiscard]] auto forecast(const Waiting &waiting, Instant now) const -> Forecast;
     [[nodiscard]] auto ranksBefore(const Waiting &left, const Waiting &right, Instant now) const
         -> bool;
+    /// @returns whether the request can't be answered within its route's target any more
+    [[nodiscard]] auto isLate(const Waiting &waiting, Instant now) const -> bool;
+    /// @returns the time until a queue has passed, with those that overtake meanwhile
+    [[nodiscard]] auto queueTime(std::ptrdiff_t ahead, double perSecond, double overtaking) const
+        -> Duration;
     [[nodiscard]] auto spread(Duration base) -> Duration;
     [[nodiscard]] auto isOwnerAway(const Waiting &waiting, Instant now) const -> bool;
 
@@ -160,6 +180,8 @@
     std::vector<IssuedVerdict> verdicts;
     std::map<KeyPosition, std::uint32_t> keyCounts;
     Duration meanLatency;
+    ArrivalRate fresh;
+    Instant lateCheckAt{};
 };
 
 } // namespace gooseberrywall
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -6,6 +6,7 @@
 #include "edge/metricstext.h"
 #include "edge/upstreamdirectory.h"
 #include "http/clocktimer.h"
+#include "keyranges/rangerecordcodec.h"
 #include "permitlink/permitcodec.h"
 #include "storelink/prefixview.h"
 #include "streams/datagramsocket.h"
@@ -117,7 +118,11 @@
     /// Registration of the own address is tried again after this time.
     static constexpr Duration registerPause = std::chrono::seconds{1};
     /// Upstreams are watched for this long after the last request without a grantor.
-    static constexpr Duration directWatchTime = std::chrono::seconds{8};
+    static constexpr Duration directWatchTime = std::chrono::seconds{3};
+    /// Changes of upstreams are gathered for this long where no grantor needs them.
+    static constexpr Duration directGatherPause = std::chrono::milliseconds{400};
+    /// Owners of keys are read from the store at most this often.
+    static constexpr Duration ownersPause = std::chrono::milliseconds{1200};
     /// Without a known grantor, readiness waits at most this long for one.
     static constexpr Duration grantorPatience = std::chrono::seconds{4};
     /// After SIGTERM the balancer may send connections for this long.
@@ -304,9 +309,14 @@
         };
         const auto isNeeded =
             isServing || isRecent(this->directAt) || isRecent(this->permits.missedAt());
+        if (isRecent(this->permits.missedAt()) && moment >= this->ownersReadAt) {
+            this->readOwners(moment);
+        }
         if (isNeeded && !this->upstreamView) {
+            auto viewSettings = PrefixViewSettings{};
+            viewSettings.gatherPause = isServing ? viewSettings.gatherPause : directGatherPause;
             this->upstreamView = std::make_unique<PrefixView>(
-                this->wire.upstreamPrefix(), PrefixViewSettings{}, this->storeSender(), this->now,
+                this->wire.upstreamPrefix(), viewSettings, this->storeSender(), this->now,
                 [this](const PrefixView::Items &items) { this->onUpstreams(items); });
         } else if (!isNeeded && this->upstreamView) {
             this->upstreamView.reset();
@@ -320,6 +330,37 @@
         }
     }
 
+    /// Reads the owners of keys from the store, for requests while their grantor is missing.
+    auto readOwners(Instant moment) -> void
+    {
+        this->ownersReadAt = moment + ownersPause;
+        for (const auto &[name, role] : this->roles) {
+            const auto *spec = this->routes->service(name);
+            if (spec == nullptr || !spec->isSharded || role->isServing()) {
+                continue;
+            }
+            const auto key = GrantorRoleSettings{}.recordPrefix + name.value;
+            this->store.send(StoreGet{key}, ownersPause,
+                             [this, service = name](const StoreAnswer &answer) {
+                                 this->onOwnersRead(service, answer);
+                             });
+        }
+    }
+
+    auto onOwnersRead(const ServiceName &service, const StoreAnswer &answer) -> void
+    {
+        const auto record =
+            answer.items.empty() ? std::nullopt : decodeRangeRecord(answer.items.front().value);
+        if (!record) {
+            return;
+        }
+        std::vector<DirectOwner> owners;
+        for (const auto &row : record->rows) {
+            owners.push_back(DirectOwner{row.span, row.owner.id, row.owner.address});
+        }
+        this->direct.setOwners(service, owners);
+    }
+
     auto onDatagram(const Address &from, std::string_view bytes) -> void
     {
         const auto message = decodePermitMessage(bytes, from, this->settings.peerListen);
@@ -550,6 +591,7 @@
     Instant startedAt{};
     Instant housekeepingAt{};
     std::optional<Instant> directAt;
+    Instant ownersReadAt{};
     std::uint64_t seenDirect = 0;
     std::uint64_t badDatagrams = 0;
     std::optional<Instant> registerAt;
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -125,7 +125,7 @@
     Instant advancedAt{};
     Instant planDue{};
     Instant planHomelessDue{};
-    bool isProlonged = false;
+    bool isProlonging = false;
     std::set<Address> daemons;
     bool areDaemonsKnown = false;
     bool isReadingDaemons = false;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -134,7 +134,7 @@
     this->term = term;
     this->serving = true;
     this->isAdopted = false;
-    this->isProlonged = false;
+    this->isProlonging = false;
     this->ranges.reset();
     this->unwritten.reset();
     this->isRecordUncertain = false;
@@ -188,13 +188,14 @@
         return;
     }
     const auto isFailing = this->isLeading() && this->election.isRenewalFailing();
-    if (isFailing && !std::exchange(this->isProlonged, isFailing)) {
-        LogLine line("grants_prolonged");
-        line.with("service", this->spec.name.value).with("why", "lease renewal failed");
+    if (isFailing != this->isProlonging) {
+        this->isProlonging = isFailing;
+        LogLine line(isFailing ? "grants_prolonged" : "grants_as_usual");
+        line.with("service", this->spec.name.value)
+            .with("why", isFailing ? "lease renewal failed" : "lease renewed");
         this->log(LogLevel::Warning, line);
-        this->ranges->prolong(moment);
+        this->ranges->setProlonging(isFailing);
     }
-    this->isProlonged = isFailing;
     this->ranges->advance(moment);
     if (this->isLeading()) {
         this->plan(moment);
--- a/src/election/grantorelection.h
+++ b/src/election/grantorelection.h
@@ -14,11 +14,11 @@
 struct ElectionSettings
 {
     /// A lost grantor is replaced after about this time.
-    Duration timeToLive = std::chrono::seconds{2};
-    Duration renewEvery = std::chrono::milliseconds{500};
+    Duration timeToLive = std::chrono::milliseconds{1600};
+    Duration renewEvery = std::chrono::milliseconds{400};
     /// Pause after a call that failed.
     Duration retryPause = std::chrono::milliseconds{150};
-    Duration callTimeout = std::chrono::milliseconds{700};
+    Duration callTimeout = std::chrono::milliseconds{500};
     /// Authority ends this long before the lease can.
     Duration margin = std::chrono::milliseconds{200};
     auto operator==(const ElectionSettings &) const -> bool = default;
@@ -69,7 +69,7 @@
     [[nodiscard]] auto state() const -> State { return this->phase; }
     /// @returns the term while leading; nothing otherwise
     [[nodiscard]] auto term() const -> std::optional<StoreRevision>;
-    /// @returns until when orders may be issued
+    /// @returns until when orders may be issued; may have passed while leading
     [[nodiscard]] auto authorityEnd() const -> Instant { return this->authority; }
     /// @returns whether a renewal has failed since the last success
     [[nodiscard]] auto isRenewalFailing() const -> bool { return this->renewalFailures > 0; }
--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -27,7 +27,9 @@
     }
     if (this->phase == State::Leading) {
         const auto isOther = note && note->text != this->text && note->term > this->wonTerm;
-        if (isOther) {
+        // The watch may not show the own note yet, but it does once the authority has ended.
+        const auto isGone = !note && this->now() >= this->authority;
+        if (isOther || isGone) {
             this->authority = Instant{};
             this->step(State::Following, this->now());
         }
@@ -44,12 +46,9 @@
 
 auto GrantorElection::advance() -> void
 {
-    const auto moment = this->now();
-    if (this->phase == State::Leading && moment >= this->authority) {
-        this->step(State::Following, moment);
-        return;
-    }
-    if (this->isCalling || moment < this->due) {
+    // The lease is renewed beyond the end of the authority: where the store paused its leases, the
+    // key is still there, and nobody else can have claimed it.
+    if (this->isCalling || this->now() < this->due) {
         return;
     }
     switch (this->phase) {
@@ -88,13 +87,8 @@
 
 auto GrantorElection::nextDue() const -> std::optional<Instant>
 {
-    if (this->phase == State::Following) {
-        return std::nullopt;
-    }
-    if (this->phase == State::Leading) {
-        return this->isCalling ? this->authority : std::min(this->due, this->authority);
-    }
-    return this->isCalling ? std::nullopt : std::optional(this->due);
+    return this->isCalling || this->phase == State::Following ? std::nullopt
+                                                              : std::optional(this->due);
 }
 
 auto GrantorElection::openLease() -> void
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -10,6 +10,15 @@
 
 namespace gooseberrywall {
 
+/// Who owns a span of keys, and where it is.
+struct DirectOwner
+{
+    KeySpan span;
+    UpstreamId upstream;
+    Address address;
+    auto operator==(const DirectOwner &) const -> bool = default;
+};
+
 /// Chooses upstreams for an entry daemon while its grantor can't be reached: from what the store
 /// last said and from the keys' owners in earlier permits.
 class DirectChoice
@@ -21,6 +30,8 @@
     auto setUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     /// @param verdict a granted permit, with the keys that the upstream owns
     auto learn(const ServiceName &service, const PermitVerdict &verdict) -> void;
+    /// Replaces what is known of a service's owners by what the store has.
+    auto setOwners(const ServiceName &service, const std::vector<DirectOwner> &owners) -> void;
     auto onSent(const UpstreamId &upstream) -> void { ++this->inFlight[upstream]; }
     auto onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void;
 
@@ -30,19 +41,12 @@
         -> std::optional<PermitVerdict>;
 
 private:
-    struct Owned
-    {
-        KeySpan span;
-        UpstreamId upstream;
-        Address address;
-    };
-
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
 
     std::mt19937_64 random;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
     /// By the span's first key; newer spans replace those that they overlap.
-    std::map<ServiceName, std::map<KeyPosition, Owned>> owners;
+    std::map<ServiceName, std::map<KeyPosition, DirectOwner>> owners;
     std::map<UpstreamId, int> inFlight;
     std::map<UpstreamId, Instant> avoidedUntil;
 };
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -40,7 +40,17 @@
         const auto isApart = at->second.span.last < span.first;
         at = isApart ? std::next(at) : spans.erase(at);
     }
-    spans[span.first] = Owned{span, verdict.upstream, verdict.address};
+    spans[span.first] = DirectOwner{span, verdict.upstream, verdict.address};
+}
+
+auto DirectChoice::setOwners(const ServiceName &service, const std::vector<DirectOwner> &owners)
+    -> void
+{
+    auto &spans = this->owners[service];
+    spans.clear();
+    for (const auto &owner : owners) {
+        spans[owner.span.first] = owner;
+    }
 }
 
 auto DirectChoice::onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -16,6 +16,8 @@
 /// While anything is in transition, it is looked at this often.
 constexpr Duration tick = std::chrono::milliseconds{50};
 
+/// Without authority no owner can be given; for how long isn't known.
+constexpr Duration outagePause = std::chrono::seconds{2};
 /// Renewals that fall due together are sent together.
 constexpr Duration leastPause = std::chrono::milliseconds{20};
 
@@ -104,16 +106,6 @@
     this->advance(now);
 }
 
-auto RangeGrantor::prolong(Instant now) -> void
-{
-    this->coalesce();
-    for (auto &piece : this->pieces) {
-        if (piece.phase == Phase::Held && piece.call.value == 0 && this->isUsable(*piece.holder)) {
-            this->renew(piece, this->settings.longestHold, now);
-        }
-    }
-}
-
 auto RangeGrantor::onOrderEnd(const RangeOrderEnd &end, Instant now) -> void
 {
     auto *piece = this->pieceOf(end.call);
@@ -212,11 +204,12 @@
 
 auto RangeGrantor::advance(Instant now) -> void
 {
-    const auto isRenewalDue =
+    const auto isAnyDue =
         std::any_of(this->pieces.begin(), this->pieces.end(), [&](const Piece &piece) {
-            return piece.phase == Phase::Held && piece.call.value == 0 && piece.renewAt <= now;
+            return piece.phase == Phase::Held && piece.call.value == 0
+                   && this->isRenewalDue(piece, now);
         });
-    if (isRenewalDue) {
+    if (isAnyDue) {
         this->coalesce();
     }
     for (auto &piece : this->pieces) {
@@ -241,7 +234,7 @@
             piece.phase = Phase::Expiring;
             piece.target.reset();
         } else if (now >= piece.renewAt) {
-            this->renew(piece, this->settings.hold, now);
+            this->renew(piece, this->holdNow(), now);
         }
         return;
     case Phase::Held:
@@ -253,8 +246,8 @@
             piece.phase = Phase::Expiring;
             return;
         }
-        if (now >= piece.renewAt && this->isUsable(*piece.holder)) {
-            this->renew(piece, this->settings.hold, now);
+        if (this->isRenewalDue(piece, now) && this->isUsable(*piece.holder)) {
+            this->renew(piece, this->holdNow(), now);
         }
         return;
     case Phase::Expiring:
@@ -286,7 +279,7 @@
     piece.target.reset();
     piece.fence = this->nextFence();
     piece.holdEnd = Instant{};
-    piece.sentHold = this->settings.hold;
+    piece.sentHold = this->holdNow();
     this->order(piece, RangeOrder::Kind::Grant, *piece.holder, now);
 }
 
@@ -393,12 +386,14 @@
 {
     std::vector<OwnedSpan> spans;
     for (const auto &piece : this->pieces) {
-        OwnedSpan span{piece.span, std::nullopt, now};
+        OwnedSpan span{piece.span, std::nullopt, Instant{}};
         if (piece.phase == Phase::Held && now < piece.confirmedUntil
             && this->isUsable(*piece.holder)) {
             span.owner = piece.holder->id;
         } else if (piece.phase == Phase::Expiring) {
             span.readyAt = piece.holdEnd;
+        } else if (now >= this->authorityEnd) {
+            span.readyAt = this->authorityEnd + outagePause;
         }
         const auto isSame = !spans.empty() && spans.back().owner == span.owner
                             && spans.back().readyAt == span.readyAt
@@ -526,6 +521,18 @@
     return now + hold + Duration{static_cast<std::int64_t>(slack)} + this->settings.margin;
 }
 
+auto RangeGrantor::holdNow() const -> Duration
+{
+    return this->prolonging ? this->settings.longestHold : this->settings.hold;
+}
+
+auto RangeGrantor::isRenewalDue(const Piece &piece, Instant now) const -> bool
+{
+    const auto isTooShort =
+        this->prolonging && piece.sentHold < this->settings.longestHold && piece.failures == 0;
+    return now >= piece.renewAt || isTooShort;
+}
+
 auto RangeGrantor::nextFence() -> std::uint64_t
 {
     ++this->sequence;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -59,8 +59,8 @@
     auto setAuthority(Instant end) -> void { this->authorityEnd = end; }
     /// Changes owners; moves of spans that aren't settled or of unknown targets are left out.
     auto move(const std::vector<RangeMove> &moves, Instant now) -> void;
-    /// Renews every grant at once for the longest time.
-    auto prolong(Instant now) -> void;
+    /// While set, grants are renewed for the longest time, and at once where they were shorter.
+    auto setProlonging(bool isProlonging) -> void { this->prolonging = isProlonging; }
     auto onOrderEnd(const RangeOrderEnd &end, Instant now) -> void;
     /// @param version as takeRecord() gave it
     auto onRecordStored(std::uint64_t version, Instant now) -> void;
@@ -136,6 +136,8 @@
     [[nodiscard]] auto isUsable(const RangeHolder &holder) const -> bool;
     [[nodiscard]] auto lastEnd(Instant now, Duration hold) const -> Instant;
     [[nodiscard]] auto nextFence() -> std::uint64_t;
+    [[nodiscard]] auto holdNow() const -> Duration;
+    [[nodiscard]] auto isRenewalDue(const Piece &piece, Instant now) const -> bool;
 
     RangeGrantorSettings settings;
     std::uint64_t term;
@@ -149,6 +151,7 @@
     std::uint64_t takenRecord = 0;
     std::uint64_t storedRecord = 0;
     int rejectedFences = 0;
+    bool prolonging = false;
     std::uint64_t moved = 0;
 };
 
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -16,8 +16,8 @@
     Duration watchWait = std::chrono::seconds{25};
     Duration readTimeout = std::chrono::milliseconds{1500};
     /// Pause before a call that follows a failed one.
-    Duration firstPause = std::chrono::milliseconds{200};
-    Duration longestPause = std::chrono::seconds{1};
+    Duration firstPause = std::chrono::milliseconds{250};
+    Duration longestPause = std::chrono::milliseconds{1200};
     /// Pause between a watch's answer and the next watch: changes that come together are read
     /// together.
     Duration gatherPause = std::chrono::milliseconds{60};
