Test the new modules in virtual time

Found and mended: a permit could go to a request whose deadline had passed; an upstream that came back was avoided for some eight seconds (failures count less once it answers again, half-life 4 -> 2.5 s).

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -191,8 +191,8 @@
         this->release(row.second, now);
         return true;
     });
-    this->match(now);
     this->refuseHopeless(now);
+    this->match(now);
 }
 
 auto SlotBroker::nextDue(Instant now) const -> std::optional<Instant>
@@ -244,7 +244,8 @@
         auto best = this->waiting.end();
         for (auto at = this->waiting.begin(); at != this->waiting.end(); ++at) {
             const auto mayRunHere = this->isKeyed(at->request) ? at->owner == &upstream : true;
-            if (mayRunHere && (best == this->waiting.end() || this->ranksBefore(*at, *best, now))) {
+            if (mayRunHere && at->deadline > now
+                && (best == this->waiting.end() || this->ranksBefore(*at, *best, now))) {
                 best = at;
             }
         }
--- a/src/dispatch/internal/upstreamhealth.cpp
+++ b/src/dispatch/internal/upstreamhealth.cpp
@@ -12,7 +12,9 @@
 /// Weight of one attempt in the share of failures.
 constexpr double failureWeight = 0.15;
 /// An estimate counts half after this time without news, so that a slow upstream is tried again.
-constexpr double newsHalfLifeSeconds = 4.0;
+constexpr double newsHalfLifeSeconds = 2.5;
+/// What counts of the failures of an upstream that answers again.
+constexpr double returnedFactor = 0.3;
 /// First pause after failures in a row; doubles with each further one.
 constexpr Duration firstPause = std::chrono::milliseconds{250};
 /// Longest pause: a returned upstream is used again within two seconds.
@@ -43,6 +45,10 @@
     this->failures += failureWeight * ((isFailure ? 1.0 : 0.0) - this->failures);
     this->failuresAt = now;
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
+        // An upstream that was away and answers again is back; its past says little.
+        if (this->isOnTrial()) {
+            this->failures *= returnedFactor;
+        }
         this->lastAnswer = now;
         this->failuresInRow = 0;
         this->blockedUntil = std::min(this->blockedUntil, now);
--- /dev/null
+++ b/src/dispatch/tests/dispatch_tests.cpp
@@ -0,0 +1,234 @@
+#include "dispatch/tests/brokertrial.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Ten upstreams of mixed speeds: mean speed 1, 30 slots, 375 requests of 80 ms a second.
+const std::vector<double> mixedSpeeds{0.5, 1.0, 1.0, 1.5, 0.5, 1.0, 1.0, 1.5, 1.0, 1.0};
+constexpr double capacity = 375;
+
+auto permit(std::uint64_t sequence) -> PermitRequest
+{
+    PermitRequest request;
+    request.id = PermitId{Address{"entry"}, 1, sequence};
+    request.service = ServiceName{"service"};
+    request.remaining = milliseconds{800};
+    request.untilTarget = milliseconds{300};
+    return request;
+}
+
+auto upstream(const std::string &id) -> UpstreamEntry
+{
+    UpstreamEntry entry;
+    entry.id = UpstreamId{id};
+    entry.service = ServiceName{"service"};
+    entry.slots = 1;
+    return entry;
+}
+
+} // namespace
+
+SCENARIO("SlotBroker keeps goodput at twice the capacity", "[dispatch][overload]")
+{
+    BrokerTrial trial(1, mixedSpeeds, {TrialClass{2 * capacity}});
+    trial.run(seconds{5});
+    trial.resetCounts();
+    trial.run(seconds{20});
+    const auto &count = trial.counts(0);
+    THEN("at least 0.9 of the capacity is served, and no upstream has more than its slots")
+    {
+        CHECK(count.served() >= static_cast<int>(0.9 * capacity * 20));
+        CHECK(trial.overcommitted() <= 0);
+    }
+    THEN("most answers are within the target: those who can't make it don't go first")
+    {
+        CHECK(count.inTarget >= count.served() * 8 / 10);
+    }
+    THEN("refused requests were held for less than a quarter of their target, as a mean")
+    {
+        CHECK(count.held / std::max(1, count.refusals) < milliseconds{75});
+    }
+}
+
+SCENARIO("SlotBroker hardly lets anyone wait at 0.8 of the capacity", "[dispatch]")
+{
+    BrokerTrial trial(2, mixedSpeeds, {TrialClass{0.8 * capacity}});
+    trial.run(seconds{5});
+    trial.resetCounts();
+    trial.run(seconds{20});
+    const auto &count = trial.counts(0);
+    THEN("nearly all are answered within the target")
+    {
+        CHECK(count.inTarget >= count.asked * 97 / 100);
+        CHECK(count.refused <= count.asked / 100);
+    }
+}
+
+SCENARIO("SlotBroker serves the urgent first on a shared service", "[dispatch][overload]")
+{
+    TrialClass urgent{100};
+    TrialClass other{2 * capacity};
+    other.priority = 2;
+    BrokerTrial trial(3, mixedSpeeds, {urgent, other});
+    trial.run(seconds{5});
+    trial.resetCounts();
+    trial.run(seconds{20});
+    THEN("the urgent class is served whole while the other one is refused in part")
+    {
+        CHECK(trial.counts(0).inTarget >= trial.counts(0).asked * 95 / 100);
+        CHECK(trial.counts(1).refused > 0);
+    }
+}
+
+SCENARIO("SlotBroker avoids a slow upstream within a second", "[dispatch][slow]")
+{
+    BrokerTrial trial(4, std::vector<double>(10, 1.0), {TrialClass{0.5 * capacity}});
+    trial.run(seconds{5});
+    trial.setSlowness(0, 8);
+    trial.run(seconds{1});
+    trial.resetCounts();
+    trial.run(seconds{5});
+    THEN("it gets less than a third of its share, and is still tried")
+    {
+        CHECK(trial.sentTo(0) < static_cast<int>(0.5 * capacity * 5 / 10 / 3));
+        CHECK(trial.counts(0).inTarget >= trial.counts(0).asked * 95 / 100);
+    }
+}
+
+SCENARIO("SlotBroker avoids a silent upstream", "[dispatch][silent]")
+{
+    BrokerTrial trial(5, std::vector<double>(10, 1.0), {TrialClass{0.5 * capacity}});
+    trial.run(seconds{5});
+    trial.setSlowness(0, 0);
+    trial.run(seconds{1});
+    trial.resetCounts();
+    trial.run(seconds{5});
+    THEN("it gets single trials only")
+    {
+        CHECK(trial.sentTo(0) <= 15);
+        trial.setSlowness(0, 1);
+        trial.run(seconds{4});
+        trial.resetCounts();
+        trial.run(seconds{4});
+        CHECK(trial.sentTo(0) > 20);
+    }
+}
+
+SCENARIO("SlotBroker answers a repeated question with the same permit", "[dispatch]")
+{
+    const Instant now{seconds{10}};
+    SlotBroker broker(ServiceName{"service"}, false, {}, {}, 1);
+    broker.setUpstreams({upstream("a")}, now);
+    broker.ask(permit(1), now);
+    broker.ask(permit(1), now);
+    broker.ask(permit(2), now);
+    broker.ask(permit(2), now);
+    const auto verdicts = broker.takeVerdicts();
+    THEN("one slot is given, and the other request waits once")
+    {
+        REQUIRE(verdicts.size() == 4);
+        CHECK(verdicts[0] == verdicts[1]);
+        CHECK(verdicts[0].verdict.kind == PermitVerdict::Kind::Granted);
+        CHECK(verdicts[2].verdict.kind == PermitVerdict::Kind::Queued);
+        CHECK(broker.permitCount() == 1);
+        CHECK(broker.waitingCount() == 1);
+    }
+    WHEN("the permit is returned")
+    {
+        PermitReport report;
+        report.id = permit(1).id;
+        report.upstream = UpstreamId{"a"};
+        report.end = AttemptEnd::Answered;
+        report.latency = milliseconds{50};
+        broker.report(report, now + milliseconds{50});
+        THEN("the waiting request gets its slot")
+        {
+            const auto next = broker.takeVerdicts();
+            REQUIRE(next.size() == 1);
+            CHECK(next[0].id.sequence == 2);
+            CHECK(next[0].verdict.kind == PermitVerdict::Kind::Granted);
+        }
+    }
+    WHEN("the report is lost")
+    {
+        broker.advance(now + milliseconds{1001});
+        THEN("the slot comes back after the request's deadline")
+        {
+            CHECK(broker.permitCount() == 0);
+        }
+    }
+}
+
+SCENARIO("SlotBroker sends keyed requests to their owner only", "[dispatch][keys]")
+{
+    const Instant now{seconds{10}};
+    SlotBroker broker(ServiceName{"service"}, true, {}, {}, 1);
+    broker.setUpstreams({upstream("a"), upstream("b")}, now);
+    auto request = permit(1);
+    request.key = KeyPosition{7};
+    GIVEN("an owner")
+    {
+        broker.setOwners({OwnedSpan{KeySpan{0, 65535}, UpstreamId{"b"}, {}}}, now);
+        broker.ask(request, now);
+        THEN("it gets the request, and the entry daemon learns the span")
+        {
+            const auto verdicts = broker.takeVerdicts();
+            REQUIRE(verdicts.size() == 1);
+            CHECK(verdicts[0].verdict.upstream.value == "b");
+            CHECK(verdicts[0].verdict.owned == KeySpan{0, 65535});
+        }
+    }
+    GIVEN("no owner for longer than the request can wait")
+    {
+        broker.setOwners({OwnedSpan{KeySpan{0, 65535}, std::nullopt, now + seconds{3}}}, now);
+        broker.ask(request, now);
+        THEN("it is refused at once")
+        {
+            const auto verdicts = broker.takeVerdicts();
+            REQUIRE(verdicts.size() == 1);
+            CHECK(verdicts[0].verdict.kind == PermitVerdict::Kind::Refused);
+            CHECK(verdicts[0].verdict.reason == Reason::NoOwner);
+        }
+    }
+    GIVEN("an owner that changes while the request waits")
+    {
+        broker.setOwners({OwnedSpan{KeySpan{0, 65535}, std::nullopt, now}}, now);
+        broker.ask(request, now);
+        broker.setOwners({OwnedSpan{KeySpan{0, 65535}, UpstreamId{"a"}, {}}},
+                         now + milliseconds{30});
+        THEN("the new owner gets it")
+        {
+            const auto verdicts = broker.takeVerdicts();
+            REQUIRE(verdicts.size() == 2);
+            CHECK(verdicts[0].verdict.kind == PermitVerdict::Kind::Queued);
+            CHECK(verdicts[1].verdict.upstream.value == "a");
+        }
+    }
+}
+
+SCENARIO("RetryWindow bounds repeats in each window", "[dispatch]")
+{
+    RetryWindow window(RetryWindowSettings{0.2, 10, seconds{10}, 1.0});
+    const Instant start{seconds{100}};
+    auto taken = 0;
+    for (auto number = 0; number < 100; ++number) {
+        window.onRequest(start);
+    }
+    for (auto number = 0; number < 100; ++number) {
+        taken += window.take(start + seconds{1}) ? 1 : 0;
+    }
+    THEN("a fifth of the requests and the extra are allowed")
+    {
+        CHECK(taken == 30);
+    }
+    THEN("the allowance comes back with the window")
+    {
+        CHECK_FALSE(window.take(start + seconds{9}));
+        CHECK(window.take(start + seconds{22}));
+    }
+}
--- /dev/null
+++ b/src/http1/tests/http1_tests.cpp
@@ -0,0 +1,190 @@
+#include "http1/messagereader.h"
+#include "http1/messagewriter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using Step = MessageReader::Step;
+using Kind = MessageReader::Kind;
+
+namespace {
+
+/// Feeds the text in pieces of `size` bytes.
+/// @param rest receives what lies behind the message
+auto readAll(MessageReader &reader, std::string text, std::size_t size, std::string &rest) -> Step
+{
+    std::string pending;
+    auto step = Step::NeedMore;
+    while (step == Step::NeedMore && !text.empty()) {
+        pending += text.substr(0, size);
+        text.erase(0, size);
+        std::size_t taken = 0;
+        step = reader.read(pending, taken);
+        pending.erase(0, taken);
+    }
+    rest = pending + text;
+    return step;
+}
+
+auto readOne(Kind kind, const std::string &text) -> Step
+{
+    MessageReader reader(kind, MessageLimits{});
+    std::string rest;
+    return readAll(reader, text, text.size(), rest);
+}
+
+} // namespace
+
+SCENARIO("MessageReader reads messages in pieces of any size", "[http1]")
+{
+    const std::string text =
+        "PUT /a/b?c=d HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3;ext=1\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: y\r\n\r\nGET /";
+    for (const std::size_t size : {1U, 2U, 7U, 1000U}) {
+        GIVEN("pieces of " + std::to_string(size) + " bytes")
+        {
+            MessageReader reader(Kind::Request, MessageLimits{});
+            std::string rest;
+            REQUIRE(readAll(reader, text, size, rest) == Step::Whole);
+            const auto message = reader.take();
+            THEN("head and body are whole and the next message is left")
+            {
+                CHECK(message.head.method == "PUT");
+                CHECK(message.head.target == "/a/b?c=d");
+                CHECK(message.body == "abcde");
+                CHECK(rest == "GET /");
+            }
+        }
+    }
+}
+
+SCENARIO("MessageReader refuses what could be framed in two ways", "[http1]")
+{
+    const std::string head = "PUT / HTTP/1.1\r\nHost: x\r\n";
+    THEN("lengths that differ are malformed")
+    {
+        CHECK(readOne(Kind::Request, head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")
+              == Step::Malformed);
+    }
+    THEN("a length beside chunks is malformed")
+    {
+        CHECK(readOne(Kind::Request,
+                      head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+              == Step::Malformed);
+    }
+    THEN("a blank before the colon, a folded line and a bare line end are malformed")
+    {
+        CHECK(readOne(Kind::Request, head + "Content-Length : 3\r\n\r\nabc") == Step::Malformed);
+        CHECK(readOne(Kind::Request, head + "A: b\r\n folded\r\n\r\n") == Step::Malformed);
+        CHECK(readOne(Kind::Request, head + "A: b\nC: d\r\n\r\n") == Step::Malformed);
+    }
+    THEN("an unknown transfer encoding is malformed")
+    {
+        CHECK(readOne(Kind::Request, head + "Transfer-Encoding: gzip, chunked\r\n\r\n")
+              == Step::Malformed);
+    }
+    THEN("a chunk with a wrong end is malformed")
+    {
+        CHECK(readOne(Kind::Request, head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n")
+              == Step::Malformed);
+    }
+}
+
+SCENARIO("MessageReader knows where a response ends", "[http1]")
+{
+    GIVEN("a response without a length")
+    {
+        MessageReader reader(Kind::Response, MessageLimits{});
+        std::string rest;
+        REQUIRE(readAll(reader, "HTTP/1.1 200 OK\r\nA: b\r\n\r\nhel", 5, rest) == Step::NeedMore);
+        THEN("it ends with the connection")
+        {
+            REQUIRE(reader.endOfInput());
+            CHECK(reader.take().body == "hel");
+        }
+    }
+    GIVEN("a response that is cut short")
+    {
+        MessageReader reader(Kind::Response, MessageLimits{});
+        std::string rest;
+        REQUIRE(readAll(reader, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel", 5, rest)
+                == Step::NeedMore);
+        THEN("the end of the connection doesn't complete it")
+        {
+            CHECK_FALSE(reader.endOfInput());
+        }
+    }
+    GIVEN("an interim response before the final one")
+    {
+        MessageReader reader(Kind::Response, MessageLimits{});
+        std::string rest;
+        REQUIRE(readAll(reader, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\nextra",
+                        100, rest)
+                == Step::Whole);
+        THEN("only the final one counts, and what follows is left")
+        {
+            CHECK(reader.take().head.status == 204);
+            CHECK(rest == "extra");
+        }
+    }
+    GIVEN("bytes that are no response")
+    {
+        THEN("they are malformed")
+        {
+            CHECK(readOne(Kind::Response, "garbage\r\n\r\n") == Step::Malformed);
+        }
+    }
+}
+
+SCENARIO("MessageReader bounds head and body", "[http1]")
+{
+    const MessageLimits limits{64, 10};
+    GIVEN("a head that is too long")
+    {
+        MessageReader reader(Kind::Request, limits);
+        std::string rest;
+        CHECK(readAll(reader, "GET / HTTP/1.1\r\nA: " + std::string(200, 'x'), 10, rest)
+              == Step::Malformed);
+        CHECK(reader.refusalStatus() == 431);
+    }
+    GIVEN("a body that is too long, by length or by chunks")
+    {
+        for (const auto *framing :
+             {"Content-Length: 11\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nb\r\n"}) {
+            MessageReader reader(Kind::Request, limits);
+            std::string rest;
+            CHECK(readAll(reader, std::string("PUT / HTTP/1.1\r\n") + framing, 10, rest)
+                  == Step::Malformed);
+            CHECK(reader.refusalStatus() == 413);
+        }
+    }
+}
+
+SCENARIO("requestText forwards what concerns the upstream", "[http1]")
+{
+    MessageHead head;
+    head.method = "PUT";
+    head.target = "/x";
+    head.headers = {{"Host", "h"},        {"Connection", "close, X-Private"},
+                    {"X-Private", "1"},   {"Deadline-Ms", "900"},
+                    {"Keep-Alive", "3"},  {"Transfer-Encoding", "chunked"},
+                    {"Request-Id", "r-1"}};
+    const auto text = requestText(head, "body", {{"Deadline-Ms", "700"}});
+    THEN("connection headers are left out, replaced ones appear once, and a length is added")
+    {
+        CHECK(text
+              == "PUT /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\nDeadline-Ms: 700\r\n"
+                 "Content-Length: 4\r\n\r\nbody");
+    }
+}
+
+SCENARIO("responseText keeps status and body", "[http1]")
+{
+    MessageHead head;
+    head.status = 200;
+    head.headers = {{"Connection", "keep-alive"}, {"X-Own", "1"}, {"Content-Length", "5"}};
+    CHECK(responseText(head, "hello", false, true)
+          == "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 5\r\n\r\nhello");
+    CHECK(responseText(head, "", true, false)
+          == "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 5\r\nConnection: close\r\n\r\n");
+}
--- /dev/null
+++ b/src/keyranges/tests/keyranges_tests.cpp
@@ -0,0 +1,180 @@
+#include "keyranges/rangerecordcodec.h"
+#include "keyranges/tests/rangeworld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t allKeys = 65536;
+/// The design's bound for a key to be served again after a loss.
+constexpr auto servedAgainWithin = seconds{5};
+
+} // namespace
+
+SCENARIO("RangeGrantor gives all keys one owner", "[keyranges]")
+{
+    GIVEN("upstreams that answer")
+    {
+        RangeWorld world(1, 7, {});
+        world.run(seconds{3});
+        THEN("all keys are served and stay so")
+        {
+            CHECK(world.servedKeys() == allKeys);
+            world.run(seconds{20});
+            CHECK(world.servedKeys() == allKeys);
+            CHECK(world.doubleOwners() == 0);
+        }
+        WHEN("an upstream is lost for good")
+        {
+            world.crash(3, std::nullopt);
+            world.run(servedAgainWithin);
+            THEN("its keys have other owners within the bound")
+            {
+                CHECK(world.servedKeys() == allKeys);
+                CHECK(world.doubleOwners() == 0);
+            }
+        }
+        WHEN("an upstream comes back with a new life")
+        {
+            world.crash(3, milliseconds{500});
+            world.run(seconds{2});
+            THEN("its keys are granted anew without waiting for the lost grants")
+            {
+                CHECK(world.servedKeys() == allKeys);
+            }
+        }
+        WHEN("an upstream is leaving")
+        {
+            world.drain(2);
+            world.run(seconds{2});
+            THEN("others own its keys within two seconds")
+            {
+                CHECK(world.servedKeys() == allKeys);
+                CHECK(world.doubleOwners() == 0);
+            }
+        }
+        WHEN("the grantor is replaced")
+        {
+            world.replaceGrantor(seconds{2});
+            world.run(seconds{3});
+            THEN("no owner changes hands and all keys are served")
+            {
+                CHECK(world.servedKeys() == allKeys);
+                CHECK(world.doubleOwners() == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("RangeGrantor changes no owner without the store", "[keyranges]")
+{
+    RangeWorld world(5, 5, {});
+    world.run(seconds{3});
+    GIVEN("a store that is down")
+    {
+        world.setStoreDown(true);
+        WHEN("an upstream is leaving meanwhile")
+        {
+            world.drain(1);
+            world.run(seconds{2});
+            THEN("its keys wait, and get owners when the store is back")
+            {
+                CHECK(world.servedKeys() < allKeys);
+                world.setStoreDown(false);
+                world.run(servedAgainWithin);
+                CHECK(world.servedKeys() == allKeys);
+                CHECK(world.doubleOwners() == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("RangeGrantor never gives a key two owners under random faults", "[keyranges]")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        GIVEN("seed " + std::to_string(seed))
+        {
+            RangeWorld world(seed, 8, {0.2, 0.2});
+            std::mt19937_64 random(seed * 77);
+            world.run(seconds{3});
+            for (auto round = 0; round < 12; ++round) {
+                switch (random() % 5) {
+                case 0:
+                    world.replaceGrantor(milliseconds{random() % 3000});
+                    break;
+                case 1:
+                    world.crash(static_cast<int>(random() % 8), milliseconds{random() % 4000});
+                    break;
+                case 2:
+                    world.setHotKeys(KeySpan{20'000, 20'199}, 200);
+                    break;
+                case 3:
+                    world.setHotKeys(KeySpan{40'000, 40'059}, 150);
+                    break;
+                default:
+                    world.setStoreDown(random() % 2 == 0);
+                    break;
+                }
+                world.run(milliseconds{500 + random() % 2500});
+            }
+            world.setStoreDown(false);
+            world.setFaults({});
+            world.setHotKeys(KeySpan{0, 0}, 0);
+            // The longest grant under an earlier grantor, and the bound for a lost upstream.
+            world.run(seconds{10} + servedAgainWithin);
+            THEN("there never were two owners, fences rose, and all keys are served at the end")
+            {
+                CHECK(world.doubleOwners() == 0);
+                CHECK(world.lowFences() == 0);
+                CHECK(world.servedKeys() == allKeys);
+            }
+        }
+    }
+}
+
+SCENARIO("RangePlanner splits a run of keys that turns hot", "[keyranges][hotkeys]")
+{
+    GIVEN("12 upstreams with 37 requests a second each, and 200 keys that get 200")
+    {
+        RangeWorld world(3, 12, {});
+        world.run(seconds{4});
+        const KeySpan hot{30'000, 30'199};
+        world.setHotKeys(hot, 200);
+        WHEN("two seconds have passed")
+        {
+            world.run(seconds{2});
+            THEN("at least five upstreams own them, and nothing was owned twice")
+            {
+                CHECK(world.ownersOf(hot) >= 5);
+                CHECK(world.doubleOwners() == 0);
+            }
+        }
+        WHEN("it has been hot for twenty seconds")
+        {
+            world.run(seconds{20});
+            THEN("the space isn't cut into ever more pieces")
+            {
+                CHECK(world.pieceCount() < 100);
+            }
+        }
+    }
+}
+
+SCENARIO("A range record survives its encoding", "[keyranges]")
+{
+    RangeRecord record;
+    record.rows = {
+        RangeRow{KeySpan{0, 9},
+                 RangeHolder{UpstreamId{"a"}, Incarnation{7}, {"1.2.3.4:5"}},
+                 {RangeHolder{UpstreamId{"b"}, Incarnation{8}, {"1.2.3.4:6"}}}},
+        RangeRow{KeySpan{10, 65535}, RangeHolder{UpstreamId{"c"}, {}, {"1.2.3.4:7"}}, {}}};
+    CHECK(decodeRangeRecord(encodeRangeRecord(record)) == record);
+    CHECK_FALSE(decodeRangeRecord("{}").has_value());
+    CHECK_FALSE(decodeRangeRecord("nonsense").has_value());
+    record.rows[1].span.first = 9;
+    CHECK_FALSE(decodeRangeRecord(encodeRangeRecord(record)).has_value());
+}
--- /dev/null
+++ b/src/keyranges/tests/rangeworld.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "keyranges/rangegrantor.h"
+#include "keyranges/rangeplanner.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// How often the world's calls go wrong, 0 to 1.
+struct RangeWorldFaults
+{
+    /// Orders whose answer is lost; half of them are carried out seconds later.
+    double unanswered = 0;
+    /// Records that are written without an answer.
+    double uncertainWrites = 0;
+};
+
+/// Upstreams, a store and successive grantors in virtual time. Upstreams keep fences and holds as
+/// the platform's do; their clocks run 2% slow.
+class RangeWorld
+{
+public:
+    RangeWorld(std::uint64_t seed, int upstreamCount, RangeWorldFaults faults);
+
+    /// Runs for a time in steps of 10 ms and checks the owners at each step.
+    auto run(Duration time) -> void;
+    /// The grantor stops at once; its orders on the way still arrive. Another takes over later.
+    auto replaceGrantor(Duration pause) -> void;
+    /// The upstream stops answering; it comes back with a new life after a time, or never.
+    auto crash(int index, std::optional<Duration> returnAfter) -> void;
+    auto drain(int index) -> void;
+    /// The store answers nothing while set; the grantor keeps its lease, as leases pause.
+    auto setStoreDown(bool isDown) -> void { this->isStoreDown = isDown; }
+    auto setFaults(RangeWorldFaults newFaults) -> void { this->faults = newFaults; }
+    auto setHotKeys(KeySpan span, std::uint32_t perSecond) -> void;
+
+    [[nodiscard]] auto now() const -> Instant { return this->moment; }
+    /// @returns keys that an upstream holds and the grantor knows, at this moment
+    [[nodiscard]] auto servedKeys() const -> std::uint32_t;
+    [[nodiscard]] auto ownersOf(KeySpan span) const -> std::size_t;
+    [[nodiscard]] auto doubleOwners() const -> int { return this->doubles; }
+    [[nodiscard]] auto lowFences() const -> int { return this->tooLow; }
+    [[nodiscard]] auto pieceCount() const -> std::size_t { return this->grantor->views().size(); }
+
+private:
+    struct Hold
+    {
+        KeySpan span;
+        std::uint64_t fence = 0;
+        Instant until;
+    };
+    struct Upstream
+    {
+        UpstreamEntry entry;
+        bool isUp = true;
+        std::optional<Instant> returnsAt;
+        std::vector<Hold> holds;
+        /// Highest fence seen for each span.
+        std::vector<Hold> seen;
+    };
+    struct Delivery
+    {
+        Instant at;
+        /// From then on a grant's time counts.
+        Instant arrived;
+        std::uint64_t grantor = 0;
+        RangeOrder order;
+        bool isAnswered = true;
+    };
+
+    auto step() -> void;
+    auto startGrantor() -> void;
+    auto deliver(const Delivery &delivery) -> void;
+    [[nodiscard]] auto apply(Upstream &upstream, const Delivery &delivery) -> RangeOrderEnd::Kind;
+    auto writeRecord() -> void;
+    auto checkOwners() -> void;
+    [[nodiscard]] auto chance(double probability) -> bool;
+    [[nodiscard]] auto entries() const -> std::vector<UpstreamEntry>;
+    [[nodiscard]] auto find(const UpstreamId &id) -> Upstream *;
+
+    std::mt19937_64 random;
+    RangeWorldFaults faults;
+    RangeGrantorSettings settings;
+    Instant moment = Instant{std::chrono::seconds{100}};
+    std::uint64_t term = 1;
+    std::unique_ptr<RangeGrantor> grantor;
+    RangePlanner planner;
+    std::optional<Instant> grantorStartsAt;
+    std::vector<Upstream> upstreams;
+    std::deque<Delivery> deliveries;
+    std::deque<std::pair<Instant, RangeOrderEnd>> ends;
+    RangeRecord stored;
+    std::optional<RangeRecord> unwritten;
+    std::uint64_t unwrittenVersion = 0;
+    bool isStoreDown = false;
+    Instant planAt{};
+    KeySpan hotSpan;
+    std::uint32_t hotPerSecond = 0;
+    int doubles = 0;
+    int tooLow = 0;
+    /// Highest fence with which each upstream has taken each key's 64th.
+    std::map<KeyPosition, std::pair<std::uint64_t, UpstreamId>> fences;
+};
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/permitlink/tests/permitlink_tests.cpp
@@ -0,0 +1,73 @@
+#include "permitlink/permitcodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace gooseberrywall;
+
+namespace {
+
+const Address sender{"10.0.0.1:7000"};
+const Address self{"10.0.0.2:7000"};
+
+auto roundTrip(const PermitMessage &message, const Address &from, const Address &to)
+    -> std::optional<PermitMessage>
+{
+    return decodePermitMessage(encodePermitMessage(message), from, to);
+}
+
+} // namespace
+
+SCENARIO("Permit messages survive their encoding", "[permitlink]")
+{
+    PermitRequest request;
+    request.id = PermitId{sender, 5, 6};
+    request.service = ServiceName{"fitment"};
+    request.domain = FailureDomain{"north-1"};
+    request.priority = 2;
+    request.remaining = std::chrono::milliseconds{700};
+    request.untilTarget = std::chrono::milliseconds{-20};
+    request.key = KeyPosition{65535};
+    request.isRetry = true;
+    request.avoid = {UpstreamId{"a"}, UpstreamId{"b"}};
+    CHECK(roundTrip(request, sender, self) == PermitMessage{request});
+
+    PermitAnswer answer;
+    answer.id = PermitId{self, 5, 6};
+    answer.verdict.kind = PermitVerdict::Kind::Granted;
+    answer.verdict.upstream = UpstreamId{"a"};
+    answer.verdict.address = Address{"10.1.0.1:80"};
+    answer.verdict.owned = KeySpan{7, 9};
+    answer.verdict.reason = Reason::QueueFull;
+    answer.verdict.retryAfter = std::chrono::milliseconds{40};
+    CHECK(roundTrip(answer, sender, self) == PermitMessage{answer});
+
+    PermitReport report;
+    report.id = PermitId{sender, 5, 6};
+    report.service = ServiceName{"fitment"};
+    report.upstream = UpstreamId{"a"};
+    report.end = AttemptEnd::NoAnswer;
+    report.latency = std::chrono::milliseconds{80};
+    report.load = ReportedLoad{3, 1, 3};
+    CHECK(roundTrip(report, sender, self) == PermitMessage{report});
+
+    const PermitCancel cancel{PermitId{sender, 5, 6}, ServiceName{"fitment"}};
+    CHECK(roundTrip(cancel, sender, self) == PermitMessage{cancel});
+    const GrantorAnnouncement announcement{ServiceName{"fitment"}, 42};
+    CHECK(roundTrip(announcement, sender, self) == PermitMessage{announcement});
+}
+
+TEST_CASE("Any bytes are read as a message or as nothing", "[permitlink]")
+{
+    rc::prop("decoding never fails", [](const std::string &bytes) {
+        static_cast<void>(decodePermitMessage(bytes, sender, self));
+    });
+    rc::prop("a damaged message is a message or nothing", [](std::uint8_t at, std::uint8_t value) {
+        PermitRequest request;
+        request.service = ServiceName{"fitment"};
+        request.avoid = {UpstreamId{"a"}};
+        auto bytes = encodePermitMessage(request);
+        bytes[at % bytes.size()] = static_cast<char>(value);
+        static_cast<void>(decodePermitMessage(bytes, sender, self));
+    });
+}
--- /dev/null
+++ b/src/storelink/tests/fakestore.h
@@ -0,0 +1,266 @@
+#pragma once
+
+#include "storelink/types/storecalls.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// A store in virtual time: keys, leases and watches, with answers that can be lost.
+class FakeStore
+{
+public:
+    enum class Mode : std::uint8_t { Sound, Refusing, Silent, AnswersLost };
+
+    auto sender() -> SendStoreCall
+    {
+        return [this](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
+            this->calls.push_back(Call{std::move(call), this->moment + timeout, std::move(done)});
+        };
+    }
+
+    /// Answers what was sent, and ends leases and calls whose time has come.
+    auto advance(Duration step) -> void
+    {
+        this->moment += step;
+        for (auto at = this->leases.begin(); at != this->leases.end();) {
+            const auto isOver = at->second.until <= this->moment && !this->areLeasesPaused;
+            if (isOver) {
+                this->endLease(at->first);
+                at = this->leases.erase(at);
+            } else {
+                ++at;
+            }
+        }
+        auto open = std::exchange(this->calls, {});
+        for (auto &call : open) {
+            this->serve(call);
+        }
+    }
+
+    auto put(const std::string &key, const std::string &value) -> void
+    {
+        this->write(StoreWrite{key, value, StoreLease{}});
+    }
+
+    auto remove(const std::string &key) -> void
+    {
+        this->items.erase(key);
+        this->history.push_back(StoreItem{key, "", StoreRevision{++this->revision}, {}, {}, true});
+    }
+
+    /// Forgets all history.
+    auto compact() -> void
+    {
+        this->compacted = this->revision;
+        this->history.clear();
+    }
+
+    [[nodiscard]] auto now() const -> Instant { return this->moment; }
+    [[nodiscard]] auto callCount() const -> int { return this->served; }
+    [[nodiscard]] auto find(const std::string &key) const -> const StoreItem *
+    {
+        const auto found = this->items.find(key);
+        return found == this->items.end() ? nullptr : &found->second;
+    }
+
+    Mode mode = Mode::Sound;
+    bool areLeasesPaused = false;
+
+private:
+    struct Call
+    {
+        StoreCall call;
+        Instant until;
+        std::function<void(StoreAnswer)> done;
+    };
+    struct Lease
+    {
+        Instant until;
+        Duration timeToLive{0};
+    };
+
+    auto serve(Call &call) -> void
+    {
+        StoreAnswer answer;
+        if (this->mode == Mode::Refusing) {
+            answer.kind = StoreAnswer::Kind::Refused;
+            call.done(answer);
+            return;
+        }
+        if (this->mode == Mode::Silent) {
+            this->hold(call);
+            return;
+        }
+        if (const auto *watch = std::get_if<StoreWatch>(&call.call)) {
+            answer = this->watch(*watch);
+            if (answer.kind == StoreAnswer::Kind::Ok && answer.items.empty()
+                && call.until > this->moment) {
+                this->calls.push_back(std::move(call));
+                return;
+            }
+        } else {
+            answer = std::visit([this](const auto &each) { return this->answer(each); }, call.call);
+        }
+        ++this->served;
+        if (this->mode == Mode::AnswersLost) {
+            answer = StoreAnswer{};
+        }
+        call.done(answer);
+    }
+
+    auto hold(Call &call) -> void
+    {
+        if (call.until <= this->moment) {
+            call.done(StoreAnswer{});
+            return;
+        }
+        this->calls.push_back(std::move(call));
+    }
+
+    auto answer(const StoreGet &call) -> StoreAnswer
+    {
+        StoreAnswer answer;
+        const auto *item = this->find(call.key);
+        answer.kind = item == nullptr ? StoreAnswer::Kind::NotFound : StoreAnswer::Kind::Ok;
+        if (item != nullptr) {
+            answer.items = {*item};
+        }
+        answer.revision = StoreRevision{this->revision};
+        return answer;
+    }
+
+    auto answer(const StoreRange &call) -> StoreAnswer
+    {
+        constexpr std::size_t pageSize = 2;
+        StoreAnswer answer;
+        answer.kind = StoreAnswer::Kind::Ok;
+        answer.revision = StoreRevision{this->revision};
+        for (const auto &[key, item] : this->items) {
+            if (!key.starts_with(call.prefix) || key <= call.after) {
+                continue;
+            }
+            if (answer.items.size() == pageSize) {
+                answer.hasMore = true;
+                break;
+            }
+            answer.items.push_back(item);
+        }
+        return answer;
+    }
+
+    auto watch(const StoreWatch &call) -> StoreAnswer
+    {
+        StoreAnswer answer;
+        if (call.after.value < this->compacted) {
+            answer.kind = StoreAnswer::Kind::HistoryGone;
+            return answer;
+        }
+        answer.kind = StoreAnswer::Kind::Ok;
+        answer.revision = StoreRevision{this->revision};
+        std::copy_if(this->history.begin(), this->history.end(), std::back_inserter(answer.items),
+                     [&](const StoreItem &item) {
+                         return item.key.starts_with(call.prefix) && item.revision > call.after;
+                     });
+        return answer;
+    }
+
+    auto answer(const StoreWatch &call) -> StoreAnswer { return this->watch(call); }
+
+    auto answer(const StoreTransaction &call) -> StoreAnswer
+    {
+        StoreAnswer answer;
+        for (const auto &condition : call.conditions) {
+            const auto *item = this->find(condition.key);
+            const auto actual = item == nullptr ? StoreRevision{} : item->revision;
+            if (actual != condition.revision) {
+                answer.kind = StoreAnswer::Kind::ConditionFailed;
+                return answer;
+            }
+        }
+        for (const auto &write : call.writes) {
+            if (write.lease.value != 0 && !this->leases.contains(write.lease.value)) {
+                answer.kind = StoreAnswer::Kind::NotFound;
+                return answer;
+            }
+            this->write(write);
+        }
+        answer.kind = StoreAnswer::Kind::Ok;
+        answer.revision = StoreRevision{this->revision};
+        return answer;
+    }
+
+    auto answer(const StoreLeaseOpen &call) -> StoreAnswer
+    {
+        StoreAnswer answer;
+        answer.kind = StoreAnswer::Kind::Ok;
+        answer.lease = StoreLease{++this->lastLease};
+        this->leases[this->lastLease] = Lease{this->moment + call.timeToLive, call.timeToLive};
+        return answer;
+    }
+
+    auto answer(const StoreLeaseRenew &call) -> StoreAnswer
+    {
+        StoreAnswer answer;
+        const auto found = this->leases.find(call.lease.value);
+        answer.kind =
+            found == this->leases.end() ? StoreAnswer::Kind::NotFound : StoreAnswer::Kind::Ok;
+        if (found != this->leases.end()) {
+            found->second.until = this->moment + found->second.timeToLive;
+        }
+        return answer;
+    }
+
+    auto answer(const StoreLeaseEnd &call) -> StoreAnswer
+    {
+        this->endLease(call.lease.value);
+        this->leases.erase(call.lease.value);
+        StoreAnswer answer;
+        answer.kind = StoreAnswer::Kind::Ok;
+        return answer;
+    }
+
+    auto write(const StoreWrite &write) -> void
+    {
+        const auto known = this->items.find(write.key);
+        StoreItem item;
+        item.key = write.key;
+        item.value = write.value;
+        item.lease = write.lease;
+        item.revision = StoreRevision{++this->revision};
+        item.created = known == this->items.end() ? item.revision : known->second.created;
+        this->items[write.key] = item;
+        this->history.push_back(item);
+    }
+
+    auto endLease(std::uint64_t lease) -> void
+    {
+        std::vector<std::string> keys;
+        for (const auto &[key, item] : this->items) {
+            if (item.lease.value == lease) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto &key : keys) {
+            this->remove(key);
+        }
+    }
+
+    Instant moment = Instant{std::chrono::seconds{10}};
+    std::deque<Call> calls;
+    std::map<std::string, StoreItem> items;
+    std::vector<StoreItem> history;
+    std::map<std::uint64_t, Lease> leases;
+    std::uint64_t revision = 1;
+    std::uint64_t compacted = 0;
+    std::uint64_t lastLease = 0;
+    int served = 0;
+};
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -0,0 +1,85 @@
+#include "storelink/prefixview.h"
+#include "storelink/tests/fakestore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Trial
+{
+    FakeStore store;
+    int changes = 0;
+    PrefixView view{"p/", PrefixViewSettings{}, this->store.sender(),
+                    [this] { return this->store.now(); },
+                    [this](const PrefixView::Items &) { ++this->changes; }};
+
+    auto run(Duration time) -> void
+    {
+        for (auto passed = Duration{0}; passed < time; passed += milliseconds{10}) {
+            this->view.advance();
+            this->store.advance(milliseconds{10});
+        }
+    }
+};
+
+} // namespace
+
+SCENARIO("PrefixView keeps a copy of a prefix", "[storelink]")
+{
+    Trial trial;
+    for (const auto *key : {"p/a", "p/b", "p/c", "p/d", "p/e", "q/x"}) {
+        trial.store.put(key, "1");
+    }
+    trial.run(milliseconds{200});
+    GIVEN("several pages of keys")
+    {
+        THEN("all of the prefix are read, and no others")
+        {
+            CHECK(trial.view.isLoaded());
+            CHECK(trial.view.items().size() == 5);
+            CHECK(trial.changes == 1);
+        }
+    }
+    WHEN("keys change")
+    {
+        trial.store.put("p/a", "2");
+        trial.store.remove("p/b");
+        trial.store.put("q/y", "1");
+        trial.run(milliseconds{300});
+        THEN("the copy follows")
+        {
+            CHECK(trial.view.items().at("p/a").value == "2");
+            CHECK_FALSE(trial.view.items().contains("p/b"));
+            CHECK(trial.view.items().size() == 4);
+        }
+    }
+    WHEN("the store drops its history while a key changes")
+    {
+        trial.store.mode = FakeStore::Mode::Refusing;
+        trial.run(milliseconds{500});
+        trial.store.put("p/f", "1");
+        trial.store.remove("p/a");
+        trial.store.compact();
+        trial.store.mode = FakeStore::Mode::Sound;
+        trial.run(milliseconds{1500});
+        THEN("the prefix is read again")
+        {
+            CHECK(trial.view.items().contains("p/f"));
+            CHECK_FALSE(trial.view.items().contains("p/a"));
+            CHECK_FALSE(trial.view.isFailing());
+        }
+    }
+    WHEN("the store refuses everything for ten seconds")
+    {
+        trial.store.mode = FakeStore::Mode::Refusing;
+        trial.run(std::chrono::seconds{10});
+        THEN("the copy stays, and the calls are few")
+        {
+            CHECK(trial.view.items().size() == 5);
+            CHECK(trial.view.isFailing());
+        }
+    }
+}
