Give keys away only where use is high; hot single keys to the strongest upstream; fewer records

Ruled out: a piece that can't move (it was settled all the while); splitting a single key (it has one owner).

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -287,6 +287,7 @@
         upstream.busySince = now;
     }
     ++upstream.inFlight;
+    upstream.lastUse[waiting.request.id.entry] = now;
     this->permits[waiting.request.id] =
         Permit{upstream.entry.id, waiting.deadline + this->settings.permitGrace, verdict};
     this->verdicts.push_back(IssuedVerdict{waiting.request.id, std::move(verdict)});
@@ -425,6 +426,11 @@
     if (upstream.entry.domain != request.domain) {
         cost += static_cast<double>(this->settings.domainPenalty.count());
     }
+    const auto lastUse = upstream.lastUse.find(request.id.entry);
+    if (lastUse == upstream.lastUse.end()
+        || now - lastUse->second > this->settings.connectionLife) {
+        cost += static_cast<double>(this->settings.connectionPenalty.count());
+    }
     // Upstreams slow down as they fill.
     cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -23,6 +23,10 @@
     Duration firstLatency = std::chrono::milliseconds{80};
     /// Cost of an upstream in another failure domain, as extra latency.
     Duration domainPenalty = std::chrono::milliseconds{12};
+    /// Cost of a connection that the entry daemon has to open, as extra latency.
+    Duration connectionPenalty = std::chrono::milliseconds{8};
+    /// Entry daemons keep connections for about this time.
+    Duration connectionLife = std::chrono::seconds{8};
     /// A lost report returns its slot this long after the request's deadline.
     Duration permitGrace = std::chrono::milliseconds{200};
     /// Failures above this share keep an upstream for times when no other has room.
@@ -108,6 +112,8 @@
         UpstreamHealth health;
         Instant coldUntil{};
         int inFlight = 0;
+        /// When each entry daemon last sent a request there.
+        std::unordered_map<Address, Instant> lastUse;
         /// Requests that other daemons have there, as told by its answers.
         int foreign = 0;
         Instant foreignUntil{};
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -121,6 +121,7 @@
     std::uint64_t unwrittenVersion = 0;
     bool isRecordUncertain = false;
     Instant recordDue{};
+    Instant recordGatherUntil{};
     Instant announceDue{};
     Instant advancedAt{};
     Instant planDue{};
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -14,8 +14,10 @@
 constexpr Duration delayPerLoad = std::chrono::milliseconds{500};
 /// Keys without an owner are given one at most this often.
 constexpr Duration homelessEvery = std::chrono::milliseconds{40};
+/// Records that no grant waits for are written at most this often.
+constexpr Duration recordGatherTime = std::chrono::milliseconds{1500};
 /// Upstreams that start together with the daemons have registered after this time.
-constexpr Duration firstPlanDelay = std::chrono::milliseconds{1500};
+constexpr Duration firstPlanDelay = std::chrono::milliseconds{2500};
 constexpr Duration idleTick = std::chrono::milliseconds{500};
 
 } // namespace
@@ -274,6 +276,9 @@
         this->readRecord();
         return;
     }
+    if (!this->unwritten && !this->ranges->isRecordUrgent() && moment < this->recordGatherUntil) {
+        return;
+    }
     std::uint64_t version = 0;
     if (auto changed = this->ranges->takeRecord(version)) {
         this->unwritten = std::move(changed);
@@ -306,6 +311,7 @@
     switch (answer.kind) {
     case StoreAnswer::Kind::Ok:
         this->recordRevision = answer.revision;
+        this->recordGatherUntil = moment + recordGatherTime;
         this->unwritten.reset();
         this->ranges->onRecordStored(version, moment);
         return;
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -394,6 +394,14 @@
     return record;
 }
 
+auto RangeGrantor::isRecordUrgent() const -> bool
+{
+    return std::any_of(this->pieces.begin(), this->pieces.end(), [&](const Piece &piece) {
+        const auto isMoving = piece.phase == Phase::Vacant || piece.phase == Phase::Releasing;
+        return isMoving && piece.target && piece.neededRecord > this->storedRecord;
+    });
+}
+
 auto RangeGrantor::owners(Instant now) const -> std::vector<OwnedSpan>
 {
     std::vector<OwnedSpan> spans;
--- a/src/keyranges/internal/rangeplanner.cpp
+++ b/src/keyranges/internal/rangeplanner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace gooseberrywall {
 
@@ -15,10 +14,13 @@
 /// Share of an upstream's own load above which a homeless span is split for several owners.
 constexpr double homelessPart = 0.35;
 constexpr int mostHomelessParts = 6;
-/// Share of the difference between two upstreams that a move shifts.
-constexpr double shiftShare = 0.5;
-/// Smaller moves, as a share of an upstream's fair load, aren't worth the pause of their keys.
-constexpr double leastShift = 0.12;
+/// Smaller moves, as a share of what a quiet upstream carries, aren't worth the pause of their
+/// keys.
+constexpr double leastShift = 0.1;
+/// Upstreams that give keys away keep this share of what counts as quiet.
+constexpr double goalOfQuiet = 0.9;
+/// The taker of a move is used less than this share of the giver's use afterwards.
+constexpr double easeShare = 0.85;
 /// Moves to upstreams without keys in one round while all are quiet.
 constexpr std::size_t joinMoves = 4;
 
@@ -153,32 +155,22 @@
                            std::map<UpstreamId, Candidate> &candidates,
                            std::vector<RangeMove> &moves, Instant now) const -> void
 {
+    double load = 0;
+    double capacity = 0;
+    for (const auto &[id, candidate] : candidates) {
+        load += candidate.load;
+        capacity += candidate.isUsable ? candidate.capacity : 0;
+    }
+    const auto meanUse = load / capacity;
     std::set<UpstreamId> isDone;
     // Spans as they will be after the moves of this round.
     auto open = views;
     for (auto round = 0; round < this->settings.movesPerRound; ++round) {
-        Candidate *giver = nullptr;
-        Candidate *taker = nullptr;
-        double load = 0;
-        double capacity = 0;
-        for (auto &[id, candidate] : candidates) {
-            load += candidate.load;
-            capacity += candidate.isUsable ? candidate.capacity : 0;
-            if (candidate.isUsable && (taker == nullptr || candidate.use() < taker->use())) {
-                taker = &candidate;
-            }
-            const auto mayGive = !isDone.contains(id) && (candidate.isUsable || candidate.load > 0);
-            const auto use = [](const Candidate &c) {
-                return c.isUsable ? c.use() : 1000 + c.load;
-            };
-            if (mayGive && (giver == nullptr || use(candidate) > use(*giver))) {
-                giver = &candidate;
-            }
-        }
-        if (giver == nullptr || taker == nullptr || giver == taker || capacity <= 0) {
+        auto *giver = this->busiest(candidates, isDone);
+        auto *taker = this->leastUsed(candidates);
+        if (giver == nullptr || giver == taker) {
             return;
         }
-        const auto meanUse = load / capacity;
         const auto isBusy = giver->use() > this->settings.quietUse
                             && giver->use() > this->settings.imbalance * meanUse;
         // A joined upstream gets keys also while all are quiet.
@@ -186,46 +178,108 @@
         if (giver->isUsable && !isBusy && !isTakerNew) {
             return;
         }
-        RangeView *source = nullptr;
-        for (auto &view : open) {
-            const auto isMovable = view.isSettled && view.owner == giver->id
-                                   && now - view.settledAt >= this->settings.settleTime;
-            if (isMovable
-                && (source == nullptr || this->loadOf(view.span) > this->loadOf(source->span))) {
-                source = &view;
-            }
-        }
-        if (source == nullptr) {
+        const auto goalUse =
+            isTakerNew ? meanUse : std::max(meanUse, goalOfQuiet * this->settings.quietUse);
+        const auto surplus =
+            giver->isUsable ? giver->load - giver->capacity * goalUse : giver->load;
+        const auto room = taker->capacity * goalUse - taker->load;
+        const auto isShifted =
+            this->shift(open, *giver, *taker, std::min(surplus, room), now, moves);
+        // A single key that is too hot for its owner goes to the strongest upstream.
+        auto *strongest = this->strongest(candidates);
+        const auto isOverloaded = giver->use() > 1 && strongest != giver;
+        if (!isShifted
+            && !(isOverloaded && this->shift(open, *giver, *strongest, giver->load, now, moves))) {
             isDone.insert(giver->id);
-            continue;
         }
-        // Loads of both are equal, against their capacities, after the move.
-        const auto surplus = giver->isUsable ? (giver->use() - taker->use())
-                                                   / (1 / giver->capacity + 1 / taker->capacity)
-                                             : this->loadOf(source->span) * shiftShare;
-        const auto span = this->edgeRun(source->span, surplus);
+    }
+}
+
+auto RangePlanner::busiest(std::map<UpstreamId, Candidate> &candidates,
+                           const std::set<UpstreamId> &isDone) const -> Candidate *
+{
+    // Unusable upstreams give their keys away before all others.
+    const auto rank = [](const Candidate &each) {
+        return std::pair(!each.isUsable, each.isUsable ? each.use() : each.load);
+    };
+    Candidate *result = nullptr;
+    for (auto &[id, candidate] : candidates) {
+        const auto mayGive = !isDone.contains(id) && candidate.load > 0;
+        if (mayGive && (result == nullptr || rank(candidate) > rank(*result))) {
+            result = &candidate;
+        }
+    }
+    return result;
+}
+
+auto RangePlanner::leastUsed(std::map<UpstreamId, Candidate> &candidates) const -> Candidate *
+{
+    Candidate *result = nullptr;
+    for (auto &[id, candidate] : candidates) {
+        if (candidate.isUsable && (result == nullptr || candidate.use() < result->use())) {
+            result = &candidate;
+        }
+    }
+    return result;
+}
+
+auto RangePlanner::strongest(std::map<UpstreamId, Candidate> &candidates) const -> Candidate *
+{
+    Candidate *result = nullptr;
+    for (auto &[id, candidate] : candidates) {
+        if (candidate.isUsable && (result == nullptr || candidate.capacity > result->capacity)) {
+            result = &candidate;
+        }
+    }
+    return result;
+}
+
+auto RangePlanner::shift(std::vector<RangeView> &open, Candidate &giver, Candidate &taker,
+                         double load, Instant now, std::vector<RangeMove> &moves) const -> bool
+{
+    const auto least = leastShift * std::min(giver.capacity, taker.capacity);
+    if (giver.isUsable && load < least * this->settings.quietUse) {
+        return false;
+    }
+    std::vector<std::size_t> order;
+    for (std::size_t index = 0; index < open.size(); ++index) {
+        const auto &view = open[index];
+        if (view.isSettled && view.owner == giver.id
+            && now - view.settledAt >= this->settings.settleTime) {
+            order.push_back(index);
+        }
+    }
+    std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return this->loadOf(open[left].span) > this->loadOf(open[right].span);
+    });
+    for (const auto index : order) {
+        const auto span = this->edgeRun(open[index].span, load);
         const auto shifted = this->loadOf(span);
-        const auto isTooSmall = surplus < leastShift * giver->capacity * meanUse;
-        // A single key that is hotter than the surplus would only carry the problem along.
-        const auto isTooHot = shifted > 1.5 * surplus + leastShift * taker->capacity * meanUse;
-        if (giver->isUsable && (isTooSmall || isTooHot)) {
-            isDone.insert(giver->id);
+        // A key may be hotter than what was to be shifted: the move must still ease the load.
+        const auto isEase = (taker.load + shifted) / taker.capacity < easeShare * giver.use();
+        if (giver.isUsable && !isEase) {
             continue;
         }
-        moves.push_back(RangeMove{span, taker->id});
-        giver->load -= shifted;
-        taker->load += shifted;
-        ++taker->spans;
-        auto upper = *source;
-        const auto hasLower = span.first > source->span.first;
-        const auto hasUpper = span.last < source->span.last;
-        source->isSettled = hasLower;
-        source->span.last = static_cast<KeyPosition>(hasLower ? span.first - 1 : span.last);
-        if (hasUpper) {
+        moves.push_back(RangeMove{span, taker.id});
+        giver.load -= shifted;
+        taker.load += shifted;
+        ++taker.spans;
+        const auto whole = open[index];
+        open[index].isSettled = false;
+        open[index].span = span;
+        if (span.first > whole.span.first) {
+            auto lower = whole;
+            lower.span.last = static_cast<KeyPosition>(span.first - 1);
+            open.push_back(lower);
+        }
+        if (span.last < whole.span.last) {
+            auto upper = whole;
             upper.span.first = static_cast<KeyPosition>(span.last + 1);
             open.push_back(upper);
         }
+        return true;
     }
+    return false;
 }
 
 auto RangePlanner::splitByLoad(const KeySpan &span, int parts) const -> std::vector<KeySpan>
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -70,6 +70,8 @@
     /// @param version receives the record's version
     /// @returns the record, where it has changed since it was last taken
     [[nodiscard]] auto takeRecord(std::uint64_t &version) -> std::optional<RangeRecord>;
+    /// @returns whether a grant waits for a record to be stored; others may be gathered
+    [[nodiscard]] auto isRecordUrgent() const -> bool;
     /// @returns who can be sent requests, for all keys
     [[nodiscard]] auto owners(Instant now) const -> std::vector<OwnedSpan>;
     [[nodiscard]] auto views() const -> std::vector<RangeView>;
--- a/src/keyranges/rangeplanner.h
+++ b/src/keyranges/rangeplanner.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace gooseberrywall {
@@ -14,7 +15,7 @@
     /// An upstream busier than this share of the mean gives keys away.
     double imbalance = 1.25;
     /// Below this share of its slots' time an upstream never gives keys away.
-    double quietUse = 0.5;
+    double quietUse = 0.6;
     /// Moves started at once.
     int movesPerRound = 10;
     /// A span stays with its owner for at least this long.
@@ -67,6 +68,15 @@
                        std::vector<RangeMove> &moves) const -> void;
     auto balance(const std::vector<RangeView> &views, std::map<UpstreamId, Candidate> &candidates,
                  std::vector<RangeMove> &moves, Instant now) const -> void;
+    [[nodiscard]] auto busiest(std::map<UpstreamId, Candidate> &candidates,
+                               const std::set<UpstreamId> &isDone) const -> Candidate *;
+    [[nodiscard]] auto leastUsed(std::map<UpstreamId, Candidate> &candidates) const -> Candidate *;
+    [[nodiscard]] auto strongest(std::map<UpstreamId, Candidate> &candidates) const -> Candidate *;
+    /// Moves about `load` from one upstream to another.
+    /// @param open all spans; the one that moves is split off and not settled any more
+    /// @returns whether a span was found whose move eases the giver's load
+    [[nodiscard]] auto shift(std::vector<RangeView> &open, Candidate &giver, Candidate &taker,
+                             double load, Instant now, std::vector<RangeMove> &moves) const -> bool;
     [[nodiscard]] auto splitByLoad(const KeySpan &span, int parts) const -> std::vector<KeySpan>;
     /// @returns the run at one end of `span` that carries about `load`; the whole where none does
     [[nodiscard]] auto edgeRun(const KeySpan &span, double load) const -> KeySpan;
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -20,7 +20,7 @@
     /// A connection that isn't made by then counts as not to be had.
     Duration connectTimeout = std::chrono::milliseconds{250};
     /// Connections that were idle for longer aren't used again; less than upstreams' own limit.
-    Duration idleLimit = std::chrono::seconds{8};
+    Duration idleLimit = std::chrono::seconds{9};
     /// Idle connections kept for one address.
     std::size_t idlePerAddress = 8;
     /// Header by which answers name their request; empty: answers aren't matched.
