--- a/src/admin/internal/configreply.cpp
+++ b/src/admin/internal/configreply.cpp
@@ -52,6 +52,10 @@
         return "integer";
     case ValueKind::Milliseconds:
         return "milliseconds";
+    case ValueKind::Seconds:
+        return "seconds";
+    case ValueKind::Decimal:
+        return "decimal";
     case ValueKind::List:
         return "list";
     }
