Stand-ins of the platform's store and upstreams; the edge daemon tested over loopback

Three daemons, four upstreams and the store in one loop, on the platform's wire: whole own answers, slots, at most once, refusals, leaving upstreams, configuration, silent and nonsensical store.

--- /dev/null
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -0,0 +1,186 @@
+#include "stubs/kvplatform/keyedupstreamstub.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace gooseberrywall {
+
+namespace {
+
+using nlohmann::json;
+
+auto frontSettings(const Address &listen) -> FrontSettings
+{
+    FrontSettings settings;
+    settings.listen = listen;
+    return settings;
+}
+
+auto keyOf(const MessageHead &head) -> int
+{
+    const auto *key = head.find("Shard-Key");
+    return key == nullptr ? -1 : std::stoi(*key);
+}
+
+} // namespace
+
+KeyedUpstreamStub::KeyedUpstreamStub(event_base *base, Settings settings,
+                                     std::function<Instant()> now, std::vector<KeyedRun> &runs)
+    : settings(std::move(settings))
+    , now(now)
+    , runs(runs)
+    , listener(
+          base, frontSettings(this->settings.listen), now,
+          [this](ExchangeId exchange, const WholeMessage &request) {
+              this->onRequest(exchange, request);
+          },
+          [this](ExchangeId exchange) {
+              this->running.remove_if(
+                  [&](const Running &each) { return each.exchange == exchange; });
+          })
+    , timer(base, [this] { this->finishDue(); })
+{
+}
+
+auto KeyedUpstreamStub::entry(bool isDraining) const -> std::string
+{
+    return json{{"service", this->settings.service},
+                {"address", this->settings.listen.value},
+                {"zone", this->settings.zone},
+                {"version", "v1"},
+                {"capacity", this->settings.slots},
+                {"phase", isDraining ? "draining" : "ready"},
+                {"warmup_left_s", 0},
+                {"sequence", 1},
+                {"born", this->settings.born}}
+        .dump();
+}
+
+auto KeyedUpstreamStub::ownsKey(int key) const -> bool
+{
+    return std::any_of(this->holds.begin(), this->holds.end(), [&](const Hold &hold) {
+        return hold.first <= key && key <= hold.last && hold.until > this->now();
+    });
+}
+
+auto KeyedUpstreamStub::onRequest(ExchangeId exchange, const WholeMessage &request) -> void
+{
+    const auto *target = request.head.find("Target-Instance");
+    if (target != nullptr && *target != this->settings.id) {
+        this->reject(exchange, 421);
+    } else if (request.head.target == "/grant") {
+        this->onGrant(exchange, request);
+    } else if (request.head.target == "/release") {
+        this->onRelease(exchange, request);
+    } else if (this->settings.isSharded && !this->ownsKey(keyOf(request.head))) {
+        this->reject(exchange, 421);
+    } else if (this->mode == KeyedUpstreamMode::Full) {
+        this->reject(exchange, 503);
+    } else {
+        this->runRequest(exchange, request);
+    }
+}
+
+auto KeyedUpstreamStub::onGrant(ExchangeId exchange, const WholeMessage &request) -> void
+{
+    const auto body = json::parse(request.body);
+    Hold hold;
+    hold.first = body.at("from").get<int>();
+    hold.last = body.at("target").get<int>();
+    hold.fence = body.at("fence").get<std::uint64_t>();
+    hold.until = this->now()
+                 + std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double>(body.at("hold_s").get<double>()));
+    const auto isTooLow = std::any_of(this->holds.begin(), this->holds.end(), [&](const Hold &old) {
+        return old.first <= hold.last && old.last >= hold.first && old.fence > hold.fence;
+    });
+    MessageHead head;
+    head.status = isTooLow ? 409 : 200;
+    if (!isTooLow) {
+        std::erase_if(this->holds, [&](const Hold &old) {
+            return old.first >= hold.first && old.last <= hold.last;
+        });
+        this->holds.push_back(hold);
+    }
+    this->listener.reply(exchange, head, "");
+}
+
+auto KeyedUpstreamStub::onRelease(ExchangeId exchange, const WholeMessage &request) -> void
+{
+    const auto body = json::parse(request.body);
+    const auto first = body.at("from").get<int>();
+    const auto last = body.at("target").get<int>();
+    std::vector<Hold> kept;
+    for (const auto &hold : this->holds) {
+        auto lower = hold;
+        lower.last = std::min(hold.last, first - 1);
+        auto upper = hold;
+        upper.first = std::max(hold.first, last + 1);
+        for (const auto &part : {lower, upper}) {
+            if (part.first <= part.last) {
+                kept.push_back(part);
+            }
+        }
+    }
+    this->holds = std::move(kept);
+    MessageHead head;
+    head.status = 200;
+    head.headers = {HttpHeader{"Handover", "h-" + this->settings.id}};
+    this->listener.reply(exchange, head, "");
+}
+
+auto KeyedUpstreamStub::runRequest(ExchangeId exchange, const WholeMessage &request) -> void
+{
+    const auto *id = request.head.find("Request-Id");
+    this->runs.push_back(KeyedRun{id == nullptr ? "" : *id, this->settings.id, request.head.target,
+                                  request.body, keyOf(request.head), this->now()});
+    this->running.push_back(Running{exchange, request, this->now() + this->settings.work});
+    this->most = std::max(this->most, static_cast<int>(this->running.size()));
+    this->timer.set(monotonicNow() + this->settings.work);
+}
+
+auto KeyedUpstreamStub::finishDue() -> void
+{
+    constexpr Duration pause = std::chrono::milliseconds{2};
+    std::list<Running> ended;
+    for (auto at = this->running.begin(); at != this->running.end();) {
+        const auto next = std::next(at);
+        if (at->endsAt <= this->now()) {
+            ended.splice(ended.end(), this->running, at);
+        }
+        at = next;
+    }
+    if (this->mode != KeyedUpstreamMode::AnswersLost) {
+        for (const auto &each : ended) {
+            this->answer(each);
+        }
+    }
+    if (!this->running.empty()) {
+        this->timer.set(monotonicNow() + pause);
+    }
+}
+
+auto KeyedUpstreamStub::answer(const Running &ended) -> void
+{
+    MessageHead head;
+    head.status = this->mode == KeyedUpstreamMode::Failing ? 500 : 200;
+    if (const auto *id = ended.request.head.find("Request-Id")) {
+        head.headers.push_back(HttpHeader{"Request-Id", *id});
+    }
+    head.headers.push_back(HttpHeader{"Server-Signature", "sig-" + this->settings.id});
+    head.headers.push_back(HttpHeader{"Instance-Load", std::to_string(this->running.size()) + ",0,"
+                                                           + std::to_string(this->settings.slots)});
+    this->listener.reply(ended.exchange, head,
+                         "answer of " + this->settings.id + " to " + ended.request.head.target);
+}
+
+auto KeyedUpstreamStub::reject(ExchangeId exchange, int status) -> void
+{
+    MessageHead head;
+    head.status = status;
+    head.headers = {HttpHeader{"Not-Executed", "1"}};
+    this->listener.reply(exchange, head, "");
+}
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "http/clocktimer.h"
+#include "streams/frontlistener.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// How a stand-in of an upstream treats requests; orders about keys are always taken.
+enum class KeyedUpstreamMode : std::uint8_t {
+    Sound,
+    /// Runs requests and never answers them.
+    AnswersLost,
+    /// Rejects requests as not run.
+    Full,
+    /// Runs requests and fails them.
+    Failing,
+};
+
+/// Run of one request, as the upstream saw it.
+struct KeyedRun
+{
+    std::string request;
+    std::string upstream;
+    std::string path;
+    std::string body;
+    int key = -1;
+    Instant at;
+    auto operator==(const KeyedRun &) const -> bool = default;
+};
+
+/// A stand-in of an upstream that owns keys by grants: runs requests for a fixed time, rejects
+/// those for other upstreams and for keys that it doesn't own, on the loop of the test.
+class KeyedUpstreamStub
+{
+public:
+    struct Settings
+    {
+        std::string id;
+        std::string service;
+        std::string zone = "north-1";
+        Address listen;
+        bool isSharded = false;
+        int slots = 3;
+        Duration work = std::chrono::milliseconds{20};
+        std::int64_t born = 1;
+    };
+
+    /// @param runs receives each run; shared by all upstreams of a test
+    KeyedUpstreamStub(event_base *base, Settings settings, std::function<Instant()> now,
+                      std::vector<KeyedRun> &runs);
+
+    auto start() -> void { this->listener.start(); }
+    auto setMode(KeyedUpstreamMode mode) -> void { this->mode = mode; }
+    auto setWork(Duration work) -> void { this->settings.work = work; }
+    /// @returns the text that it registers in the store
+    [[nodiscard]] auto entry(bool isDraining) const -> std::string;
+    [[nodiscard]] auto storeKey() const -> std::string { return "servers/" + this->settings.id; }
+    [[nodiscard]] auto ownsKey(int key) const -> bool;
+    [[nodiscard]] auto mostAtOnce() const -> int { return this->most; }
+
+private:
+    struct Hold
+    {
+        int first = 0;
+        int last = 0;
+        std::uint64_t fence = 0;
+        Instant until;
+    };
+    struct Running
+    {
+        ExchangeId exchange;
+        WholeMessage request;
+        Instant endsAt;
+    };
+
+    auto onRequest(ExchangeId exchange, const WholeMessage &request) -> void;
+    auto onGrant(ExchangeId exchange, const WholeMessage &request) -> void;
+    auto onRelease(ExchangeId exchange, const WholeMessage &request) -> void;
+    auto runRequest(ExchangeId exchange, const WholeMessage &request) -> void;
+    auto finishDue() -> void;
+    auto answer(const Running &ended) -> void;
+    auto reject(ExchangeId exchange, int status) -> void;
+
+    Settings settings;
+    std::function<Instant()> now;
+    std::vector<KeyedRun> &runs;
+    KeyedUpstreamMode mode = KeyedUpstreamMode::Sound;
+    std::vector<Hold> holds;
+    std::uint64_t highestFence = 0;
+    std::list<Running> running;
+    int most = 0;
+    FrontListener listener;
+    ClockTimer timer;
+};
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/stubs/kvplatform/kvstorestub.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "streams/frontlistener.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// How a stand-in of the platform's store behaves.
+enum class KvStoreMode : std::uint8_t {
+    Sound,
+    /// Answers 503 and does nothing.
+    Refusing,
+    /// Reads calls and never answers.
+    Silent,
+    /// Does what it is told and never answers writes.
+    WritesUnanswered,
+    /// Answers with bytes that aren't JSON.
+    Nonsense,
+};
+
+/// A stand-in of the platform's key-value store: items, leases, watches and transactions over
+/// HTTP, in memory, on the loop of the test.
+class KvStoreStub
+{
+public:
+    KvStoreStub(event_base *base, const Address &listen, std::function<Instant()> now);
+
+    auto start() -> void { this->listener.start(); }
+    auto setMode(KvStoreMode mode) -> void { this->mode = mode; }
+    /// Writes as the operator or an upstream does.
+    auto put(const std::string &key, const std::string &value) -> void;
+    auto remove(const std::string &key) -> void;
+    /// Forgets all history: watches from before are answered 410.
+    auto compact() -> void;
+    /// Ends leases whose time has come, and answers watches whose wait is over.
+    auto tick() -> void;
+
+    [[nodiscard]] auto value(const std::string &key) const -> std::optional<std::string>;
+    [[nodiscard]] auto callCount() const -> std::uint64_t { return this->calls; }
+
+private:
+    using json = nlohmann::json;
+
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Lease
+    {
+        Instant until;
+        Duration timeToLive{0};
+    };
+    struct Watch
+    {
+        ExchangeId exchange;
+        std::string prefix;
+        std::uint64_t after = 0;
+        Instant until;
+    };
+
+    auto onRequest(ExchangeId exchange, const WholeMessage &request) -> void;
+    auto reply(ExchangeId exchange, int status, const json &body) -> void;
+    auto get(ExchangeId exchange, const std::string &key) -> void;
+    auto range(ExchangeId exchange, const std::string &prefix, const std::string &after) -> void;
+    auto transact(ExchangeId exchange, const json &body) -> void;
+    auto leaseCall(ExchangeId exchange, const std::string &path, const json &body) -> void;
+    auto write(const std::string &key, const std::string &value, std::uint64_t lease) -> void;
+    auto answerWatches() -> void;
+    auto endLease(std::uint64_t lease) -> void;
+    [[nodiscard]] static auto itemJson(const std::string &key, const Item &item) -> json;
+
+    std::function<Instant()> now;
+    FrontListener listener;
+    KvStoreMode mode = KvStoreMode::Sound;
+    std::map<std::string, Item> items;
+    std::vector<json> history;
+    std::map<std::uint64_t, Lease> leases;
+    std::list<Watch> watches;
+    std::uint64_t revision = 1;
+    std::uint64_t compacted = 0;
+    std::uint64_t lastLease = 0;
+    std::uint64_t calls = 0;
+};
+
+} // namespace gooseberrywall
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -6,5 +6,5 @@
 if [ "${1:-}" = "--check" ]; then
     mode=(--dry-run -Werror)
 fi
-git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' | grep -v '\.capnp\.' \
+git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' | grep -v '\.capnp\.' \
     | xargs -r -n 20 -P "$(nproc)" clang-format "${mode[@]}"
