Log each permit's verdict with what decided it; explain a request from a folder of logs

Permit requests carry the caller's id, so that a sampled or unusual request is whole across daemons. The grantor logs waiting requests, forecast, remaining time and term with each verdict. gooseberrywallctl explain ID FOLDER prints a request's history with what the daemons believed. Keys of the edge daemon's settings stand in docs/CONFIGURATION.md, checked against the code.

--- a/src/ctl/internal/keyspage.cpp
+++ b/src/ctl/internal/keyspage.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/documentschema.h"
 #include "inidocument/keypage.h"
+#include "settings/edgesettingsloader.h"
 #include "settings/settingsloader.h"
 
 namespace gooseberrywall {
@@ -20,7 +21,12 @@
            + "\n## A daemon's settings\n\n"
              "The file that `gooseberrywalld --config FILE` reads at its start; `--check` checks "
              "it.\n"
-           + describeSections(daemonSettingsDescription());
+           + describeSections(daemonSettingsDescription())
+           + "\n## An edge daemon's settings\n\n"
+             "The file that `gooseberrywall-edge --config FILE` reads at its start; `--check` "
+             "checks "
+             "it.\n"
+           + describeSections(edgeSettingsDescription());
 }
 
 } // namespace gooseberrywall
--- a/src/ctl/internal/statuscommands.cpp
+++ b/src/ctl/internal/statuscommands.cpp
@@ -1,5 +1,7 @@
 #include "ctl/statuscommands.h"
 
+#include "ctl/logexplanation.h"
+
 #include "http/percentcoding.h"
 
 #include <nlohmann/json.hpp>
@@ -185,13 +187,17 @@
 
 auto ExplainCommand::help() const -> std::string
 {
-    return "explain REQUEST-ID      where a request went, as this daemon remembers it";
+    return "explain REQUEST-ID [LOGS]  where a request went: as this daemon remembers it, or by "
+           "the log files of many daemons in the folder LOGS";
 }
 
 auto ExplainCommand::run(const CommandContext &context) const -> ExitCode
 {
+    if (context.arguments.size() == 2) {
+        return explainByLogs(context.arguments[0], context.arguments[1], std::cout);
+    }
     if (context.arguments.size() != 1) {
-        std::cerr << "usage: gooseberrywallctl explain REQUEST-ID\n";
+        std::cerr << "usage: gooseberrywallctl explain REQUEST-ID [LOGS]\n";
         return ExitCode::Usage;
     }
     return show(context, "/v1/explain/" + percentEncode(context.arguments[0]), printEvents);
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -99,18 +99,14 @@
 auto SlotBroker::ask(const PermitRequest &request, Instant now) -> void
 {
     if (const auto known = this->permits.find(request.id); known != this->permits.end()) {
-        this->verdicts.push_back(IssuedVerdict{request.id, known->second.verdict});
+        this->issue(request, known->second.verdict, {});
         return;
     }
     const auto isWaiting =
         std::any_of(this->waiting.begin(), this->waiting.end(),
                     [&](const Waiting &w) { return w.request.id == request.id; });
     if (isWaiting) {
-        this->verdicts.push_back(IssuedVerdict{request.id, PermitVerdict{}});
-        return;
-    }
-    if (request.isRetry && !this->retries.take(now)) {
-        this->refuse(request, Reason::RetryBudgetEmpty, this->spread(this->meanLatency));
+        this->issue(request, PermitVerdict{}, {});
         return;
     }
     if (!request.isRetry) {
@@ -124,6 +120,10 @@
     if (!this->isLate(entry, now)) {
         (entry.owner != nullptr ? entry.owner->fresh : this->fresh).count(now);
     }
+    if (request.isRetry && !this->retries.take(now)) {
+        this->refuse(entry, Reason::RetryBudgetEmpty, this->spread(this->meanLatency), now);
+        return;
+    }
     // Where a slot is free nobody waits for it: whoever waited has been given one before.
     if (auto *upstream = this->pick(entry, now)) {
         this->grant(entry, *upstream, now);
@@ -133,12 +133,14 @@
     if (outlook.wait + outlook.service > request.remaining
         || this->waiting.size() >= this->settings.waitingLimit) {
         const auto isAway = this->isOwnerAway(entry, now);
-        this->refuse(request, isAway ? Reason::NoOwner : Reason::QueueFull,
-                     this->spread(std::max(outlook.wait / 2, this->meanLatency / 2)));
+        this->refuse(entry, isAway ? Reason::NoOwner : Reason::QueueFull,
+                     this->spread(std::max(outlook.wait / 2, this->meanLatency / 2)), now);
         return;
     }
+    this->issue(
+        request, PermitVerdict{},
+        VerdictBasis{this->waiting.size(), request.remaining, outlook.wait, outlook.service});
     this->waiting.push_back(std::move(entry));
-    this->verdicts.push_back(IssuedVerdict{request.id, PermitVerdict{}});
 }
 
 auto SlotBroker::report(const PermitReport &report, Instant now) -> void
@@ -290,16 +292,28 @@
     upstream.lastUse[waiting.request.id.entry] = now;
     this->permits[waiting.request.id] =
         Permit{upstream.entry.id, waiting.deadline + this->settings.permitGrace, verdict};
-    this->verdicts.push_back(IssuedVerdict{waiting.request.id, std::move(verdict)});
+    this->issue(waiting.request, std::move(verdict),
+                VerdictBasis{this->waiting.size(), waiting.deadline - now, Duration{0},
+                             this->latencyOf(upstream, now)});
 }
 
-auto SlotBroker::refuse(const PermitRequest &request, Reason reason, Duration retryAfter) -> void
+auto SlotBroker::refuse(const Waiting &entry, Reason reason, Duration retryAfter, Instant now)
+    -> void
 {
     PermitVerdict verdict;
     verdict.kind = PermitVerdict::Kind::Refused;
     verdict.reason = reason;
     verdict.retryAfter = std::clamp(retryAfter, leastRetryAfter, longestRetryAfter);
-    this->verdicts.push_back(IssuedVerdict{request.id, std::move(verdict)});
+    const auto outlook = this->forecast(entry, now);
+    this->issue(
+        entry.request, std::move(verdict),
+        VerdictBasis{this->waiting.size(), entry.deadline - now, outlook.wait, outlook.service});
+}
+
+auto SlotBroker::issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis)
+    -> void
+{
+    this->verdicts.push_back(IssuedVerdict{request.id, request.request, std::move(verdict), basis});
 }
 
 auto SlotBroker::refuseHopeless(Instant now) -> void
@@ -321,9 +335,9 @@
         }
         if (isHopeless[index] || this->isOwnerAway(entry, now)) {
             isHopeless[index] = true;
-            this->refuse(entry.request,
+            this->refuse(entry,
                          this->isOwnerAway(entry, now) ? Reason::NoOwner : Reason::DeadlineTooShort,
-                         this->spread(this->meanLatency / 2));
+                         this->spread(this->meanLatency / 2), now);
         }
     }
     std::size_t index = 0;
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -56,11 +56,26 @@
     auto operator==(const OwnedSpan &) const -> bool = default;
 };
 
+/// What a verdict was decided by.
+struct VerdictBasis
+{
+    /// Requests that waited in the service.
+    std::size_t waiting = 0;
+    /// Until the request's answer was due.
+    Duration remaining{0};
+    /// The forecast of its wait and of its upstream's latency.
+    Duration wait{0};
+    Duration latency{0};
+    auto operator==(const VerdictBasis &) const -> bool = default;
+};
+
 /// A verdict on its way to an entry daemon.
 struct IssuedVerdict
 {
     PermitId id;
+    RequestId request;
     PermitVerdict verdict;
+    VerdictBasis basis;
     auto operator==(const IssuedVerdict &) const -> bool = default;
 };
 
@@ -150,7 +165,8 @@
     auto matchFreed(Upstream &upstream, Instant now) -> void;
     auto assignOwners() -> void;
     auto grant(const Waiting &waiting, Upstream &upstream, Instant now) -> void;
-    auto refuse(const PermitRequest &request, Reason reason, Duration retryAfter) -> void;
+    auto refuse(const Waiting &entry, Reason reason, Duration retryAfter, Instant now) -> void;
+    auto issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis) -> void;
     auto refuseHopeless(Instant now) -> void;
     auto release(const Permit &permit, Instant now) -> void;
     /// @returns whether only the owner of the request's key can run it
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -46,6 +46,8 @@
 struct PermitRequest
 {
     PermitId id;
+    /// The caller's id of the request, for logs.
+    RequestId request;
     ServiceName service;
     FailureDomain domain;
     /// 0 is the most urgent.
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -236,7 +236,7 @@
                                           this->settle();
                                       });
                 },
-                this->now, this->logger);
+                this->now, this->logger, this->requestLog);
             if (this->stoppingSince) {
                 role->resign();
             }
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "edge/types/edgesettings.h"
 #include "edge/wireadapter.h"
 #include "entry/requestflow.h"
 #include "http1/messagewriter.h"
 #include "insight/counters.h"
 #include "routing/routetable.h"
+#include "settings/types/edgesettings.h"
 #include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
 
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -5,6 +5,7 @@
 #include "keyranges/rangegrantor.h"
 #include "keyranges/rangeplanner.h"
 #include "logging/logger.h"
+#include "logging/requestlog.h"
 #include "permitlink/permitmessages.h"
 #include "routing/types/routeconfiguration.h"
 
@@ -59,7 +60,8 @@
 public:
     /// @param now reads the clock that goes on while the VM is suspended
     GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
-                SendRangeOrder orders, std::function<Instant()> now, Logger &logger);
+                SendRangeOrder orders, std::function<Instant()> now, Logger &logger,
+                RequestLog &requestLog);
 
     /// @param note the grantor whom the store names; nothing where it names none
     /// @param load how many services this daemon grants already
@@ -100,6 +102,7 @@
     auto issueOrders() -> void;
     auto refreshOwners(Instant moment) -> void;
     auto flushVerdicts() -> void;
+    auto logVerdict(const IssuedVerdict &issued) -> void;
     auto log(LogLevel level, LogLine &line) -> void;
     template<typename Done>
     auto call(StoreCall call, Done done) -> void;
@@ -110,6 +113,7 @@
     SendRangeOrder orders;
     std::function<Instant()> now;
     Logger &logger;
+    RequestLog &requestLog;
     std::shared_ptr<bool> alive;
     GrantorElection election;
     std::unique_ptr<SlotBroker> broker;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -36,13 +36,15 @@
 }
 
 GrantorRole::GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
-                         SendRangeOrder orders, std::function<Instant()> now, Logger &logger)
+                         SendRangeOrder orders, std::function<Instant()> now, Logger &logger,
+                         RequestLog &requestLog)
     : spec(std::move(spec))
     , settings(std::move(settings))
     , store(std::move(store))
     , orders(std::move(orders))
     , now(std::move(now))
     , logger(logger)
+    , requestLog(requestLog)
     , alive(std::make_shared<bool>(true))
     , election(this->settings.notePrefix + this->spec.name.value, this->ownNote(),
                this->settings.election, this->store, this->now)
@@ -423,12 +425,43 @@
 auto GrantorRole::flushVerdicts() -> void
 {
     for (auto &issued : this->broker->takeVerdicts()) {
+        this->logVerdict(issued);
         const auto entry = issued.id.entry;
         this->datagrams.push_back(
             PermitDatagram{entry, PermitAnswer{std::move(issued.id), std::move(issued.verdict)}});
     }
 }
 
+auto GrantorRole::logVerdict(const IssuedVerdict &issued) -> void
+{
+    const auto isRefused = issued.verdict.kind == PermitVerdict::Kind::Refused;
+    if (!this->requestLog.wants(issued.request, isRefused)) {
+        return;
+    }
+    const auto toMilliseconds = [](Duration duration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    };
+    const auto isGranted = issued.verdict.kind == PermitVerdict::Kind::Granted;
+    LogLine line(isRefused ? "permit_refused" : isGranted ? "permit_granted" : "permit_queued");
+    line.with("request", issued.request.value)
+        .with("service", this->spec.name.value)
+        .with("entry", issued.id.entry.value)
+        .with("waiting", static_cast<std::int64_t>(issued.basis.waiting))
+        .with("remaining_ms", toMilliseconds(issued.basis.remaining))
+        .with("wait_ms", toMilliseconds(issued.basis.wait))
+        .with("latency_ms", toMilliseconds(issued.basis.latency))
+        .with("upstreams", static_cast<std::int64_t>(this->upstreams.size()))
+        .with("term", static_cast<std::int64_t>(this->term ? this->term->value : 0));
+    if (isGranted) {
+        line.with("upstream", issued.verdict.upstream.value);
+    }
+    if (isRefused) {
+        line.with("reason", toString(issued.verdict.reason))
+            .with("retry_after_ms", toMilliseconds(issued.verdict.retryAfter));
+    }
+    this->requestLog.write(line);
+}
+
 auto GrantorRole::readDaemons(const std::string &after) -> void
 {
     this->isReadingDaemons = true;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -96,6 +96,7 @@
 auto RequestFlow::permitRequest(const Flow &flow, bool isRetry, Instant now) const -> PermitRequest
 {
     PermitRequest request;
+    request.request = flow.request.id;
     request.service = flow.request.service;
     request.domain = this->settings.domain;
     request.priority = flow.request.route.priority;
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -40,6 +40,7 @@
     writeId(out.initId(), request.id);
     out.setService(request.service.value);
     out.setDomain(request.domain.value);
+    out.setRequest(request.request.value);
     out.setPriority(request.priority);
     out.setRemaining(request.remaining.count());
     out.setUntilTarget(request.untilTarget.count());
@@ -103,6 +104,7 @@
     request.id = readId(in.getId(), sender);
     request.service.value = textOf(in.getService());
     request.domain.value = textOf(in.getDomain());
+    request.request.value = textOf(in.getRequest());
     request.priority = in.getPriority();
     request.remaining = Duration{in.getRemaining()};
     request.untilTarget = Duration{in.getUntilTarget()};
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -19,6 +19,7 @@
   key @7 :UInt16;
   isRetry @8 :Bool;
   avoid @9 :List(Text);
+  request @10 :Text;
 }
 
 struct Verdict {
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d01b3eeb31aa2e82, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d01b3eeb31aa2e82, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -266,6 +266,9 @@
   inline bool hasAvoid() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAvoid() const;
 
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -341,6 +344,13 @@
   inline void adoptAvoid(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAvoid();
 
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1202,6 +1212,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Verdict::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitlink_tests.cpp
+++ b/src/permitlink/tests/permitlink_tests.cpp
@@ -22,6 +22,7 @@
 {
     PermitRequest request;
     request.id = PermitId{sender, 5, 6};
+    request.request = RequestId{"r-1"};
     request.service = ServiceName{"fitment"};
     request.domain = FailureDomain{"north-1"};
     request.priority = 2;
--- a/src/edge/edgesettingsloader.h
+++ b/src/settings/edgesettingsloader.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "edge/types/edgesettings.h"
 #include "inidocument/types/inierror.h"
 #include "inidocument/types/keydescription.h"
+#include "settings/types/edgesettings.h"
 
 #include <optional>
 #include <string>
--- a/src/edge/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -1,4 +1,4 @@
-#include "edge/edgesettingsloader.h"
+#include "settings/edgesettingsloader.h"
 
 #include "http/endpoint.h"
 #include "inidocument/checkedini.h"
