--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -99,14 +99,14 @@
 auto SlotBroker::ask(const PermitRequest &request, Instant now) -> void
 {
     if (const auto known = this->permits.find(request.id); known != this->permits.end()) {
-        this->issue(request, known->second.verdict, {});
+        this->issue(request, known->second.verdict, VerdictBasis{});
         return;
     }
     const auto isWaiting =
         std::any_of(this->waiting.begin(), this->waiting.end(),
                     [&](const Waiting &w) { return w.request.id == request.id; });
     if (isWaiting) {
-        this->issue(request, PermitVerdict{}, {});
+        this->issue(request, PermitVerdict{}, VerdictBasis{});
         return;
     }
     if (!request.isRetry) {
@@ -137,9 +137,7 @@
                      this->spread(std::max(outlook.wait / 2, this->meanLatency / 2)), now);
         return;
     }
-    this->issue(
-        request, PermitVerdict{},
-        VerdictBasis{this->waiting.size(), request.remaining, outlook.wait, outlook.service});
+    this->issue(request, PermitVerdict{}, this->basisOf(entry, outlook, now));
     this->waiting.push_back(std::move(entry));
 }
 
@@ -292,9 +290,8 @@
     upstream.lastUse[waiting.request.id.entry] = now;
     this->permits[waiting.request.id] =
         Permit{upstream.entry.id, waiting.deadline + this->settings.permitGrace, verdict};
-    this->issue(waiting.request, std::move(verdict),
-                VerdictBasis{this->waiting.size(), waiting.deadline - now, Duration{0},
-                             this->latencyOf(upstream, now)});
+    const Forecast outlook{Duration{0}, this->latencyOf(upstream, now)};
+    this->issue(waiting.request, std::move(verdict), this->basisOf(waiting, outlook, now));
 }
 
 auto SlotBroker::refuse(const Waiting &entry, Reason reason, Duration retryAfter, Instant now)
@@ -304,10 +301,23 @@
     verdict.kind = PermitVerdict::Kind::Refused;
     verdict.reason = reason;
     verdict.retryAfter = std::clamp(retryAfter, leastRetryAfter, longestRetryAfter);
-    const auto outlook = this->forecast(entry, now);
-    this->issue(
-        entry.request, std::move(verdict),
-        VerdictBasis{this->waiting.size(), entry.deadline - now, outlook.wait, outlook.service});
+    this->issue(entry.request, std::move(verdict),
+                this->basisOf(entry, this->forecast(entry, now), now));
+}
+
+auto SlotBroker::basisOf(const Waiting &entry, const Forecast &outlook, Instant now) const
+    -> VerdictBasis
+{
+    VerdictBasis basis;
+    basis.waiting = this->waiting.size();
+    basis.remaining = entry.deadline - now;
+    basis.wait = outlook.wait;
+    basis.latency = outlook.service;
+    if (this->isKeyed(entry.request)) {
+        basis.key = entry.request.key;
+        basis.owner = entry.owner != nullptr ? entry.owner->entry.id : UpstreamId{};
+    }
+    return basis;
 }
 
 auto SlotBroker::issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis)
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -66,6 +66,9 @@
     /// The forecast of its wait and of its upstream's latency.
     Duration wait{0};
     Duration latency{0};
+    /// Keyed requests only: the key, and who owned it; empty where nobody did.
+    std::optional<KeyPosition> key;
+    UpstreamId owner;
     auto operator==(const VerdictBasis &) const -> bool = default;
 };
 
@@ -167,6 +170,8 @@
     auto grant(const Waiting &waiting, Upstream &upstream, Instant now) -> void;
     auto refuse(const Waiting &entry, Reason reason, Duration retryAfter, Instant now) -> void;
     auto issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis) -> void;
+    [[nodiscard]] auto basisOf(const Waiting &entry, const Forecast &outlook, Instant now) const
+        -> VerdictBasis;
     auto refuseHopeless(Instant now) -> void;
     auto release(const Permit &permit, Instant now) -> void;
     /// @returns whether only the owner of the request's key can run it
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -452,6 +452,9 @@
         .with("latency_ms", toMilliseconds(issued.basis.latency))
         .with("upstreams", static_cast<std::int64_t>(this->upstreams.size()))
         .with("term", static_cast<std::int64_t>(this->term ? this->term->value : 0));
+    if (issued.basis.key) {
+        line.with("key", *issued.basis.key).with("owner", issued.basis.owner.value);
+    }
     if (isGranted) {
         line.with("upstream", issued.verdict.upstream.value);
     }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -194,6 +194,14 @@
         return;
     }
     if (isSuccess) {
+        const auto isLate = now > flow.targetAt;
+        if (auto line = this->note(flow, "request_answered", isLate, now)) {
+            this->log.write(line->with("late", isLate ? "yes" : "no")
+                                .with("service", flow.request.service.value)
+                                .with("upstream", flow.upstream.value)
+                                .with("queued_ms", toMilliseconds(flow.sentAt - flow.arrived))
+                                .with("attempts", flow.attempts + 1));
+        }
         this->commands.emplace_back(FlowDeliver{end.exchange});
         this->finish(end.exchange);
         return;
