Quarantine requests that crash upstreams; split the broker's forecasts and the daemon's roles

A request that was running at the loss of three lives of upstreams is refused as not run (by method, path and body); companions are cleared by their next answer.

--- a/src/ctl/internal/logexplanation.cpp
+++ b/src/ctl/internal/logexplanation.cpp
@@ -37,7 +37,8 @@
 
 } // namespace
 
-auto explainRequest(const std::string &request, std::vector<LogRow> rows) -> std::vector<LogRow>
+auto explainRequest(const std::string &request, const std::vector<LogRow> &rows)
+    -> std::vector<LogRow>
 {
     std::vector<LogRow> own;
     std::set<std::string> sources;
@@ -92,7 +93,7 @@
             }
         }
     }
-    const auto found = explainRequest(request, std::move(rows));
+    const auto found = explainRequest(request, rows);
     if (found.empty()) {
         std::cerr << "no line names the request; sampled requests and unusual events are logged\n";
         return ExitCode::Refused;
--- a/src/ctl/logexplanation.h
+++ b/src/ctl/logexplanation.h
@@ -23,7 +23,7 @@
 /// meanwhile (configuration, grantors, owners, losses).
 /// @param rows lines of all daemons, in any order
 /// @returns the lines in the order of their times; empty where none names the request
-[[nodiscard]] auto explainRequest(const std::string &request, std::vector<LogRow> rows)
+[[nodiscard]] auto explainRequest(const std::string &request, const std::vector<LogRow> &rows)
     -> std::vector<LogRow>;
 
 /// Prints a request's history from the files of a folder.
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -18,18 +18,10 @@
 constexpr Duration permitTick = milliseconds{250};
 /// What an answer says of other daemons' requests is believed for this time.
 constexpr Duration foreignFor = milliseconds{200};
-/// An upstream without an answer for this many mean latencies gets no further request.
-constexpr int silentLatencies = 5;
-/// Least time for that: short work must not make each pause look like a loss.
-constexpr Duration leastSilence = milliseconds{250};
 /// Share of the expected latency that must be left for an attempt to be worth its slot.
 constexpr double leastShareLeft = 0.6;
-/// Share of the slots that late requests are assumed to get when all are wanted by others.
-constexpr double leastShareForLate = 0.05;
 /// Late requests' chances are forecast anew this often.
 constexpr Duration lateCheckEvery = milliseconds{40};
-/// Cold upstreams take about twice as long.
-constexpr double coldFactor = 2.0;
 /// Least time after which a refused caller is asked to come back.
 constexpr Duration leastRetryAfter = milliseconds{25};
 /// Longest such time: callers wait at most a third of their time.
@@ -84,6 +76,12 @@
         upstream.entry = entry;
         next.emplace(entry.id, std::move(upstream));
     }
+    for (const auto &[id, old] : this->upstreams) {
+        const auto found = next.find(id);
+        if (found == next.end() || found->second.entry.life != old.entry.life) {
+            this->crashes.onLost(id, old.entry.life, now);
+        }
+    }
     this->upstreams = std::move(next);
     this->assignOwners();
     this->match(now);
@@ -120,6 +118,10 @@
     if (!this->isLate(entry, now)) {
         (entry.owner != nullptr ? entry.owner->fresh : this->fresh).count(now);
     }
+    if (this->crashes.isQuarantined(RequestPrint{request.print}, now)) {
+        this->refuse(entry, Reason::Quarantined, longestRetryAfter, now);
+        return;
+    }
     if (request.isRetry && !this->retries.take(now)) {
         this->refuse(entry, Reason::RetryBudgetEmpty, this->spread(this->meanLatency), now);
         return;
@@ -146,6 +148,7 @@
     const auto found = this->upstreams.find(report.upstream);
     if (found != this->upstreams.end()) {
         auto &upstream = found->second;
+        this->learnCrashes(report, upstream, now);
         upstream.health.onEnd(report.end, report.latency, now);
         upstream.busySince = now;
         if (report.load) {
@@ -167,6 +170,29 @@
     }
 }
 
+auto SlotBroker::learnCrashes(const PermitReport &report, const Upstream &upstream, Instant now)
+    -> void
+{
+    const auto permit = this->permits.find(report.id);
+    const auto print = permit == this->permits.end() ? RequestPrint{} : permit->second.print;
+    switch (report.end) {
+    case AttemptEnd::NoAnswer:
+        this->crashes.onUnanswered(print, upstream.entry.id, upstream.entry.life, now);
+        return;
+    case AttemptEnd::NotSent:
+        this->crashes.onLost(upstream.entry.id, upstream.entry.life, now);
+        return;
+    case AttemptEnd::Answered:
+    case AttemptEnd::Failed:
+        this->crashes.onAnswered(print);
+        return;
+    case AttemptEnd::NotRun:
+    case AttemptEnd::WrongOwner:
+    case AttemptEnd::Unused:
+        return;
+    }
+}
+
 auto SlotBroker::cancel(const PermitId &id, Instant now) -> void
 {
     std::erase_if(this->waiting, [&](const Waiting &entry) { return entry.request.id == id; });
@@ -289,7 +315,8 @@
     ++upstream.inFlight;
     upstream.lastUse[waiting.request.id.entry] = now;
     this->permits[waiting.request.id] =
-        Permit{upstream.entry.id, waiting.deadline + this->settings.permitGrace, verdict};
+        Permit{upstream.entry.id, waiting.deadline + this->settings.permitGrace, verdict,
+               RequestPrint{waiting.request.print}};
     const Forecast outlook{Duration{0}, this->latencyOf(upstream, now)};
     this->issue(waiting.request, std::move(verdict), this->basisOf(waiting, outlook, now));
 }
@@ -323,7 +350,8 @@
 auto SlotBroker::issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis)
     -> void
 {
-    this->verdicts.push_back(IssuedVerdict{request.id, request.request, std::move(verdict), basis});
+    this->verdicts.push_back(
+        IssuedVerdict{request.id, request.request, std::move(verdict), std::move(basis)});
 }
 
 auto SlotBroker::refuseHopeless(Instant now) -> void
@@ -410,149 +438,10 @@
     return best;
 }
 
-auto SlotBroker::hasRoom(const Upstream &upstream, Instant now) const -> bool
-{
-    if (upstream.entry.isDraining || upstream.health.isBlocked(now)) {
-        return false;
-    }
-    if (upstream.health.isOnTrial() || this->isSilent(upstream, now)) {
-        return upstream.inFlight == 0;
-    }
-    const auto foreign = now < upstream.foreignUntil ? upstream.foreign : 0;
-    return upstream.inFlight + foreign < upstream.entry.slots;
-}
-
-auto SlotBroker::isSilent(const Upstream &upstream, Instant now) const -> bool
-{
-    if (upstream.inFlight == 0) {
-        return false;
-    }
-    const auto quiet = now - std::max(upstream.busySince, upstream.health.lastSign());
-    return quiet > std::max(leastSilence, this->meanLatency * silentLatencies);
-}
-
-auto SlotBroker::latencyOf(const Upstream &upstream, Instant now) const -> Duration
-{
-    const auto latency = upstream.health.expectedLatency(this->meanLatency, now);
-    const auto isFresh = now < upstream.coldUntil;
-    return isFresh ? std::max(latency, scaled(this->meanLatency, coldFactor)) : latency;
-}
-
-auto SlotBroker::score(const Upstream &upstream, const PermitRequest &request, Instant now) const
-    -> double
-{
-    auto cost = static_cast<double>(this->latencyOf(upstream, now).count());
-    const auto failures = upstream.health.failureShare(now);
-    cost *= 1 + 2 * failures;
-    if (failures > this->settings.unhealthyShare) {
-        cost *= 8;
-    }
-    if (upstream.entry.domain != request.domain) {
-        cost += static_cast<double>(this->settings.domainPenalty.count());
-    }
-    const auto lastUse = upstream.lastUse.find(request.id.entry);
-    if (lastUse == upstream.lastUse.end()
-        || now - lastUse->second > this->settings.connectionLife) {
-        cost += static_cast<double>(this->settings.connectionPenalty.count());
-    }
-    // Upstreams slow down as they fill.
-    cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
-    const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
-                           != request.avoid.end();
-    return isAvoided ? cost * 100 : cost;
-}
-
-auto SlotBroker::forecast(const Waiting &waiting, Instant now) const -> Forecast
-{
-    const auto ranksAhead = [&](const Waiting &other) {
-        return this->ranksBefore(other, waiting, now);
-    };
-    if (this->isKeyed(waiting.request) && waiting.owner == nullptr) {
-        const auto *owned = this->spanOf(*waiting.request.key);
-        const auto readyAt = owned == nullptr ? now : owned->readyAt;
-        return Forecast{std::max(Duration{0}, Duration{readyAt - now}), this->meanLatency};
-    }
-    if (waiting.owner != nullptr) {
-        const auto &upstream = *waiting.owner;
-        const auto latency = this->latencyOf(upstream, now);
-        const auto ahead =
-            std::count_if(this->waiting.begin(), this->waiting.end(), [&](const Waiting &other) {
-                return other.owner == waiting.owner && ranksAhead(other);
-            });
-        const auto blocked = std::max(Duration{0}, Duration{upstream.health.blockedTill() - now});
-        const auto isFree = this->hasRoom(upstream, now) && ahead == 0;
-        const auto perSecond =
-            upstream.entry.slots / std::max(0.001, std::chrono::duration<double>(latency).count());
-        const auto overtaking = this->isLate(waiting, now) ? upstream.fresh.perSecond(now) : 0.0;
-        const auto queue = isFree ? Duration{0} : this->queueTime(ahead, perSecond, overtaking);
-        return Forecast{std::max(blocked, queue), latency};
-    }
-    double slotsPerMicrosecond = 0;
-    auto isFree = false;
-    for (const auto &[id, upstream] : this->upstreams) {
-        if (upstream.entry.isDraining || upstream.health.isOnTrial()
-            || this->isSilent(upstream, now)) {
-            continue;
-        }
-        isFree = isFree || this->hasRoom(upstream, now);
-        slotsPerMicrosecond += static_cast<double>(upstream.entry.slots)
-                               / static_cast<double>(std::max<std::int64_t>(
-                                   1, this->latencyOf(upstream, now).count()));
-    }
-    const auto ahead = std::count_if(this->waiting.begin(), this->waiting.end(), ranksAhead);
-    if (isFree && ahead == 0) {
-        return Forecast{Duration{0}, this->meanLatency};
-    }
-    if (slotsPerMicrosecond <= 0) {
-        // Nothing usable is known; an upstream may come or recover while the request waits.
-        return Forecast{waiting.request.remaining / 2, this->meanLatency};
-    }
-    const auto overtaking = this->isLate(waiting, now) ? this->fresh.perSecond(now) : 0.0;
-    return Forecast{this->queueTime(ahead, slotsPerMicrosecond * 1e6, overtaking),
-                    this->meanLatency};
-}
-
-auto SlotBroker::isLate(const Waiting &waiting, Instant now) const -> bool
-{
-    return now + this->meanLatency > waiting.target;
-}
-
-auto SlotBroker::queueTime(std::ptrdiff_t ahead, double perSecond, double overtaking) const
-    -> Duration
-{
-    const auto left = std::max(perSecond - overtaking, leastShareForLate * perSecond);
-    return Duration{static_cast<std::int64_t>(1e6 * static_cast<double>(ahead + 1) / left)};
-}
-
-auto SlotBroker::ranksBefore(const Waiting &left, const Waiting &right, Instant now) const -> bool
-{
-    if (left.request.priority != right.request.priority) {
-        return left.request.priority < right.request.priority;
-    }
-    // Those that can still meet their target go before those that can't: under overload, serving
-    // strictly by age would make every answer late.
-    const auto isLeftLate = this->isLate(left, now);
-    const auto isRightLate = this->isLate(right, now);
-    if (isLeftLate != isRightLate) {
-        return isRightLate;
-    }
-    return left.deadline < right.deadline;
-}
-
 auto SlotBroker::spread(Duration base) -> Duration
 {
     std::uniform_real_distribution<double> factor(0.7, 1.5);
     return scaled(base, factor(this->random));
 }
 
-auto SlotBroker::isOwnerAway(const Waiting &waiting, Instant now) const -> bool
-{
-    if (!this->isKeyed(waiting.request)) {
-        return false;
-    }
-    const auto *owned = this->spanOf(*waiting.request.key);
-    return owned != nullptr && !owned->owner
-           && std::max(now, owned->readyAt) + this->meanLatency > waiting.deadline;
-}
-
 } // namespace gooseberrywall
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/crashmemory.h"
 #include "dispatch/retrywindow.h"
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
@@ -153,6 +154,7 @@
         UpstreamId upstream;
         Instant expires;
         PermitVerdict verdict;
+        RequestPrint print;
     };
     struct IdHash
     {
@@ -165,6 +167,7 @@
     };
 
     auto match(Instant now) -> void;
+    auto learnCrashes(const PermitReport &report, const Upstream &upstream, Instant now) -> void;
     auto matchFreed(Upstream &upstream, Instant now) -> void;
     auto assignOwners() -> void;
     auto grant(const Waiting &waiting, Upstream &upstream, Instant now) -> void;
@@ -199,6 +202,7 @@
     bool isSharded;
     SlotBrokerSettings settings;
     RetryWindow retries;
+    CrashMemory crashes{CrashMemorySettings{}};
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
     std::vector<OwnedSpan> owners;
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -59,6 +59,8 @@
     std::optional<KeyPosition> key;
     /// An earlier attempt has reached an upstream; draws on the retry budget.
     bool isRetry = false;
+    /// Hash of method, path and body; 0: unknown.
+    std::uint64_t print = 0;
     /// Upstreams that have failed or rejected this request.
     std::vector<UpstreamId> avoid;
     auto operator==(const PermitRequest &) const -> bool = default;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -2,11 +2,10 @@
 
 #include "edge/callclients.h"
 #include "edge/entryservice.h"
-#include "edge/grantorrole.h"
+#include "edge/grantorroles.h"
 #include "edge/metricstext.h"
-#include "edge/upstreamdirectory.h"
+#include "edge/upstreamwatch.h"
 #include "http/clocktimer.h"
-#include "keyranges/rangerecordcodec.h"
 #include "permitlink/permitcodec.h"
 #include "storelink/prefixview.h"
 #include "streams/datagramsocket.h"
@@ -14,7 +13,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,12 +59,17 @@
                 [this](const Address &from, std::string_view bytes) {
                     this->onDatagram(from, bytes);
                 })
-        , directory(UpstreamDirectorySettings{})
+        , upstreamWatch(wire, this->storeSender(), now, this->direct,
+                        [this](const std::vector<UpstreamEntry> &entries) {
+                            this->roles.onUpstreams(entries);
+                        })
         , configurationView(
               wire.configurationKey(), PrefixViewSettings{}, this->storeSender(), now,
               [this](const PrefixView::Items &items) { this->onConfiguration(items); })
-        , noteView(this->roleSettings().notePrefix, PrefixViewSettings{}, this->storeSender(), now,
+        , noteView(GrantorRoleSettings{}.notePrefix, PrefixViewSettings{}, this->storeSender(), now,
                    [this](const PrefixView::Items &) { this->onNotes(); })
+        , roles(this->roleSettings(), this->storeSender(), this->orderSender(), now, logger,
+                this->requestLog)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
     }
@@ -105,9 +108,7 @@
                            LogLine("daemon_stopping")
                                .with("open", static_cast<std::int64_t>(this->entry.openCount()))
                                .text());
-        for (auto &[name, role] : this->roles) {
-            role->resign();
-        }
+        this->roles.resign();
         this->entry.listener().closeAfterReplies();
         this->settle();
     }
@@ -119,8 +120,6 @@
     static constexpr Duration registerPause = std::chrono::seconds{1};
     /// Upstreams are watched for this long after the last request without a grantor.
     static constexpr Duration directWatchTime = std::chrono::seconds{3};
-    /// Changes of upstreams are gathered for this long where no grantor needs them.
-    static constexpr Duration directGatherPause = std::chrono::milliseconds{1200};
     /// Owners of keys are read from the store at most this often.
     static constexpr Duration ownersPause = std::chrono::milliseconds{1200};
     /// Without a known grantor, readiness waits at most this long for one.
@@ -158,12 +157,23 @@
         return [this](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
             this->store.send(call, timeout,
                              [this, done = std::move(done)](const StoreAnswer &answer) {
+                                 this->upstreamWatch.setTrouble(this->store.lastTrouble());
                                  done(answer);
                                  this->settle();
                              });
         };
     }
 
+    [[nodiscard]] auto orderSender() -> SendRangeOrder
+    {
+        return [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
+            this->orders.send(order, [this, done = std::move(done)](const RangeOrderEnd &end) {
+                done(end);
+                this->settle();
+            });
+        };
+    }
+
     [[nodiscard]] auto roleSettings() const -> GrantorRoleSettings
     {
         GrantorRoleSettings result;
@@ -182,7 +192,7 @@
     {
         StoreTransaction transaction;
         transaction.writes = {
-            StoreWrite{this->roleSettings().daemonPrefix + this->settings.id.value,
+            StoreWrite{this->roles.settings().daemonPrefix + this->settings.id.value,
                        this->settings.peerListen.value, StoreLease{}}};
         this->store.send(transaction, std::chrono::seconds{1}, [this](const StoreAnswer &answer) {
             const auto isDone = answer.kind == StoreAnswer::Kind::Ok;
@@ -218,81 +228,23 @@
                 .text());
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
-        this->makeRoles();
-    }
-
-    auto makeRoles() -> void
-    {
-        for (const auto &spec : this->routes->configuration().services) {
-            if (this->roles.contains(spec.name)) {
-                continue;
-            }
-            auto role = std::make_unique<GrantorRole>(
-                spec, this->roleSettings(), this->storeSender(),
-                [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
-                    this->orders.send(order,
-                                      [this, done = std::move(done)](const RangeOrderEnd &end) {
-                                          done(end);
-                                          this->settle();
-                                      });
-                },
-                this->now, this->logger, this->requestLog);
-            if (this->stoppingSince) {
-                role->resign();
-            }
-            this->roles.emplace(spec.name, std::move(role));
-        }
+        this->roles.setServices(this->routes->configuration().services);
         this->onNotes();
     }
 
     auto onNotes() -> void
     {
-        if (!this->noteView.isLoaded()) {
+        if (!this->noteView.isLoaded() || !this->routes) {
             return;
         }
-        auto load = 0;
-        for (const auto &[name, role] : this->roles) {
-            load += role->isLeading() ? 1 : 0;
-        }
-        for (auto &[name, role] : this->roles) {
-            const auto found = this->noteView.items().find(this->notePrefix + name.value);
-            std::optional<GrantorNote> note;
-            if (found != this->noteView.items().end()) {
-                note = GrantorNote{found->second.value, found->second.created};
-                this->permits.setGrantor(name, grantorAddress(note->text), note->term.value);
-            }
-            role->onNote(note, load);
-        }
-    }
-
-    /// @returns the address in a grantor's note "daemon address life"
-    [[nodiscard]] static auto grantorAddress(const std::string &text) -> Address
-    {
-        const auto first = text.find(' ');
-        const auto second = text.find(' ', first + 1);
-        return first == std::string::npos ? Address{}
-                                          : Address{text.substr(first + 1, second - first - 1)};
-    }
-
-    auto onUpstreams(const PrefixView::Items &items) -> void
-    {
-        std::vector<UpstreamEntry> entries;
-        for (const auto &[key, item] : items) {
-            if (auto entry = this->wire.upstreamEntry(item)) {
-                entries.push_back(std::move(*entry));
+        const auto &items = this->noteView.items();
+        for (const auto &spec : this->routes->configuration().services) {
+            if (const auto note = this->roles.noteOf(spec.name, items)) {
+                this->permits.setGrantor(spec.name, GrantorRoles::addressIn(*note),
+                                         note->term.value);
             }
         }
-        this->directory.update(entries, this->store.lastTrouble(), this->now());
-        this->publishUpstreams();
-    }
-
-    auto publishUpstreams() -> void
-    {
-        const auto entries = this->directory.entries();
-        this->direct.setUpstreams(entries);
-        for (auto &[name, role] : this->roles) {
-            role->onUpstreams(entries);
-        }
+        this->roles.onNotes(items);
     }
 
     /// Upstreams are watched where they are needed: by grantors, and while grantors are missing.
@@ -302,66 +254,21 @@
             this->seenDirect = this->flow.directCount();
             this->directAt = moment;
         }
-        const auto isServing =
-            std::any_of(this->roles.begin(), this->roles.end(),
-                        [](const auto &role) { return role.second->isServing(); });
         const auto isRecent = [moment](const std::optional<Instant> &last) {
             return last && moment - *last < directWatchTime;
         };
-        const auto isNeeded =
-            isServing || isRecent(this->directAt) || isRecent(this->permits.missedAt());
-        if (isRecent(this->permits.missedAt()) && moment >= this->ownersReadAt) {
-            this->readOwners(moment);
-        }
-        if (isNeeded && !this->upstreamView) {
-            auto viewSettings = PrefixViewSettings{};
-            viewSettings.gatherPause = isServing ? viewSettings.gatherPause : directGatherPause;
-            this->upstreamView = std::make_unique<PrefixView>(
-                this->wire.upstreamPrefix(), viewSettings, this->storeSender(), this->now,
-                [this](const PrefixView::Items &items) { this->onUpstreams(items); });
-        } else if (!isNeeded && this->upstreamView) {
-            this->upstreamView.reset();
-        }
-        if (this->upstreamView) {
-            this->upstreamView->advance();
-        }
-        if (const auto due = this->directory.nextDue(); due && *due <= moment) {
-            this->directory.advance(moment);
-            this->publishUpstreams();
-        }
-    }
-
-    /// Reads the owners of keys from the store, for requests while their grantor is missing.
-    auto readOwners(Instant moment) -> void
-    {
-        this->ownersReadAt = moment + ownersPause;
-        for (const auto &[name, role] : this->roles) {
-            const auto *spec = this->routes->service(name);
-            if (spec == nullptr || !spec->isSharded || role->isServing()) {
-                continue;
+        const auto isServing = this->roles.servingCount() > 0;
+        const auto isMissing = isRecent(this->permits.missedAt());
+        this->upstreamWatch.advance(isServing, isMissing || isRecent(this->directAt));
+        if (isMissing && moment >= this->ownersReadAt) {
+            this->ownersReadAt = moment + ownersPause;
+            for (const auto &service : this->roles.foreignSharded()) {
+                this->upstreamWatch.readOwners(this->roles.settings().recordPrefix, service,
+                                               ownersPause);
             }
-            const auto key = GrantorRoleSettings{}.recordPrefix + name.value;
-            this->store.send(StoreGet{key}, ownersPause,
-                             [this, service = name](const StoreAnswer &answer) {
-                                 this->onOwnersRead(service, answer);
-                             });
         }
     }
 
-    auto onOwnersRead(const ServiceName &service, const StoreAnswer &answer) -> void
-    {
-        const auto record =
-            answer.items.empty() ? std::nullopt : decodeRangeRecord(answer.items.front().value);
-        if (!record) {
-            return;
-        }
-        std::vector<DirectOwner> owners;
-        for (const auto &row : record->rows) {
-            owners.push_back(DirectOwner{row.span, row.owner.id, row.owner.address});
-        }
-        this->direct.setOwners(service, owners);
-    }
-
     auto onDatagram(const Address &from, std::string_view bytes) -> void
     {
         const auto message = decodePermitMessage(bytes, from, this->settings.peerListen);
@@ -383,23 +290,7 @@
             this->permits.setGrantor(announcement->service, from, announcement->term);
             return;
         }
-        const auto &service = std::visit(
-            [](const auto &each) -> ServiceName {
-                if constexpr (requires { each.service; }) {
-                    return each.service;
-                } else {
-                    return ServiceName{};
-                }
-            },
-            message);
-        const auto found = this->roles.find(service);
-        if (found != this->roles.end()) {
-            found->second->onMessage(from, message);
-        } else if (const auto *request = std::get_if<PermitRequest>(&message)) {
-            PermitVerdict verdict;
-            verdict.kind = PermitVerdict::Kind::NotGrantor;
-            this->post({from, PermitAnswer{request->id, verdict}});
-        }
+        this->roles.deliver(from, message);
     }
 
     auto post(const PermitDatagram &datagram) -> void
@@ -429,10 +320,8 @@
             for (const auto &datagram : this->permits.takeDatagrams()) {
                 this->post(datagram);
             }
-            for (auto &[name, role] : this->roles) {
-                for (const auto &datagram : role->takeDatagrams()) {
-                    this->post(datagram);
-                }
+            for (const auto &datagram : this->roles.takeDatagrams()) {
+                this->post(datagram);
             }
             for (const auto &message : std::exchange(this->local, {})) {
                 this->deliver(this->settings.peerListen, message);
@@ -449,9 +338,7 @@
         this->configurationView.advance();
         this->noteView.advance();
         this->onNotes();
-        for (auto &[name, role] : this->roles) {
-            role->advance();
-        }
+        this->roles.advance();
         this->watchUpstreams(moment);
         this->permits.advance(moment);
         this->flow.advance(moment);
@@ -503,16 +390,11 @@
         };
         consider(this->configurationView.nextDue());
         consider(this->noteView.nextDue());
-        if (this->upstreamView) {
-            consider(this->upstreamView->nextDue());
-        }
-        consider(this->directory.nextDue());
+        consider(this->upstreamWatch.nextDue());
         consider(this->permits.nextDue());
         consider(this->flow.nextDue());
         consider(this->registerAt);
-        for (const auto &[name, role] : this->roles) {
-            consider(role->nextDue());
-        }
+        consider(this->roles.nextDue());
         if (this->stoppingSince) {
             consider(this->shutdownDue);
         }
@@ -551,10 +433,8 @@
         gauges.badDatagrams = this->badDatagrams;
         gauges.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         gauges.configurationVersion = this->routes ? this->routes->configuration().version : 0;
-        for (const auto &[name, role] : this->roles) {
-            gauges.grantedServices += role->isServing() ? 1 : 0;
-            gauges.movedKeys += role->movedKeys();
-        }
+        gauges.grantedServices = this->roles.servingCount();
+        gauges.movedKeys = this->roles.movedKeys();
         MessageHead head;
         head.status = 200;
         head.headers = {HttpHeader{"Content-Type", "text/plain; version=0.0.4"}};
@@ -580,13 +460,11 @@
     FrontListener ready;
     FrontListener metrics;
     DatagramSocket peers;
-    UpstreamDirectory directory;
+    UpstreamWatch<Wire> upstreamWatch;
     PrefixView configurationView;
     PrefixView noteView;
-    std::unique_ptr<PrefixView> upstreamView;
-    std::map<ServiceName, std::unique_ptr<GrantorRole>> roles;
+    GrantorRoles roles;
     std::shared_ptr<const RouteTable> routes;
-    std::string notePrefix = GrantorRoleSettings{}.notePrefix;
     std::vector<PermitMessage> local;
     ClockTimer timer;
     Instant startedAt{};
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/hash.h"
 #include "edge/wireadapter.h"
 #include "entry/requestflow.h"
 #include "http1/messagewriter.h"
@@ -43,7 +44,7 @@
 
     auto start() -> void { this->front.start(); }
 
-    auto setRoutes(std::shared_ptr<const RouteTable> table) -> void
+    auto setRoutes(const std::shared_ptr<const RouteTable> &table) -> void
     {
         const auto &limits = table->configuration().limits;
         MessageLimits bounds;
@@ -51,7 +52,7 @@
         bounds.bodyBytes = std::min(limits.bodyBytes, bodyLimitBytes);
         this->front.setLimits(bounds, limits.headerTimeout + limitSlack,
                               limits.idleTimeout + limitSlack);
-        this->routes = std::move(table);
+        this->routes = table;
     }
 
     /// Carries out what has been decided since the last call.
@@ -134,6 +135,8 @@
             flowRequest.key = fields.key;
         }
         flowRequest.patience = fields.patience;
+        flowRequest.print = stableHash(entry.request.head.method + " " + entry.request.head.target,
+                                       stableHash(entry.request.body));
         this->exchanges.emplace(exchange, std::move(entry));
         this->flow.begin(std::move(flowRequest), this->now());
         this->onWork();
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -81,7 +81,7 @@
     }
     /// @returns whether this daemon gives out permits, elected or not yet replaced
     [[nodiscard]] auto isServing() const -> bool { return this->serving; }
-    [[nodiscard]] auto service() const -> const ServiceName & { return this->spec.name; }
+    [[nodiscard]] auto isSharded() const -> bool { return this->spec.isSharded; }
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
 
 private:
@@ -105,7 +105,7 @@
     auto logVerdict(const IssuedVerdict &issued) -> void;
     auto log(LogLevel level, LogLine &line) -> void;
     template<typename Done>
-    auto call(StoreCall call, Done done) -> void;
+    auto call(const StoreCall &call, Done done) -> void;
 
     ServiceSpec spec;
     GrantorRoleSettings settings;
--- /dev/null
+++ b/src/edge/grantorroles.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "edge/grantorrole.h"
+#include "storelink/prefixview.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// This daemon's parts in granting all services.
+class GrantorRoles
+{
+public:
+    GrantorRoles(GrantorRoleSettings settings, SendStoreCall store, SendRangeOrder orders,
+                 std::function<Instant()> now, Logger &logger, RequestLog &requestLog);
+
+    /// Adds a role for each service that has none yet.
+    auto setServices(const std::vector<ServiceSpec> &specs) -> void;
+    /// @param items the grantors' notes in the store
+    auto onNotes(const PrefixView::Items &items) -> void;
+    auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    /// Hands a message to its service's role; a request for a service without one is answered.
+    auto deliver(const Address &from, const PermitMessage &message) -> void;
+    auto advance() -> void;
+    auto resign() -> void;
+
+    [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
+    [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
+    /// @returns sharded services that another daemon grants
+    [[nodiscard]] auto foreignSharded() const -> std::vector<ServiceName>;
+    [[nodiscard]] auto servingCount() const -> std::uint64_t;
+    [[nodiscard]] auto movedKeys() const -> std::uint64_t;
+    [[nodiscard]] auto settings() const -> const GrantorRoleSettings & { return this->common; }
+
+    /// @returns the address in a grantor's note
+    [[nodiscard]] static auto addressIn(const GrantorNote &note) -> Address;
+    /// @returns a service's grantor by the notes; nothing where there is none
+    [[nodiscard]] auto noteOf(const ServiceName &service, const PrefixView::Items &items) const
+        -> std::optional<GrantorNote>;
+
+private:
+    GrantorRoleSettings common;
+    SendStoreCall store;
+    SendRangeOrder orders;
+    std::function<Instant()> now;
+    Logger &logger;
+    RequestLog &requestLog;
+    std::map<ServiceName, std::unique_ptr<GrantorRole>> roles;
+    std::vector<PermitDatagram> datagrams;
+    bool hasResigned = false;
+};
+
+} // namespace gooseberrywall
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -25,9 +25,9 @@
 } // namespace
 
 template<typename Done>
-auto GrantorRole::call(StoreCall call, Done done) -> void
+auto GrantorRole::call(const StoreCall &call, Done done) -> void
 {
-    this->store(std::move(call), this->settings.storeTimeout,
+    this->store(call, this->settings.storeTimeout,
                 [done, watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
                     if (!watcher.expired()) {
                         done(answer);
@@ -89,7 +89,7 @@
     StoreTransaction transaction;
     transaction.conditions = {StoreCondition{key, note.term}};
     transaction.removals = {key};
-    this->call(std::move(transaction), [this](const StoreAnswer &answer) {
+    this->call(transaction, [this](const StoreAnswer &answer) {
         LogLine line("former_note_removed");
         line.with("service", this->spec.name.value)
             .with("done", answer.kind == StoreAnswer::Kind::Ok ? "yes" : "no");
@@ -331,8 +331,8 @@
         StoreCondition{key, this->recordRevision}};
     transaction.writes = {StoreWrite{key, encodeRangeRecord(*this->unwritten), StoreLease{}}};
     this->isRecordCalling = true;
-    this->call(std::move(transaction), [this, asked = this->term, written = this->unwrittenVersion](
-                                           const StoreAnswer &answer) {
+    this->call(transaction, [this, asked = this->term,
+                             written = this->unwrittenVersion](const StoreAnswer &answer) {
         this->isRecordCalling = false;
         if (this->term == asked && this->ranges) {
             this->onRecordWritten(answer, written);
--- /dev/null
+++ b/src/edge/internal/grantorroles.cpp
@@ -0,0 +1,153 @@
+#include "edge/grantorroles.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywall {
+
+GrantorRoles::GrantorRoles(GrantorRoleSettings settings, SendStoreCall store, SendRangeOrder orders,
+                           std::function<Instant()> now, Logger &logger, RequestLog &requestLog)
+    : common(std::move(settings))
+    , store(std::move(store))
+    , orders(std::move(orders))
+    , now(std::move(now))
+    , logger(logger)
+    , requestLog(requestLog)
+{
+}
+
+auto GrantorRoles::setServices(const std::vector<ServiceSpec> &specs) -> void
+{
+    for (const auto &spec : specs) {
+        if (this->roles.contains(spec.name)) {
+            continue;
+        }
+        auto role = std::make_unique<GrantorRole>(spec, this->common, this->store, this->orders,
+                                                  this->now, this->logger, this->requestLog);
+        if (this->hasResigned) {
+            role->resign();
+        }
+        this->roles.emplace(spec.name, std::move(role));
+    }
+}
+
+auto GrantorRoles::onNotes(const PrefixView::Items &items) -> void
+{
+    const auto load =
+        static_cast<int>(std::count_if(this->roles.begin(), this->roles.end(),
+                                       [](const auto &row) { return row.second->isLeading(); }));
+    for (auto &[name, role] : this->roles) {
+        role->onNote(this->noteOf(name, items), load);
+    }
+}
+
+auto GrantorRoles::onUpstreams(const std::vector<UpstreamEntry> &entries) -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->onUpstreams(entries);
+    }
+}
+
+auto GrantorRoles::deliver(const Address &from, const PermitMessage &message) -> void
+{
+    const auto service = std::visit(
+        [](const auto &each) -> ServiceName {
+            if constexpr (requires { each.service; }) {
+                return each.service;
+            } else {
+                return ServiceName{};
+            }
+        },
+        message);
+    const auto found = this->roles.find(service);
+    if (found != this->roles.end()) {
+        found->second->onMessage(from, message);
+    } else if (const auto *request = std::get_if<PermitRequest>(&message)) {
+        PermitVerdict verdict;
+        verdict.kind = PermitVerdict::Kind::NotGrantor;
+        this->datagrams.push_back(PermitDatagram{from, PermitAnswer{request->id, verdict}});
+    }
+}
+
+auto GrantorRoles::advance() -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->advance();
+    }
+}
+
+auto GrantorRoles::resign() -> void
+{
+    this->hasResigned = true;
+    for (auto &[name, role] : this->roles) {
+        role->resign();
+    }
+}
+
+auto GrantorRoles::takeDatagrams() -> std::vector<PermitDatagram>
+{
+    auto result = std::exchange(this->datagrams, {});
+    for (auto &[name, role] : this->roles) {
+        for (auto &datagram : role->takeDatagrams()) {
+            result.push_back(std::move(datagram));
+        }
+    }
+    return result;
+}
+
+auto GrantorRoles::nextDue() const -> std::optional<Instant>
+{
+    std::optional<Instant> due;
+    for (const auto &[name, role] : this->roles) {
+        const auto next = role->nextDue();
+        due = due ? std::min(*due, next) : next;
+    }
+    return due;
+}
+
+auto GrantorRoles::foreignSharded() const -> std::vector<ServiceName>
+{
+    std::vector<ServiceName> result;
+    for (const auto &[name, role] : this->roles) {
+        if (role->isSharded() && !role->isServing()) {
+            result.push_back(name);
+        }
+    }
+    return result;
+}
+
+auto GrantorRoles::servingCount() const -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(this->roles.begin(), this->roles.end(),
+                      [](const auto &row) { return row.second->isServing(); }));
+}
+
+auto GrantorRoles::movedKeys() const -> std::uint64_t
+{
+    std::uint64_t moved = 0;
+    for (const auto &[name, role] : this->roles) {
+        moved += role->movedKeys();
+    }
+    return moved;
+}
+
+auto GrantorRoles::addressIn(const GrantorNote &note) -> Address
+{
+    const auto first = note.text.find(' ');
+    const auto second = note.text.find(' ', first + 1);
+    return first == std::string::npos ? Address{}
+                                      : Address{note.text.substr(first + 1, second - first - 1)};
+}
+
+auto GrantorRoles::noteOf(const ServiceName &service, const PrefixView::Items &items) const
+    -> std::optional<GrantorNote>
+{
+    const auto found = items.find(this->common.notePrefix + service.value);
+    if (found == items.end()) {
+        return std::nullopt;
+    }
+    return GrantorNote{found->second.value, found->second.created};
+}
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/upstreamwatch.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "edge/upstreamdirectory.h"
+#include "edge/wireadapter.h"
+#include "entry/directchoice.h"
+#include "keyranges/rangerecordcodec.h"
+#include "storelink/prefixview.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// Watches the upstreams' entries in the store for as long as this daemon needs them, and reads
+/// owners of keys for requests without a grantor.
+template<WireAdapter Wire>
+class UpstreamWatch
+{
+public:
+    using OnEntries = std::function<void(const std::vector<UpstreamEntry> &entries)>;
+
+    /// @param now reads the clock
+    /// @param direct learns entries and owners
+    /// @param onEntries called after each change of the entries
+    UpstreamWatch(const Wire &wire, SendStoreCall store, std::function<Instant()> now,
+                  DirectChoice &direct, OnEntries onEntries)
+        : wire(wire)
+        , store(std::move(store))
+        , now(std::move(now))
+        , direct(direct)
+        , onEntries(std::move(onEntries))
+        , directory(UpstreamDirectorySettings{})
+    {
+    }
+
+    /// @param troubleAt when a call of the store last failed
+    auto setTrouble(Instant troubleAt) -> void { this->trouble = troubleAt; }
+
+    /// @param isGrantor changes are needed at once
+    /// @param isDirect changes are needed, but may be gathered
+    auto advance(bool isGrantor, bool isDirect) -> void
+    {
+        const auto isNeeded = isGrantor || isDirect;
+        if (isNeeded && (!this->view || isGrantor != this->isForGrantor)) {
+            this->isForGrantor = isGrantor;
+            auto settings = PrefixViewSettings{};
+            settings.gatherPause = isGrantor ? settings.gatherPause : directGatherPause;
+            this->view = std::make_unique<PrefixView>(
+                this->wire.upstreamPrefix(), settings, this->store, this->now,
+                [this](const PrefixView::Items &items) { this->onItems(items); });
+        } else if (!isNeeded && this->view) {
+            this->view.reset();
+        }
+        if (this->view) {
+            this->view->advance();
+        }
+        if (const auto due = this->directory.nextDue(); due && *due <= this->now()) {
+            this->directory.advance(this->now());
+            this->publish();
+        }
+    }
+
+    /// Reads the owners of a service's keys as the store has them.
+    /// @param prefix of the records' keys
+    auto readOwners(const std::string &prefix, const ServiceName &service, Duration timeout) -> void
+    {
+        this->store(
+            StoreGet{prefix + service.value}, timeout,
+            [this, service](const StoreAnswer &answer) { this->onOwners(service, answer); });
+    }
+
+    [[nodiscard]] auto nextDue() const -> std::optional<Instant>
+    {
+        auto due = this->directory.nextDue();
+        const auto next = this->view ? this->view->nextDue() : std::nullopt;
+        if (next && (!due || *next < *due)) {
+            due = next;
+        }
+        return due;
+    }
+
+private:
+    /// Changes are gathered for this long where no grantor needs them.
+    static constexpr Duration directGatherPause = std::chrono::milliseconds{1200};
+
+    auto onItems(const PrefixView::Items &items) -> void
+    {
+        std::vector<UpstreamEntry> entries;
+        for (const auto &[key, item] : items) {
+            if (auto entry = this->wire.upstreamEntry(item)) {
+                entries.push_back(std::move(*entry));
+            }
+        }
+        this->directory.update(entries, this->trouble, this->now());
+        this->publish();
+    }
+
+    auto publish() -> void
+    {
+        const auto entries = this->directory.entries();
+        this->direct.setUpstreams(entries);
+        this->onEntries(entries);
+    }
+
+    auto onOwners(const ServiceName &service, const StoreAnswer &answer) -> void
+    {
+        const auto record =
+            answer.items.empty() ? std::nullopt : decodeRangeRecord(answer.items.front().value);
+        if (!record) {
+            return;
+        }
+        std::vector<DirectOwner> owners;
+        for (const auto &row : record->rows) {
+            owners.push_back(DirectOwner{row.span, row.owner.id, row.owner.address});
+        }
+        this->direct.setOwners(service, owners);
+    }
+
+    const Wire &wire;
+    SendStoreCall store;
+    std::function<Instant()> now;
+    DirectChoice &direct;
+    OnEntries onEntries;
+    UpstreamDirectory directory;
+    std::unique_ptr<PrefixView> view;
+    bool isForGrantor = false;
+    Instant trouble{};
+};
+
+} // namespace gooseberrywall
--- a/src/entry/internal/permitclient.cpp
+++ b/src/entry/internal/permitclient.cpp
@@ -47,7 +47,7 @@
 {
     const auto sequence = this->nextSequence++;
     request.id = PermitId{this->self, this->life, sequence};
-    const auto id = request.id;
+    auto id = request.id;
     const auto found = this->grantors.find(request.service);
     if (found == this->grantors.end()) {
         this->lastMissed = now;
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -41,6 +41,7 @@
     out.setService(request.service.value);
     out.setDomain(request.domain.value);
     out.setRequest(request.request.value);
+    out.setPrint(request.print);
     out.setPriority(request.priority);
     out.setRemaining(request.remaining.count());
     out.setUntilTarget(request.untilTarget.count());
@@ -105,6 +106,7 @@
     request.service.value = textOf(in.getService());
     request.domain.value = textOf(in.getDomain());
     request.request.value = textOf(in.getRequest());
+    request.print = in.getPrint();
     request.priority = in.getPriority();
     request.remaining = Duration{in.getRemaining()};
     request.untilTarget = Duration{in.getUntilTarget()};
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -20,6 +20,7 @@
   isRetry @8 :Bool;
   avoid @9 :List(Text);
   request @10 :Text;
+  print @11 :UInt64;
 }
 
 struct Verdict {
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -53,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d01b3eeb31aa2e82, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d01b3eeb31aa2e82, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -269,6 +269,8 @@
   inline bool hasRequest() const;
   inline  ::capnp::Text::Reader getRequest() const;
 
+  inline  ::uint64_t getPrint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -351,6 +353,9 @@
   inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
+  inline  ::uint64_t getPrint();
+  inline void setPrint( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1246,6 +1251,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Request::Reader::getPrint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Request::Builder::getPrint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setPrint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Verdict::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitlink_tests.cpp
+++ b/src/permitlink/tests/permitlink_tests.cpp
@@ -30,6 +30,7 @@
     request.untilTarget = std::chrono::milliseconds{-20};
     request.key = KeyPosition{65535};
     request.isRetry = true;
+    request.print = 99;
     request.avoid = {UpstreamId{"a"}, UpstreamId{"b"}};
     CHECK(roundTrip(request, sender, self) == PermitMessage{request});
 
