Spread renewals and settle orders together; read the store less on large deployments

Change: renewals are spread over a third of their interval, an answer looks at its own span, owners are settled every 8 ms; owners are read stale and every 2 s; versions and notes are gathered for 0.4 and 0.6 s.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -64,9 +64,9 @@
                             this->roles.onUpstreams(entries);
                         })
         , configurationView(
-              wire.configurationKey(), PrefixViewSettings{}, this->storeSender(), now,
+              wire.configurationKey(), gathering(configurationPause), this->storeSender(), now,
               [this](const PrefixView::Items &items) { this->onConfiguration(items); })
-        , noteView(GrantorRoleSettings{}.notePrefix, PrefixViewSettings{}, this->storeSender(), now,
+        , noteView(GrantorRoleSettings{}.notePrefix, gathering(notePause), this->storeSender(), now,
                    [this](const PrefixView::Items &) { this->onNotes(); })
         , roles(this->roleSettings(), this->storeSender(), this->orderSender(), now, logger,
                 this->requestLog)
@@ -116,12 +116,17 @@
 private:
     /// Sweeps of callers' connections, and checks that no other timer covers.
     static constexpr Duration housekeepingEvery = std::chrono::milliseconds{500};
+    /// Versions that come in quick succession are read together; well below the time in which they
+    /// have to be in force.
+    static constexpr Duration configurationPause = std::chrono::milliseconds{400};
+    /// New grantors announce themselves, so that the store's word on them isn't urgent.
+    static constexpr Duration notePause = std::chrono::milliseconds{600};
     /// Registration of the own address is tried again after this time.
     static constexpr Duration registerPause = std::chrono::seconds{1};
     /// Upstreams are watched for this long after the last request without a grantor.
     static constexpr Duration directWatchTime = std::chrono::seconds{3};
     /// Owners of keys are read from the store at most this often.
-    static constexpr Duration ownersPause = std::chrono::milliseconds{1200};
+    static constexpr Duration ownersPause = std::chrono::milliseconds{2000};
     /// Without a known grantor, readiness waits at most this long for one.
     static constexpr Duration grantorPatience = std::chrono::seconds{4};
     /// After SIGTERM the balancer may send connections for this long.
@@ -145,6 +150,13 @@
         return result;
     }
 
+    [[nodiscard]] static auto gathering(Duration pause) -> PrefixViewSettings
+    {
+        PrefixViewSettings result;
+        result.gatherPause = pause;
+        return result;
+    }
+
     [[nodiscard]] static auto pageSettings(const Address &listen) -> FrontSettings
     {
         FrontSettings result;
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -136,6 +136,7 @@
     Instant recordGatherUntil{};
     Instant announceDue{};
     Instant advancedAt{};
+    Instant settleDue{};
     Instant planDue{};
     Instant planHomelessDue{};
     bool isProlonging = false;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -16,6 +16,8 @@
 constexpr double leastProcessor = 0.05;
 /// Keys without an owner are given one at most this often.
 constexpr Duration homelessEvery = std::chrono::milliseconds{40};
+/// Orders that end together are settled together.
+constexpr Duration settlePause = std::chrono::milliseconds{8};
 /// Records that no grant waits for are written at most this often.
 constexpr Duration recordGatherTime = std::chrono::milliseconds{1500};
 /// Upstreams that start together with the daemons have registered after this time.
@@ -153,6 +155,7 @@
     }
     const auto moment = this->now();
     this->advancedAt = moment;
+    this->settleDue = moment + idleTick;
     if (this->ranges) {
         this->advanceRanges(moment);
     }
@@ -247,7 +250,7 @@
 {
     this->isRecordCalling = true;
     const auto key = this->settings.recordPrefix + this->spec.name.value;
-    this->call(StoreGet{key}, [this, asked = this->term](const StoreAnswer &answer) {
+    this->call(StoreGet{key, false}, [this, asked = this->term](const StoreAnswer &answer) {
         this->isRecordCalling = false;
         if (this->term == asked) {
             this->onRecordRead(answer);
@@ -407,7 +410,8 @@
                 return;
             }
             this->ranges->onOrderEnd(end, this->now());
-            this->advance();
+            this->issueOrders();
+            this->settleDue = std::min(this->settleDue, this->now() + settlePause);
         });
     }
 }
@@ -509,7 +513,8 @@
         due = std::min(due, this->announceDue);
     }
     if (this->ranges && this->isAdopted) {
-        due = std::min({due, this->ranges->nextDue(this->advancedAt), this->planDue});
+        due = std::min(
+            {due, this->ranges->nextDue(this->advancedAt), this->planDue, this->settleDue});
     }
     return std::max(due, moment + Duration{500});
 }
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -65,12 +65,13 @@
         }
     }
 
-    /// Reads the owners of a service's keys as the store has them.
+    /// Reads the owners of a service's keys as the store had them some seconds ago at most; a wrong
+    /// one rejects requests unrun.
     /// @param prefix of the records' keys
     auto readOwners(const std::string &prefix, const ServiceName &service, Duration timeout) -> void
     {
         this->store(
-            StoreGet{prefix + service.value}, timeout,
+            StoreGet{prefix + service.value, true}, timeout,
             [this, service](const StoreAnswer &answer) { this->onOwners(service, answer); });
     }
 
--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -143,7 +143,7 @@
 
 auto GrantorElection::verify() -> void
 {
-    this->call(StoreGet{this->key},
+    this->call(StoreGet{this->key, false},
                [this](const StoreAnswer &answer) { this->onVerified(answer); });
 }
 
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -13,13 +13,9 @@
 constexpr unsigned sequenceBits = 20;
 /// Unanswered renewals after which an upstream counts as lost.
 constexpr int lostAfterFailures = 2;
-/// While anything is in transition, it is looked at this often.
-constexpr Duration tick = std::chrono::milliseconds{50};
 
-/// Without authority no owner can be given; for how long isn't known.
-constexpr Duration outagePause = std::chrono::seconds{2};
-/// Renewals that fall due together are sent together.
-constexpr Duration leastPause = std::chrono::milliseconds{20};
+/// Renewals are sent earlier by up to this share of their interval.
+constexpr double renewalSpread = 0.35;
 
 } // namespace
 
@@ -119,7 +115,8 @@
     } else {
         this->onGrantEnd(*piece, end, now);
     }
-    this->advance(now);
+    // Only this span can have something to do now; the others are looked at by advance().
+    this->advancePiece(*piece, now);
 }
 
 auto RangeGrantor::onGrantEnd(Piece &piece, const RangeOrderEnd &end, Instant now) -> void
@@ -142,7 +139,7 @@
         piece.earlier.clear();
         piece.holdEnd = std::max(piece.holdEnd, this->lastEnd(now, piece.sentHold));
         piece.confirmedUntil = piece.sentAt + piece.sentHold - this->settings.margin;
-        piece.renewAt = piece.sentAt + this->settings.renewEvery;
+        piece.renewAt = piece.sentAt + this->renewalPause(piece);
         return;
     case Kind::OtherUpstream:
         this->vacate(piece, now);
@@ -354,113 +351,6 @@
     return std::exchange(this->orders, {});
 }
 
-auto RangeGrantor::takeRecord(std::uint64_t &version) -> std::optional<RangeRecord>
-{
-    if (this->takenRecord == this->recordVersion) {
-        return std::nullopt;
-    }
-    this->takenRecord = this->recordVersion;
-    version = this->recordVersion;
-    RangeRecord record;
-    for (const auto &piece : this->pieces) {
-        RangeRow row{piece.span, {}, piece.earlier};
-        if (piece.holder) {
-            row.owner = *piece.holder;
-        }
-        if (piece.target) {
-            if (const auto *entry = this->entryOf(*piece.target)) {
-                const auto isHolderListed =
-                    !piece.holder
-                    || std::find(row.earlier.begin(), row.earlier.end(), *piece.holder)
-                           != row.earlier.end();
-                if (!isHolderListed) {
-                    row.earlier.push_back(*piece.holder);
-                }
-                row.owner = RangeHolder{entry->id, entry->life, entry->address};
-            }
-        }
-        if (row.owner.id.empty()) {
-            continue;
-        }
-        const auto isSame = !record.rows.empty() && record.rows.back().owner == row.owner
-                            && record.rows.back().earlier == row.earlier
-                            && record.rows.back().span.last + 1 == row.span.first;
-        if (isSame) {
-            record.rows.back().span.last = row.span.last;
-        } else {
-            record.rows.push_back(std::move(row));
-        }
-    }
-    return record;
-}
-
-auto RangeGrantor::isRecordUrgent() const -> bool
-{
-    return std::any_of(this->pieces.begin(), this->pieces.end(), [&](const Piece &piece) {
-        const auto isMoving = piece.phase == Phase::Vacant || piece.phase == Phase::Releasing;
-        return isMoving && piece.target && piece.neededRecord > this->storedRecord;
-    });
-}
-
-auto RangeGrantor::owners(Instant now) const -> std::vector<OwnedSpan>
-{
-    std::vector<OwnedSpan> spans;
-    for (const auto &piece : this->pieces) {
-        OwnedSpan span{piece.span, std::nullopt, Instant{}};
-        if (piece.phase == Phase::Held && now < piece.confirmedUntil
-            && this->isUsable(*piece.holder)) {
-            span.owner = piece.holder->id;
-        } else if (piece.phase == Phase::Expiring) {
-            span.readyAt = piece.holdEnd;
-        } else if (now >= this->authorityEnd) {
-            span.readyAt = this->authorityEnd + outagePause;
-        }
-        const auto isSame = !spans.empty() && spans.back().owner == span.owner
-                            && spans.back().readyAt == span.readyAt
-                            && spans.back().span.last + 1 == span.span.first;
-        if (isSame) {
-            spans.back().span.last = span.span.last;
-        } else {
-            spans.push_back(span);
-        }
-    }
-    return spans;
-}
-
-auto RangeGrantor::views() const -> std::vector<RangeView>
-{
-    std::vector<RangeView> result;
-    for (const auto &piece : this->pieces) {
-        RangeView view{piece.span, std::nullopt, false, piece.settledAt};
-        if (piece.target) {
-            view.owner = piece.target;
-        } else if (piece.holder && piece.phase != Phase::Expiring
-                   && (piece.phase != Phase::Held || this->isUsable(*piece.holder))) {
-            view.owner = piece.holder->id;
-        }
-        view.isSettled = piece.call.value == 0 && piece.phase == Phase::Held && !piece.target
-                         && !piece.isFenceOpen;
-        result.push_back(view);
-    }
-    return result;
-}
-
-auto RangeGrantor::nextDue(Instant now) const -> Instant
-{
-    auto due = now + this->settings.renewEvery;
-    for (const auto &piece : this->pieces) {
-        if (piece.call.value != 0) {
-            continue;
-        }
-        if (piece.phase == Phase::Held && this->isUsable(*piece.holder)) {
-            due = std::min(due, std::max(piece.renewAt, now + leastPause));
-        } else {
-            due = std::min(due, now + tick);
-        }
-    }
-    return due;
-}
-
 auto RangeGrantor::splitAt(KeyPosition first) -> void
 {
     const auto found = std::find_if(this->pieces.begin(), this->pieces.end(),
@@ -554,6 +444,16 @@
     return now >= piece.renewAt || isTooShort;
 }
 
+auto RangeGrantor::renewalPause(const Piece &piece) const -> Duration
+{
+    // Spans fall due at different times, so that renewals don't come in bursts.
+    constexpr std::uint32_t scatter = 2654435761U;
+    const auto share = static_cast<double>((piece.span.first * scatter) >> 16U) / 65536.0;
+    const auto factor = 1 - renewalSpread * share;
+    return Duration{
+        static_cast<std::int64_t>(static_cast<double>(this->settings.renewEvery.count()) * factor)};
+}
+
 auto RangeGrantor::nextFence() -> std::uint64_t
 {
     ++this->sequence;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -140,6 +140,7 @@
     [[nodiscard]] auto isUsable(const RangeHolder &holder) const -> bool;
     [[nodiscard]] auto lastEnd(Instant now, Duration hold) const -> Instant;
     [[nodiscard]] auto nextFence() -> std::uint64_t;
+    [[nodiscard]] auto renewalPause(const Piece &piece) const -> Duration;
     [[nodiscard]] auto holdNow() const -> Duration;
     [[nodiscard]] auto isRenewalDue(const Piece &piece, Instant now) const -> bool;
 
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -74,7 +74,7 @@
 
 auto PrefixView::watch() -> void
 {
-    const auto wait = std::min(this->settings.watchWait, this->settings.probeWait);
+    const auto wait = this->settings.watchWait;
     this->call(StoreWatch{this->prefix, this->position, wait}, wait + this->settings.watchSlack,
                &PrefixView::onEvents);
 }
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -13,18 +13,16 @@
 struct PrefixViewSettings
 {
     /// Longest wait of one watch.
-    Duration watchWait = std::chrono::seconds{25};
+    Duration watchWait = std::chrono::seconds{29};
     Duration readTimeout = std::chrono::milliseconds{1500};
     /// Pause before a call that follows a failed one.
     Duration firstPause = std::chrono::milliseconds{250};
-    Duration longestPause = std::chrono::milliseconds{1200};
+    Duration longestPause = std::chrono::seconds{2};
     /// Pause between a watch's answer and the next watch: changes that come together are read
     /// together.
     Duration gatherPause = std::chrono::milliseconds{60};
     /// A watch whose answer is overdue by this much is given up.
     Duration watchSlack = std::chrono::seconds{2};
-    /// While set, a watch waits this long at most, to find silent connections.
-    Duration probeWait = std::chrono::seconds{25};
     auto operator==(const PrefixViewSettings &) const -> bool = default;
 };
 
--- a/src/storelink/types/storecalls.h
+++ b/src/storelink/types/storecalls.h
@@ -33,6 +33,8 @@
 struct StoreGet
 {
     std::string key;
+    /// The answer may be seconds old, which is far cheaper.
+    bool mayBeStale = false;
     auto operator==(const StoreGet &) const -> bool = default;
 };
 
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 KeyedUpstreamStub::KeyedUpstreamStub(event_base *base, Settings settings,
-                                     std::function<Instant()> now, std::vector<KeyedRun> &runs)
+                                     const std::function<Instant()> &now,
+                                     std::vector<KeyedRun> &runs)
     : settings(std::move(settings))
     , now(now)
     , runs(runs)
@@ -67,14 +68,15 @@
 auto KeyedUpstreamStub::onRequest(ExchangeId exchange, const WholeMessage &request) -> void
 {
     const auto *target = request.head.find("Target-Instance");
-    if (target != nullptr && *target != this->settings.id) {
+    const auto isMeant = target == nullptr || *target == this->settings.id;
+    const auto isOrder = request.head.target == "/grant" || request.head.target == "/release";
+    const auto isOwner = isOrder || !this->settings.isSharded || this->ownsKey(keyOf(request.head));
+    if (!isMeant || !isOwner) {
         this->reject(exchange, 421);
     } else if (request.head.target == "/grant") {
         this->onGrant(exchange, request);
     } else if (request.head.target == "/release") {
         this->onRelease(exchange, request);
-    } else if (this->settings.isSharded && !this->ownsKey(keyOf(request.head))) {
-        this->reject(exchange, 421);
     } else if (this->mode == KeyedUpstreamMode::Full) {
         this->reject(exchange, 503);
     } else {
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -52,7 +52,7 @@
     };
 
     /// @param runs receives each run; shared by all upstreams of a test
-    KeyedUpstreamStub(event_base *base, Settings settings, std::function<Instant()> now,
+    KeyedUpstreamStub(event_base *base, Settings settings, const std::function<Instant()> &now,
                       std::vector<KeyedRun> &runs);
 
     auto start() -> void { this->listener.start(); }
