--- /dev/null
+++ b/src/soak/faultproxy.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "http/clocktimer.h"
+#include "streams/socketstream.h"
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+
+struct evconnlistener;
+
+namespace gooseberrywall {
+
+/// A TCP proxy on loopback that harms the connections through it.
+class FaultProxy
+{
+public:
+    enum class Mode : std::uint8_t {
+        Pass,
+        /// Bytes arrive later.
+        Delay,
+        /// Bytes towards the target arrive, its answers don't.
+        OneWay,
+        /// No bytes arrive, and nothing ends.
+        Silent,
+    };
+
+    FaultProxy(event_base *base, Address target);
+    ~FaultProxy();
+    FaultProxy(const FaultProxy &) = delete;
+    auto operator=(const FaultProxy &) -> FaultProxy & = delete;
+
+    [[nodiscard]] auto address() const -> const Address & { return this->listen; }
+    auto setMode(Mode mode) -> void;
+    /// Resets all connections.
+    auto reset() -> void;
+
+private:
+    struct Pair
+    {
+        std::unique_ptr<SocketStream> near;
+        std::unique_ptr<SocketStream> far;
+        bool isEnded = false;
+    };
+    struct Late
+    {
+        Instant at;
+        std::weak_ptr<Pair> pair;
+        bool isTowardsTarget = false;
+        std::string bytes;
+    };
+
+    auto accept(int descriptor) -> void;
+    auto forward(const std::shared_ptr<Pair> &pair, bool isTowardsTarget) -> void;
+    auto end(const std::shared_ptr<Pair> &pair) -> void;
+    auto sendLate() -> void;
+
+    event_base *base;
+    Address target;
+    Address listen;
+    Mode mode = Mode::Pass;
+    evconnlistener *listener = nullptr;
+    std::list<std::shared_ptr<Pair>> pairs;
+    std::deque<Late> late;
+    ClockTimer timer;
+};
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/soak/internal/soakcell.cpp
@@ -0,0 +1,311 @@
+#include "soak/soakcell.h"
+
+#include "http1/messagewriter.h"
+#include "testing/freeaddress.h"
+
+#include <algorithm>
+#include <csignal>
+#include <event2/event.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace gooseberrywall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration tickTime = milliseconds{5};
+constexpr int upstreamCount = 6;
+constexpr int shardedCount = 4;
+/// Requests in a row that must be served for a cell to count as recovered.
+constexpr int servedForRecovery = 40;
+constexpr std::size_t daemonFaults = 4;
+constexpr std::size_t faultKinds = 10;
+
+} // namespace
+
+SoakCell::SoakCell(SoakSettings settings)
+    : settings(std::move(settings))
+    , random(this->settings.seed)
+    , storeAddress(freeAddress())
+    , store(this->loop.base(), this->storeAddress, monotonicNow)
+    , storeProxy(this->loop.base(), this->storeAddress)
+    , callers(this->loop.base(), OutboundPoolSettings{}, monotonicNow)
+    , tick(this->loop.base(), [this] { this->onTick(); })
+{
+    this->store.start();
+    for (auto index = 0; index < upstreamCount; ++index) {
+        KeyedUpstreamStub::Settings upstream;
+        upstream.id = "u" + std::to_string(index);
+        upstream.isSharded = index < shardedCount;
+        upstream.service = upstream.isSharded ? "keyed" : "plain";
+        upstream.listen = freeAddress();
+        upstream.work = milliseconds{15};
+        this->upstreamProxies.push_back(
+            std::make_unique<FaultProxy>(this->loop.base(), upstream.listen));
+        upstream.advertised = this->upstreamProxies.back()->address();
+        this->upstreams.push_back(std::make_unique<KeyedUpstreamStub>(this->loop.base(), upstream,
+                                                                      monotonicNow, this->runs));
+        this->upstreams.back()->start();
+        this->store.put(this->upstreams.back()->storeKey(), this->upstreams.back()->entry(false));
+    }
+    this->putConfiguration(this->version);
+    for (auto index = 0; index < this->settings.daemons; ++index) {
+        this->daemons.push_back(
+            std::make_unique<DaemonProcess>(this->settings.program, this->writeSettings(index)));
+        this->daemons.back()->start();
+    }
+    this->onTick();
+}
+
+auto SoakCell::run() -> SoakReport
+{
+    this->isSending = true;
+    if (!this->waitServed(this->settings.recoveryTime)) {
+        this->violate("the cell doesn't serve before any fault");
+        return this->report;
+    }
+    const auto end = monotonicNow() + this->settings.faultTime;
+    while (monotonicNow() < end) {
+        this->injectFault();
+        this->runFor(milliseconds{200 + static_cast<int>(this->pick(1200))});
+    }
+    this->heal();
+    if (!this->waitServed(this->settings.recoveryTime)) {
+        this->violate("the cell doesn't serve again after the faults");
+    }
+    this->isSending = false;
+    this->runFor(std::chrono::seconds{3});
+    this->checkRuns();
+    for (const auto &daemon : this->daemons) {
+        if (!daemon->isRunning() || daemon->unexpectedEnds() > 0) {
+            this->violate("a daemon has ended by itself");
+        }
+    }
+    return this->report;
+}
+
+auto SoakCell::runFor(Duration time) -> void
+{
+    const auto end = monotonicNow() + time;
+    const timeval step{0, 2000};
+    while (monotonicNow() < end) {
+        event_base_loopexit(this->loop.base(), &step);
+        event_base_loop(this->loop.base(), EVLOOP_ONCE);
+    }
+}
+
+auto SoakCell::waitServed(Duration limit) -> bool
+{
+    const auto end = monotonicNow() + limit;
+    this->servedInRow = 0;
+    while (this->servedInRow < servedForRecovery && monotonicNow() < end) {
+        this->runFor(milliseconds{20});
+    }
+    return this->servedInRow >= servedForRecovery;
+}
+
+auto SoakCell::writeSettings(int index) -> std::string
+{
+    const auto name = this->settings.folder + "/daemon-" + std::to_string(index) + ".ini";
+    this->callerAddresses.push_back(freeAddress());
+    std::ofstream file(name);
+    file << "[daemon]\nid = d" << index << "\nfailure_domain = north-" << index % 3 + 1
+         << "\ncaller_listen = " << this->callerAddresses.back().value
+         << "\nready_listen = " << freeAddress().value << "\npeer_listen = " << freeAddress().value
+         << "\nmetrics_listen = " << freeAddress().value
+         << "\n[store]\naddress = " << this->storeProxy.address().value
+         << "\n[retries]\nratio = 0.2\nextra = 100\n[log]\nlines_per_second = 1000\n";
+    return name;
+}
+
+auto SoakCell::putConfiguration(int newVersion) -> void
+{
+    const auto route = [](const std::string &name, const std::string &kind) {
+        return nlohmann::json{
+            {"name", name},       {"host", "h.example"}, {"prefix", "/" + name + "/"},
+            {"route_type", kind}, {"timeout_s", 1.0},    {"target_latency_s", 0.3},
+            {"priority", 1},      {"max_attempts", 2},   {"service", name}};
+    };
+    this->store.put(
+        "op/config",
+        nlohmann::json{{"version", newVersion},
+                       {"routes", {route("keyed", "idempotent"), route("plain", "non_idempotent")}},
+                       {"services", {{{"name", "keyed"}, {"sharded", true}}, {{"name", "plain"}}}}}
+            .dump());
+}
+
+auto SoakCell::injectFault() -> void
+{
+    const auto kind = this->pick(faultKinds);
+    auto &proxy = *this->upstreamProxies[this->pick(this->upstreamProxies.size())];
+    const auto mode = static_cast<FaultProxy::Mode>(this->pick(4));
+    if (kind < daemonFaults) {
+        this->harmDaemon(static_cast<int>(kind));
+        return;
+    }
+    this->report.faults.push_back("fault " + std::to_string(kind));
+    switch (kind) {
+    case 4:
+        proxy.setMode(mode);
+        return;
+    case 5:
+        proxy.reset();
+        return;
+    case 6:
+        this->storeProxy.setMode(mode);
+        return;
+    case 7:
+        this->storeProxy.reset();
+        return;
+    case 8:
+        this->store.setMode(static_cast<KvStoreMode>(this->pick(5)));
+        return;
+    default:
+        this->putConfiguration(++this->version);
+        this->store.compact();
+        return;
+    }
+}
+
+auto SoakCell::harmDaemon(int kind) -> void
+{
+    auto &daemon = *this->daemons[this->pick(this->daemons.size())];
+    this->report.faults.push_back("daemon fault " + std::to_string(kind));
+    switch (kind) {
+    case 0:
+        daemon.signal(SIGSTOP);
+        return;
+    case 1:
+        daemon.signal(SIGCONT);
+        return;
+    case 2:
+        daemon.signal(SIGCONT);
+        daemon.signal(SIGKILL);
+        return;
+    default:
+        daemon.signal(SIGCONT);
+        daemon.signal(SIGTERM);
+        return;
+    }
+}
+
+auto SoakCell::heal() -> void
+{
+    this->store.setMode(KvStoreMode::Sound);
+    this->storeProxy.setMode(FaultProxy::Mode::Pass);
+    for (const auto &proxy : this->upstreamProxies) {
+        proxy->setMode(FaultProxy::Mode::Pass);
+    }
+    for (const auto &daemon : this->daemons) {
+        daemon->signal(SIGCONT);
+    }
+}
+
+auto SoakCell::onTick() -> void
+{
+    this->tick.set(monotonicNow() + tickTime);
+    this->store.tick();
+    this->checkOwners();
+    for (const auto &daemon : this->daemons) {
+        if (!daemon->isRunning()) {
+            daemon->start();
+        }
+    }
+    const auto gap = std::chrono::duration<double>(1 / this->settings.requestsPerSecond);
+    if (this->isSending && monotonicNow() >= this->nextSend) {
+        this->nextSend = monotonicNow() + std::chrono::duration_cast<Duration>(gap);
+        this->sendRequest();
+    }
+}
+
+auto SoakCell::sendRequest() -> void
+{
+    const auto id = "s" + std::to_string(this->nextRequest++);
+    const auto isKeyed = this->pick(2) == 0;
+    Sent entry;
+    entry.isRepeatable = isKeyed;
+    entry.path = std::string(isKeyed ? "/keyed/" : "/plain/") + id;
+    MessageHead head;
+    head.method = isKeyed ? "GET" : "PUT";
+    head.target = entry.path;
+    head.headers = {{"Host", "h.example"}, {"Request-Id", id}, {"Deadline-Ms", "1000"}};
+    if (isKeyed) {
+        head.headers.push_back({"Shard-Key", std::to_string(this->pick(65536))});
+    }
+    this->sent[id] = entry;
+    ++this->report.sent;
+    OutboundRequest request;
+    request.address = this->callerAddresses[this->pick(this->callerAddresses.size())];
+    request.text = requestText(head, isKeyed ? "" : "body", {});
+    request.timeout = std::chrono::seconds{2};
+    this->callers.send(std::move(request),
+                       [this, id](const OutboundResult &result) { this->onAnswer(id, result); });
+}
+
+auto SoakCell::onAnswer(const std::string &id, const OutboundResult &result) -> void
+{
+    auto &entry = this->sent[id];
+    const auto status = result.end == OutboundResult::End::Answered ? result.answer.head.status : 0;
+    this->servedInRow = status == 200 ? this->servedInRow + 1 : 0;
+    if (status == 200) {
+        ++this->report.served;
+        const auto *echoed = result.answer.head.find("Request-Id");
+        const auto isOwn =
+            echoed != nullptr && *echoed == id && result.answer.body.ends_with(" to " + entry.path);
+        if (!isOwn) {
+            this->violate(id + " got an answer that isn't its own");
+        }
+    } else if (status == 503) {
+        ++this->report.refused;
+        entry.isRefused = true;
+    } else {
+        ++this->report.unknown;
+    }
+}
+
+auto SoakCell::checkOwners() -> void
+{
+    constexpr int sampled = 32;
+    for (auto key = 0; key < 65536; key += 65536 / sampled) {
+        const auto owners = std::count_if(this->upstreams.begin(), this->upstreams.end(),
+                                          [&](const auto &each) { return each->ownsKey(key); });
+        if (owners > 1) {
+            this->violate("key " + std::to_string(key) + " has two owners");
+        }
+    }
+}
+
+auto SoakCell::checkRuns() -> void
+{
+    std::map<std::string, int> counts;
+    for (const auto &run : this->runs) {
+        ++counts[run.request];
+    }
+    for (const auto &[id, entry] : this->sent) {
+        const auto runCount = counts.contains(id) ? counts[id] : 0;
+        if (!entry.isRepeatable && runCount > 1) {
+            this->violate(id + " may run once and ran " + std::to_string(runCount) + " times");
+        }
+        if (!entry.isRepeatable && entry.isRefused && runCount > 0) {
+            this->violate(id + " was refused as not run, and ran");
+        }
+    }
+}
+
+auto SoakCell::violate(const std::string &what) -> void
+{
+    constexpr std::size_t most = 20;
+    if (this->report.violations.size() < most) {
+        this->report.violations.push_back(what);
+    }
+}
+
+auto SoakCell::pick(std::size_t count) -> std::size_t
+{
+    return static_cast<std::size_t>(this->random() % count);
+}
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/soak/main.cpp
@@ -0,0 +1,76 @@
+#include "soak/soakcell.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+using namespace gooseberrywall;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+/// @returns whether the run had no violation
+auto runSeed(const options::variables_map &values, std::uint64_t seed) -> bool
+{
+    SoakSettings settings;
+    settings.program = values["program"].as<std::string>();
+    settings.seed = seed;
+    settings.daemons = values["daemons"].as<int>();
+    settings.faultTime = std::chrono::seconds{values["seconds"].as<int>()};
+    settings.folder = std::filesystem::path(values["folder"].as<std::string>())
+                      / ("seed-" + std::to_string(seed));
+    std::filesystem::remove_all(settings.folder);
+    std::filesystem::create_directories(settings.folder);
+    SoakCell cell(settings);
+    const auto report = cell.run();
+    std::cout << "seed " << seed << ": sent " << report.sent << ", served " << report.served
+              << ", refused " << report.refused << ", unknown " << report.unknown << ", faults "
+              << report.faults.size() << ", violations " << report.violations.size() << std::endl;
+    for (const auto &violation : report.violations) {
+        std::cout << "  " << violation << std::endl;
+    }
+    return report.violations.empty();
+}
+
+} // namespace
+
+auto main(int argc, char *argv[]) -> int
+{
+    options::options_description description("gooseberrywall-soak runs edge daemons as processes "
+                                             "and harms them from outside.\n\nOptions");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("program", options::value<std::string>()->required(), "the daemon's binary");
+    add("folder", options::value<std::string>()->required(), "settings and logs are written there");
+    add("first-seed", options::value<std::uint64_t>()->default_value(1), "the first seed");
+    add("seeds", options::value<int>()->default_value(1), "how many seeds are run, one by one");
+    add("seconds", options::value<int>()->default_value(10), "how long faults are injected");
+    add("daemons", options::value<int>()->default_value(3), "daemons of a run");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return exitOk;
+        }
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "; --help lists the options\n";
+        return exitUsage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    auto failed = 0;
+    const auto first = values["first-seed"].as<std::uint64_t>();
+    const auto count = values["seeds"].as<int>();
+    for (auto index = 0; index < count; ++index) {
+        failed += runSeed(values, first + static_cast<std::uint64_t>(index)) ? 0 : 1;
+    }
+    std::cout << count - failed << " passed, " << failed << " failed" << std::endl;
+    return failed == 0 ? exitOk : exitFailed;
+}
--- /dev/null
+++ b/src/soak/soakcell.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "soak/daemonprocess.h"
+#include "soak/faultproxy.h"
+#include "streams/outboundpool.h"
+#include "stubs/kvplatform/keyedupstreamstub.h"
+#include "stubs/kvplatform/kvstorestub.h"
+#include "tasks/eventloop.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace gooseberrywall {
+
+struct SoakSettings
+{
+    std::string program;
+    /// Settings and logs of the daemons.
+    std::string folder;
+    std::uint64_t seed = 1;
+    int daemons = 3;
+    /// How long faults are injected.
+    Duration faultTime = std::chrono::seconds{10};
+    /// The design's bound for a key to be served again, three times over for series of faults.
+    Duration recoveryTime = std::chrono::seconds{15};
+    double requestsPerSecond = 80;
+};
+
+/// What a run has seen. A sound run has no violations.
+struct SoakReport
+{
+    int sent = 0;
+    int served = 0;
+    int refused = 0;
+    int unknown = 0;
+    std::vector<std::string> violations;
+    std::vector<std::string> faults;
+};
+
+/// Edge daemons as processes, with the platform's stand-ins and callers in this one; harms them
+/// from outside by a seeded schedule, and checks what callers and upstreams see.
+class SoakCell
+{
+public:
+    explicit SoakCell(SoakSettings settings);
+
+    /// Runs the whole schedule.
+    [[nodiscard]] auto run() -> SoakReport;
+
+private:
+    struct Sent
+    {
+        std::string path;
+        bool isRepeatable = false;
+        bool isRefused = false;
+    };
+
+    auto runFor(Duration time) -> void;
+    auto waitServed(Duration limit) -> bool;
+    auto writeSettings(int index) -> std::string;
+    auto putConfiguration(int version) -> void;
+    auto injectFault() -> void;
+    auto harmDaemon(int kind) -> void;
+    auto heal() -> void;
+    auto onTick() -> void;
+    auto sendRequest() -> void;
+    auto onAnswer(const std::string &id, const OutboundResult &result) -> void;
+    auto checkOwners() -> void;
+    auto checkRuns() -> void;
+    auto violate(const std::string &what) -> void;
+    [[nodiscard]] auto pick(std::size_t count) -> std::size_t;
+
+    SoakSettings settings;
+    std::mt19937_64 random;
+    SoakReport report;
+    EventLoop loop;
+    Address storeAddress;
+    KvStoreStub store;
+    FaultProxy storeProxy;
+    std::vector<KeyedRun> runs;
+    std::vector<std::unique_ptr<KeyedUpstreamStub>> upstreams;
+    std::vector<std::unique_ptr<FaultProxy>> upstreamProxies;
+    std::vector<Address> callerAddresses;
+    std::vector<std::unique_ptr<DaemonProcess>> daemons;
+    OutboundPool callers;
+    ClockTimer tick;
+    std::map<std::string, Sent> sent;
+    std::uint64_t nextRequest = 1;
+    int version = 1;
+    int servedInRow = 0;
+    Instant nextSend{};
+    bool isSending = false;
+};
+
+} // namespace gooseberrywall
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -47,7 +47,8 @@
 auto KeyedUpstreamStub::entry(bool isDraining) const -> std::string
 {
     return json{{"service", this->settings.service},
-                {"address", this->settings.listen.value},
+                {"address", this->settings.advertised.empty() ? this->settings.listen.value
+                                                              : this->settings.advertised.value},
                 {"zone", this->settings.zone},
                 {"version", "v1"},
                 {"capacity", this->settings.slots},
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -45,6 +45,8 @@
         std::string service;
         std::string zone = "north-1";
         Address listen;
+        /// Registered in place of the own address, such as a proxy's; empty: the own.
+        Address advertised;
         bool isSharded = false;
         int slots = 3;
         Duration work = std::chrono::milliseconds{20};
