--- a/src/soak/internal/soakcell.cpp
+++ b/src/soak/internal/soakcell.cpp
@@ -109,7 +109,7 @@
 
 auto SoakCell::writeSettings(int index) -> std::string
 {
-    const auto name = this->settings.folder + "/daemon-" + std::to_string(index) + ".ini";
+    auto name = this->settings.folder + "/daemon-" + std::to_string(index) + ".ini";
     this->callerAddresses.push_back(freeAddress());
     std::ofstream file(name);
     file << "[daemon]\nid = d" << index << "\nfailure_domain = north-" << index % 3 + 1
