Soak: bytes that a silent proxy held are lost when it carries again

Trace: the proxy had held a renewal while it was silent; the daemon reset the connection after 600 ms and granted the keys elsewhere once the hold had passed; then the proxy read the held bytes and handed them on, so that the order arrived seconds after its reset. A loopback check shows that the kernel hands out bytes after a reset. The platform's pages say that such bytes are lost, which the daemon relies on, so the proxy resets what it has silenced.

--- a/src/soak/faultproxy.h
+++ b/src/soak/faultproxy.h
@@ -22,7 +22,7 @@
         Delay,
         /// Bytes towards the target arrive, its answers don't.
         OneWay,
-        /// No bytes arrive, and nothing ends.
+        /// No bytes arrive, and nothing ends; such connections never carry bytes again.
         Silent,
     };
 
--- a/src/soak/internal/faultproxy.cpp
+++ b/src/soak/internal/faultproxy.cpp
@@ -45,6 +45,11 @@
 
 auto FaultProxy::setMode(Mode mode) -> void
 {
+    if (this->mode == Mode::Silent && mode != Mode::Silent) {
+        // A peer that has reset its connection meanwhile may count on its bytes being lost; the
+        // kernel would still hand them out.
+        this->reset();
+    }
     this->mode = mode;
     const auto isHeld = mode == Mode::Silent;
     for (const auto &pair : this->pairs) {
