--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -104,8 +104,8 @@
     auto flushVerdicts() -> void;
     auto logVerdict(const IssuedVerdict &issued) -> void;
     auto log(LogLevel level, LogLine &line) -> void;
-    template<typename Done>
-    auto call(const StoreCall &call, Done done) -> void;
+    /// Sends a call whose answer is dropped where this role is gone by then.
+    auto call(const StoreCall &call, std::function<void(const StoreAnswer &)> done) -> void;
 
     ServiceSpec spec;
     GrantorRoleSettings settings;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -1,7 +1,6 @@
 #include "edge/grantorrole.h"
 
 #include "common/hash.h"
-#include "keyranges/rangerecordcodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,29 +13,10 @@
 constexpr Duration delayPerLoad = std::chrono::milliseconds{500};
 /// Weaker VMs than this share of a core wait no longer.
 constexpr double leastProcessor = 0.05;
-/// Keys without an owner are given one at most this often.
-constexpr Duration homelessEvery = std::chrono::milliseconds{40};
-/// Orders that end together are settled together.
-constexpr Duration settlePause = std::chrono::milliseconds{8};
-/// Records that no grant waits for are written at most this often.
-constexpr Duration recordGatherTime = std::chrono::milliseconds{1500};
-/// Upstreams that start together with the daemons have registered after this time.
-constexpr Duration firstPlanDelay = std::chrono::milliseconds{2500};
 constexpr Duration idleTick = std::chrono::milliseconds{500};
 
 } // namespace
 
-template<typename Done>
-auto GrantorRole::call(const StoreCall &call, Done done) -> void
-{
-    this->store(call, this->settings.storeTimeout,
-                [done, watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
-                    if (!watcher.expired()) {
-                        done(answer);
-                    }
-                });
-}
-
 GrantorRole::GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
                          SendRangeOrder orders, std::function<Instant()> now, Logger &logger,
                          RequestLog &requestLog)
@@ -217,215 +197,6 @@
     this->election.resign();
 }
 
-auto GrantorRole::advanceRanges(Instant moment) -> void
-{
-    this->ranges->setAuthority(this->election.authorityEnd());
-    if (!this->isAdopted) {
-        const auto mayRead = this->hasUpstreams && !this->isRecordCalling && this->isLeading()
-                             && moment >= this->recordDue;
-        if (mayRead) {
-            this->readRecord();
-        }
-        return;
-    }
-    const auto isFailing = this->isLeading() && this->election.isRenewalFailing();
-    if (isFailing != this->isProlonging) {
-        this->isProlonging = isFailing;
-        LogLine line(isFailing ? "grants_prolonged" : "grants_as_usual");
-        line.with("service", this->spec.name.value)
-            .with("why", isFailing ? "lease renewal failed" : "lease renewed");
-        this->log(LogLevel::Warning, line);
-        this->ranges->setProlonging(isFailing);
-    }
-    this->ranges->advance(moment);
-    if (this->isLeading()) {
-        this->plan(moment);
-        this->writeRecord();
-    }
-    this->issueOrders();
-    this->refreshOwners(moment);
-}
-
-auto GrantorRole::readRecord() -> void
-{
-    this->isRecordCalling = true;
-    const auto key = this->settings.recordPrefix + this->spec.name.value;
-    this->call(StoreGet{key, false}, [this, asked = this->term](const StoreAnswer &answer) {
-        this->isRecordCalling = false;
-        if (this->term == asked) {
-            this->onRecordRead(answer);
-            this->advance();
-        }
-    });
-}
-
-auto GrantorRole::onRecordRead(const StoreAnswer &answer) -> void
-{
-    if (answer.kind != StoreAnswer::Kind::Ok && answer.kind != StoreAnswer::Kind::NotFound) {
-        this->recordDue = this->now() + this->settings.retryPause;
-        return;
-    }
-    const auto isFound = answer.kind == StoreAnswer::Kind::Ok && !answer.items.empty();
-    this->recordRevision = isFound ? answer.items.front().revision : StoreRevision{};
-    this->isRecordUncertain = false;
-    if (!this->isAdopted && this->ranges) {
-        this->adoptRecord(answer);
-    }
-}
-
-auto GrantorRole::adoptRecord(const StoreAnswer &answer) -> void
-{
-    const auto moment = this->now();
-    auto record = RangeRecord{};
-    if (!answer.items.empty()) {
-        auto decoded = decodeRangeRecord(answer.items.front().value);
-        if (!decoded) {
-            LogLine line("range_record_unreadable");
-            line.with("service", this->spec.name.value)
-                .with("remedy", "grants run out before keys are granted anew");
-            this->log(LogLevel::Error, line);
-            this->recordDue = moment + this->settings.ranges.longestHold;
-            decoded.emplace();
-        }
-        record = std::move(*decoded);
-    }
-    this->ranges->setUpstreams(this->upstreams, moment);
-    this->ranges->adopt(record, moment);
-    this->isAdopted = true;
-    // Nobody is served yet where there are no owners: waiting until the other upstreams have
-    // registered spares moving most keys again.
-    const auto isFirst = record.rows.empty();
-    this->planDue = moment + (isFirst ? firstPlanDelay : Duration{0});
-    this->planHomelessDue = this->planDue;
-    LogLine line("ranges_adopted");
-    line.with("service", this->spec.name.value)
-        .with("rows", static_cast<std::int64_t>(record.rows.size()))
-        .with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
-    this->log(LogLevel::Info, line);
-}
-
-auto GrantorRole::writeRecord() -> void
-{
-    const auto moment = this->now();
-    if (this->isRecordCalling || moment < this->recordDue
-        || moment >= this->election.authorityEnd()) {
-        return;
-    }
-    if (this->isRecordUncertain) {
-        this->readRecord();
-        return;
-    }
-    if (!this->unwritten && !this->ranges->isRecordUrgent() && moment < this->recordGatherUntil) {
-        return;
-    }
-    std::uint64_t version = 0;
-    if (auto changed = this->ranges->takeRecord(version)) {
-        this->unwritten = std::move(changed);
-        this->unwrittenVersion = version;
-    }
-    if (!this->unwritten) {
-        return;
-    }
-    const auto key = this->settings.recordPrefix + this->spec.name.value;
-    StoreTransaction transaction;
-    // The claim's key is never written again: its revision is the term.
-    transaction.conditions = {
-        StoreCondition{this->settings.notePrefix + this->spec.name.value, *this->term},
-        StoreCondition{key, this->recordRevision}};
-    transaction.writes = {StoreWrite{key, encodeRangeRecord(*this->unwritten), StoreLease{}}};
-    this->isRecordCalling = true;
-    this->call(transaction, [this, asked = this->term,
-                             written = this->unwrittenVersion](const StoreAnswer &answer) {
-        this->isRecordCalling = false;
-        if (this->term == asked && this->ranges) {
-            this->onRecordWritten(answer, written);
-            this->advance();
-        }
-    });
-}
-
-auto GrantorRole::onRecordWritten(const StoreAnswer &answer, std::uint64_t version) -> void
-{
-    const auto moment = this->now();
-    switch (answer.kind) {
-    case StoreAnswer::Kind::Ok:
-        this->recordRevision = answer.revision;
-        this->recordGatherUntil = moment + recordGatherTime;
-        this->unwritten.reset();
-        this->ranges->onRecordStored(version, moment);
-        return;
-    case StoreAnswer::Kind::ConditionFailed:
-    case StoreAnswer::Kind::Unknown:
-    case StoreAnswer::Kind::NotFound:
-    case StoreAnswer::Kind::HistoryGone: {
-        // It may have been written, or a later grantor writes now: read before the next try.
-        this->isRecordUncertain = true;
-        this->recordDue = moment + this->settings.retryPause;
-        LogLine line("range_record_uncertain");
-        line.with("service", this->spec.name.value)
-            .with("version", static_cast<std::int64_t>(version));
-        this->log(LogLevel::Warning, line);
-        return;
-    }
-    case StoreAnswer::Kind::Refused:
-        this->recordDue = moment + this->settings.retryPause;
-        return;
-    }
-}
-
-auto GrantorRole::plan(Instant moment) -> void
-{
-    const auto views = this->ranges->views();
-    const auto hasHomeless =
-        std::any_of(views.begin(), views.end(), [](const RangeView &view) { return !view.owner; });
-    const auto isHomelessDue = hasHomeless && moment >= this->planHomelessDue;
-    if (moment < this->planDue && !isHomelessDue) {
-        return;
-    }
-    this->planHomelessDue = moment + homelessEvery;
-    if (moment >= this->planDue) {
-        this->planDue = moment + this->settings.planEvery;
-        this->planner.observe(this->broker->takeKeyCounts(), moment);
-    }
-    const auto moves = this->planner.plan(views, this->broker->demand(moment), moment);
-    if (moves.empty()) {
-        return;
-    }
-    LogLine line("keys_moved");
-    line.with("service", this->spec.name.value)
-        .with("moves", static_cast<std::int64_t>(moves.size()))
-        .with("first", moves.front().span.first)
-        .with("last", moves.front().span.last)
-        .with("to", moves.front().target.value);
-    this->log(LogLevel::Info, line);
-    this->ranges->move(moves, moment);
-}
-
-auto GrantorRole::issueOrders() -> void
-{
-    for (const auto &order : this->ranges->takeOrders()) {
-        this->orders(order, [this, asked = this->term,
-                             watcher = std::weak_ptr<bool>(this->alive)](const RangeOrderEnd &end) {
-            if (watcher.expired() || this->term != asked || !this->ranges) {
-                return;
-            }
-            this->ranges->onOrderEnd(end, this->now());
-            this->issueOrders();
-            this->settleDue = std::min(this->settleDue, this->now() + settlePause);
-        });
-    }
-}
-
-auto GrantorRole::refreshOwners(Instant moment) -> void
-{
-    auto owners = this->ranges->owners(moment);
-    if (owners != this->lastOwners) {
-        this->lastOwners = owners;
-        this->broker->setOwners(std::move(owners), moment);
-        this->flushVerdicts();
-    }
-}
-
 auto GrantorRole::flushVerdicts() -> void
 {
     for (auto &issued : this->broker->takeVerdicts()) {
@@ -529,6 +300,17 @@
     return this->ranges ? this->ranges->movedKeys() : 0;
 }
 
+auto GrantorRole::call(const StoreCall &call, std::function<void(const StoreAnswer &)> done) -> void
+{
+    this->store(call, this->settings.storeTimeout,
+                [done = std::move(done),
+                 watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
+                    if (!watcher.expired()) {
+                        done(answer);
+                    }
+                });
+}
+
 auto GrantorRole::log(LogLevel level, LogLine &line) -> void
 {
     line.with("daemon", this->settings.daemon.value);
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -3,7 +3,9 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 using namespace gooseberrywall;
@@ -15,6 +17,23 @@
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
+auto seedsOf(const options::variables_map &values) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> seeds;
+    if (values.count("seed-file") > 0) {
+        std::ifstream file(values["seed-file"].as<std::string>());
+        for (std::string line; std::getline(file, line);) {
+            seeds.push_back(std::strtoull(line.c_str(), nullptr, 10));
+        }
+        return seeds;
+    }
+    const auto first = values["first-seed"].as<std::uint64_t>();
+    for (auto index = 0; index < values["seeds"].as<int>(); ++index) {
+        seeds.push_back(first + static_cast<std::uint64_t>(index));
+    }
+    return seeds;
+}
+
 /// @returns whether the run had no violation
 auto runSeed(const options::variables_map &values, std::uint64_t seed) -> bool
 {
@@ -50,6 +69,8 @@
     add("folder", options::value<std::string>()->required(), "settings and logs are written there");
     add("first-seed", options::value<std::uint64_t>()->default_value(1), "the first seed");
     add("seeds", options::value<int>()->default_value(1), "how many seeds are run, one by one");
+    add("seed-file", options::value<std::string>(),
+        "runs the seeds that begin the file's lines, in place of the numbered ones");
     add("seconds", options::value<int>()->default_value(10), "how long faults are injected");
     add("daemons", options::value<int>()->default_value(3), "daemons of a run");
     options::variables_map values;
@@ -65,11 +86,11 @@
         return exitUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    auto failed = 0;
-    const auto first = values["first-seed"].as<std::uint64_t>();
-    const auto count = values["seeds"].as<int>();
-    for (auto index = 0; index < count; ++index) {
-        failed += runSeed(values, first + static_cast<std::uint64_t>(index)) ? 0 : 1;
+    const auto seeds = seedsOf(values);
+    const auto count = seeds.size();
+    std::size_t failed = 0;
+    for (const auto seed : seeds) {
+        failed += runSeed(values, seed) ? 0 : 1;
     }
     std::cout << count - failed << " passed, " << failed << " failed" << std::endl;
     return failed == 0 ? exitOk : exitFailed;
