--- a/src/dispatch/internal/upstreamhealth.cpp
+++ b/src/dispatch/internal/upstreamhealth.cpp
@@ -32,7 +32,14 @@
 
 auto UpstreamHealth::onEnd(AttemptEnd end, Duration latency, Instant now) -> void
 {
-    if (end == AttemptEnd::Unused || end == AttemptEnd::WrongOwner) {
+    if (end == AttemptEnd::Unused) {
+        // An attempt that was broken off took at least as long.
+        if (static_cast<double>(latency.count()) > this->latency && this->latency > 0) {
+            this->learnLatency(latency, now);
+        }
+        return;
+    }
+    if (end == AttemptEnd::WrongOwner) {
         return;
     }
     if (end == AttemptEnd::NotRun) {
@@ -54,10 +61,7 @@
         this->blockedUntil = std::min(this->blockedUntil, now);
     }
     if (end == AttemptEnd::Answered) {
-        const auto sample = static_cast<double>(latency.count());
-        this->latency =
-            this->latency == 0 ? sample : this->latency + latencyWeight * (sample - this->latency);
-        this->latencyAt = now;
+        this->learnLatency(latency, now);
     }
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NoAnswer) {
         ++this->failuresInRow;
@@ -67,6 +71,14 @@
     }
 }
 
+auto UpstreamHealth::learnLatency(Duration latency, Instant now) -> void
+{
+    const auto sample = static_cast<double>(latency.count());
+    this->latency =
+        this->latency == 0 ? sample : this->latency + latencyWeight * (sample - this->latency);
+    this->latencyAt = now;
+}
+
 auto UpstreamHealth::block(Instant now) -> void
 {
     const auto doublings = std::clamp(this->failuresInRow - trialAfter, 0, 3);
--- a/src/dispatch/upstreamhealth.h
+++ b/src/dispatch/upstreamhealth.h
@@ -9,7 +9,7 @@
 class UpstreamHealth
 {
 public:
-    /// @param typicalLatency mean of the service, used until answers have come
+    /// @param latency from the sending to the end
     auto onEnd(AttemptEnd end, Duration latency, Instant now) -> void;
 
     /// @param serviceMean mean latency of the whole service
@@ -30,6 +30,7 @@
     /// Failures in a row after which only single trials are sent.
     static constexpr int trialAfter = 2;
 
+    auto learnLatency(Duration latency, Instant now) -> void;
     auto block(Instant now) -> void;
 
     /// Microseconds; 0: unknown.
