Check datagram ports, too, where tests look for free addresses

Trace (the daemons' logs): four soaks ran beside each other, and a daemon's datagram port was taken by another soak's, as only the TCP port had been tried.

--- a/src/testing/freeaddress.cpp
+++ b/src/testing/freeaddress.cpp
@@ -15,17 +15,21 @@
 constexpr int firstPort = 22000;
 constexpr int portCount = 10000;
 /// Test programs that run at once start their search in different places.
-constexpr int portsPerProcess = 40;
+constexpr int portsPerProcess = 120;
 
-auto isFree(int port) -> bool
+/// @param type SOCK_STREAM or SOCK_DGRAM
+auto isFree(int port, int type) -> bool
 {
-    const auto descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const auto descriptor = socket(AF_INET, type, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(static_cast<std::uint16_t>(port));
-    const int reuse = 1;
-    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    if (type == SOCK_STREAM) {
+        // A port with connections that have ended is free; a datagram port in use never is.
+        const int reuse = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    }
     const auto bound = bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address);
     close(descriptor);
     return bound == 0;
@@ -39,7 +43,7 @@
     for (int tried = 0; tried < portCount; ++tried) {
         const auto port = firstPort + next;
         next = (next + 1) % portCount;
-        if (isFree(port)) {
+        if (isFree(port, SOCK_STREAM) && isFree(port, SOCK_DGRAM)) {
             return {"127.0.0.1:" + std::to_string(port)};
         }
     }
