Use one copy of scaled, toMilliseconds and toTimeval

The platform's daemon had written again what requests, http and its own modules already had. Behaviour is the same; build and tests of dispatch, entry, streams, requests and http pass.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/slotbroker.h"
 
+#include "common/durations.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -27,11 +29,6 @@
 /// Longest such time: callers wait at most a third of their time.
 constexpr Duration longestRetryAfter = milliseconds{600};
 
-auto scaled(Duration duration, double factor) -> Duration
-{
-    return Duration{static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor)};
-}
-
 } // namespace
 
 auto ArrivalRate::count(Instant now) -> void
--- a/src/dispatch/internal/slotforecast.cpp
+++ b/src/dispatch/internal/slotforecast.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/slotbroker.h"
 
+#include "common/durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,11 +18,6 @@
 /// Cold upstreams take about twice as long.
 constexpr double coldFactor = 2.0;
 
-auto scaled(Duration duration, double factor) -> Duration
-{
-    return Duration{static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor)};
-}
-
 } // namespace
 
 auto SlotBroker::hasRoom(const Upstream &upstream, Instant now) const -> bool
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -1,5 +1,6 @@
 #include "edge/grantorrole.h"
 
+#include "common/durations.h"
 #include "common/hash.h"
 
 #include <algorithm>
@@ -213,9 +214,6 @@
     if (!this->requestLog.wants(issued.request, isRefused)) {
         return;
     }
-    const auto toMilliseconds = [](Duration duration) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    };
     const auto isGranted = issued.verdict.kind == PermitVerdict::Kind::Granted;
     LogLine line(isRefused ? "permit_refused" : isGranted ? "permit_granted" : "permit_queued");
     line.with("request", issued.request.value)
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -1,5 +1,7 @@
 #include "entry/requestflow.h"
 
+#include "common/durations.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,11 +15,6 @@
 /// A route's longest patience is forgotten after this time, as callers may change.
 constexpr Duration patienceMemory = std::chrono::seconds{30};
 
-auto toMilliseconds(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 auto toText(AttemptEnd end) -> std::string_view
 {
     switch (end) {
--- a/src/http/internal/clocktimer.cpp
+++ b/src/http/internal/clocktimer.cpp
@@ -1,6 +1,6 @@
 #include "http/clocktimer.h"
 
-#include "http/internal/timeval.h"
+#include "http/timeval.h"
 
 #include <chrono>
 #include <utility>
--- a/src/http/internal/httpconnection.cpp
+++ b/src/http/internal/httpconnection.cpp
@@ -1,6 +1,6 @@
 #include "http/internal/httpconnection.h"
 
-#include "http/internal/timeval.h"
+#include "http/timeval.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
--- a/src/http/internal/httppool.cpp
+++ b/src/http/internal/httppool.cpp
@@ -2,7 +2,7 @@
 
 #include "http/endpoint.h"
 #include "http/internal/httpconnection.h"
-#include "http/internal/timeval.h"
+#include "http/timeval.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/requests/internal/admissionqueue.cpp
+++ b/src/requests/internal/admissionqueue.cpp
@@ -1,5 +1,7 @@
 #include "requests/admissionqueue.h"
 
+#include "common/durations.h"
+
 #include <algorithm>
 
 namespace gooseberrywall {
@@ -23,11 +25,6 @@
     return item.deadline - neededTime(item);
 }
 
-auto scaled(Duration value, double factor) -> Duration
-{
-    return Duration{static_cast<Duration::rep>(static_cast<double>(value.count()) * factor)};
-}
-
 } // namespace
 
 AdmissionQueue::AdmissionQueue(QueueLimits limits)
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -1,5 +1,6 @@
 #include "streams/outboundpool.h"
 
+#include "http/timeval.h"
 #include "streams/socketstream.h"
 
 #include <algorithm>
@@ -16,12 +17,6 @@
 /// Kept connections end this long before the limit that the peer has stated.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds{1200};
 
-auto toTimeval(Duration duration) -> timeval
-{
-    const auto microseconds = std::max<std::int64_t>(0, duration.count());
-    return timeval{microseconds / 1'000'000, microseconds % 1'000'000};
-}
-
 /// @returns the peer's idle limit in a Keep-Alive header
 auto statedIdleLimit(const MessageHead &head) -> std::optional<Duration>
 {
