--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -107,9 +107,6 @@
         return;
     }
     piece->call = CallId{};
-    if (end.kind == RangeOrderEnd::Kind::FenceTooLow) {
-        ++this->rejectedFences;
-    }
     if (piece->phase == Phase::Releasing || piece->phase == Phase::Clearing) {
         this->onReleaseEnd(*piece, end, now);
     } else {
@@ -131,7 +128,6 @@
         if (piece.phase == Phase::Granting) {
             this->markChanged();
         }
-        this->rejectedFences = 0;
         piece.phase = Phase::Held;
         piece.wasOwned = true;
         piece.failures = 0;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -76,8 +76,6 @@
     [[nodiscard]] auto owners(Instant now) const -> std::vector<OwnedSpan>;
     [[nodiscard]] auto views() const -> std::vector<RangeView>;
     [[nodiscard]] auto nextDue(Instant now) const -> Instant;
-    /// @returns whether an upstream has seen a fence of a later grantor
-    [[nodiscard]] auto isSuperseded() const -> bool { return this->rejectedFences >= 3; }
     /// @returns how many keys have changed hands after their first grant
     [[nodiscard]] auto movedKeys() const -> std::uint64_t { return this->moved; }
 
@@ -155,7 +153,6 @@
     std::uint64_t recordVersion = 1;
     std::uint64_t takenRecord = 0;
     std::uint64_t storedRecord = 0;
-    int rejectedFences = 0;
     bool prolonging = false;
     std::uint64_t moved = 0;
 };
