Record times by stage and repeats by reason at the entry daemon

RequestFlow now records ends, repeats and stages, since it alone knows when a stage ends; EntryService counts only what it refuses before routing. Buckets are fixed, so that the histograms of many daemons can be added up.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -43,7 +43,7 @@
         , permits(this->settings.peerListen, life, PermitClientSettings{})
         , direct(life)
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
-               this->requestLog)
+               FlowRecords{this->requestLog, this->counters, this->stages})
         , entry(
               loop.base(), wire, this->settings, this->pool, this->flow, this->counters, now,
               [this] { this->settle(); }, static_cast<double>(life % 1000) / 1000)
@@ -450,7 +450,9 @@
         MessageHead head;
         head.status = 200;
         head.headers = {HttpHeader{"Content-Type", "text/plain; version=0.0.4"}};
-        this->metrics.reply(exchange, head, metricsText(this->counters.snapshot(), gauges));
+        this->metrics.reply(
+            exchange, head,
+            metricsText(this->counters.snapshot(), this->stages.snapshot(), gauges));
     }
 
     EventLoop &loop;
@@ -461,6 +463,7 @@
     Logger &logger;
     RequestLog requestLog;
     Counters counters;
+    StageHistograms stages;
     OutboundPool pool;
     OutboundPool storePool;
     StoreClient<Wire> store;
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -80,14 +80,14 @@
     /// Retry-After while this daemon doesn't know any configuration or is shutting down.
     static constexpr Duration startRetryAfter = std::chrono::milliseconds{150};
 
+    /// Stands for the service in counters of requests that were refused before routing.
+    static constexpr const char *noService = "none";
+
     struct Exchange
     {
         WholeMessage request;
         CallerFields fields;
-        ServiceName service;
-        CallerId routeName;
         bool isRepeatable = false;
-        Instant arrived;
         std::optional<OutboundId> attempt;
         WholeMessage answer;
         /// The caller has left; an attempt is still under way.
@@ -107,6 +107,7 @@
         const auto fields = this->wire.callerFields(request.head);
         if (this->isRefusing || this->routes == nullptr) {
             const auto reason = this->isRefusing ? Reason::ShuttingDown : Reason::NotReady;
+            this->counters.refused(ServiceName{noService}, CallerId{}, reason);
             this->refuse(exchange, fields.id, 503, reason, startRetryAfter);
             return;
         }
@@ -114,6 +115,7 @@
         const auto *route =
             host == nullptr ? nullptr : this->routes->match(*host, request.head.target);
         if (route == nullptr) {
+            this->counters.refused(ServiceName{noService}, CallerId{}, Reason::UnknownService);
             this->refuse(exchange, fields.id, 404, Reason::UnknownService, std::nullopt);
             return;
         }
@@ -121,16 +123,13 @@
         Exchange entry;
         entry.fields = fields;
         entry.request = std::move(request);
-        entry.service = RouteTable::serviceAt(*route, spread->second.next());
-        entry.routeName = CallerId{route->name};
         entry.isRepeatable = route->isRepeatable;
-        entry.arrived = this->now();
         FlowRequest flowRequest;
         flowRequest.exchange = exchange;
         flowRequest.id = fields.id;
         flowRequest.route = *route;
-        flowRequest.service = entry.service;
-        const auto *spec = this->routes->service(entry.service);
+        flowRequest.service = RouteTable::serviceAt(*route, spread->second.next());
+        const auto *spec = this->routes->service(flowRequest.service);
         if (spec != nullptr && spec->isSharded) {
             flowRequest.key = fields.key;
         }
@@ -201,7 +200,6 @@
         }
         const auto entry = std::move(found->second);
         this->exchanges.erase(found);
-        this->counters.answered(entry.service, entry.routeName, this->now() - entry.arrived);
         this->front.reply(command.exchange, entry.answer.head, entry.answer.body);
     }
 
@@ -213,11 +211,6 @@
         }
         const auto entry = std::move(found->second);
         this->exchanges.erase(found);
-        if (command.status == 503) {
-            this->counters.refused(entry.service, entry.routeName, command.reason);
-        } else {
-            this->counters.unknown(entry.service, entry.routeName, command.reason);
-        }
         this->refuse(command.exchange, entry.fields.id, command.status, command.reason,
                      command.retryAfter);
     }
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -7,9 +7,10 @@
 
 namespace gooseberrywall {
 
-auto metricsText(const CounterSnapshot &snapshot, const EdgeGauges &gauges) -> std::string
+auto metricsText(const CounterSnapshot &snapshot, const std::vector<StageSample> &stages,
+                 const EdgeGauges &gauges) -> std::string
 {
-    auto page = metricsPage(snapshot);
+    auto page = metricsPage(snapshot) + metricsPage(stages);
     const std::array<std::pair<const char *, std::uint64_t>, 10> rows{
         {{"open_requests", gauges.openRequests},
          {"direct_requests_total", gauges.directRequests},
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "insight/types/countersnapshot.h"
+#include "insight/types/stagesample.h"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -24,7 +26,8 @@
 };
 
 /// @returns the metrics page of an edge daemon in Prometheus' text format
-[[nodiscard]] auto metricsText(const CounterSnapshot &snapshot, const EdgeGauges &gauges)
+[[nodiscard]] auto metricsText(const CounterSnapshot &snapshot,
+                               const std::vector<StageSample> &stages, const EdgeGauges &gauges)
     -> std::string;
 
 } // namespace gooseberrywall
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -88,6 +88,6 @@
 {
     EdgeGauges gauges;
     gauges.grantedServices = 2;
-    const auto text = metricsText(CounterSnapshot{}, gauges);
+    const auto text = metricsText(CounterSnapshot{}, {}, gauges);
     CHECK(text.find("gooseberrywall_granted_services 2\n") != std::string::npos);
 }
--- a/src/entry/internal/permitclient.cpp
+++ b/src/entry/internal/permitclient.cpp
@@ -30,7 +30,7 @@
     for (auto &[sequence, entry] : this->pending) {
         if (entry.request.service == service) {
             entry.grantor = grantor;
-            entry.isQueued = false;
+            entry.queuedSince.reset();
             entry.unanswered = 0;
             entry.due = Instant{};
         }
@@ -51,14 +51,14 @@
     const auto found = this->grantors.find(request.service);
     if (found == this->grantors.end()) {
         this->lastMissed = now;
-        this->results.push_back(PermitResult{exchange, id, std::nullopt});
+        this->results.push_back(PermitResult{exchange, id, std::nullopt, Duration{0}});
         return id;
     }
     auto &grantor = found->second;
     // Further attempts depend on the grantor, so they try it all the same.
     const auto isPassedOver = now < grantor.passedOverUntil && request.avoid.empty();
     if (isPassedOver) {
-        this->results.push_back(PermitResult{exchange, id, std::nullopt});
+        this->results.push_back(PermitResult{exchange, id, std::nullopt, Duration{0}});
         return id;
     }
     Pending entry;
@@ -139,7 +139,7 @@
         grantor->second.misses = 0;
     }
     if (answer.verdict.kind == Kind::Queued) {
-        entry.isQueued = true;
+        entry.queuedSince = entry.queuedSince.value_or(now);
         entry.due = now + this->settings.askAgain;
         return;
     }
@@ -150,7 +150,8 @@
     if (answer.verdict.kind == Kind::Granted) {
         this->givers[found->first] = from;
     }
-    this->results.push_back(PermitResult{entry.exchange, entry.request.id, answer.verdict});
+    this->results.push_back(
+        PermitResult{entry.exchange, entry.request.id, answer.verdict, queuedTime(entry, now)});
     this->pending.erase(found);
 }
 
@@ -184,7 +185,13 @@
             grantor->second.passedOverUntil = now + this->settings.passOver;
         }
     }
-    this->results.push_back(PermitResult{entry.exchange, entry.request.id, std::nullopt});
+    this->results.push_back(
+        PermitResult{entry.exchange, entry.request.id, std::nullopt, queuedTime(entry, now)});
+}
+
+auto PermitClient::queuedTime(const Pending &pending, Instant now) -> Duration
+{
+    return pending.queuedSince ? now - *pending.queuedSince : Duration{0};
 }
 
 auto PermitClient::nextDue() const -> std::optional<Instant>
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -36,14 +36,29 @@
     return "unused";
 }
 
+/// @returns under which reason a repeat after such an end is counted
+auto retryReason(AttemptEnd end) -> Reason
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return Reason::ConnectionFailed;
+    case AttemptEnd::WrongOwner:
+        return Reason::OwnerChanged;
+    case AttemptEnd::NotRun:
+        return Reason::UpstreamShed;
+    default:
+        return Reason::AnswerLost;
+    }
+}
+
 } // namespace
 
 RequestFlow::RequestFlow(RequestFlowSettings settings, PermitClient &permits, DirectChoice &direct,
-                         RequestLog &log)
+                         FlowRecords records)
     : settings(std::move(settings))
     , permits(permits)
     , direct(direct)
-    , log(log)
+    , records(records)
 {
 }
 
@@ -61,9 +76,9 @@
     flow.request = std::move(request);
     auto &placed = this->flows.emplace(exchange, std::move(flow)).first->second;
     if (auto line = this->note(placed, "request_admitted", false, now)) {
-        this->log.write(line->with("route", placed.request.route.name)
-                            .with("service", placed.request.service.value)
-                            .with("due_ms", toMilliseconds(placed.answerDue - now)));
+        this->records.log.write(line->with("route", placed.request.route.name)
+                                    .with("service", placed.request.service.value)
+                                    .with("due_ms", toMilliseconds(placed.answerDue - now)));
     }
     if (placed.answerDue <= now) {
         this->endWithout(placed, Reason::DeadlinePassed, std::nullopt, now);
@@ -86,6 +101,7 @@
 
 auto RequestFlow::askPermit(Flow &flow, bool isRetry, Instant now) -> void
 {
+    flow.askedAt = now;
     flow.permit =
         this->permits.ask(flow.request.exchange, this->permitRequest(flow, isRetry, now), now);
 }
@@ -121,6 +137,10 @@
         return;
     }
     auto &flow = found->second;
+    this->time(flow, RequestStage::Permit, now - flow.askedAt);
+    if (result.queued > Duration{0}) {
+        this->time(flow, RequestStage::Queue, result.queued);
+    }
     if (!result.verdict) {
         flow.permit.reset();
         // Without the grantor's budget nothing is sent that counts as a repeat.
@@ -153,9 +173,9 @@
     flow.upstream = verdict.upstream;
     this->direct.onSent(verdict.upstream);
     if (auto line = this->note(flow, "request_sent", flow.isDirect, now)) {
-        this->log.write(line->with("upstream", verdict.upstream.value)
-                            .with("way", flow.isDirect ? "direct" : "permit")
-                            .with("attempt", flow.attempts + 1));
+        this->records.log.write(line->with("upstream", verdict.upstream.value)
+                                    .with("way", flow.isDirect ? "direct" : "permit")
+                                    .with("attempt", flow.attempts + 1));
     }
     this->commands.emplace_back(FlowSend{flow.request.exchange, verdict.upstream, verdict.address,
                                          std::max(Duration{1000}, flow.answerDue - now)});
@@ -170,6 +190,7 @@
     auto &flow = found->second;
     flow.isSent = false;
     this->direct.onEnd(flow.upstream, end.end, now);
+    this->time(flow, RequestStage::Upstream, now - flow.sentAt);
     if (flow.permit) {
         PermitReport report;
         report.id = *flow.permit;
@@ -183,9 +204,9 @@
     }
     const auto isSuccess = end.end == AttemptEnd::Answered;
     if (auto line = this->note(flow, "attempt_ended", !isSuccess, now)) {
-        this->log.write(line->with("upstream", flow.upstream.value)
-                            .with("end", toText(end.end))
-                            .with("attempt_ms", toMilliseconds(now - flow.sentAt)));
+        this->records.log.write(line->with("upstream", flow.upstream.value)
+                                    .with("end", toText(end.end))
+                                    .with("attempt_ms", toMilliseconds(now - flow.sentAt)));
     }
     if (flow.isAbandoned) {
         this->finish(end.exchange);
@@ -194,13 +215,14 @@
     if (isSuccess) {
         const auto isLate = now > flow.targetAt;
         if (auto line = this->note(flow, "request_answered", isLate, now)) {
-            this->log.write(line->with("late", isLate ? "yes" : "no")
-                                .with("service", flow.request.service.value)
-                                .with("upstream", flow.upstream.value)
-                                .with("queued_ms", toMilliseconds(flow.sentAt - flow.arrived))
-                                .with("attempts", flow.attempts + 1));
+            this->records.log.write(
+                line->with("late", isLate ? "yes" : "no")
+                    .with("service", flow.request.service.value)
+                    .with("upstream", flow.upstream.value)
+                    .with("queued_ms", toMilliseconds(flow.sentAt - flow.arrived))
+                    .with("attempts", flow.attempts + 1));
         }
-        this->commands.emplace_back(FlowDeliver{end.exchange});
+        this->deliver(flow, now);
         this->finish(end.exchange);
         return;
     }
@@ -227,6 +249,8 @@
         this->endWithout(flow, reason, this->settings.blindRetryAfter / 2, now);
         return;
     }
+    this->records.counters.retried(flow.request.service, CallerId{flow.request.route.name},
+                                   retryReason(end));
     this->askPermit(flow, flow.attempts > 0, now);
 }
 
@@ -235,7 +259,7 @@
 {
     const auto exchange = flow.request.exchange;
     if (flow.hasAnswer) {
-        this->commands.emplace_back(FlowDeliver{exchange});
+        this->deliver(flow, now);
     } else {
         const auto isLate = now >= flow.answerDue;
         auto status = flow.mayHaveRun ? statusBadGateway : statusUnavailable;
@@ -243,10 +267,17 @@
             status = statusTimeout;
         }
         if (auto line = this->note(flow, "request_refused", true, now)) {
-            this->log.write(line->with("status", status)
-                                .with("reason", toString(reason))
-                                .with("attempts", flow.attempts));
+            this->records.log.write(line->with("status", status)
+                                        .with("reason", toString(reason))
+                                        .with("attempts", flow.attempts));
+        }
+        const CallerId route{flow.request.route.name};
+        if (flow.mayHaveRun) {
+            this->records.counters.unknown(flow.request.service, route, reason);
+        } else {
+            this->records.counters.refused(flow.request.service, route, reason);
         }
+        this->time(flow, RequestStage::Whole, now - flow.arrived);
         this->commands.emplace_back(
             FlowRefuse{exchange, status, reason, flow.mayHaveRun ? std::nullopt : retryAfter});
     }
@@ -261,7 +292,7 @@
     }
     auto &flow = found->second;
     if (auto line = this->note(flow, "caller_gone", false, now)) {
-        this->log.write(line->with("sent", flow.isSent ? "yes" : "no"));
+        this->records.log.write(line->with("sent", flow.isSent ? "yes" : "no"));
     }
     if (!flow.isSent) {
         this->permits.cancel(exchange);
@@ -308,6 +339,19 @@
     }
 }
 
+auto RequestFlow::deliver(const Flow &flow, Instant now) -> void
+{
+    this->records.counters.answered(flow.request.service, CallerId{flow.request.route.name},
+                                    now - flow.arrived);
+    this->time(flow, RequestStage::Whole, now - flow.arrived);
+    this->commands.emplace_back(FlowDeliver{flow.request.exchange});
+}
+
+auto RequestFlow::time(const Flow &flow, RequestStage stage, Duration time) -> void
+{
+    this->records.stages.add(flow.request.route.name, stage, time);
+}
+
 auto RequestFlow::finish(ExchangeId exchange) -> void
 {
     this->flows.erase(exchange);
@@ -332,7 +376,7 @@
 auto RequestFlow::note(const Flow &flow, const char *event, bool isUnusual, Instant now) const
     -> std::optional<LogLine>
 {
-    if (!this->log.wants(flow.request.id, isUnusual)) {
+    if (!this->records.log.wants(flow.request.id, isUnusual)) {
         return std::nullopt;
     }
     LogLine line(event);
--- a/src/entry/permitclient.h
+++ b/src/entry/permitclient.h
@@ -29,6 +29,8 @@
     PermitId id;
     /// Nothing: no grantor answers.
     std::optional<PermitVerdict> verdict;
+    /// Since the grantor first said that the request waits; zero where it didn't.
+    Duration queued{0};
     auto operator==(const PermitResult &) const -> bool = default;
 };
 
@@ -81,11 +83,13 @@
         Instant targetAt;
         Instant due;
         int unanswered = 0;
-        bool isQueued = false;
+        /// When the grantor first said that the request waits.
+        std::optional<Instant> queuedSince;
     };
 
     auto sendRequest(Pending &pending, Instant now) -> void;
     auto giveUp(std::uint64_t sequence, Instant now) -> void;
+    [[nodiscard]] static auto queuedTime(const Pending &pending, Instant now) -> Duration;
 
     Address self;
     std::uint64_t life;
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -3,6 +3,8 @@
 #include "entry/directchoice.h"
 #include "entry/permitclient.h"
 #include "entry/types/flowmessages.h"
+#include "insight/counters.h"
+#include "insight/stagehistograms.h"
 #include "logging/requestlog.h"
 
 #include <map>
@@ -21,6 +23,14 @@
     auto operator==(const RequestFlowSettings &) const -> bool = default;
 };
 
+/// Where a flow's decisions are recorded.
+struct FlowRecords
+{
+    RequestLog &log;
+    Counters &counters;
+    StageHistograms &stages;
+};
+
 /// Decides what happens to each request at its entry daemon: permit, attempt, further attempt,
 /// answer or refusal. A request that isn't repeatable is sent again only where it surely hasn't
 /// run. Without input or output; time is passed in.
@@ -28,7 +38,7 @@
 {
 public:
     RequestFlow(RequestFlowSettings settings, PermitClient &permits, DirectChoice &direct,
-                RequestLog &log);
+                FlowRecords records);
 
     auto begin(FlowRequest request, Instant now) -> void;
     auto onPermit(const PermitResult &result, Instant now) -> void;
@@ -56,6 +66,7 @@
         std::vector<UpstreamId> avoid;
         std::optional<PermitId> permit;
         UpstreamId upstream;
+        Instant askedAt;
         Instant sentAt;
         int attempts = 0;
         bool isSent = false;
@@ -73,7 +84,9 @@
     auto retryOrEnd(Flow &flow, AttemptEnd end, Instant now) -> void;
     auto endWithout(Flow &flow, Reason reason, std::optional<Duration> retryAfter, Instant now)
         -> void;
+    auto deliver(const Flow &flow, Instant now) -> void;
     auto finish(ExchangeId exchange) -> void;
+    auto time(const Flow &flow, RequestStage stage, Duration time) -> void;
     [[nodiscard]] auto permitRequest(const Flow &flow, bool isRetry, Instant now) const
         -> PermitRequest;
     auto note(const Flow &flow, const char *event, bool isUnusual, Instant now) const
@@ -82,7 +95,7 @@
     RequestFlowSettings settings;
     PermitClient &permits;
     DirectChoice &direct;
-    RequestLog &log;
+    FlowRecords records;
     struct Patience
     {
         Duration longest{0};
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -18,7 +18,10 @@
     RequestLog log{logger, 0};
     PermitClient permits{self, 1, PermitClientSettings{}};
     DirectChoice direct{1};
-    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}}, permits, direct, log};
+    Counters counters;
+    StageHistograms stages;
+    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}}, permits, direct,
+                     FlowRecords{log, counters, stages}};
     Instant now = Instant{std::chrono::seconds{10}};
     std::vector<PermitDatagram> sent;
     std::vector<FlowCommand> commands;
@@ -119,6 +122,27 @@
             }));
     }
 
+    [[nodiscard]] auto counted(CountedEvent event, Reason reason) const -> std::uint64_t
+    {
+        for (const auto &sample : this->counters.snapshot().counters) {
+            if (sample.key == CounterKey{service, CallerId{"route"}, event, reason}) {
+                return sample.count;
+            }
+        }
+        return 0;
+    }
+
+    /// @returns the times of a stage that were recorded, and their sum
+    [[nodiscard]] auto stage(RequestStage stage) const -> std::pair<std::uint64_t, Duration>
+    {
+        for (const auto &sample : this->stages.snapshot()) {
+            if (sample.stage == stage) {
+                return {sample.count, sample.sum};
+            }
+        }
+        return {0, Duration{0}};
+    }
+
     [[nodiscard]] auto refusal() const -> const FlowRefuse &
     {
         return std::get<FlowRefuse>(this->commands.back());
@@ -139,6 +163,55 @@
     CHECK(trial.flow.openCount() == 0);
 }
 
+SCENARIO("RequestFlow records where a request's time went and how it ended", "[entry]")
+{
+    using Times = std::pair<std::uint64_t, Duration>;
+    GIVEN("a request that waits 60 ms for its permit, of them 40 ms queued, and is sent twice")
+    {
+        Trial trial;
+        trial.begin(true);
+        trial.pass(milliseconds{20});
+        trial.answer(PermitVerdict{});
+        trial.pass(milliseconds{40});
+        trial.grant();
+        trial.pass(milliseconds{10});
+        trial.end(AttemptEnd::NotRun);
+        trial.grant("v");
+        trial.pass(milliseconds{30});
+        trial.end(AttemptEnd::Answered);
+        THEN("each stage has its times")
+        {
+            CHECK(trial.stage(RequestStage::Queue) == Times{1, milliseconds{40}});
+            CHECK(trial.stage(RequestStage::Permit) == Times{2, milliseconds{60}});
+            CHECK(trial.stage(RequestStage::Upstream) == Times{2, milliseconds{40}});
+            CHECK(trial.stage(RequestStage::Whole) == Times{1, milliseconds{100}});
+        }
+        THEN("the repeat is counted with its reason, and the answer once")
+        {
+            CHECK(trial.counted(CountedEvent::Retried, Reason::UpstreamShed) == 1);
+            CHECK(trial.counted(CountedEvent::Answered, Reason::None) == 1);
+        }
+    }
+    GIVEN("a request that is refused, and one whose answer is lost")
+    {
+        Trial trial;
+        trial.begin(false);
+        PermitVerdict verdict;
+        verdict.kind = PermitVerdict::Kind::Refused;
+        verdict.reason = Reason::QueueFull;
+        trial.answer(verdict);
+        trial.begin(false);
+        trial.grant();
+        trial.end(AttemptEnd::NoAnswer);
+        THEN("refusals and unknown outcomes are counted apart")
+        {
+            CHECK(trial.counted(CountedEvent::Refused, Reason::QueueFull) == 1);
+            CHECK(trial.counted(CountedEvent::Unknown, Reason::AnswerLost) == 1);
+            CHECK(trial.stage(RequestStage::Whole).first == 2);
+        }
+    }
+}
+
 SCENARIO("RequestFlow repeats only what may be repeated", "[entry]")
 {
     GIVEN("a request that may run once")
--- a/src/insight/internal/metricspage.cpp
+++ b/src/insight/internal/metricspage.cpp
@@ -42,6 +42,20 @@
     }
 }
 
+auto writeStage(const StageSample &sample, std::ostream &page) -> void
+{
+    constexpr auto name = "gooseberrywall_stage_seconds";
+    std::ostringstream labels;
+    labels << "route=\"" << escaped(sample.route) << "\",stage=\"" << toString(sample.stage) << '"';
+    for (const auto &bucket : sample.buckets) {
+        page << name << "_bucket{" << labels.str() << ",le=\"" << seconds(bucket.upperBound)
+             << "\"} " << bucket.cumulativeCount << '\n';
+    }
+    page << name << "_bucket{" << labels.str() << ",le=\"+Inf\"} " << sample.count << '\n'
+         << name << "_sum{" << labels.str() << "} " << seconds(sample.sum) << '\n'
+         << name << "_count{" << labels.str() << "} " << sample.count << '\n';
+}
+
 auto writeLatency(const LatencySample &sample, std::ostream &page) -> void
 {
     const auto service = escaped(sample.service.value);
@@ -86,4 +100,15 @@
     return page.str();
 }
 
+auto metricsPage(const std::vector<StageSample> &stages) -> std::string
+{
+    std::ostringstream page;
+    page << "# HELP gooseberrywall_stage_seconds Parts of requests' time at their entry daemon.\n"
+         << "# TYPE gooseberrywall_stage_seconds histogram\n";
+    for (const auto &sample : stages) {
+        writeStage(sample, page);
+    }
+    return page.str();
+}
+
 } // namespace gooseberrywall
--- a/src/insight/metricspage.h
+++ b/src/insight/metricspage.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "insight/types/countersnapshot.h"
+#include "insight/types/stagesample.h"
 
 #include <string>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -10,4 +12,7 @@
 /// escaped, so that a caller's name can't forge a line.
 [[nodiscard]] auto metricsPage(const CounterSnapshot &snapshot) -> std::string;
 
+/// Writes the histograms of requests' stages in the same format.
+[[nodiscard]] auto metricsPage(const std::vector<StageSample> &stages) -> std::string;
+
 } // namespace gooseberrywall
