Let announcements count in elections, and let few daemons watch the notes

A note's first event is followed by a pause of 600 ms, in which weak daemons' claims for the other services come due though the grantors have announced themselves meanwhile.

GrantorNews joins the store's notes and the announcements: a grantor that was heard of holds its place, unless the store has shown and removed its note. A grantor without authority doesn't announce itself any more, so that all look for a new one.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -3,6 +3,7 @@
 #include "edge/callclients.h"
 #include "edge/entryservice.h"
 #include "edge/grantorroles.h"
+#include "edge/grantorwatch.h"
 #include "edge/metricstext.h"
 #include "edge/upstreamwatch.h"
 #include "http/clocktimer.h"
@@ -66,10 +67,10 @@
         , configurationView(
               wire.configurationKey(), gathering(configurationPause), this->storeSender(), now,
               [this](const PrefixView::Items &items) { this->onConfiguration(items); })
-        , noteView(GrantorRoleSettings{}.notePrefix, gathering(notePause), this->storeSender(), now,
-                   [this](const PrefixView::Items &) { this->onNotes(); })
         , roles(this->roleSettings(), this->storeSender(), this->orderSender(), now, logger,
                 this->requestLog)
+        , grantors(this->grantorWatchSettings(), this->storeSender(), now, this->permits,
+                   this->roles)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
     }
@@ -119,8 +120,6 @@
     /// Versions that come in quick succession are read together; well below the time in which they
     /// have to be in force.
     static constexpr Duration configurationPause = std::chrono::milliseconds{400};
-    /// New grantors announce themselves, so that the store's word on them isn't urgent.
-    static constexpr Duration notePause = std::chrono::milliseconds{600};
     /// Registration of the own address is tried again after this time.
     static constexpr Duration registerPause = std::chrono::seconds{1};
     /// Upstreams are watched for this long after the last request without a grantor.
@@ -200,6 +199,15 @@
         return result;
     }
 
+    [[nodiscard]] auto grantorWatchSettings() const -> GrantorWatchSettings
+    {
+        GrantorWatchSettings result;
+        result.notePrefix = this->roles.settings().notePrefix;
+        result.daemon = this->settings.id;
+        result.processorCores = this->settings.processorCores;
+        return result;
+    }
+
     auto registerDaemon() -> void
     {
         StoreTransaction transaction;
@@ -241,22 +249,7 @@
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
         this->roles.setServices(this->routes->configuration().services);
-        this->onNotes();
-    }
-
-    auto onNotes() -> void
-    {
-        if (!this->noteView.isLoaded() || !this->routes) {
-            return;
-        }
-        const auto &items = this->noteView.items();
-        for (const auto &spec : this->routes->configuration().services) {
-            if (const auto note = this->roles.noteOf(spec.name, items)) {
-                this->permits.setGrantor(spec.name, GrantorRoles::addressIn(*note),
-                                         note->term.value);
-            }
-        }
-        this->roles.onNotes(items);
+        this->grantors.setServices(this->routes->configuration().services);
     }
 
     /// Upstreams are watched where they are needed: by grantors, and while grantors are missing.
@@ -299,7 +292,7 @@
             return;
         }
         if (const auto *announcement = std::get_if<GrantorAnnouncement>(&message)) {
-            this->permits.setGrantor(announcement->service, from, announcement->term);
+            this->grantors.onAnnouncement(from, *announcement);
             return;
         }
         this->roles.deliver(from, message);
@@ -348,8 +341,7 @@
     {
         const auto moment = this->now();
         this->configurationView.advance();
-        this->noteView.advance();
-        this->onNotes();
+        this->grantors.advance();
         this->roles.advance();
         this->watchUpstreams(moment);
         this->permits.advance(moment);
@@ -401,7 +393,7 @@
             }
         };
         consider(this->configurationView.nextDue());
-        consider(this->noteView.nextDue());
+        consider(this->grantors.nextDue());
         consider(this->upstreamWatch.nextDue());
         consider(this->permits.nextDue());
         consider(this->flow.nextDue());
@@ -477,8 +469,8 @@
     DatagramSocket peers;
     UpstreamWatch<Wire> upstreamWatch;
     PrefixView configurationView;
-    PrefixView noteView;
     GrantorRoles roles;
+    GrantorWatch grantors;
     std::shared_ptr<const RouteTable> routes;
     std::vector<PermitMessage> local;
     ClockTimer timer;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "edge/grantorrole.h"
-#include "storelink/prefixview.h"
 
 #include <functional>
 #include <map>
@@ -20,8 +19,9 @@
 
     /// Adds a role for each service that has none yet.
     auto setServices(const std::vector<ServiceSpec> &specs) -> void;
-    /// @param items the grantors' notes in the store
-    auto onNotes(const PrefixView::Items &items) -> void;
+    /// @param grantorOf tells each service's grantor; nothing where it has none
+    auto onGrantors(const std::function<std::optional<GrantorNote>(const ServiceName &)> &grantorOf)
+        -> void;
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     /// Hands a message to its service's role; a request for a service without one is answered.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
@@ -36,12 +36,6 @@
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
     [[nodiscard]] auto settings() const -> const GrantorRoleSettings & { return this->common; }
 
-    /// @returns the address in a grantor's note
-    [[nodiscard]] static auto addressIn(const GrantorNote &note) -> Address;
-    /// @returns a service's grantor by the notes; nothing where there is none
-    [[nodiscard]] auto noteOf(const ServiceName &service, const PrefixView::Items &items) const
-        -> std::optional<GrantorNote>;
-
 private:
     GrantorRoleSettings common;
     SendStoreCall store;
--- /dev/null
+++ b/src/edge/grantorwatch.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "edge/grantornews.h"
+#include "edge/grantorroles.h"
+#include "entry/permitclient.h"
+#include "storelink/prefixview.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gooseberrywall {
+
+struct GrantorWatchSettings
+{
+    /// Store keys of the grantors' notes.
+    std::string notePrefix;
+    DaemonId daemon;
+    double processorCores = 1;
+    /// VMs with this share of a core always watch, as they become grantors; it is several times the
+    /// least VM that the users have.
+    double standByCores = 0.25;
+    /// Of the other daemons one in so many does, which is some in a fleet of 27 and few in one of
+    /// hundreds.
+    std::uint64_t standByOneIn = 6;
+    /// New grantors announce themselves, so that the store's word on them isn't urgent.
+    Duration gatherPause = std::chrono::milliseconds{600};
+    auto operator==(const GrantorWatchSettings &) const -> bool = default;
+};
+
+/// Finds each service's grantor and tells it to the permits and to this daemon's own roles.
+/// Grantors and stand-bys watch the notes in the store; other daemons do so only while a grantor is
+/// silent.
+class GrantorWatch
+{
+public:
+    GrantorWatch(GrantorWatchSettings settings, SendStoreCall store, std::function<Instant()> now,
+                 PermitClient &permits, GrantorRoles &roles);
+
+    auto setServices(const std::vector<ServiceSpec> &specs) -> void;
+    auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
+    auto advance() -> void;
+    [[nodiscard]] auto nextDue() const -> std::optional<Instant> { return this->view.nextDue(); }
+
+private:
+    auto publish() -> void;
+    [[nodiscard]] auto isNeeded() const -> bool;
+    [[nodiscard]] auto storedNote(const ServiceName &service) const -> std::optional<GrantorNote>;
+
+    GrantorWatchSettings settings;
+    std::function<Instant()> now;
+    PermitClient &permits;
+    GrantorRoles &roles;
+    GrantorNews news;
+    std::vector<ServiceName> services;
+    bool isStandBy;
+    PrefixView view;
+};
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/internal/grantornews.cpp
@@ -0,0 +1,73 @@
+#include "edge/grantornews.h"
+
+#include <algorithm>
+
+namespace gooseberrywall {
+
+GrantorNews::GrantorNews(GrantorNewsSettings settings)
+    : settings(settings)
+{
+}
+
+auto GrantorNews::onAnnouncement(const ServiceName &service, const Address &grantor,
+                                 std::uint64_t term, Instant now) -> void
+{
+    auto &known = this->services[service];
+    const auto isOlder = known.announced && term < known.announced->term.value;
+    if (isOlder) {
+        return;
+    }
+    // Who announces itself is known by its address only.
+    known.announced = GrantorNote{noteText("", grantor, 0), StoreRevision{term}};
+    known.heardAt = now;
+}
+
+auto GrantorNews::onNote(const ServiceName &service, const std::optional<GrantorNote> &note) -> void
+{
+    auto &known = this->services[service];
+    known.stored = note;
+    if (note) {
+        known.seenTerm = std::max(known.seenTerm, note->term);
+    }
+}
+
+auto GrantorNews::grantorOf(const ServiceName &service, Instant now) const
+    -> std::optional<GrantorNote>
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return std::nullopt;
+    }
+    const auto &known = found->second;
+    const auto isHeard = known.announced && now - known.heardAt <= this->settings.silence;
+    // A term that the store has shown and shows no more has ended, whoever still announces it.
+    if (isHeard && known.announced->term > known.seenTerm) {
+        return known.announced;
+    }
+    return known.stored;
+}
+
+auto GrantorNews::isAnySilent(const std::vector<ServiceName> &services, Instant now) const -> bool
+{
+    return std::any_of(services.begin(), services.end(), [&](const ServiceName &service) {
+        const auto found = this->services.find(service);
+        return found == this->services.end() || !found->second.announced
+               || now - found->second.heardAt > this->settings.silence;
+    });
+}
+
+auto GrantorNews::noteText(const std::string &daemon, const Address &address, std::uint64_t life)
+    -> std::string
+{
+    return daemon + " " + address.value + " " + std::to_string(life);
+}
+
+auto GrantorNews::addressIn(const GrantorNote &note) -> Address
+{
+    const auto first = note.text.find(' ');
+    const auto second = note.text.find(' ', first + 1);
+    return first == std::string::npos ? Address{}
+                                      : Address{note.text.substr(first + 1, second - first - 1)};
+}
+
+} // namespace gooseberrywall
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -2,6 +2,7 @@
 
 #include "common/durations.h"
 #include "common/hash.h"
+#include "edge/grantornews.h"
 
 #include <algorithm>
 #include <utility>
@@ -82,8 +83,8 @@
 
 auto GrantorRole::ownNote() const -> std::string
 {
-    return this->settings.daemon.value + " " + this->settings.peerAddress.value + " "
-           + std::to_string(this->settings.life);
+    return GrantorNews::noteText(this->settings.daemon.value, this->settings.peerAddress,
+                                 this->settings.life);
 }
 
 auto GrantorRole::onUpstreams(const std::vector<UpstreamEntry> &entries) -> void
@@ -145,7 +146,9 @@
     }
     this->broker->advance(moment);
     this->flushVerdicts();
-    if (moment >= this->announceDue && this->isLeading()) {
+    // Without authority another daemon may have to take over, for which all have to look.
+    const auto hasAuthority = this->isLeading() && moment < this->election.authorityEnd();
+    if (moment >= this->announceDue && hasAuthority) {
         this->announce();
     }
 }
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -31,13 +31,14 @@
     }
 }
 
-auto GrantorRoles::onNotes(const PrefixView::Items &items) -> void
+auto GrantorRoles::onGrantors(
+    const std::function<std::optional<GrantorNote>(const ServiceName &)> &grantorOf) -> void
 {
     const auto load =
         static_cast<int>(std::count_if(this->roles.begin(), this->roles.end(),
                                        [](const auto &row) { return row.second->isLeading(); }));
     for (auto &[name, role] : this->roles) {
-        role->onNote(this->noteOf(name, items), load);
+        role->onNote(grantorOf(name), load);
     }
 }
 
@@ -132,22 +133,4 @@
     return moved;
 }
 
-auto GrantorRoles::addressIn(const GrantorNote &note) -> Address
-{
-    const auto first = note.text.find(' ');
-    const auto second = note.text.find(' ', first + 1);
-    return first == std::string::npos ? Address{}
-                                      : Address{note.text.substr(first + 1, second - first - 1)};
-}
-
-auto GrantorRoles::noteOf(const ServiceName &service, const PrefixView::Items &items) const
-    -> std::optional<GrantorNote>
-{
-    const auto found = items.find(this->common.notePrefix + service.value);
-    if (found == items.end()) {
-        return std::nullopt;
-    }
-    return GrantorNote{found->second.value, found->second.created};
-}
-
 } // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/internal/grantorwatch.cpp
@@ -0,0 +1,88 @@
+#include "edge/grantorwatch.h"
+
+#include "common/hash.h"
+
+#include <utility>
+
+namespace gooseberrywall {
+
+namespace {
+
+auto viewSettings(const GrantorWatchSettings &settings) -> PrefixViewSettings
+{
+    PrefixViewSettings result;
+    result.gatherPause = settings.gatherPause;
+    return result;
+}
+
+} // namespace
+
+GrantorWatch::GrantorWatch(GrantorWatchSettings settings, SendStoreCall store,
+                           std::function<Instant()> now, PermitClient &permits, GrantorRoles &roles)
+    : settings(std::move(settings))
+    , now(now)
+    , permits(permits)
+    , roles(roles)
+    , news(GrantorNewsSettings{})
+    , isStandBy(this->settings.processorCores >= this->settings.standByCores
+                || stableHash(this->settings.daemon.value) % this->settings.standByOneIn == 0)
+    , view(this->settings.notePrefix, viewSettings(this->settings), std::move(store),
+           std::move(now), [this](const PrefixView::Items &) { this->publish(); })
+{
+}
+
+auto GrantorWatch::setServices(const std::vector<ServiceSpec> &specs) -> void
+{
+    this->services.clear();
+    for (const auto &spec : specs) {
+        this->services.push_back(spec.name);
+    }
+    this->publish();
+}
+
+auto GrantorWatch::onAnnouncement(const Address &from, const GrantorAnnouncement &announcement)
+    -> void
+{
+    this->news.onAnnouncement(announcement.service, from, announcement.term, this->now());
+    this->permits.setGrantor(announcement.service, from, announcement.term);
+}
+
+auto GrantorWatch::advance() -> void
+{
+    this->view.setPaused(!this->isNeeded());
+    this->view.advance();
+    this->publish();
+}
+
+auto GrantorWatch::isNeeded() const -> bool
+{
+    return this->isStandBy || this->roles.servingCount() > 0 || !this->view.isLoaded()
+           || this->services.empty() || this->news.isAnySilent(this->services, this->now());
+}
+
+auto GrantorWatch::publish() -> void
+{
+    if (!this->view.isLoaded()) {
+        return;
+    }
+    const auto moment = this->now();
+    for (const auto &service : this->services) {
+        this->news.onNote(service, this->storedNote(service));
+        if (const auto note = this->news.grantorOf(service, moment)) {
+            this->permits.setGrantor(service, GrantorNews::addressIn(*note), note->term.value);
+        }
+    }
+    this->roles.onGrantors(
+        [&](const ServiceName &service) { return this->news.grantorOf(service, moment); });
+}
+
+auto GrantorWatch::storedNote(const ServiceName &service) const -> std::optional<GrantorNote>
+{
+    const auto found = this->view.items().find(this->settings.notePrefix + service.value);
+    if (found == this->view.items().end()) {
+        return std::nullopt;
+    }
+    return GrantorNote{found->second.value, found->second.created};
+}
+
+} // namespace gooseberrywall
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -20,7 +20,7 @@
 
 auto PrefixView::advance() -> void
 {
-    if (this->isCalling || this->now() < this->due) {
+    if (this->isCalling || this->isPaused || this->now() < this->due) {
         return;
     }
     if (this->isWatching) {
@@ -34,7 +34,7 @@
 
 auto PrefixView::nextDue() const -> std::optional<Instant>
 {
-    return this->isCalling ? std::nullopt : std::optional(this->due);
+    return this->isCalling || this->isPaused ? std::nullopt : std::optional(this->due);
 }
 
 auto PrefixView::readPage(const std::string &after) -> void
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -43,7 +43,9 @@
     auto operator=(const PrefixView &) -> PrefixView & = delete;
 
     auto advance() -> void;
-    /// @returns when advance() should be called next; nothing while a call is under way
+    /// While paused, no call is begun, and the copy stays as it is; one under way is still used.
+    auto setPaused(bool paused) -> void { this->isPaused = paused; }
+    /// @returns when advance() should be called next; nothing while paused or a call is under way
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     [[nodiscard]] auto items() const -> const Items & { return this->copy; }
     /// @returns whether the copy has been read at least once
@@ -78,6 +80,7 @@
     bool loaded = false;
     bool isWatching = false;
     bool isCalling = false;
+    bool isPaused = false;
     int failures = 0;
     Instant due{};
     Instant lastAnswer{};
--- a/src/storelink/tests/fakestore.h
+++ b/src/storelink/tests/fakestore.h
@@ -64,6 +64,8 @@
 
     [[nodiscard]] auto now() const -> Instant { return this->moment; }
     [[nodiscard]] auto callCount() const -> int { return this->served; }
+    /// @returns leases that were ever opened
+    [[nodiscard]] auto leaseCount() const -> std::uint64_t { return this->lastLease; }
     [[nodiscard]] auto find(const std::string &key) const -> const StoreItem *
     {
         const auto found = this->items.find(key);
@@ -72,6 +74,8 @@
 
     Mode mode = Mode::Sound;
     bool areLeasesPaused = false;
+    /// Few, so that small tests read several pages.
+    std::size_t pageSize = 2;
 
 private:
     struct Call
@@ -138,7 +142,6 @@
 
     auto answer(const StoreRange &call) -> StoreAnswer
     {
-        constexpr std::size_t pageSize = 2;
         StoreAnswer answer;
         answer.kind = StoreAnswer::Kind::Ok;
         answer.revision = StoreRevision{this->revision};
@@ -146,7 +149,7 @@
             if (!key.starts_with(call.prefix) || key <= call.after) {
                 continue;
             }
-            if (answer.items.size() == pageSize) {
+            if (answer.items.size() == this->pageSize) {
                 answer.hasMore = true;
                 break;
             }
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -72,6 +72,28 @@
             CHECK_FALSE(trial.view.isFailing());
         }
     }
+    WHEN("it is paused while keys change")
+    {
+        trial.view.setPaused(true);
+        // The watch under way still brings its answer.
+        trial.store.put("p/a", "2");
+        trial.run(milliseconds{300});
+        trial.store.put("p/a", "3");
+        const auto calls = trial.store.callCount();
+        trial.run(std::chrono::seconds{60});
+        THEN("no call is begun")
+        {
+            CHECK(trial.view.items().at("p/a").value == "2");
+            CHECK(trial.store.callCount() == calls);
+            CHECK_FALSE(trial.view.nextDue());
+        }
+        THEN("once it goes on, it catches up by the history")
+        {
+            trial.view.setPaused(false);
+            trial.run(milliseconds{300});
+            CHECK(trial.view.items().at("p/a").value == "3");
+        }
+    }
     WHEN("the store refuses everything for ten seconds")
     {
         trial.store.mode = FakeStore::Mode::Refusing;
