Take over changed settings while the edge daemon runs

Until now a changed settings file counted from the next start. SettingsWatch compares the file's text, on SIGHUP and each 5 s, since it may change without a signal; a refused file is told once with its reason and changes nothing. Log level, rate and sample, retry allowance, connection limit and shutdown time count at once; addresses, id, processor and the retry window's length from the next start. Tests: settingswatch_tests; by hand: a change, a fault and its mend on a running daemon.

--- a/src/dispatch/internal/retrywindow.cpp
+++ b/src/dispatch/internal/retrywindow.cpp
@@ -7,6 +7,12 @@
 {
 }
 
+auto RetryWindow::setAllowance(double ratio, double extra) -> void
+{
+    this->settings.ratio = ratio;
+    this->settings.extra = extra;
+}
+
 auto RetryWindow::onRequest(Instant now) -> void
 {
     ++this->sliceAt(now).requests;
--- a/src/dispatch/retrywindow.h
+++ b/src/dispatch/retrywindow.h
@@ -29,6 +29,8 @@
 public:
     explicit RetryWindow(RetryWindowSettings settings);
 
+    /// Changes what is allowed for what has been counted already as well.
+    auto setAllowance(double ratio, double extra) -> void;
     auto onRequest(Instant now) -> void;
     /// @returns whether a repeat is allowed now; counts it
     [[nodiscard]] auto take(Instant now) -> bool;
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -108,6 +108,11 @@
     /// @param spans sorted, without overlaps
     auto setOwners(std::vector<OwnedSpan> spans, Instant now) -> void;
 
+    auto setRetryAllowance(double ratio, double extra) -> void
+    {
+        this->retries.setAllowance(ratio, extra);
+    }
+
     auto ask(const PermitRequest &request, Instant now) -> void;
     auto report(const PermitReport &report, Instant now) -> void;
     /// The request has ended before a permit was used.
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -97,6 +97,16 @@
         this->settle();
     }
 
+    /// Takes over what may change while the daemon runs; the rest counts from the next start.
+    auto applySettings(const EdgeSettings &changed) -> void
+    {
+        this->logger.setLimits(changed.logLevel, changed.logLinesPerSecond);
+        this->requestLog.setSample(changed.logSampleOneIn);
+        this->roles.setRetryAllowance(changed.retryRatio, changed.retryExtra);
+        this->entry.listener().setConnectionLimit(changed.connectionLimit);
+        this->settings.shutdownTimeout = changed.shutdownTimeout;
+    }
+
     /// Not ready any more; requests under way and those still sent here are served, then the loop
     /// ends.
     auto shutDown() -> void
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -70,6 +70,7 @@
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
     auto advance() -> void;
+    auto setRetryAllowance(double ratio, double extra) -> void;
     /// Leaves the grantor's place to another daemon.
     auto resign() -> void;
 
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -25,6 +25,7 @@
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     /// Hands a message to its service's role; a request for a service without one is answered.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
+    auto setRetryAllowance(double ratio, double extra) -> void;
     auto advance() -> void;
     auto resign() -> void;
 
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -191,6 +191,13 @@
                                      this->settings.retries, this->settings.life);
 }
 
+auto GrantorRole::setRetryAllowance(double ratio, double extra) -> void
+{
+    this->settings.retries.ratio = ratio;
+    this->settings.retries.extra = extra;
+    this->broker->setRetryAllowance(ratio, extra);
+}
+
 auto GrantorRole::resign() -> void
 {
     if (this->isLeading()) {
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+auto GrantorRoles::setRetryAllowance(double ratio, double extra) -> void
+{
+    this->common.retries.ratio = ratio;
+    this->common.retries.extra = extra;
+    for (auto &[name, role] : this->roles) {
+        role->setRetryAllowance(ratio, extra);
+    }
+}
+
 auto GrantorRoles::advance() -> void
 {
     for (auto &[name, role] : this->roles) {
--- a/src/logging/internal/logger.cpp
+++ b/src/logging/internal/logger.cpp
@@ -94,6 +94,13 @@
     this->droppedInAll += lost;
 }
 
+auto Logger::setLimits(const std::string &level, std::int64_t linesPerSecond) -> void
+{
+    const std::lock_guard lock(this->mutex);
+    this->target->set_level(spdlog::level::from_str(level));
+    this->linesPerSecond = linesPerSecond;
+}
+
 auto Logger::isEnabled(LogLevel level) const -> bool
 {
     return this->target->should_log(toSpdlog(level));
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -28,6 +28,8 @@
     Logger(const std::string &level, std::int64_t linesPerSecond, int descriptor = 1);
 
     auto write(LogLevel level, const std::string &line) -> void;
+    /// Changes what is written from now on.
+    auto setLimits(const std::string &level, std::int64_t linesPerSecond) -> void;
 
     /// @returns whether lines of this level are written
     [[nodiscard]] auto isEnabled(LogLevel level) const -> bool;
--- a/src/logging/requestlog.h
+++ b/src/logging/requestlog.h
@@ -22,6 +22,7 @@
     {
         return isUnusual || this->isSampled(request);
     }
+    auto setSample(std::uint64_t oneIn) -> void { this->sampleOneIn = oneIn; }
     auto write(const LogLine &line) -> void { this->logger.write(LogLevel::Info, line.text()); }
     auto warn(const LogLine &line) -> void { this->logger.write(LogLevel::Warning, line.text()); }
 
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t addressLimitBytes = 64;
 constexpr double thousandth = 0.001;
 const auto *const atStart = "at the next start";
+const auto *const atOnce = "at once";
 constexpr std::array<const char *, 4> addressKeys{"caller_listen", "ready_listen", "peer_listen",
                                                   "metrics_listen"};
 
@@ -34,13 +35,13 @@
              address("ready_listen", "Where the balancer asks whether this daemon is ready."),
              address("peer_listen", "Where other daemons' datagrams arrive."),
              address("metrics_listen", "Where metrics collectors reach this daemon."),
-             {"shutdown_timeout_s", ValueKind::Seconds, "s", 1000, 600'000, "6", atStart,
+             {"shutdown_timeout_s", ValueKind::Seconds, "s", 1000, 600'000, "6", atOnce,
               "From SIGTERM to the end of the process; requests end before."},
              {"processor_share", ValueKind::Decimal, "", 1, 1'000'000, "1", atStart,
               "Share of each core that this VM may use. VMs with more become grantors first."},
              {"processor_cores", ValueKind::Decimal, "", 1, 1'000'000, "1", atStart,
               "Cores of this VM."},
-             {"connection_limit", ValueKind::Integer, "", 10, 100'000, "2000", atStart,
+             {"connection_limit", ValueKind::Integer, "", 10, 100'000, "2000", atOnce,
               "Callers' connections at once; further ones are closed."}}};
 }
 
@@ -57,9 +58,9 @@
     return {"retries",
             SectionCount::Optional,
             "Bounds of repeated sendings, for each service and all daemons together.",
-            {{"ratio", ValueKind::Decimal, "", 0, 10'000, "0.1", atStart,
+            {{"ratio", ValueKind::Decimal, "", 0, 10'000, "0.1", atOnce,
               "Repeats allowed for each request within the window."},
-             {"extra", ValueKind::Integer, "", 0, 100'000, "10", atStart,
+             {"extra", ValueKind::Integer, "", 0, 100'000, "10", atOnce,
               "Repeats allowed besides within the window."},
              {"window_s", ValueKind::Seconds, "s", 100, 600'000, "10", atStart,
               "Length of the window."}}};
@@ -79,11 +80,11 @@
     return {"log",
             SectionCount::Optional,
             "Log lines on standard output.",
-            {{"level", ValueKind::Text, "", 1, 8, "info", atStart,
+            {{"level", ValueKind::Text, "", 1, 8, "info", atOnce,
               "The least level that is written: debug, info, warning or error."},
-             {"lines_per_second", ValueKind::Integer, "lines/s", 1, 100'000, "200", atStart,
+             {"lines_per_second", ValueKind::Integer, "lines/s", 1, 100'000, "200", atOnce,
               "Further lines are counted and dropped."},
-             {"sample_one_in", ValueKind::Integer, "requests", 0, 1'000'000, "50", atStart,
+             {"sample_one_in", ValueKind::Integer, "requests", 0, 1'000'000, "50", atOnce,
               "Each n-th request is logged whole, the same ones by all daemons; 0: none. Unusual "
               "events are logged of every request."}}};
 }
--- a/src/settings/tests/edgesettingsloader_tests.cpp
+++ b/src/settings/tests/edgesettingsloader_tests.cpp
@@ -1,41 +1,17 @@
 #include "settings/edgesettingsloader.h"
 
+#include "settings/tests/edgesettingstext.h"
+
 #include <catch2/catch.hpp>
 
 using namespace gooseberrywall;
 
-namespace {
-
-const std::string sound = "[daemon]\n"
-                          "id = d1\n"
-                          "failure_domain = north-1\n"
-                          "caller_listen = 127.0.0.1:8001\n"
-                          "ready_listen = 127.0.0.1:8002\n"
-                          "peer_listen = 127.0.0.1:8003\n"
-                          "metrics_listen = 127.0.0.1:8004\n"
-                          "processor_share = 0.14\n"
-                          "shutdown_timeout_s = 6\n"
-                          "[store]\n"
-                          "address = 127.0.0.1:7000\n"
-                          "[retries]\n"
-                          "ratio = 0.25\n"
-                          "window_s = 2.5\n";
-
-auto replaced(const std::string &from, const std::string &to) -> std::string
-{
-    auto text = sound;
-    text.replace(text.find(from), from.size(), to);
-    return text;
-}
-
-} // namespace
-
 SCENARIO("EdgeSettingsLoader reads settings", "[settings]")
 {
     EdgeSettingsLoader loader;
     GIVEN("a sound file")
     {
-        const auto settings = loader.load(sound, "edge.ini");
+        const auto settings = loader.load(soundEdgeSettings(), "edge.ini");
         REQUIRE(settings.has_value());
         CHECK(settings->retryRatio == Approx(0.25));
         CHECK(settings->retryWindow == Duration{std::chrono::milliseconds{2500}});
@@ -54,7 +30,7 @@
                                                               {"id = d1\n", ""}}) {
             THEN("they are refused whole, with a remedy: " + to)
             {
-                CHECK_FALSE(loader.load(replaced(from, to), "edge.ini").has_value());
+                CHECK_FALSE(loader.load(soundEdgeSettings(from, to), "edge.ini").has_value());
                 CHECK_FALSE(loader.lastError().remedy.empty());
             }
         }
--- /dev/null
+++ b/src/settings/tests/settingswatch_tests.cpp
@@ -0,0 +1,57 @@
+#include "settings/settingswatch.h"
+
+#include "settings/tests/edgesettingstext.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using Kind = SettingsCheck::Kind;
+
+SCENARIO("SettingsWatch tells a change once, and keeps what is sound", "[settingswatch]")
+{
+    std::optional<std::string> file = soundEdgeSettings();
+    SettingsWatch watch("edge.ini", [&file] { return file; });
+    GIVEN("a sound file")
+    {
+        const auto first = watch.check();
+        REQUIRE(first.kind == Kind::Changed);
+        CHECK(first.settings->retryRatio == Approx(0.25));
+        THEN("nothing is told while it stays the same")
+        {
+            CHECK(watch.check().kind == Kind::Unchanged);
+        }
+        WHEN("a value changes")
+        {
+            file = soundEdgeSettings("ratio = 0.25", "ratio = 0.5");
+            THEN("the new settings are told once")
+            {
+                const auto next = watch.check();
+                REQUIRE(next.kind == Kind::Changed);
+                CHECK(next.settings->retryRatio == Approx(0.5));
+                CHECK(watch.check().kind == Kind::Unchanged);
+            }
+        }
+        WHEN("a value is damaged")
+        {
+            file = soundEdgeSettings("ratio = 0.25", "ratio = much");
+            THEN("it is refused with a reason, once")
+            {
+                const auto next = watch.check();
+                CHECK(next.kind == Kind::Refused);
+                CHECK(next.problem.find("ratio") != std::string::npos);
+                CHECK(watch.check().kind == Kind::Unchanged);
+            }
+        }
+        WHEN("the file is gone for a while")
+        {
+            file.reset();
+            THEN("that is told, and its return as well")
+            {
+                CHECK(watch.check().kind == Kind::Refused);
+                CHECK(watch.check().kind == Kind::Unchanged);
+                file = soundEdgeSettings();
+                CHECK(watch.check().kind == Kind::Changed);
+            }
+        }
+    }
+}
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -62,6 +62,7 @@
     /// @throws std::runtime_error where the address can't be bound
     auto start() -> void;
     auto setLimits(MessageLimits limits, Duration headerTimeout, Duration idleTimeout) -> void;
+    auto setConnectionLimit(std::size_t limit) -> void { this->settings.connectionLimit = limit; }
     /// Answers an exchange; without effect where the caller has left.
     auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
     /// Each further answer closes its connection.
