Name the new grantor to those who ask the old one, and keep requests while one is elected

A daemon that isn't the grantor any more names the one that it knows, with its term; an older term isn't followed. A request without grantor and without a known upstream is kept, tried every 40 ms, for 700 ms or half of its time at most; once that was in vain, others are refused at once for 2 s.

The repeat without its budget's keeper is refused within half of its time instead of at once.

Ruled out: keeping requests in PermitClient (tried first): a known upstream must be used at once, which only the flow knows.

--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -74,7 +74,11 @@
     Kind kind = Kind::Queued;
     /// Granted only.
     UpstreamId upstream;
+    /// Granted: the upstream's address. NotGrantor: that of the grantor, empty where it isn't
+    /// known.
     Address address;
+    /// NotGrantor with an address: that grantor's term.
+    std::uint64_t grantorTerm = 0;
     /// Granted on a sharded service: the keys around the request's that the upstream owns.
     std::optional<KeySpan> owned;
     /// Refused only: why, and when room is expected.
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -87,6 +87,8 @@
 
 private:
     [[nodiscard]] auto ownNote() const -> std::string;
+    /// @returns the word to daemons that take this one for the grantor
+    [[nodiscard]] auto notGrantorVerdict() const -> PermitVerdict;
     /// Frees the grantor's place where an earlier life of this daemon still has it.
     auto removeFormerNote(const GrantorNote &note) -> void;
     auto onElected(StoreRevision term) -> void;
@@ -123,6 +125,8 @@
     std::vector<UpstreamEntry> upstreams;
     bool hasUpstreams = false;
     bool serving = false;
+    /// The grantor as last told.
+    std::optional<GrantorNote> knownGrantor;
     std::optional<StoreRevision> term;
     StoreRevision removedTerm;
     /// The record of the term has been read and taken over.
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -51,6 +51,7 @@
         + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(weakness))
         + delayPerLoad * load;
     this->election.onNote(note, delay);
+    this->knownGrantor = note;
     if (note) {
         this->removeFormerNote(*note);
     }
@@ -87,6 +88,19 @@
                                  this->settings.life);
 }
 
+auto GrantorRole::notGrantorVerdict() const -> PermitVerdict
+{
+    PermitVerdict verdict;
+    verdict.kind = PermitVerdict::Kind::NotGrantor;
+    const auto address =
+        this->knownGrantor ? GrantorNews::addressIn(*this->knownGrantor) : Address{};
+    if (address != this->settings.peerAddress && !address.empty()) {
+        verdict.address = address;
+        verdict.grantorTerm = this->knownGrantor->term.value;
+    }
+    return verdict;
+}
+
 auto GrantorRole::onUpstreams(const std::vector<UpstreamEntry> &entries) -> void
 {
     std::vector<UpstreamEntry> own;
@@ -113,9 +127,8 @@
     const auto moment = this->now();
     if (const auto *request = std::get_if<PermitRequest>(&message)) {
         if (!this->serving) {
-            PermitVerdict verdict;
-            verdict.kind = PermitVerdict::Kind::NotGrantor;
-            this->datagrams.push_back(PermitDatagram{from, PermitAnswer{request->id, verdict}});
+            this->datagrams.push_back(
+                PermitDatagram{from, PermitAnswer{request->id, this->notGrantorVerdict()}});
             return;
         }
         this->daemons.insert(from);
--- a/src/entry/internal/permitclient.cpp
+++ b/src/entry/internal/permitclient.cpp
@@ -144,7 +144,7 @@
         return;
     }
     if (answer.verdict.kind == Kind::NotGrantor) {
-        this->giveUp(found->first, now);
+        this->onNotGrantor(from, answer, now);
         return;
     }
     if (answer.verdict.kind == Kind::Granted) {
@@ -155,6 +155,19 @@
     this->pending.erase(found);
 }
 
+auto PermitClient::onNotGrantor(const Address &from, const PermitAnswer &answer, Instant now)
+    -> void
+{
+    const auto sequence = answer.id.sequence;
+    if (!answer.verdict.address.empty()) {
+        const auto service = this->pending.at(sequence).request.service;
+        this->setGrantor(service, answer.verdict.address, answer.verdict.grantorTerm);
+    }
+    if (this->pending.at(sequence).grantor == from) {
+        this->giveUp(sequence, now);
+    }
+}
+
 auto PermitClient::advance(Instant now) -> void
 {
     std::vector<std::uint64_t> lost;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -143,17 +143,7 @@
     }
     if (!result.verdict) {
         flow.permit.reset();
-        // Without the grantor's budget nothing is sent that counts as a repeat.
-        const auto verdict = flow.attempts > 0
-                                 ? std::nullopt
-                                 : this->direct.choose(this->permitRequest(flow, false, now), now);
-        if (!verdict) {
-            this->endWithout(flow, Reason::GrantorUnreachable, this->settings.blindRetryAfter, now);
-            return;
-        }
-        flow.isDirect = true;
-        ++this->directSends;
-        this->send(flow, *verdict, now);
+        this->goOnAlone(flow, now);
         return;
     }
     if (result.verdict->kind == PermitVerdict::Kind::Refused) {
@@ -166,6 +156,48 @@
     this->send(flow, *result.verdict, now);
 }
 
+auto RequestFlow::goOnAlone(Flow &flow, Instant now) -> void
+{
+    // Without the grantor's budget nothing is sent that counts as a repeat.
+    const auto verdict = flow.attempts > 0
+                             ? std::nullopt
+                             : this->direct.choose(this->permitRequest(flow, false, now), now);
+    if (verdict) {
+        flow.isDirect = true;
+        ++this->directSends;
+        this->send(flow, *verdict, now);
+        return;
+    }
+    if (this->mayKeep(flow, now)) {
+        flow.keptSince = flow.keptSince.value_or(now);
+        flow.askAgainAt = now + this->settings.askAgainEvery;
+        return;
+    }
+    if (flow.keptSince) {
+        this->vainAt = now;
+    }
+    this->endWithout(flow, Reason::GrantorUnreachable, this->settings.blindRetryAfter, now);
+}
+
+auto RequestFlow::mayKeep(const Flow &flow, Instant now) const -> bool
+{
+    const auto isInVain = this->vainAt && now - *this->vainAt < this->settings.vainWaitMemory;
+    const auto since = flow.keptSince.value_or(now);
+    const auto longest =
+        std::min(this->settings.grantorWait, Duration{(flow.answerDue - since) / 2});
+    return !isInVain && now + this->settings.askAgainEvery <= since + longest;
+}
+
+auto RequestFlow::askAgain(Instant now) -> void
+{
+    for (auto &[exchange, flow] : this->flows) {
+        if (flow.askAgainAt && *flow.askAgainAt <= now) {
+            flow.askAgainAt.reset();
+            this->askPermit(flow, flow.attempts > 0, now);
+        }
+    }
+}
+
 auto RequestFlow::send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void
 {
     flow.isSent = true;
@@ -337,6 +369,7 @@
         }
         this->endWithout(flow, Reason::DeadlinePassed, std::nullopt, now);
     }
+    this->askAgain(now);
 }
 
 auto RequestFlow::deliver(const Flow &flow, Instant now) -> void
@@ -366,8 +399,8 @@
 {
     std::optional<Instant> due;
     for (const auto &[exchange, flow] : this->flows) {
-        const auto moment =
-            flow.answerDue + (flow.isSent ? this->settings.answerGrace : Duration{0});
+        auto moment = flow.answerDue + (flow.isSent ? this->settings.answerGrace : Duration{0});
+        moment = std::min(moment, flow.askAgainAt.value_or(moment));
         due = due ? std::min(*due, moment) : moment;
     }
     return due;
--- a/src/entry/permitclient.h
+++ b/src/entry/permitclient.h
@@ -88,6 +88,7 @@
     };
 
     auto sendRequest(Pending &pending, Instant now) -> void;
+    auto onNotGrantor(const Address &from, const PermitAnswer &answer, Instant now) -> void;
     auto giveUp(std::uint64_t sequence, Instant now) -> void;
     [[nodiscard]] static auto queuedTime(const Pending &pending, Instant now) -> Duration;
 
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -20,6 +20,12 @@
     Duration answerGrace = std::chrono::milliseconds{80};
     /// Retry-After where no grantor and no upstream is known.
     Duration blindRetryAfter = std::chrono::milliseconds{200};
+    /// Without a grantor and without an upstream known, a request is kept for as long as an
+    /// election takes, at most half of its time, and tried this often.
+    Duration grantorWait = std::chrono::milliseconds{700};
+    Duration askAgainEvery = std::chrono::milliseconds{40};
+    /// Once that was in vain, others aren't kept for this time.
+    Duration vainWaitMemory = std::chrono::seconds{2};
     auto operator==(const RequestFlowSettings &) const -> bool = default;
 };
 
@@ -68,6 +74,9 @@
         UpstreamId upstream;
         Instant askedAt;
         Instant sentAt;
+        /// Since when it is kept for want of a grantor, and when it is tried again.
+        std::optional<Instant> keptSince;
+        std::optional<Instant> askAgainAt;
         int attempts = 0;
         bool isSent = false;
         bool isDirect = false;
@@ -80,6 +89,10 @@
     /// @returns how long ago the caller first tried
     [[nodiscard]] auto earlierTime(const FlowRequest &request, Instant now) -> Duration;
     auto askPermit(Flow &flow, bool isRetry, Instant now) -> void;
+    /// Sends without a permit, keeps the request for a grantor, or refuses it.
+    auto goOnAlone(Flow &flow, Instant now) -> void;
+    [[nodiscard]] auto mayKeep(const Flow &flow, Instant now) const -> bool;
+    auto askAgain(Instant now) -> void;
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
     auto retryOrEnd(Flow &flow, AttemptEnd end, Instant now) -> void;
     auto endWithout(Flow &flow, Reason reason, std::optional<Duration> retryAfter, Instant now)
@@ -107,6 +120,8 @@
     std::map<std::string, Patience> patience;
     std::vector<FlowCommand> commands;
     std::uint64_t directSends = 0;
+    /// When a request was last kept in vain.
+    std::optional<Instant> vainAt;
 };
 
 } // namespace gooseberrywall
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -68,6 +68,7 @@
     out.setLast(verdict.owned.value_or(KeySpan{}).last);
     out.setReason(static_cast<std::uint8_t>(verdict.reason));
     out.setRetryAfter(verdict.retryAfter.count());
+    out.setGrantorTerm(verdict.grantorTerm);
 }
 
 auto write(permitwire::Message::Builder builder, const PermitReport &report) -> void
@@ -138,6 +139,7 @@
     }
     verdict.reason = static_cast<Reason>(in.getReason());
     verdict.retryAfter = Duration{in.getRetryAfter()};
+    verdict.grantorTerm = in.getGrantorTerm();
     return answer;
 }
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -33,6 +33,7 @@
   last @6 :UInt16;
   reason @7 :UInt8;
   retryAfter @8 :Int64;
+  grantorTerm @9 :UInt64;
 }
 
 struct Report {
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -68,7 +68,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e8c4d82946d5715, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9e8c4d82946d5715, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -421,6 +421,8 @@
 
   inline  ::int64_t getRetryAfter() const;
 
+  inline  ::uint64_t getGrantorTerm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -488,6 +490,9 @@
   inline  ::int64_t getRetryAfter();
   inline void setRetryAfter( ::int64_t value);
 
+  inline  ::uint64_t getGrantorTerm();
+  inline void setGrantorTerm( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1456,6 +1461,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Verdict::Reader::getGrantorTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Verdict::Builder::getGrantorTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setGrantorTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitlink_tests.cpp
+++ b/src/permitlink/tests/permitlink_tests.cpp
@@ -42,6 +42,7 @@
     answer.verdict.owned = KeySpan{7, 9};
     answer.verdict.reason = Reason::QueueFull;
     answer.verdict.retryAfter = std::chrono::milliseconds{40};
+    answer.verdict.grantorTerm = 77;
     CHECK(roundTrip(answer, sender, self) == PermitMessage{answer});
 
     PermitReport report;
