--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -169,6 +169,11 @@
         return;
     }
     if (this->mayKeep(flow, now)) {
+        if (auto line = this->note(flow, "request_kept", !flow.keptSince, now)) {
+            this->records.log.write(line->with("reason", toString(Reason::GrantorUnreachable))
+                                        .with("service", flow.request.service.value)
+                                        .with("due_ms", toMilliseconds(flow.answerDue - now)));
+        }
         flow.keptSince = flow.keptSince.value_or(now);
         flow.askAgainAt = now + this->settings.askAgainEvery;
         return;
--- /dev/null
+++ b/src/entry/tests/flowtrial.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "entry/requestflow.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace gooseberrywall {
+
+inline const Address self{"10.0.0.1:7000"};
+inline const Address grantor{"10.0.0.2:7000"};
+inline const ServiceName service{"fitment"};
+
+/// An entry daemon's flow with a grantor that the test plays.
+struct FlowTrial
+{
+    Logger logger{"error", 1};
+    RequestLog log{logger, 0};
+    PermitClient permits{self, 1, PermitClientSettings{}};
+    DirectChoice direct{1};
+    Counters counters;
+    StageHistograms stages;
+    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}}, permits, direct,
+                     FlowRecords{log, counters, stages}};
+    Instant now = Instant{std::chrono::seconds{10}};
+    std::vector<PermitDatagram> sent;
+    std::vector<FlowCommand> commands;
+
+    explicit FlowTrial(bool hasGrantor = true)
+    {
+        if (hasGrantor) {
+            this->permits.setGrantor(service, grantor, 1);
+        }
+    }
+
+    auto begin(bool isRepeatable, int attempts = 2) -> void
+    {
+        FlowRequest request;
+        request.exchange = ExchangeId{1};
+        request.id = RequestId{"r-1"};
+        request.service = service;
+        request.route.name = "route";
+        request.route.isRepeatable = isRepeatable;
+        request.route.maximalAttempts = attempts;
+        request.route.timeout = std::chrono::milliseconds{800};
+        request.route.targetLatency = std::chrono::milliseconds{300};
+        request.patience = std::chrono::milliseconds{800};
+        this->flow.begin(request, this->now);
+        this->settle();
+    }
+
+    auto settle() -> void
+    {
+        for (const auto &result : this->permits.takeResults()) {
+            this->flow.onPermit(result, this->now);
+        }
+        for (auto &datagram : this->permits.takeDatagrams()) {
+            this->sent.push_back(datagram);
+        }
+        for (auto &command : this->flow.takeCommands()) {
+            this->commands.push_back(command);
+        }
+    }
+
+    auto pass(Duration time) -> void
+    {
+        for (auto passed = Duration{0}; passed < time; passed += std::chrono::milliseconds{5}) {
+            this->now += std::chrono::milliseconds{5};
+            this->permits.advance(this->now);
+            this->flow.advance(this->now);
+            this->settle();
+        }
+    }
+
+    /// Answers the last request for a permit.
+    auto answer(const PermitVerdict &verdict) -> void
+    {
+        this->permits.onAnswer(grantor, PermitAnswer{this->lastRequest()->id, verdict}, this->now);
+        this->settle();
+    }
+
+    auto grant(const std::string &upstream = "u") -> void
+    {
+        PermitVerdict verdict;
+        verdict.kind = PermitVerdict::Kind::Granted;
+        verdict.upstream = UpstreamId{upstream};
+        verdict.address = Address{"10.1.0.1:80"};
+        this->answer(verdict);
+    }
+
+    auto end(AttemptEnd end) -> void
+    {
+        this->flow.onAttemptEnd(FlowAttemptEnd{ExchangeId{1}, end, std::nullopt}, this->now);
+        this->settle();
+    }
+
+    [[nodiscard]] auto lastRequest() const -> const PermitRequest *
+    {
+        const PermitRequest *last = nullptr;
+        for (const auto &datagram : this->sent) {
+            if (const auto *request = std::get_if<PermitRequest>(&datagram.message)) {
+                last = request;
+            }
+        }
+        return last;
+    }
+
+    template<typename Command>
+    [[nodiscard]] auto count() const -> int
+    {
+        return static_cast<int>(std::count_if(
+            this->commands.begin(), this->commands.end(),
+            [](const FlowCommand &each) { return std::holds_alternative<Command>(each); }));
+    }
+
+    template<typename Message>
+    [[nodiscard]] auto countSent() const -> int
+    {
+        return static_cast<int>(
+            std::count_if(this->sent.begin(), this->sent.end(), [](const PermitDatagram &each) {
+                return std::holds_alternative<Message>(each.message);
+            }));
+    }
+
+    [[nodiscard]] auto counted(CountedEvent event, Reason reason) const -> std::uint64_t
+    {
+        for (const auto &sample : this->counters.snapshot().counters) {
+            if (sample.key == CounterKey{service, CallerId{"route"}, event, reason}) {
+                return sample.count;
+            }
+        }
+        return 0;
+    }
+
+    /// @returns the times of a stage that were recorded, and their sum
+    [[nodiscard]] auto stage(RequestStage stage) const -> std::pair<std::uint64_t, Duration>
+    {
+        for (const auto &sample : this->stages.snapshot()) {
+            if (sample.stage == stage) {
+                return {sample.count, sample.sum};
+            }
+        }
+        return {0, Duration{0}};
+    }
+
+    [[nodiscard]] auto refusal() const -> const FlowRefuse &
+    {
+        return std::get<FlowRefuse>(this->commands.back());
+    }
+};
+
+} // namespace gooseberrywall
