Log what a daemon believes of upstreams, grantors and the store

HealthChanges compares two looks at the grantor's upstreams, twice a second; GrantorWatch and StoreClient say each change once.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "common/durations.h"
 #include "edge/grantorrole.h"
 #include "edge/wireadapter.h"
 #include "http1/messagewriter.h"
 #include "streams/outboundpool.h"
 
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace gooseberrywall {
@@ -15,11 +17,13 @@
 class StoreClient
 {
 public:
-    StoreClient(const Wire &wire, OutboundPool &pool, Address store, std::function<Instant()> now)
+    StoreClient(const Wire &wire, OutboundPool &pool, Address store, std::function<Instant()> now,
+                Logger &logger)
         : wire(wire)
         , pool(pool)
         , store(std::move(store))
         , now(std::move(now))
+        , logger(logger)
     {
     }
 
@@ -67,19 +71,41 @@
         } else if (result.end == OutboundResult::End::NotSent) {
             answer.kind = StoreAnswer::Kind::Refused;
         }
-        if (answer.kind == StoreAnswer::Kind::Refused
-            || answer.kind == StoreAnswer::Kind::Unknown) {
+        const auto isFailed =
+            answer.kind == StoreAnswer::Kind::Refused || answer.kind == StoreAnswer::Kind::Unknown;
+        if (isFailed) {
             this->troubleAt = this->now();
             ++this->failures;
         }
+        this->logState(isFailed, answer.kind == StoreAnswer::Kind::Refused);
         return answer;
     }
 
+    /// Says once that the store is lost, and once that it is back.
+    auto logState(bool isFailed, bool isRefused) -> void
+    {
+        if (isFailed && !this->lostAt) {
+            this->lostAt = this->now();
+            LogLine line("store_lost");
+            line.with("why", isRefused ? "refused" : "no answer")
+                .with("failures", static_cast<std::int64_t>(this->failures));
+            this->logger.write(LogLevel::Warning, line.text());
+        } else if (!isFailed && this->lostAt) {
+            LogLine line("store_back");
+            line.with("away_ms", toMilliseconds(this->now() - *this->lostAt))
+                .with("failures", static_cast<std::int64_t>(this->failures));
+            this->logger.write(LogLevel::Info, line.text());
+            this->lostAt.reset();
+        }
+    }
+
     const Wire &wire;
     OutboundPool &pool;
     Address store;
     std::function<Instant()> now;
+    Logger &logger;
     Instant troubleAt{};
+    std::optional<Instant> lostAt;
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
 };
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -39,7 +39,7 @@
         , requestLog(logger, this->settings.logSampleOneIn)
         , pool(loop.base(), poolSettings(wire), now)
         , storePool(loop.base(), storePoolSettings(), now)
-        , store(wire, this->storePool, this->settings.store, now)
+        , store(wire, this->storePool, this->settings.store, now, logger)
         , orders(wire, this->pool)
         , permits(this->settings.peerListen, life, PermitClientSettings{})
         , direct(life)
@@ -71,7 +71,7 @@
         , roles(this->roleSettings(), this->storeSender(), this->orderSender(), now, logger,
                 this->requestLog)
         , grantors(this->grantorWatchSettings(), this->storeSender(), now, this->permits,
-                   this->roles)
+                   this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
     }
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/healthchanges.h"
 #include "dispatch/slotbroker.h"
 #include "election/grantorelection.h"
 #include "keyranges/rangegrantor.h"
@@ -104,6 +105,7 @@
     auto advanceRanges(Instant moment) -> void;
     auto issueOrders() -> void;
     auto refreshOwners(Instant moment) -> void;
+    auto logHealth(Instant moment) -> void;
     auto flushVerdicts() -> void;
     auto logVerdict(const IssuedVerdict &issued) -> void;
     auto log(LogLevel level, LogLine &line) -> void;
@@ -139,6 +141,8 @@
     bool isRecordUncertain = false;
     Instant recordDue{};
     Instant recordGatherUntil{};
+    HealthChanges health;
+    Instant healthDue{};
     Instant announceDue{};
     Instant advancedAt{};
     Instant settleDue{};
--- a/src/edge/grantorwatch.h
+++ b/src/edge/grantorwatch.h
@@ -6,6 +6,7 @@
 #include "storelink/prefixview.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,7 +37,7 @@
 {
 public:
     GrantorWatch(GrantorWatchSettings settings, SendStoreCall store, std::function<Instant()> now,
-                 PermitClient &permits, GrantorRoles &roles);
+                 PermitClient &permits, GrantorRoles &roles, Logger &logger);
 
     auto setServices(const std::vector<ServiceSpec> &specs) -> void;
     auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
@@ -44,7 +45,15 @@
     [[nodiscard]] auto nextDue() const -> std::optional<Instant> { return this->view.nextDue(); }
 
 private:
+    struct Told
+    {
+        std::uint64_t term = 0;
+        bool isSilent = true;
+    };
+
     auto publish() -> void;
+    /// Says once that a grantor is new, silent, or heard again.
+    auto logGrantors(Instant moment) -> void;
     [[nodiscard]] auto isNeeded() const -> bool;
     [[nodiscard]] auto storedNote(const ServiceName &service) const -> std::optional<GrantorNote>;
 
@@ -52,7 +61,10 @@
     std::function<Instant()> now;
     PermitClient &permits;
     GrantorRoles &roles;
+    Logger &logger;
     GrantorNews news;
+    /// What the log has last said of each service's grantor.
+    std::map<ServiceName, Told> told;
     std::vector<ServiceName> services;
     bool isStandBy;
     PrefixView view;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -16,6 +16,8 @@
 /// Weaker VMs than this share of a core wait no longer.
 constexpr double leastProcessor = 0.05;
 constexpr Duration idleTick = std::chrono::milliseconds{500};
+/// Changes of upstreams' health are looked for this often, for the log.
+constexpr Duration healthEvery = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -159,6 +161,7 @@
     }
     this->broker->advance(moment);
     this->flushVerdicts();
+    this->logHealth(moment);
     // Without authority another daemon may have to take over, for which all have to look.
     const auto hasAuthority = this->isLeading() && moment < this->election.authorityEnd();
     if (moment >= this->announceDue && hasAuthority) {
@@ -221,6 +224,25 @@
     this->election.resign();
 }
 
+auto GrantorRole::logHealth(Instant moment) -> void
+{
+    if (moment < this->healthDue) {
+        return;
+    }
+    this->healthDue = moment + healthEvery;
+    for (const auto &change : this->health.update(this->broker->demand(moment))) {
+        constexpr auto percent = 100;
+        LogLine line("upstream_health");
+        line.with("service", this->spec.name.value)
+            .with("upstream", change.upstream.id.value)
+            .with("state", toString(change.kind))
+            .with("failures_percent",
+                  static_cast<std::int64_t>(change.upstream.failureShare * percent))
+            .with("latency_ms", toMilliseconds(change.upstream.expectedLatency));
+        this->log(LogLevel::Info, line);
+    }
+}
+
 auto GrantorRole::flushVerdicts() -> void
 {
     for (auto &issued : this->broker->takeVerdicts()) {
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gooseberrywall {
@@ -18,11 +19,13 @@
 } // namespace
 
 GrantorWatch::GrantorWatch(GrantorWatchSettings settings, SendStoreCall store,
-                           std::function<Instant()> now, PermitClient &permits, GrantorRoles &roles)
+                           std::function<Instant()> now, PermitClient &permits, GrantorRoles &roles,
+                           Logger &logger)
     : settings(std::move(settings))
     , now(now)
     , permits(permits)
     , roles(roles)
+    , logger(logger)
     , news(GrantorNewsSettings{})
     , isStandBy(this->settings.processorCores >= this->settings.standByCores
                 || stableHash(this->settings.daemon.value) % this->settings.standByOneIn == 0)
@@ -74,6 +77,30 @@
     }
     this->roles.onGrantors(
         [&](const ServiceName &service) { return this->news.grantorOf(service, moment); });
+    this->logGrantors(moment);
+}
+
+auto GrantorWatch::logGrantors(Instant moment) -> void
+{
+    for (const auto &service : this->services) {
+        const auto grantor = this->news.grantorOf(service, moment);
+        const auto term = grantor ? grantor->term.value : 0;
+        const auto isSilent = this->news.isAnySilent({service}, moment);
+        auto &last = this->told[service];
+        const auto isNew = term > last.term;
+        if (!isNew && isSilent == last.isSilent) {
+            continue;
+        }
+        const auto *const event = isNew      ? "grantor_known"
+                                  : isSilent ? "grantor_silent"
+                                             : "grantor_heard";
+        last = Told{std::max(term, last.term), isSilent};
+        LogLine line(event);
+        line.with("service", service.value)
+            .with("term", static_cast<std::int64_t>(last.term))
+            .with("address", grantor ? GrantorNews::addressIn(*grantor).value : "");
+        this->logger.write(LogLevel::Info, line.text());
+    }
 }
 
 auto GrantorWatch::storedNote(const ServiceName &service) const -> std::optional<GrantorNote>
--- a/src/edge/tests/grantorwatch_tests.cpp
+++ b/src/edge/tests/grantorwatch_tests.cpp
@@ -36,7 +36,7 @@
               [&store] { return store.now(); }, this->logger, this->log)
         , watch(
               watchSettings(number, cores), store.sender(), [&store] { return store.now(); },
-              this->permits, this->roles)
+              this->permits, this->roles, this->logger)
     {
         store.put("gw/daemon/d" + std::to_string(number), this->address.value);
     }
