Give a grantor's new broker its owners again

Cause by the logs: after an outage of the store the grantor of the sharded service saw a later note, dropped its broker (grantor_replaced), and was elected again 55 to 400 ms later. The record showed the owners that it had known before, and owners are handed to the broker only where they have changed: the new broker had none, and every keyed request was refused (owner="") until some key moved. Ruled out: orders without authority and lost record calls (no grants_prolonged, no range_record_uncertain; the plain service went on), upstreams taken for lost (upstreams=4).

onReplaced forgets the owners last handed over. Test: grantorrole_tests, failed before.

--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -202,6 +202,8 @@
     this->serving = false;
     this->ranges.reset();
     this->isAdopted = false;
+    // The new broker has none of them, even if the next term begins with the same.
+    this->lastOwners.clear();
     this->broker =
         std::make_unique<SlotBroker>(this->spec.name, this->spec.isSharded, this->settings.broker,
                                      this->settings.retries, this->settings.life);
--- /dev/null
+++ b/src/edge/tests/grantorrole_tests.cpp
@@ -0,0 +1,130 @@
+#include "edge/grantorrole.h"
+
+#include "storelink/tests/fakestore.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// The grantor of a sharded service, with upstreams that accept all orders.
+struct Trial
+{
+    FakeStore store;
+    Logger logger{"error", 1};
+    RequestLog log{this->logger, 0};
+    std::vector<std::pair<CallId, std::function<void(RangeOrderEnd)>>> orders;
+    GrantorRole role;
+    std::uint64_t sequence = 0;
+
+    Trial()
+        : role(
+            spec(), settings(), store.sender(),
+            [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
+                this->orders.emplace_back(order.call, std::move(done));
+            },
+            [this] { return this->store.now(); }, this->logger, this->log)
+    {
+        std::vector<UpstreamEntry> entries(2);
+        for (std::size_t index = 0; index < entries.size(); ++index) {
+            entries[index].id = UpstreamId{"u" + std::to_string(index)};
+            entries[index].service = spec().name;
+            entries[index].address = Address{"10.1.0." + std::to_string(index) + ":80"};
+            entries[index].slots = 3;
+        }
+        this->role.onUpstreams(entries);
+    }
+
+    static auto spec() -> ServiceSpec
+    {
+        ServiceSpec result;
+        result.name = ServiceName{"fitment"};
+        result.isSharded = true;
+        return result;
+    }
+
+    static auto settings() -> GrantorRoleSettings
+    {
+        GrantorRoleSettings result;
+        result.daemon = DaemonId{"d1"};
+        result.peerAddress = Address{"10.0.0.1:7000"};
+        result.life = 1;
+        return result;
+    }
+
+    [[nodiscard]] auto note() const -> std::optional<GrantorNote>
+    {
+        const auto *item = this->store.find(noteKey());
+        return item == nullptr ? std::nullopt
+                               : std::optional(GrantorNote{item->value, item->created});
+    }
+
+    static auto noteKey() -> std::string { return settings().notePrefix + spec().name.value; }
+
+    auto run(Duration time) -> void
+    {
+        for (auto passed = Duration{0}; passed < time; passed += milliseconds{10}) {
+            this->role.onNote(this->note(), 0);
+            this->role.advance();
+            for (auto &[call, done] : std::exchange(this->orders, {})) {
+                done(RangeOrderEnd{call, RangeOrderEnd::Kind::Accepted, ""});
+            }
+            this->store.advance(milliseconds{10});
+        }
+    }
+
+    /// @returns whether a request for a key is given a slot at once
+    auto isServed(KeyPosition key) -> bool
+    {
+        const Address entry{"10.0.0.2:7000"};
+        PermitRequest request;
+        request.id = PermitId{entry, 1, ++this->sequence};
+        request.service = spec().name;
+        request.key = key;
+        request.remaining = seconds{1};
+        request.untilTarget = seconds{1};
+        (void) this->role.takeDatagrams();
+        this->role.onMessage(entry, request);
+        for (const auto &datagram : this->role.takeDatagrams()) {
+            const auto *answer = std::get_if<PermitAnswer>(&datagram.message);
+            if (answer != nullptr && answer->id == request.id) {
+                return answer->verdict.kind == PermitVerdict::Kind::Granted;
+            }
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+SCENARIO("GrantorRole serves the same owners again when it comes back", "[grantorrole]")
+{
+    GIVEN("a grantor whose keys all have owners")
+    {
+        Trial trial;
+        trial.run(seconds{5});
+        REQUIRE(trial.isServed(100));
+        WHEN("another daemon takes its place and loses it before it has moved any key")
+        {
+            trial.store.remove(Trial::noteKey());
+            trial.store.put(Trial::noteKey(), "d2 10.0.0.3:7000 1");
+            trial.run(milliseconds{50});
+            REQUIRE_FALSE(trial.role.isServing());
+            trial.store.remove(Trial::noteKey());
+            trial.run(seconds{2});
+            THEN("it is grantor again and gives out slots of the owners that it had")
+            {
+                REQUIRE(trial.role.isServing());
+                CHECK(trial.isServed(100));
+            }
+        }
+    }
+}
