Choose upstreams without a grantor only from what the store has just said

Ruled out: the grantor's own slots (none is given out once the entry says draining, 60 ms after the store).

Where the store hasn't answered for 300 ms the old list counts again: then nobody was told of a change. Test: flowalone_tests, failed before.

--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -48,6 +48,7 @@
         const auto isNeeded = isGrantor || isDirect;
         if (isNeeded && (!this->view || isGrantor != this->isForGrantor)) {
             this->isForGrantor = isGrantor;
+            this->viewSince = this->now();
             auto settings = PrefixViewSettings{};
             settings.gatherPause = isGrantor ? settings.gatherPause : directGatherPause;
             this->view = std::make_unique<PrefixView>(
@@ -55,9 +56,15 @@
                 [this](const PrefixView::Items &items) { this->onItems(items); });
         } else if (!isNeeded && this->view) {
             this->view.reset();
+            this->direct.setTrusted(false);
         }
         if (this->view) {
             this->view->advance();
+            // A store that doesn't answer can't have told anybody of a change either.
+            const auto isOverdue = this->now() - this->viewSince > readPatience;
+            if (this->view->isLoaded() || isOverdue) {
+                this->direct.setTrusted(true);
+            }
         }
         if (const auto due = this->directory.nextDue(); due && *due <= this->now()) {
             this->directory.advance(this->now());
@@ -86,6 +93,9 @@
     }
 
 private:
+    /// What was known before counts again where the store hasn't answered for this long; a slow
+    /// store answers sooner.
+    static constexpr Duration readPatience = std::chrono::milliseconds{300};
     /// Changes are gathered for this long where no grantor needs them.
     static constexpr Duration directGatherPause = std::chrono::milliseconds{1200};
 
@@ -130,6 +140,7 @@
     UpstreamDirectory directory;
     std::unique_ptr<PrefixView> view;
     bool isForGrantor = false;
+    Instant viewSince{};
     Instant trouble{};
 };
 
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -28,6 +28,9 @@
 
     /// Replaces what is known of all services.
     auto setUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    /// While what is known may be outdated, nothing is chosen: an upstream may have begun to leave.
+    /// At first it isn't trusted.
+    auto setTrusted(bool trusted) -> void { this->isTrusted = trusted; }
     /// @param verdict a granted permit, with the keys that the upstream owns
     auto learn(const ServiceName &service, const PermitVerdict &verdict) -> void;
     /// Replaces what is known of a service's owners by what the store has.
@@ -44,6 +47,7 @@
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
 
     std::mt19937_64 random;
+    bool isTrusted = false;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
     /// By the span's first key; newer spans replace those that they overlap.
     std::map<ServiceName, std::map<KeyPosition, DirectOwner>> owners;
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -64,6 +64,9 @@
 
 auto DirectChoice::choose(const PermitRequest &request, Instant now) -> std::optional<PermitVerdict>
 {
+    if (!this->isTrusted) {
+        return std::nullopt;
+    }
     const auto isAvoided = [&](const UpstreamId &id) {
         return std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end();
     };
--- a/src/entry/tests/flowalone_tests.cpp
+++ b/src/entry/tests/flowalone_tests.cpp
@@ -32,6 +32,28 @@
             CHECK(trial.refusal().status == 503);
         }
     }
+    GIVEN("upstreams as they were known some time ago, of which some may be leaving by now")
+    {
+        FlowTrial trial;
+        UpstreamEntry entry;
+        entry.id = UpstreamId{"u"};
+        entry.service = service;
+        entry.address = Address{"10.1.0.1:80"};
+        trial.direct.setUpstreams({entry});
+        trial.direct.setTrusted(false);
+        trial.begin(false);
+        trial.pass(milliseconds{200});
+        THEN("none is chosen until the store has been read again")
+        {
+            CHECK(trial.count<FlowSend>() == 0);
+            entry.id = UpstreamId{"v"};
+            trial.direct.setUpstreams({entry});
+            trial.direct.setTrusted(true);
+            trial.pass(milliseconds{200});
+            REQUIRE(trial.count<FlowSend>() == 1);
+            CHECK(std::get<FlowSend>(trial.commands.front()).upstream.value == "v");
+        }
+    }
     GIVEN("no grantor known yet, as after a loss of power of all daemons")
     {
         FlowTrial trial(false);
--- a/src/entry/tests/flowtrial.h
+++ b/src/entry/tests/flowtrial.h
@@ -31,6 +31,7 @@
 
     explicit FlowTrial(bool hasGrantor = true)
     {
+        this->direct.setTrusted(true);
         if (hasGrantor) {
             this->permits.setGrantor(service, grantor, 1);
         }
