Accept connections by one SocketListener

FrontListener, FaultProxy and ScriptedPeer each set up a libevent listener and a socket address, DatagramSocket the address once more. SocketListener and toSocketAddress serve all four. A proxy or test peer that can't listen now says so at once, as the front did; its backlog is the front's. FrontListener::stopAccepting was called by its destructor only and is gone.

--- a/src/soak/faultproxy.h
+++ b/src/soak/faultproxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/clocktimer.h"
+#include "streams/socketlistener.h"
 #include "streams/socketstream.h"
 
 #include <deque>
@@ -8,8 +9,6 @@
 #include <memory>
 #include <string>
 
-struct evconnlistener;
-
 namespace gooseberrywall {
 
 /// A TCP proxy on loopback that harms the connections through it.
@@ -27,7 +26,7 @@
     };
 
     FaultProxy(event_base *base, Address target);
-    ~FaultProxy();
+    ~FaultProxy() = default;
     FaultProxy(const FaultProxy &) = delete;
     auto operator=(const FaultProxy &) -> FaultProxy & = delete;
 
@@ -60,7 +59,7 @@
     Address target;
     Address listen;
     Mode mode = Mode::Pass;
-    evconnlistener *listener = nullptr;
+    SocketListener listener;
     std::list<std::shared_ptr<Pair>> pairs;
     std::deque<Late> late;
     ClockTimer timer;
--- a/src/soak/internal/faultproxy.cpp
+++ b/src/soak/internal/faultproxy.cpp
@@ -2,9 +2,6 @@
 
 #include "testing/freeaddress.h"
 
-#include <arpa/inet.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 #include <utility>
 
 namespace gooseberrywall {
@@ -12,7 +9,6 @@
 namespace {
 
 constexpr Duration delay = std::chrono::milliseconds{120};
-constexpr int backlog = 128;
 
 } // namespace
 
@@ -20,27 +16,9 @@
     : base(base)
     , target(std::move(target))
     , listen(freeAddress())
+    , listener(base, this->listen, [this](int descriptor) { this->accept(descriptor); })
     , timer(base, [this] { this->sendLate(); })
 {
-    const auto endpoint = parseEndpoint(this->listen).value_or(Endpoint{});
-    sockaddr_in where{};
-    where.sin_family = AF_INET;
-    where.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.host.c_str(), &where.sin_addr);
-    this->listener = evconnlistener_new_bind(
-        base,
-        [](evconnlistener *, evutil_socket_t descriptor, sockaddr *, int, void *self) {
-            static_cast<FaultProxy *>(self)->accept(descriptor);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
-        reinterpret_cast<const sockaddr *>(&where), sizeof where);
-}
-
-FaultProxy::~FaultProxy()
-{
-    if (this->listener != nullptr) {
-        evconnlistener_free(this->listener);
-    }
 }
 
 auto FaultProxy::setMode(Mode mode) -> void
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -3,6 +3,7 @@
 #include "common/types/ids.h"
 #include "common/types/instant.h"
 #include "http1/messagereader.h"
+#include "streams/socketlistener.h"
 #include "streams/socketstream.h"
 
 #include <cstdint>
@@ -12,7 +13,6 @@
 #include <vector>
 
 struct event_base;
-struct evconnlistener;
 
 namespace gooseberrywall {
 
@@ -67,8 +67,6 @@
     auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
     /// Each further answer closes its connection.
     auto closeAfterReplies() -> void { this->isClosing = true; }
-    /// Accepts no further connection.
-    auto stopAccepting() -> void;
     /// Ends connections on which nothing is under way.
     auto closeIdle() -> void;
     /// Closes what is idle or too slow; to be called about twice a second.
@@ -89,7 +87,7 @@
     std::function<Instant()> now;
     OnRequest onRequest;
     OnGone onGone;
-    evconnlistener *listener = nullptr;
+    std::unique_ptr<SocketListener> listener;
     std::map<Connection *, std::unique_ptr<Connection>> connections;
     std::map<ExchangeId, Connection *> exchanges;
     std::vector<std::unique_ptr<Connection>> discarded;
--- a/src/streams/internal/datagramsocket.cpp
+++ b/src/streams/internal/datagramsocket.cpp
@@ -1,6 +1,6 @@
 #include "streams/datagramsocket.h"
 
-#include "http/endpoint.h"
+#include "streams/internal/socketaddress.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -22,16 +22,6 @@
 constexpr std::size_t nameLimit = 10'000;
 constexpr int receiveBufferBytes = 1 << 20;
 
-auto toSocketAddress(const Address &address) -> sockaddr_in
-{
-    const auto endpoint = parseEndpoint(address).value_or(Endpoint{});
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.host.c_str(), &result.sin_addr);
-    return result;
-}
-
 } // namespace
 
 DatagramSocket::DatagramSocket(event_base *base, const Address &listen, OnDatagram onDatagram)
--- a/src/streams/internal/frontlistener.cpp
+++ b/src/streams/internal/frontlistener.cpp
@@ -3,13 +3,9 @@
 #include "http1/messagewriter.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <deque>
 #include <event2/event.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 #include <optional>
-#include <stdexcept>
 #include <unistd.h>
 #include <utility>
 
@@ -17,7 +13,6 @@
 
 namespace {
 
-constexpr int backlog = 1024;
 /// After the last answer, the caller may take this long to close its side; closing at once would
 /// reset the connection and could destroy the answer on its way.
 constexpr Duration closeTimeout = std::chrono::seconds{2};
@@ -259,29 +254,12 @@
 {
 }
 
-FrontListener::~FrontListener()
-{
-    this->stopAccepting();
-}
+FrontListener::~FrontListener() = default;
 
 auto FrontListener::start() -> void
 {
-    const auto endpoint = parseEndpoint(this->settings.listen).value_or(Endpoint{});
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
-    this->listener = evconnlistener_new_bind(
-        this->base,
-        [](evconnlistener *, evutil_socket_t descriptor, sockaddr *, int, void *self) {
-            static_cast<FrontListener *>(self)->accept(descriptor);
-        },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, backlog,
-        reinterpret_cast<const sockaddr *>(&address), sizeof address);
-    if (this->listener == nullptr) {
-        throw std::runtime_error("can't listen on " + this->settings.listen.value
-                                 + "; check that the address is this VM's and the port is free");
-    }
+    this->listener = std::make_unique<SocketListener>(
+        this->base, this->settings.listen, [this](int descriptor) { this->accept(descriptor); });
 }
 
 auto FrontListener::setLimits(MessageLimits limits, Duration headerTimeout, Duration idleTimeout)
@@ -301,13 +279,6 @@
     }
 }
 
-auto FrontListener::stopAccepting() -> void
-{
-    if (this->listener != nullptr) {
-        evconnlistener_free(std::exchange(this->listener, nullptr));
-    }
-}
-
 auto FrontListener::closeIdle() -> void
 {
     for (const auto &[connection, owner] : this->connections) {
--- a/src/streams/tests/scriptedpeer.h
+++ b/src/streams/tests/scriptedpeer.h
@@ -1,14 +1,11 @@
 #pragma once
 
-#include "http/endpoint.h"
+#include "streams/socketlistener.h"
 #include "streams/socketstream.h"
 #include "testing/freeaddress.h"
 
-#include <arpa/inet.h>
-#include <event2/listener.h>
 #include <functional>
 #include <memory>
-#include <netinet/in.h>
 #include <string>
 #include <vector>
 
@@ -27,22 +24,10 @@
     ScriptedPeer(event_base *base, std::vector<Step> steps)
         : base(base)
         , steps(std::move(steps))
+        , listener(base, this->address, [this](int descriptor) { this->accept(descriptor); })
     {
-        const auto endpoint = parseEndpoint(this->address).value_or(Endpoint{});
-        sockaddr_in where{};
-        where.sin_family = AF_INET;
-        where.sin_port = htons(endpoint.port);
-        inet_pton(AF_INET, endpoint.host.c_str(), &where.sin_addr);
-        this->listener = evconnlistener_new_bind(
-            base,
-            [](evconnlistener *, evutil_socket_t descriptor, sockaddr *, int, void *self) {
-                static_cast<ScriptedPeer *>(self)->accept(descriptor);
-            },
-            this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
-            reinterpret_cast<const sockaddr *>(&where), sizeof where);
     }
 
-    ~ScriptedPeer() { evconnlistener_free(this->listener); }
     ScriptedPeer(const ScriptedPeer &) = delete;
     auto operator=(const ScriptedPeer &) -> ScriptedPeer & = delete;
 
@@ -81,8 +66,8 @@
     event_base *base;
     std::vector<Step> steps;
     std::size_t next = 0;
-    evconnlistener *listener = nullptr;
     std::vector<std::unique_ptr<SocketStream>> streams;
+    SocketListener listener;
 };
 
 } // namespace gooseberrywall
