Share what the programs and their settings read in the same way

readFile stood in three programs (readTextFile now, the control tool keeps its "-"), exit codes in three, and the heads of the two settings descriptions (limits, when a value counts, the address key) in two. The check of the log's level moves out of SettingsLoader beside them. No text, page or check changes: docs/CONFIGURATION.md is the same as generated. Left: SettingsLoader's isAddress is looser than parseEndpoint (it takes host names); joining them would refuse settings that pass today.

--- a/src/ctl/internal/configwritecommands.cpp
+++ b/src/ctl/internal/configwritecommands.cpp
@@ -3,11 +3,11 @@
 #include "ctl/internal/configcalls.h"
 #include "ctl/sectionfile.h"
 
+#include "common/textfile.h"
 #include "configuration/teamtoken.h"
 #include "http/percentcoding.h"
 
 #include <array>
-#include <fstream>
 #include <iostream>
 #include <openssl/rand.h>
 #include <sstream>
@@ -19,20 +19,14 @@
 constexpr std::size_t tokenBytes = 24;
 constexpr std::size_t saltBytes = 8;
 
-auto readAll(std::istream &stream) -> std::string
-{
-    auto text = std::stringstream();
-    text << stream.rdbuf();
-    return text.str();
-}
-
 auto readFile(const std::string &name) -> std::optional<std::string>
 {
-    if (name == "-") {
-        return readAll(std::cin);
+    if (name != "-") {
+        return readTextFile(name);
     }
-    auto file = std::ifstream(name);
-    return file ? std::optional(readAll(file)) : std::nullopt;
+    auto text = std::ostringstream();
+    text << std::cin.rdbuf();
+    return text.str();
 }
 
 auto targetOf(const FileSection &section, bool onlyCheck) -> std::string
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,3 +1,5 @@
+#include "common/exitcodes.h"
+#include "common/textfile.h"
 #include "daemon/daemon.h"
 #include "settings/settingsloader.h"
 
@@ -5,9 +7,7 @@
 #include <pthread.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 using namespace gooseberrywall;
@@ -15,21 +15,6 @@
 
 namespace {
 
-constexpr int exitOk = 0;
-constexpr int exitFailed = 1;
-constexpr int exitUsage = 2;
-
-auto readFile(const std::string &name) -> std::optional<std::string>
-{
-    std::ifstream file(name);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream content;
-    content << file.rdbuf();
-    return content.str();
-}
-
 /// @returns the override of "section.key=value", or nothing where it has another form
 auto parseOverride(const std::string &text) -> std::optional<SettingsOverride>
 {
@@ -59,7 +44,7 @@
 auto loadSettings(const options::variables_map &values) -> std::optional<DaemonSettings>
 {
     const auto fileName = values["config"].as<std::string>();
-    const auto text = readFile(fileName);
+    const auto text = readTextFile(fileName);
     if (!text) {
         std::cerr << fileName << ": can't be read; check the path and its permissions\n";
         return std::nullopt;
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -2,6 +2,7 @@
 
 #include "http/endpoint.h"
 #include "inidocument/checkedini.h"
+#include "settings/internal/commonkeys.h"
 
 #include <array>
 
@@ -9,19 +10,10 @@
 
 namespace {
 
-constexpr std::int64_t nameLimitBytes = 64;
-constexpr std::int64_t addressLimitBytes = 64;
 constexpr double thousandth = 0.001;
-const auto *const atStart = "at the next start";
-const auto *const atOnce = "at once";
 constexpr std::array<const char *, 4> addressKeys{"caller_listen", "ready_listen", "peer_listen",
                                                   "metrics_listen"};
 
-auto address(const std::string &name, const std::string &text) -> KeyDescription
-{
-    return {name, ValueKind::Text, "ip:port", 3, addressLimitBytes, std::nullopt, atStart, text};
-}
-
 auto daemonSection() -> SectionDescription
 {
     return {"daemon",
@@ -31,10 +23,10 @@
               "Unique among the daemons; a replaced VM may take the id over."},
              {"failure_domain", ValueKind::Text, "", 1, nameLimitBytes, std::nullopt, atStart,
               "The failure domain of this VM; upstreams in it are preferred."},
-             address("caller_listen", "Where callers reach this daemon."),
-             address("ready_listen", "Where the balancer asks whether this daemon is ready."),
-             address("peer_listen", "Where other daemons' datagrams arrive."),
-             address("metrics_listen", "Where metrics collectors reach this daemon."),
+             addressKey("caller_listen", "Where callers reach this daemon."),
+             addressKey("ready_listen", "Where the balancer asks whether this daemon is ready."),
+             addressKey("peer_listen", "Where other daemons' datagrams arrive."),
+             addressKey("metrics_listen", "Where metrics collectors reach this daemon."),
              {"shutdown_timeout_s", ValueKind::Seconds, "s", 1000, 600'000, "6", atOnce,
               "From SIGTERM to the end of the process; requests end before."},
              {"processor_share", ValueKind::Decimal, "", 1, 1'000'000, "1", atStart,
@@ -50,7 +42,7 @@
     return {"store",
             SectionCount::One,
             "The key-value store that keeps the configuration, upstreams and owners.",
-            {address("address", "Where the store listens.")}};
+            {addressKey("address", "Where the store listens.")}};
 }
 
 auto retriesSection() -> SectionDescription
--- a/src/settings/internal/settingsdescription.cpp
+++ b/src/settings/internal/settingsdescription.cpp
@@ -1,35 +1,29 @@
+#include "settings/internal/commonkeys.h"
 #include "settings/settingsloader.h"
 
 namespace gooseberrywall {
 
 namespace {
 
-constexpr std::int64_t nameLimitBytes = 64;
-constexpr std::int64_t addressLimitBytes = 64;
 constexpr std::int64_t pathLimitBytes = 1024;
-const auto *const atStart = "at the next start";
-
-auto address(const std::string &name, const std::string &text) -> KeyDescription
-{
-    return {name, ValueKind::Text, "ip:port", 3, addressLimitBytes, std::nullopt, atStart, text};
-}
 
 auto daemonSection() -> SectionDescription
 {
-    return {"daemon",
-            SectionCount::One,
-            "Who this daemon is and where it listens.",
-            {{"id", ValueKind::Text, "", 1, nameLimitBytes, std::nullopt, atStart,
-              "Unique within the cell; a replaced VM may take the id over."},
-             {"failure_domain", ValueKind::Text, "", 1, nameLimitBytes, std::nullopt, atStart,
-              "The failure domain of this VM."},
-             {"cell", ValueKind::Text, "", 1, nameLimitBytes, "cell", atStart,
-              "The cell that this daemon belongs to."},
-             address("caller_listen", "Where callers reach this daemon."),
-             address("admin_listen", "Where operators and metrics collectors reach this daemon."),
-             address("peer_listen", "Where the other daemons of the cell reach this daemon."),
-             {"shutdown_timeout_ms", ValueKind::Milliseconds, "ms", 100, 600'000, "20000", atStart,
-              "The longest time that a graceful shutdown may take."}}};
+    return {
+        "daemon",
+        SectionCount::One,
+        "Who this daemon is and where it listens.",
+        {{"id", ValueKind::Text, "", 1, nameLimitBytes, std::nullopt, atStart,
+          "Unique within the cell; a replaced VM may take the id over."},
+         {"failure_domain", ValueKind::Text, "", 1, nameLimitBytes, std::nullopt, atStart,
+          "The failure domain of this VM."},
+         {"cell", ValueKind::Text, "", 1, nameLimitBytes, "cell", atStart,
+          "The cell that this daemon belongs to."},
+         addressKey("caller_listen", "Where callers reach this daemon."),
+         addressKey("admin_listen", "Where operators and metrics collectors reach this daemon."),
+         addressKey("peer_listen", "Where the other daemons of the cell reach this daemon."),
+         {"shutdown_timeout_ms", ValueKind::Milliseconds, "ms", 100, 600'000, "20000", atStart,
+          "The longest time that a graceful shutdown may take."}}};
 }
 
 auto peersSection() -> SectionDescription
@@ -49,7 +43,7 @@
     return {"platform",
             SectionCount::One,
             "The platform's service.",
-            {address("address", "Where its key-value service listens.")}};
+            {addressKey("address", "Where its key-value service listens.")}};
 }
 
 auto limitsSection() -> SectionDescription
--- a/src/settings/internal/settingsloader.cpp
+++ b/src/settings/internal/settingsloader.cpp
@@ -1,9 +1,9 @@
 #include "settings/settingsloader.h"
 
 #include "inidocument/checkedini.h"
+#include "settings/internal/commonkeys.h"
 
 #include <algorithm>
-#include <array>
 #include <sstream>
 #include <utility>
 
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> logLevels{"debug", "info", "warning", "error"};
-
 auto isAddress(const std::string &text) -> bool
 {
     const auto colon = text.rfind(':');
@@ -174,14 +172,8 @@
             return std::nullopt;
         }
     }
-    if (std::find(logLevels.begin(), logLevels.end(), settings.logLevel) == logLevels.end()) {
-        this->error = {IniErrorKind::BadValue,
-                       fileName,
-                       log.lineOf("level"),
-                       "log",
-                       "level",
-                       "\"" + settings.logLevel + "\" is not a level",
-                       "Write debug, info, warning or error."};
+    if (auto wrong = logLevelError(log, fileName)) {
+        this->error = std::move(*wrong);
         return std::nullopt;
     }
     if (settings.adminCertificateFile.empty() != settings.adminKeyFile.empty()) {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -1,3 +1,4 @@
+#include "common/exitcodes.h"
 #include "soak/soakcell.h"
 
 #include <boost/program_options.hpp>
@@ -13,10 +14,6 @@
 
 namespace {
 
-constexpr int exitOk = 0;
-constexpr int exitFailed = 1;
-constexpr int exitUsage = 2;
-
 auto seedsOf(const options::variables_map &values) -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> seeds;
