--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -5,6 +5,7 @@
 #include "settings/internal/commonkeys.h"
 
 #include <array>
+#include <utility>
 
 namespace gooseberrywall {
 
@@ -122,6 +123,10 @@
     }
     const auto &retries = *values->find("retries");
     const auto &log = *values->find("log");
+    if (auto wrong = logLevelError(log, fileName)) {
+        this->error = std::move(*wrong);
+        return std::nullopt;
+    }
     EdgeSettings settings;
     settings.id = DaemonId{daemon.text("id")};
     settings.domain = FailureDomain{daemon.text("failure_domain")};
--- a/src/settings/tests/edgesettingsloader_tests.cpp
+++ b/src/settings/tests/edgesettingsloader_tests.cpp
@@ -21,13 +21,14 @@
     }
     GIVEN("files with one fault")
     {
-        for (const auto &[from, to] :
-             std::vector<std::pair<std::string, std::string>>{{"127.0.0.1:8001", "8001"},
-                                                              {"ratio = 0.25", "ratio = a quarter"},
-                                                              {"ratio = 0.25", "ratio = -1"},
-                                                              {"ratio = 0.25", "ratio = 0.2512"},
-                                                              {"window_s = 2.5", "window = 2.5"},
-                                                              {"id = d1\n", ""}}) {
+        for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+                 {"127.0.0.1:8001", "8001"},
+                 {"ratio = 0.25", "ratio = a quarter"},
+                 {"ratio = 0.25", "ratio = -1"},
+                 {"ratio = 0.25", "ratio = 0.2512"},
+                 {"window_s = 2.5", "window = 2.5"},
+                 {"id = d1\n", ""},
+                 {"[store]\n", "[log]\nlevel = loud\n[store]\n"}}) {
             THEN("they are refused whole, with a remedy: " + to)
             {
                 CHECK_FALSE(loader.load(soundEdgeSettings(from, to), "edge.ini").has_value());
