Remove what nothing calls

RequestLog::warn, Logger::isEnabled, PrefixView's answeredAt and revision with the state behind the first, GrantorRole::adopted, KeyedUpstreamStub::highestFence, and the pool's freshness: no sender ever set it, and its default of an hour is above every idle limit. The search for an idle connection is one comparison now.

--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -135,7 +135,6 @@
     bool isAdopted = false;
     bool isRecordCalling = false;
     StoreRevision recordRevision;
-    std::optional<RangeRecord> adopted;
     std::optional<RangeRecord> unwritten;
     std::uint64_t unwrittenVersion = 0;
     bool isRecordUncertain = false;
--- a/src/logging/internal/logger.cpp
+++ b/src/logging/internal/logger.cpp
@@ -153,11 +153,6 @@
     this->linesPerSecond = linesPerSecond;
 }
 
-auto Logger::isEnabled(LogLevel level) const -> bool
-{
-    return this->target->should_log(toSpdlog(level));
-}
-
 auto Logger::droppedLines() const -> std::int64_t
 {
     const std::lock_guard lock(this->mutex);
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -42,9 +42,6 @@
     /// The same, where the oldest gathered line has waited long enough.
     auto flushIfDue() -> void;
 
-    /// @returns whether lines of this level are written
-    [[nodiscard]] auto isEnabled(LogLevel level) const -> bool;
-
     /// @returns lines that were not written since the start
     [[nodiscard]] auto droppedLines() const -> std::int64_t;
 
--- a/src/logging/requestlog.h
+++ b/src/logging/requestlog.h
@@ -24,7 +24,6 @@
     }
     auto setSample(std::uint64_t oneIn) -> void { this->sampleOneIn = oneIn; }
     auto write(const LogLine &line) -> void { this->logger.write(LogLevel::Info, line.text()); }
-    auto warn(const LogLine &line) -> void { this->logger.write(LogLevel::Warning, line.text()); }
 
 private:
     Logger &logger;
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -131,9 +131,6 @@
                        return;
                    }
                    this->isCalling = false;
-                   if (answer.kind != StoreAnswer::Kind::Unknown) {
-                       this->lastAnswer = this->now();
-                   }
                    (this->*done)(answer);
                });
 }
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -52,10 +52,6 @@
     [[nodiscard]] auto isLoaded() const -> bool { return this->loaded; }
     /// @returns whether the last call has failed
     [[nodiscard]] auto isFailing() const -> bool { return this->failures > 0; }
-    /// @returns when the store last answered
-    [[nodiscard]] auto answeredAt() const -> Instant { return this->lastAnswer; }
-    /// @returns the store's revision as of the last answer
-    [[nodiscard]] auto revision() const -> StoreRevision { return this->position; }
 
 private:
     auto readPage(const std::string &after) -> void;
@@ -83,7 +79,6 @@
     bool isPaused = false;
     int failures = 0;
     Instant due{};
-    Instant lastAnswer{};
 };
 
 } // namespace gooseberrywall
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -224,7 +224,7 @@
 {
     this->discardStale();
     const auto id = this->nextId++;
-    auto *connection = this->take(request.address, request.freshness);
+    auto *connection = this->take(request.address);
     if (connection == nullptr) {
         const auto endpoint = parseEndpoint(request.address).value_or(Endpoint{});
         auto created = std::make_unique<Connection>(*this, request.address, endpoint);
@@ -249,7 +249,7 @@
     this->discard(connection);
 }
 
-auto OutboundPool::take(const Address &address, Duration freshness) -> Connection *
+auto OutboundPool::take(const Address &address) -> Connection *
 {
     const auto found = this->idle.find(address);
     if (found == this->idle.end()) {
@@ -259,15 +259,10 @@
     auto &list = found->second;
     while (!list.empty()) {
         auto *connection = list.back();
-        const auto age = moment - connection->idleSince;
-        if (age < std::min<Duration>(freshness, connection->idleLimit)) {
-            list.pop_back();
+        list.pop_back();
+        if (moment - connection->idleSince < connection->idleLimit) {
             return connection;
         }
-        if (age < connection->idleLimit) {
-            return nullptr;
-        }
-        list.pop_back();
         this->discard(connection);
     }
     return nullptr;
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -55,7 +55,7 @@
 private:
     class Connection;
 
-    auto take(const Address &address, Duration freshness) -> Connection *;
+    auto take(const Address &address) -> Connection *;
     auto discard(Connection *connection) -> void;
     auto keep(Connection *connection) -> void;
     auto discardStale() -> void;
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -24,8 +24,6 @@
     Duration timeout{0};
     /// Answers that name another one in the echo header belong to earlier requests.
     std::optional<std::string> echoedId;
-    /// Only a connection that was used less than this ago is used again.
-    Duration freshness = std::chrono::hours{1};
     auto operator==(const OutboundRequest &) const -> bool = default;
 };
 
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -94,7 +94,6 @@
     std::vector<KeyedRun> &runs;
     KeyedUpstreamMode mode = KeyedUpstreamMode::Sound;
     std::vector<Hold> holds;
-    std::uint64_t highestFence = 0;
     std::list<Running> running;
     int most = 0;
     FrontListener listener;
