End an attempt in one place, and work out a claim's delay once

RequestFlow::advance and onCallerGone marked a flow as abandoned to make onAttemptEnd stop half-way, and advance kept a copy of the flow to answer it after that. endAttempt (permit, times, log) is what all three need; each says itself what becomes of the request. GrantorRole hashed its claim's delay at each turn of the loop although only the load changes. GrantorNews asks for one service's silence, for which GrantorWatch had built a list of one each time.

--- a/src/edge/grantornews.h
+++ b/src/edge/grantornews.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace gooseberrywall {
 
@@ -35,9 +34,8 @@
     /// that the store's copy doesn't show yet
     [[nodiscard]] auto grantorOf(const ServiceName &service, Instant now) const
         -> std::optional<GrantorNote>;
-    /// @returns whether any of the services' grantors hasn't announced itself lately
-    [[nodiscard]] auto isAnySilent(const std::vector<ServiceName> &services, Instant now) const
-        -> bool;
+    /// @returns whether the service's grantor hasn't announced itself lately
+    [[nodiscard]] auto isSilent(const ServiceName &service, Instant now) const -> bool;
 
     /// @returns the text of a note
     [[nodiscard]] static auto noteText(const std::string &daemon, const Address &address,
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -87,6 +87,9 @@
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
 
 private:
+    /// @returns how long a daemon without other services waits before it claims a free place
+    [[nodiscard]] static auto claimDelayOf(const ServiceName &service,
+                                           const GrantorRoleSettings &settings) -> Duration;
     [[nodiscard]] auto ownNote() const -> std::string;
     /// @returns the word to daemons that take this one for the grantor
     [[nodiscard]] auto notGrantorVerdict() const -> PermitVerdict;
@@ -120,6 +123,7 @@
     Logger &logger;
     RequestLog &requestLog;
     std::shared_ptr<bool> alive;
+    Duration ownClaimDelay;
     GrantorElection election;
     std::unique_ptr<SlotBroker> broker;
     std::unique_ptr<RangeGrantor> ranges;
--- a/src/edge/internal/grantornews.cpp
+++ b/src/edge/internal/grantornews.cpp
@@ -39,21 +39,18 @@
         return std::nullopt;
     }
     const auto &known = found->second;
-    const auto isHeard = known.announced && now - known.heardAt <= this->settings.silence;
     // A term that the store has shown and shows no more has ended, whoever still announces it.
-    if (isHeard && known.announced->term > known.seenTerm) {
+    if (!this->isSilent(service, now) && known.announced->term > known.seenTerm) {
         return known.announced;
     }
     return known.stored;
 }
 
-auto GrantorNews::isAnySilent(const std::vector<ServiceName> &services, Instant now) const -> bool
+auto GrantorNews::isSilent(const ServiceName &service, Instant now) const -> bool
 {
-    return std::any_of(services.begin(), services.end(), [&](const ServiceName &service) {
-        const auto found = this->services.find(service);
-        return found == this->services.end() || !found->second.announced
-               || now - found->second.heardAt > this->settings.silence;
-    });
+    const auto found = this->services.find(service);
+    return found == this->services.end() || !found->second.announced
+           || now - found->second.heardAt > this->settings.silence;
 }
 
 auto GrantorNews::noteText(const std::string &daemon, const Address &address, std::uint64_t life)
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -32,6 +32,7 @@
     , logger(logger)
     , requestLog(requestLog)
     , alive(std::make_shared<bool>(true))
+    , ownClaimDelay(claimDelayOf(this->spec.name, this->settings))
     , election(this->settings.notePrefix + this->spec.name.value, this->ownNote(),
                this->settings.election, this->store, this->now)
     , broker(std::make_unique<SlotBroker>(this->spec.name, this->spec.isSharded,
@@ -43,16 +44,7 @@
 
 auto GrantorRole::onNote(const std::optional<GrantorNote> &note, int load) -> void
 {
-    // Claims of several daemons are spread by a hash that differs by service.
-    const auto point =
-        stableHash(this->settings.daemon.value + this->spec.name.value, this->settings.life) % 1000;
-    const auto weakness = std::chrono::duration<double>(this->settings.claimDelay).count()
-                          / std::max(leastProcessor, this->settings.processorCores);
-    const auto delay =
-        this->settings.claimSpread * static_cast<std::int64_t>(point) / 1000
-        + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(weakness))
-        + delayPerLoad * load;
-    this->election.onNote(note, delay);
+    this->election.onNote(note, this->ownClaimDelay + delayPerLoad * load);
     this->knownGrantor = note;
     if (note) {
         this->removeFormerNote(*note);
@@ -84,6 +76,17 @@
     });
 }
 
+auto GrantorRole::claimDelayOf(const ServiceName &service, const GrantorRoleSettings &settings)
+    -> Duration
+{
+    // Claims of several daemons are spread by a hash that differs by service.
+    const auto point = stableHash(settings.daemon.value + service.value, settings.life) % 1000;
+    const auto weakness = std::chrono::duration<double>(settings.claimDelay).count()
+                          / std::max(leastProcessor, settings.processorCores);
+    return settings.claimSpread * static_cast<std::int64_t>(point) / 1000
+           + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(weakness));
+}
+
 auto GrantorRole::ownNote() const -> std::string
 {
     return GrantorNews::noteText(this->settings.daemon.value, this->settings.peerAddress,
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -59,8 +59,11 @@
 
 auto GrantorWatch::isNeeded() const -> bool
 {
+    const auto moment = this->now();
     return this->isStandBy || this->roles.servingCount() > 0 || !this->view.isLoaded()
-           || this->services.empty() || this->news.isAnySilent(this->services, this->now());
+           || this->services.empty()
+           || std::any_of(this->services.begin(), this->services.end(),
+                          [&](const auto &each) { return this->news.isSilent(each, moment); });
 }
 
 auto GrantorWatch::publish() -> void
@@ -85,7 +88,7 @@
     for (const auto &service : this->services) {
         const auto grantor = this->news.grantorOf(service, moment);
         const auto term = grantor ? grantor->term.value : 0;
-        const auto isSilent = this->news.isAnySilent({service}, moment);
+        const auto isSilent = this->news.isSilent(service, moment);
         auto &last = this->told[service];
         const auto isNew = term > last.term;
         if (!isNew && isSilent == last.isSilent) {
--- a/src/edge/tests/grantornews_tests.cpp
+++ b/src/edge/tests/grantornews_tests.cpp
@@ -27,7 +27,7 @@
         THEN("it has no grantor and counts as silent")
         {
             CHECK_FALSE(news.grantorOf(service, start));
-            CHECK(news.isAnySilent({service}, start));
+            CHECK(news.isSilent(service, start));
         }
     }
     GIVEN("an announcement before the store's copy shows the note")
@@ -40,13 +40,13 @@
             REQUIRE(grantor);
             CHECK(GrantorNews::addressIn(*grantor) == announcer);
             CHECK(grantor->term.value == 5);
-            CHECK_FALSE(news.isAnySilent({service}, start));
+            CHECK_FALSE(news.isSilent(service, start));
         }
         THEN("silence ends it")
         {
             const auto later = start + milliseconds{2600};
             CHECK_FALSE(news.grantorOf(service, later));
-            CHECK(news.isAnySilent({service}, later));
+            CHECK(news.isSilent(service, later));
         }
         WHEN("the store shows a note of a higher term")
         {
@@ -62,7 +62,7 @@
             THEN("it is ignored, and doesn't break the silence")
             {
                 CHECK(GrantorNews::addressIn(*news.grantorOf(service, start)) == announcer);
-                CHECK(news.isAnySilent({service}, start + milliseconds{2600}));
+                CHECK(news.isSilent(service, start + milliseconds{2600}));
             }
         }
     }
@@ -79,9 +79,10 @@
     GIVEN("one of two services silent")
     {
         news.onAnnouncement(service, announcer, 5, start);
-        THEN("silence is found")
+        THEN("silence is found, and of that one only")
         {
-            CHECK(news.isAnySilent({service, ServiceName{"other"}}, start));
+            CHECK_FALSE(news.isSilent(service, start));
+            CHECK(news.isSilent(ServiceName{"other"}, start));
         }
     }
 }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -225,6 +225,29 @@
         return;
     }
     auto &flow = found->second;
+    this->endAttempt(flow, end, now);
+    if (flow.isAbandoned) {
+        this->finish(end.exchange);
+        return;
+    }
+    if (end.end != AttemptEnd::Answered) {
+        this->retryOrEnd(flow, end.end, now);
+        return;
+    }
+    const auto isLate = now > flow.targetAt;
+    if (auto line = this->note(flow, "request_answered", isLate, now)) {
+        this->records.log.write(line->with("late", isLate ? "yes" : "no")
+                                    .with("service", flow.request.service.value)
+                                    .with("upstream", flow.upstream.value)
+                                    .with("queued_ms", toMilliseconds(flow.sentAt - flow.arrived))
+                                    .with("attempts", flow.attempts + 1));
+    }
+    this->deliver(flow, now);
+    this->finish(end.exchange);
+}
+
+auto RequestFlow::endAttempt(Flow &flow, const FlowAttemptEnd &end, Instant now) -> void
+{
     flow.isSent = false;
     this->direct.onEnd(flow.upstream, end.end, now);
     this->time(flow, RequestStage::Upstream, now - flow.sentAt);
@@ -239,31 +262,12 @@
         this->permits.report(report);
         flow.permit.reset();
     }
-    const auto isSuccess = end.end == AttemptEnd::Answered;
-    if (auto line = this->note(flow, "attempt_ended", !isSuccess, now)) {
+    const auto isUnusual = end.end != AttemptEnd::Answered;
+    if (auto line = this->note(flow, "attempt_ended", isUnusual, now)) {
         this->records.log.write(line->with("upstream", flow.upstream.value)
                                     .with("end", toText(end.end))
                                     .with("attempt_ms", toMilliseconds(now - flow.sentAt)));
     }
-    if (flow.isAbandoned) {
-        this->finish(end.exchange);
-        return;
-    }
-    if (isSuccess) {
-        const auto isLate = now > flow.targetAt;
-        if (auto line = this->note(flow, "request_answered", isLate, now)) {
-            this->records.log.write(
-                line->with("late", isLate ? "yes" : "no")
-                    .with("service", flow.request.service.value)
-                    .with("upstream", flow.upstream.value)
-                    .with("queued_ms", toMilliseconds(flow.sentAt - flow.arrived))
-                    .with("attempts", flow.attempts + 1));
-        }
-        this->deliver(flow, now);
-        this->finish(end.exchange);
-        return;
-    }
-    this->retryOrEnd(flow, end.end, now);
 }
 
 auto RequestFlow::retryOrEnd(Flow &flow, AttemptEnd end, Instant now) -> void
@@ -341,9 +345,9 @@
         flow.isAbandoned = true;
         return;
     }
-    flow.isAbandoned = true;
     this->commands.emplace_back(FlowAbort{exchange});
-    this->onAttemptEnd(FlowAttemptEnd{exchange, AttemptEnd::Unused, std::nullopt}, now);
+    this->endAttempt(flow, FlowAttemptEnd{exchange, AttemptEnd::Unused, std::nullopt}, now);
+    this->finish(exchange);
 }
 
 auto RequestFlow::advance(Instant now) -> void
@@ -361,15 +365,11 @@
         if (flow.isSent) {
             flow.mayHaveRun = true;
             this->commands.emplace_back(FlowAbort{exchange});
-            const auto wasAbandoned = flow.isAbandoned;
-            flow.isAbandoned = true;
-            // Ends the attempt's permit; the request itself is answered below.
-            auto copy = flow;
-            this->onAttemptEnd(FlowAttemptEnd{exchange, AttemptEnd::NoAnswer, std::nullopt}, now);
-            if (!wasAbandoned) {
-                copy.isSent = false;
-                this->endWithout(copy, Reason::DeadlinePassed, std::nullopt, now);
-            }
+            this->endAttempt(flow, FlowAttemptEnd{exchange, AttemptEnd::NoAnswer, std::nullopt},
+                             now);
+        }
+        if (flow.isAbandoned) {
+            this->finish(exchange);
             continue;
         }
         this->endWithout(flow, Reason::DeadlinePassed, std::nullopt, now);
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -94,6 +94,8 @@
     [[nodiscard]] auto mayKeep(const Flow &flow, Instant now) const -> bool;
     auto askAgain(Instant now) -> void;
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
+    /// Returns the attempt's permit and records how it ended; the request goes on.
+    auto endAttempt(Flow &flow, const FlowAttemptEnd &end, Instant now) -> void;
     auto retryOrEnd(Flow &flow, AttemptEnd end, Instant now) -> void;
     auto endWithout(Flow &flow, Reason reason, std::optional<Duration> retryAfter, Instant now)
         -> void;
