--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -441,6 +441,7 @@
         gauges.storeFailures = this->store.failureCount();
         gauges.upstreamConnections = this->pool.openedCount();
         gauges.badDatagrams = this->badDatagrams;
+        gauges.unsentDatagrams = this->peers.failedCount();
         gauges.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         gauges.configurationVersion = this->routes ? this->routes->configuration().version : 0;
         gauges.grantedServices = this->roles.servingCount();
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -18,6 +18,7 @@
     std::uint64_t storeFailures = 0;
     std::uint64_t upstreamConnections = 0;
     std::uint64_t badDatagrams = 0;
+    std::uint64_t unsentDatagrams = 0;
     std::uint64_t droppedLogLines = 0;
     std::uint64_t configurationVersion = 0;
     std::uint64_t grantedServices = 0;
