--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -251,6 +251,7 @@
             LogLine("configuration_adopted")
                 .with("version", static_cast<std::int64_t>(configuration->version))
                 .with("routes", static_cast<std::int64_t>(configuration->routes.size()))
+                .with("malformed", static_cast<std::int64_t>(configuration->malformedRoutes))
                 .with("revision", static_cast<std::int64_t>(found->second.revision.value))
                 .text());
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -120,9 +120,12 @@
         const auto *route =
             host == nullptr ? nullptr : this->routes->match(*host, request.head.target);
         if (route == nullptr) {
+            // The request may be for a route that couldn't be read, so it isn't called unknown.
+            const auto isCertain = this->routes->configuration().malformedRoutes == 0;
+            const auto status = isCertain ? 404 : 503;
             this->counters.countRefusal(ServiceName{noServiceName}, CallerId{},
                                         Reason::UnknownService);
-            this->refuse(exchange, fields.id, 404, Reason::UnknownService, std::nullopt);
+            this->refuse(exchange, fields.id, status, Reason::UnknownService, std::nullopt);
             return;
         }
         auto spread = this->spreads.try_emplace(route->name, EvenSpread(this->spreadStart)).first;
--- a/src/routing/types/routeconfiguration.h
+++ b/src/routing/types/routeconfiguration.h
@@ -77,6 +77,8 @@
 {
     std::uint64_t version = 0;
     std::vector<Route> routes;
+    /// Number of routes that were left out because they couldn't be read.
+    std::size_t malformedRoutes = 0;
     std::vector<ServiceSpec> services;
     CallerLimits limits;
     auto operator==(const RouteConfiguration &) const -> bool = default;
