Don't lose a slot until the deadline with a lost verdict or report

Answers of 90 to 540 KB fill the links of 10 Mbit/s of the small VMs, which then drop datagrams. Reports of unused permits named no service, so the grantor dropped them. Change: the grantor repeats a verdict without a report after twice the expected latency, then at doubled times. An entry daemon that uses the permit ignores that; one that doesn't returns it, with the report that may have been lost. Reports always name their service; a request that is given up is cancelled. Waiting requests are repeated after 120 to 960 ms instead of each 120 ms. Datagrams are sent before answers. A broker ignores reports without a known permit. The simulated entry daemon ignores a repeated verdict, as PermitClient does.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -145,31 +145,36 @@
 
 auto SlotBroker::report(const PermitReport &report, Instant now) -> void
 {
+    const auto permit = this->permits.find(report.id);
+    if (permit == this->permits.end() || permit->second.upstream != report.upstream) {
+        return;
+    }
     const auto found = this->upstreams.find(report.upstream);
     if (found != this->upstreams.end()) {
-        auto &upstream = found->second;
-        this->updateQuarantine(report, upstream, now);
-        upstream.health.onAttemptEnd(report.end, report.latency, now);
-        upstream.noReportSince = now;
-        if (report.load) {
-            const auto others = report.load->running + report.load->waiting - upstream.inFlight;
-            upstream.otherRequests = std::max(0, others);
-            upstream.otherRequestsValidUntil = now + otherRequestsValidity;
-        }
-        if (report.end == AttemptEnd::Answered) {
-            const auto difference = report.latency - this->meanLatency;
-            this->meanLatency += scaled(difference, meanLatencyWeight);
-        }
-    }
-    if (const auto permit = this->permits.find(report.id); permit != this->permits.end()) {
-        this->release(permit->second, now);
-        this->permits.erase(permit);
+        this->learn(report, found->second, now);
     }
+    this->release(permit->second, now);
+    this->permits.erase(permit);
     if (found != this->upstreams.end()) {
         this->grantFreeSlotsOf(found->second, now);
     }
 }
 
+auto SlotBroker::learn(const PermitReport &report, Upstream &upstream, Instant now) -> void
+{
+    this->updateQuarantine(report, upstream, now);
+    upstream.health.onAttemptEnd(report.end, report.latency, now);
+    upstream.noReportSince = now;
+    if (report.load) {
+        const auto others = report.load->running + report.load->waiting - upstream.inFlight;
+        upstream.otherRequests = std::max(0, others);
+        upstream.otherRequestsValidUntil = now + otherRequestsValidity;
+    }
+    if (report.end == AttemptEnd::Answered) {
+        this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
+    }
+}
+
 auto SlotBroker::updateQuarantine(const PermitReport &report, const Upstream &upstream, Instant now)
     -> void
 {
@@ -213,17 +218,26 @@
 
 auto SlotBroker::advance(Instant now) -> void
 {
-    std::erase_if(this->permits, [&](const auto &entry) {
-        if (entry.second.expiresAt > now) {
-            return false;
-        }
-        this->release(entry.second, now);
-        return true;
-    });
+    this->checkPermits(now);
     this->refuseUnservable(now);
     this->grantFreeSlots(now);
 }
 
+auto SlotBroker::checkPermits(Instant now) -> void
+{
+    for (auto &[id, permit] : this->permits) {
+        if (permit.expiresAt <= now) {
+            this->release(permit, now);
+        } else if (permit.repeatAt <= now) {
+            permit.repeatAfter *= 2;
+            permit.repeatAt = now + permit.repeatAfter;
+            this->verdicts.push_back(
+                IssuedVerdict{id, permit.request, permit.verdict, VerdictBasis{}});
+        }
+    }
+    std::erase_if(this->permits, [&](const auto &entry) { return entry.second.expiresAt <= now; });
+}
+
 auto SlotBroker::nextDue(Instant now) const -> std::optional<Instant>
 {
     if (!this->backlog.empty()) {
@@ -318,10 +332,16 @@
     }
     ++upstream.inFlight;
     upstream.lastUse[waiting.request.id.entry] = now;
-    this->permits[waiting.request.id] =
-        Permit{upstream.entry.id, waiting.deadline + this->settings.permitGrace, verdict,
-               RequestFingerprint{waiting.request.fingerprint}};
     const Forecast forecast{Duration{0}, this->latencyOf(upstream, now)};
+    const auto repeatAfter = std::max(this->settings.minRepeatAfter,
+                                      scaled(forecast.latency, this->settings.repeatLatencyFactor));
+    this->permits[waiting.request.id] = Permit{waiting.request.request,
+                                               upstream.entry.id,
+                                               waiting.deadline + this->settings.permitGrace,
+                                               verdict,
+                                               RequestFingerprint{waiting.request.fingerprint},
+                                               now + repeatAfter,
+                                               repeatAfter};
     this->issue(waiting.request, std::move(verdict), this->verdictBasis(waiting, forecast, now));
 }
 
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -30,6 +30,11 @@
     Duration connectionKeepAlive = std::chrono::seconds{8};
     /// A permit whose report is lost expires this long after the request's deadline.
     Duration permitGrace = std::chrono::milliseconds{200};
+    /// A verdict is repeated where no report has come for this multiple of the expected latency, so
+    /// that a slot isn't lost until the deadline with a lost verdict or report.
+    double repeatLatencyFactor = 2.0;
+    /// Minimum of that time.
+    Duration minRepeatAfter = std::chrono::milliseconds{200};
     /// An upstream with a larger share of failed attempts gets requests only if no other upstream
     /// has a free slot or all others cost far more.
     double unhealthyFailureShare = 0.25;
@@ -127,7 +132,8 @@
     /// Grants, queues or refuses a permit; a repeated request for a granted permit gets the same
     /// verdict. takeVerdicts() returns the result.
     auto ask(const PermitRequest &request, Instant now) -> void;
-    /// Takes the permit back and learns from the attempt.
+    /// Takes the permit back and learns from the attempt. Reports without a permit that this broker
+    /// has issued and not taken back are ignored.
     auto report(const PermitReport &report, Instant now) -> void;
     /// Removes a request that ended before it used a permit; a granted permit is taken back.
     auto cancel(const PermitId &id, Instant now) -> void;
@@ -175,10 +181,15 @@
     };
     struct Permit
     {
+        /// The caller's id of the request, for logs.
+        RequestId request;
         UpstreamId upstream;
         Instant expiresAt;
         PermitVerdict verdict;
         RequestFingerprint fingerprint;
+        /// When the verdict is repeated, and the time until then; doubled each time.
+        Instant repeatAt;
+        Duration repeatAfter;
     };
     struct IdHash
     {
@@ -192,6 +203,7 @@
 
     /// Grants the free slots of all upstreams to waiting requests.
     auto grantFreeSlots(Instant now) -> void;
+    auto learn(const PermitReport &report, Upstream &upstream, Instant now) -> void;
     auto updateQuarantine(const PermitReport &report, const Upstream &upstream, Instant now)
         -> void;
     /// Grants waiting requests that may run at this upstream while it has a free slot.
@@ -205,6 +217,8 @@
                                     Instant now) const -> VerdictBasis;
     auto refuseUnservable(Instant now) -> void;
     auto release(const Permit &permit, Instant now) -> void;
+    /// Takes back expired permits, and repeats the verdicts of those without a report.
+    auto checkPermits(Instant now) -> void;
     /// @returns whether only the owner of the request's key may run it
     [[nodiscard]] auto isKeyed(const PermitRequest &request) const -> bool;
     [[nodiscard]] auto rangeOf(KeyPosition key) const -> const OwnedRange *;
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -108,6 +108,10 @@
         const auto caller = this->callers.at(request);
         const auto &requestClass = this->classes[caller.classIndex];
         if (issued.verdict.kind == PermitVerdict::Kind::Granted) {
+            // An entry daemon ignores a repeated verdict while it uses the permit.
+            if (!this->granted.insert(request).second) {
+                continue;
+            }
             const auto index =
                 static_cast<std::size_t>(std::stoi(issued.verdict.upstream.value.substr(1)));
             this->results[caller.classIndex].grantedWait += this->now - this->askedAt.at(request);
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <queue>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace gooseberrywall {
@@ -101,6 +102,7 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
     std::map<std::uint64_t, Caller> callers;
     std::map<std::uint64_t, Instant> askedAt;
+    std::set<std::uint64_t> granted;
     std::uint64_t nextRequest = 1;
     int worstOvercommit = 0;
 };
--- a/src/dispatch/tests/slotbroker_tests.cpp
+++ b/src/dispatch/tests/slotbroker_tests.cpp
@@ -161,6 +161,49 @@
             CHECK(next[0].verdict.kind == PermitVerdict::Kind::Granted);
         }
     }
+    WHEN("a report comes for no known permit, or names another upstream")
+    {
+        PermitReport stray;
+        stray.id = permit(9).id;
+        stray.upstream = UpstreamId{"a"};
+        stray.end = AttemptEnd::NoAnswer;
+        for (auto count = 0; count < 5; ++count) {
+            broker.report(stray, now);
+        }
+        stray.id = permit(1).id;
+        stray.upstream = UpstreamId{"b"};
+        broker.report(stray, now);
+        THEN("it is ignored")
+        {
+            CHECK(broker.permitCount() == 1);
+            CHECK(broker.upstreamStatuses(now).front().failureShare == 0);
+            CHECK(broker.upstreamStatuses(now).front().isUsable);
+        }
+    }
+    WHEN("neither the verdict's use nor the report is heard of for longer than attempts take")
+    {
+        broker.advance(now + milliseconds{50});
+        CHECK(broker.takeVerdicts().empty());
+        broker.advance(now + milliseconds{260});
+        THEN("the verdict is repeated, so that an entry daemon that doesn't use it returns it")
+        {
+            const auto repeated = broker.takeVerdicts();
+            REQUIRE(repeated.size() == 1);
+            CHECK(repeated.front().id == verdicts[0].id);
+            CHECK(repeated.front().verdict == verdicts[0].verdict);
+            CHECK(broker.permitCount() == 1);
+        }
+    }
+    WHEN("an attempt takes as long as its deadline allows")
+    {
+        for (auto elapsed = 0; elapsed < 800; elapsed += 20) {
+            broker.advance(now + milliseconds{elapsed});
+        }
+        THEN("the verdict is repeated a few times only")
+        {
+            CHECK(broker.takeVerdicts().size() <= 3 + 1);
+        }
+    }
     WHEN("the report is lost")
     {
         broker.advance(now + milliseconds{1001});
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -325,14 +325,16 @@
         this->isProcessing = true;
         do {
             this->hasPending = false;
+            // Datagrams go before answers: a large answer fills the VM's link, which then drops
+            // datagrams.
+            for (const auto &datagram : this->permits.takeDatagrams()) {
+                this->sendDatagram(datagram);
+            }
             this->entry.execute();
             for (const auto &result : this->permits.takeResults()) {
                 this->flow.onPermit(result, this->now());
                 this->hasPending = true;
             }
-            for (const auto &datagram : this->permits.takeDatagrams()) {
-                this->sendDatagram(datagram);
-            }
             for (const auto &datagram : this->roles.takeDatagrams()) {
                 this->sendDatagram(datagram);
             }
--- a/src/entry/internal/permitclient.cpp
+++ b/src/entry/internal/permitclient.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int failuresBeforeSkip = 2;
+/// Ended requests are remembered for this long after their deadline, in which late answers arrive.
+constexpr Duration endedRetention = std::chrono::seconds{1};
 
 } // namespace
 
@@ -31,6 +33,7 @@
         if (entry.request.service == service) {
             entry.grantor = grantor;
             entry.queuedSince.reset();
+            entry.queuedResendAfter = Duration{0};
             entry.unansweredSends = 0;
             entry.due = Instant{};
         }
@@ -90,17 +93,38 @@
         }
         this->datagrams.push_back(PermitDatagram{
             row.second.grantor, PermitCancel{row.second.request.id, row.second.request.service}});
+        this->rememberEnded(row.first, row.second);
         return true;
     });
 }
 
+auto PermitClient::rememberEnded(std::uint64_t sequence, const Pending &entry) -> void
+{
+    this->ended[sequence] = Ended{entry.request.service, entry.deadline, std::nullopt};
+}
+
+auto PermitClient::returnUnused(const Address &grantor, const ServiceName &service,
+                                const PermitAnswer &answer) -> void
+{
+    PermitReport unused;
+    unused.id = PermitId{this->self, this->incarnation, answer.id.sequence};
+    unused.service = service;
+    unused.upstream = answer.verdict.upstream;
+    this->datagrams.push_back(PermitDatagram{grantor, unused});
+}
+
 auto PermitClient::report(const PermitReport &report) -> void
 {
     const auto issuer = this->issuers.find(report.id.sequence);
     if (issuer == this->issuers.end()) {
         return;
     }
-    this->datagrams.push_back(PermitDatagram{issuer->second, report});
+    auto complete = report;
+    if (const auto request = this->ended.find(report.id.sequence); request != this->ended.end()) {
+        complete.service = request->second.service;
+        request->second.report = complete;
+    }
+    this->datagrams.push_back(PermitDatagram{issuer->second, std::move(complete)});
     this->issuers.erase(issuer);
 }
 
@@ -112,24 +136,13 @@
     }
     const auto found = this->pending.find(answer.id.sequence);
     if (found == this->pending.end()) {
-        const auto isInUse = this->issuers.contains(answer.id.sequence);
-        if (answer.verdict.kind == Kind::Granted && !isInUse) {
-            // The request has been cancelled or given up: the slot is returned at once.
-            PermitReport unused;
-            unused.id = PermitId{this->self, this->incarnation, answer.id.sequence};
-            unused.upstream = answer.verdict.upstream;
-            this->datagrams.push_back(PermitDatagram{from, unused});
-        }
+        this->onLateAnswer(from, answer);
         return;
     }
     auto &entry = found->second;
     if (from != entry.grantor) {
         if (answer.verdict.kind == Kind::Granted) {
-            PermitReport unused;
-            unused.id = entry.request.id;
-            unused.service = entry.request.service;
-            unused.upstream = answer.verdict.upstream;
-            this->datagrams.push_back(PermitDatagram{from, unused});
+            this->returnUnused(from, entry.request.service, answer);
         }
         return;
     }
@@ -140,7 +153,10 @@
     }
     if (answer.verdict.kind == Kind::Queued) {
         entry.queuedSince = entry.queuedSince.value_or(now);
-        entry.due = now + this->settings.queuedResendAfter;
+        entry.queuedResendAfter =
+            std::clamp(entry.queuedResendAfter * 2, this->settings.queuedResendAfter,
+                       this->settings.longestQueuedResendAfter);
+        entry.due = now + entry.queuedResendAfter;
         return;
     }
     if (answer.verdict.kind == Kind::NotGrantor) {
@@ -152,9 +168,25 @@
     }
     this->results.push_back(
         PermitResult{entry.exchange, entry.request.id, answer.verdict, queuedTime(entry, now)});
+    this->rememberEnded(found->first, entry);
     this->pending.erase(found);
 }
 
+auto PermitClient::onLateAnswer(const Address &from, const PermitAnswer &answer) -> void
+{
+    const auto request = this->ended.find(answer.id.sequence);
+    const auto isInUse = this->issuers.contains(answer.id.sequence);
+    const auto isGranted = answer.verdict.kind == PermitVerdict::Kind::Granted;
+    if (!isGranted || isInUse || request == this->ended.end()) {
+        return;
+    }
+    if (request->second.report) {
+        this->datagrams.push_back(PermitDatagram{from, *request->second.report});
+        return;
+    }
+    this->returnUnused(from, request->second.service, answer);
+}
+
 auto PermitClient::onNotGrantor(const Address &from, const PermitAnswer &answer, Instant now)
     -> void
 {
@@ -170,6 +202,8 @@
 
 auto PermitClient::advance(Instant now) -> void
 {
+    std::erase_if(this->ended,
+                  [&](const auto &row) { return row.second.deadline + endedRetention <= now; });
     std::vector<std::uint64_t> lost;
     for (auto &[sequence, entry] : this->pending) {
         if (entry.due > now) {
@@ -191,7 +225,11 @@
     const auto found = this->pending.find(sequence);
     const auto entry = std::move(found->second);
     this->pending.erase(found);
+    this->rememberEnded(sequence, entry);
     this->noGrantorAt = now;
+    // The grantor may only be slow; without this it would keep a slot for the request.
+    this->datagrams.push_back(
+        PermitDatagram{entry.grantor, PermitCancel{entry.request.id, entry.request.service}});
     if (const auto grantor = this->grantors.find(entry.request.service);
         grantor != this->grantors.end() && grantor->second.address == entry.grantor) {
         if (++grantor->second.consecutiveFailures >= failuresBeforeSkip) {
--- a/src/entry/permitclient.h
+++ b/src/entry/permitclient.h
@@ -15,8 +15,10 @@
     Duration resendAfter = std::chrono::milliseconds{50};
     /// A request that was sent this often without an answer is given up.
     int maxSends = 3;
-    /// A queued request is sent again at this interval, because its verdict may be lost.
+    /// A queued request is sent again after this time, because its verdict may be lost; the time is
+    /// doubled with each repetition, up to the longest.
     Duration queuedResendAfter = std::chrono::milliseconds{120};
+    Duration longestQueuedResendAfter = std::chrono::milliseconds{960};
     /// A grantor that failed two requests in a row is skipped for this time.
     Duration skipDuration = std::chrono::milliseconds{400};
     auto operator==(const PermitClientSettings &) const -> bool = default;
@@ -58,7 +60,8 @@
     auto cancel(ExchangeId exchange) -> void;
     /// Returns a permit to the grantor that issued it.
     auto report(const PermitReport &report) -> void;
-    /// Handles a grantor's answer; a permit that nobody waits for any more is returned.
+    /// Handles a grantor's answer. A permit that nobody waits for any more is returned, and one
+    /// that was returned before is returned again, because that report may be lost.
     auto onAnswer(const Address &from, const PermitAnswer &answer, Instant now) -> void;
     /// Sends requests again that are due, and gives up those that have been sent often enough.
     auto advance(Instant now) -> void;
@@ -95,11 +98,30 @@
         int unansweredSends = 0;
         /// When the grantor first reported the request as queued.
         std::optional<Instant> queuedSince;
+        /// Time until the queued request is sent again.
+        Duration queuedResendAfter{0};
+    };
+    /// A request that isn't pending any more.
+    struct Ended
+    {
+        ServiceName service;
+        /// A grantor issues no permit for it after its deadline.
+        Instant deadline;
+        /// The report that returned its permit, if it has had one.
+        std::optional<PermitReport> report;
     };
 
     auto sendRequest(Pending &pending, Instant now) -> void;
     auto onNotGrantor(const Address &from, const PermitAnswer &answer, Instant now) -> void;
     auto giveUp(std::uint64_t sequence, Instant now) -> void;
+    /// Remembers the service of a request that isn't pending any more, for the report that returns
+    /// a late permit.
+    auto rememberEnded(std::uint64_t sequence, const Pending &entry) -> void;
+    /// Sends a permit that nobody waits for back to the grantor that issued it.
+    auto returnUnused(const Address &grantor, const ServiceName &service,
+                      const PermitAnswer &answer) -> void;
+    /// Handles an answer to a request that isn't pending.
+    auto onLateAnswer(const Address &from, const PermitAnswer &answer) -> void;
     [[nodiscard]] static auto queuedTime(const Pending &pending, Instant now) -> Duration;
 
     Address self;
@@ -108,6 +130,8 @@
     std::uint64_t nextSequence = 1;
     std::map<ServiceName, Grantor> grantors;
     std::map<std::uint64_t, Pending> pending;
+    /// By the sequence of the permit request.
+    std::map<std::uint64_t, Ended> ended;
     /// Addresses of the grantors whose permits are in use, by the permit's sequence.
     std::unordered_map<std::uint64_t, Address> issuers;
     std::vector<PermitDatagram> datagrams;
