Get the configuration from grantors instead of a watch in each daemon

Change: grantors, which renew a lease and so know that they reach the store, follow the configuration and announce its revision with its age. Other daemons fetch a newer one from them over HTTP at the peer address. A daemon follows the store itself where no grantor has confirmed its configuration for 1.5 s, or where it couldn't fetch a newer one for 0.7 s; both are below config_apply_s of all sites. In the first 3 s after a start a daemon polls with stale reads, a tenth of the price, instead of watching. Stand-bys among weak VMs are about six in a large fleet, not one in six. Ruled out: a strict read by each daemon for each announced version (saves nothing); pushing the text in datagrams (a link full of answers drops them). Tests: ConfigurationRelay (whom to ask, when the store is needed).

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -37,14 +37,23 @@
         request.address = this->store;
         request.timeout = timeout;
         request.text = callText(message, this->store, {});
-        this->pool.send(std::move(request),
-                        [this, call, done = std::move(done)](const OutboundResult &result) {
-                            done(this->answerOf(call, result));
-                        });
+        this->pool.send(std::move(request), [this, call, done = std::move(done),
+                                             sentAt = this->now()](const OutboundResult &result) {
+            const auto answer = this->answerOf(call, result);
+            const auto isAnswered = answer.kind != StoreAnswer::Kind::Refused
+                                    && answer.kind != StoreAnswer::Kind::Unknown;
+            if (isAnswered && !std::holds_alternative<StoreWatch>(call)) {
+                this->contactAt = std::max(this->contactAt, sentAt);
+            }
+            done(answer);
+        });
     }
 
     /// @returns when a call last failed; Instant{} where none has
     [[nodiscard]] auto lastFailureAt() const -> Instant { return this->failedAt; }
+    /// @returns when the last call was sent that the store has answered; watches don't count, as
+    /// they wait
+    [[nodiscard]] auto lastContactAt() const -> Instant { return this->contactAt; }
     [[nodiscard]] auto callCount() const -> std::uint64_t { return this->calls; }
     [[nodiscard]] auto failureCount() const -> std::uint64_t { return this->failures; }
 
@@ -106,6 +115,7 @@
     std::function<Instant()> now;
     Logger &logger;
     Instant failedAt{};
+    Instant contactAt{};
     std::optional<Instant> outageSince;
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
--- /dev/null
+++ b/src/edge/componentsettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "edge/configurationsource.h"
+#include "edge/grantorrole.h"
+#include "edge/grantorwatch.h"
+#include "settings/types/edgesettings.h"
+#include "streams/frontlistener.h"
+#include "streams/outboundpool.h"
+
+#include <string>
+
+/// The settings of the edge daemon's components, derived from those of the daemon.
+namespace gooseberrywall {
+
+/// @param echoHeader header in which upstreams repeat the id of a request
+[[nodiscard]] auto upstreamPoolSettings(const std::string &echoHeader) -> OutboundPoolSettings;
+[[nodiscard]] auto storePoolSettings() -> OutboundPoolSettings;
+/// @param listen address of the readiness or the metrics page
+[[nodiscard]] auto pageSettings(const Address &listen) -> FrontSettings;
+[[nodiscard]] auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation)
+    -> GrantorRoleSettings;
+[[nodiscard]] auto grantorWatchSettings(const EdgeSettings &settings) -> GrantorWatchSettings;
+/// @param key the store key of the operators' configuration
+[[nodiscard]] auto configurationSettings(const EdgeSettings &settings, const std::string &key,
+                                         std::uint64_t incarnation) -> ConfigurationSourceSettings;
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/configurationrelay.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "common/types/ids.h"
+#include "common/types/instant.h"
+#include "permitlink/permitmessages.h"
+#include "storelink/types/storecalls.h"
+
+#include <map>
+#include <optional>
+
+namespace gooseberrywall {
+
+struct ConfigurationRelaySettings
+{
+    /// A daemon follows the store itself where no grantor has confirmed its configuration for this
+    /// long. Together with reading the store, it is less than the time in which a change has to be
+    /// in force.
+    Duration confirmationTimeout = std::chrono::milliseconds{1500};
+    /// Announcements of a daemon that is silent for this long are forgotten.
+    Duration silenceTimeout = std::chrono::milliseconds{2500};
+    /// A daemon follows the store itself where it couldn't fetch a newer configuration for this
+    /// long.
+    Duration fetchTimeLimit = std::chrono::milliseconds{700};
+    /// Pause after a failed fetch.
+    Duration retryPause = std::chrono::milliseconds{80};
+    auto operator==(const ConfigurationRelaySettings &) const -> bool = default;
+};
+
+/// Decides from where a daemon gets the operators' configuration: from grantors, which follow the
+/// store and announce which revision they have, or from the store itself where no grantor is known
+/// to be up to date. So the store's calls don't grow with the number of daemons. Does no I/O; the
+/// time is passed in.
+class ConfigurationRelay
+{
+public:
+    /// @param delay of this daemon's fetches; differs between daemons, so that one grantor doesn't
+    /// get all of them at once
+    ConfigurationRelay(ConfigurationRelaySettings settings, Duration delay);
+
+    auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement, Instant now)
+        -> void;
+    /// Takes in that this daemon has the configuration of a revision.
+    auto onAdopted(StoreRevision revision) -> void;
+    auto onFetchStarted(Instant now) -> void;
+    auto onFetchFailed(const Address &from, Instant now) -> void;
+
+    /// @returns a daemon to fetch a newer configuration from now; empty where there is none, a
+    /// fetch is under way, or it isn't due yet
+    [[nodiscard]] auto fetchSource(Instant now) const -> std::optional<Address>;
+    /// @returns whether this daemon has to follow the store itself
+    [[nodiscard]] auto isStoreNeeded(Instant now) const -> bool;
+    /// @returns when the result of fetchSource() or isStoreNeeded() may change by itself
+    [[nodiscard]] auto nextDue(Instant now) const -> std::optional<Instant>;
+
+private:
+    struct Source
+    {
+        StoreRevision revision;
+        Instant heardAt{};
+        int failures = 0;
+    };
+
+    ConfigurationRelaySettings settings;
+    Duration delay;
+    std::map<Address, Source> sources;
+    StoreRevision ownRevision;
+    /// When a grantor last knew that its configuration was the newest.
+    std::optional<Instant> confirmedAt;
+    /// Since when a newer configuration is known than this daemon has.
+    std::optional<Instant> newerKnownSince;
+    Instant fetchDue{};
+    bool isFetching = false;
+};
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/configurationsource.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "edge/configurationrelay.h"
+#include "logging/logger.h"
+#include "storelink/prefixview.h"
+#include "streams/frontlistener.h"
+#include "streams/outboundpool.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+struct event_base;
+
+namespace gooseberrywall {
+
+struct ConfigurationSourceSettings
+{
+    /// The store key that holds the configuration.
+    std::string key;
+    /// Where other daemons fetch the configuration from this one.
+    Address listen;
+    /// Differs between daemons; spreads their calls.
+    std::uint64_t seed = 0;
+    /// After its start a daemon has this long to hear of grantors before it follows the store
+    /// itself; until then it polls for the first configuration.
+    Duration startTime = std::chrono::seconds{3};
+    Duration pollInterval = std::chrono::milliseconds{400};
+    /// Fetches from other daemons are spread over this time.
+    Duration fetchSpread = std::chrono::milliseconds{120};
+    Duration fetchTimeout = std::chrono::milliseconds{500};
+    /// Versions in quick succession are read together; well below the time until they must apply.
+    Duration gatherPause = std::chrono::milliseconds{400};
+    auto operator==(const ConfigurationSourceSettings &) const -> bool = default;
+};
+
+/// Gets the operators' configuration, from the store or from another daemon as ConfigurationRelay
+/// decides, and serves it to other daemons over HTTP.
+class ConfigurationSource
+{
+public:
+    using OnText = std::function<void(const std::string &text, StoreRevision revision)>;
+
+    /// @param now reads the clock
+    /// @param onText receives each newer configuration
+    /// @param onWork called after each event for which advance() may be due earlier
+    ConfigurationSource(event_base *base, ConfigurationSourceSettings settings, SendStoreCall store,
+                        std::function<Instant()> now, Logger &logger, OnText onText,
+                        std::function<void()> onWork);
+
+    /// Starts to serve other daemons; they use the store where that fails.
+    auto start() -> void;
+    auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
+    /// Starts the call or fetch that is due.
+    /// @param isGrantor grantors follow the store
+    auto advance(bool isGrantor) -> void;
+    auto sweep() -> void { this->listener.sweep(); }
+    /// @returns when to call advance() next
+    [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
+
+    /// @returns the store revision of the configuration; zero where there is none
+    [[nodiscard]] auto revision() const -> StoreRevision { return this->textRevision; }
+    /// @param storeContact when a call to the store was sent that was answered
+    /// @returns how long ago this configuration was known to be the newest
+    [[nodiscard]] auto age(Instant storeContact) const -> Duration;
+    /// @returns how many configurations were fetched from other daemons
+    [[nodiscard]] auto fetchCount() const -> std::uint64_t { return this->fetches; }
+
+private:
+    auto adopt(const std::string &newText, StoreRevision revision) -> void;
+    auto poll() -> void;
+    auto fetch(const Address &from) -> void;
+    auto onFetched(const Address &from, const OutboundResult &result) -> void;
+    auto onAsked(ExchangeId exchange, const WholeMessage &request) -> void;
+    /// Logs once that this daemon follows the store itself, and once that it doesn't any more.
+    auto logMode(bool isFollowing, bool isGrantor) -> void;
+
+    ConfigurationSourceSettings settings;
+    SendStoreCall store;
+    std::function<Instant()> now;
+    Logger &logger;
+    OnText onText;
+    std::function<void()> onWork;
+    ConfigurationRelay relay;
+    PrefixView view;
+    FrontListener listener;
+    OutboundPool pool;
+    std::string text;
+    StoreRevision textRevision;
+    Instant startedAt;
+    Instant pollDue{};
+    bool isPolling = false;
+    bool isFollowingStore = false;
+    std::uint64_t fetches = 0;
+};
+
+} // namespace gooseberrywall
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "edge/callclients.h"
+#include "edge/componentsettings.h"
+#include "edge/configurationsource.h"
 #include "edge/entryservice.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
@@ -8,7 +10,6 @@
 #include "edge/upstreamwatch.h"
 #include "http/clocktimer.h"
 #include "permitlink/permitcodec.h"
-#include "storelink/prefixview.h"
 #include "streams/datagramsocket.h"
 #include "tasks/eventloop.h"
 
@@ -38,7 +39,7 @@
         , now(now)
         , logger(logger)
         , requestLog(logger, this->settings.logSampleOneIn)
-        , upstreamPool(loop.base(), upstreamPoolSettings(wire), now)
+        , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now)
         , storePool(loop.base(), storePoolSettings(), now)
         , store(wire, this->storePool, this->settings.store, now, logger)
         , orders(wire, this->upstreamPool)
@@ -66,16 +67,21 @@
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
-        , configurationView(
-              wire.configurationKey(), PrefixViewSettings{.gatherPause = configurationPause},
-              this->storeSender(), now,
-              [this](const PrefixView::Items &items) { this->onConfiguration(items); })
-        , roles(this->roleSettings(), this->storeSender(), this->orderSender(), now, logger,
-                this->requestLog)
-        , grantorWatch(this->grantorWatchSettings(), this->storeSender(), now, this->permits,
-                       this->roles, logger)
+        , configurationSource(
+              loop.base(),
+              configurationSettings(this->settings, wire.configurationKey(), incarnation),
+              this->storeSender(), now, logger,
+              [this](const std::string &text, StoreRevision revision) {
+                  this->onConfiguration(text, revision);
+              },
+              [this] { this->processPending(); })
+        , roles(roleSettings(this->settings, incarnation), this->storeSender(), this->orderSender(),
+                now, logger, this->requestLog)
+        , grantorWatch(grantorWatchSettings(this->settings), this->storeSender(), now,
+                       this->permits, this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
+        this->roles.setAnnouncedConfiguration([this] { return this->announcedConfiguration(); });
     }
 
     /// Starts listening and reading the store.
@@ -85,6 +91,7 @@
         this->startedAt = this->now();
         this->logger.setBuffering(true);
         this->entry.start();
+        this->configurationSource.start();
         this->readyListener.start();
         try {
             this->metricsListener.start();
@@ -131,8 +138,6 @@
 private:
     /// How often callers' connections are swept; also the longest time between two timer events.
     static constexpr Duration housekeepingEvery = std::chrono::milliseconds{500};
-    /// Versions in quick succession are read together; well below the time until they must apply.
-    static constexpr Duration configurationPause = std::chrono::milliseconds{400};
     /// A failed registration of this daemon's address is retried after this time.
     static constexpr Duration registerPause = std::chrono::seconds{1};
     /// Upstreams are watched for this long after the last request without a grantor.
@@ -149,27 +154,6 @@
     /// The loop stops this long before the shutdown timeout.
     static constexpr Duration exitMargin = std::chrono::milliseconds{350};
 
-    [[nodiscard]] static auto upstreamPoolSettings(const Wire &wire) -> OutboundPoolSettings
-    {
-        OutboundPoolSettings result;
-        result.echoHeader = wire.echoHeader();
-        return result;
-    }
-
-    [[nodiscard]] static auto storePoolSettings() -> OutboundPoolSettings
-    {
-        OutboundPoolSettings result;
-        result.connectTimeout = std::chrono::milliseconds{500};
-        return result;
-    }
-
-    [[nodiscard]] static auto pageSettings(const Address &listen) -> FrontSettings
-    {
-        FrontSettings result;
-        result.listen = listen;
-        return result;
-    }
-
     [[nodiscard]] auto storeSender() -> SendStoreCall
     {
         return [this](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
@@ -192,27 +176,10 @@
         };
     }
 
-    [[nodiscard]] auto roleSettings() const -> GrantorRoleSettings
+    [[nodiscard]] auto announcedConfiguration() const -> AnnouncedConfiguration
     {
-        GrantorRoleSettings result;
-        result.daemon = this->settings.id;
-        result.peerAddress = this->settings.peerListen;
-        result.incarnation = this->incarnation;
-        result.processorCores = this->settings.processorCores;
-        result.retries.ratio = this->settings.retryRatio;
-        result.retries.extra = this->settings.retryExtra;
-        result.retries.window = this->settings.retryWindow;
-        result.ranges.longestHoldTime = this->settings.longestHold;
-        return result;
-    }
-
-    [[nodiscard]] auto grantorWatchSettings() const -> GrantorWatchSettings
-    {
-        GrantorWatchSettings result;
-        result.grantorPrefix = this->roles.settings().grantorPrefix;
-        result.daemon = this->settings.id;
-        result.processorCores = this->settings.processorCores;
-        return result;
+        return AnnouncedConfiguration{this->configurationSource.revision(),
+                                      this->configurationSource.age(this->store.lastContactAt())};
     }
 
     auto registerDaemon() -> void
@@ -229,13 +196,10 @@
         this->registerDue.reset();
     }
 
-    auto onConfiguration(const PrefixView::Items &items) -> void
+    auto onConfiguration(const std::string &text, StoreRevision revision) -> void
     {
-        const auto found = items.find(this->wire.configurationKey());
-        if (found == items.end()) {
-            return;
-        }
-        auto configuration = this->wire.configuration(found->second.value);
+        this->roles.announceSoon();
+        auto configuration = this->wire.configuration(text);
         const auto known = this->routes ? this->routes->configuration().version : 0;
         if (!configuration || configuration->version <= known) {
             const auto *const reason = configuration ? "version not newer" : "unreadable";
@@ -252,7 +216,7 @@
                 .with("version", static_cast<std::int64_t>(configuration->version))
                 .with("routes", static_cast<std::int64_t>(configuration->routes.size()))
                 .with("malformed", static_cast<std::int64_t>(configuration->malformedRoutes))
-                .with("revision", static_cast<std::int64_t>(found->second.revision.value))
+                .with("revision", static_cast<std::int64_t>(revision.value))
                 .text());
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
@@ -301,6 +265,7 @@
         }
         if (const auto *announcement = std::get_if<GrantorAnnouncement>(&message)) {
             this->grantorWatch.onAnnouncement(from, *announcement);
+            this->configurationSource.onAnnouncement(from, *announcement);
             return;
         }
         this->roles.deliver(from, message);
@@ -351,7 +316,7 @@
     auto onTimer() -> void
     {
         const auto moment = this->now();
-        this->configurationView.advance();
+        this->configurationSource.advance(this->roles.servingCount() > 0);
         this->grantorWatch.advance();
         this->roles.advance();
         this->watchUpstreams(moment);
@@ -365,6 +330,7 @@
             this->entry.listener().sweep();
             this->readyListener.sweep();
             this->metricsListener.sweep();
+            this->configurationSource.sweep();
         }
         if (this->stoppingSince) {
             this->advanceShutdown(moment);
@@ -403,7 +369,7 @@
                 due = std::min(due, *next);
             }
         };
-        consider(this->configurationView.nextDue());
+        consider(this->configurationSource.nextDue());
         consider(this->grantorWatch.nextDue());
         consider(this->upstreamWatch.nextDue());
         consider(this->permits.nextDue());
@@ -480,7 +446,7 @@
     FrontListener metricsListener;
     DatagramSocket peerSocket;
     UpstreamWatch<Wire> upstreamWatch;
-    PrefixView configurationView;
+    ConfigurationSource configurationSource;
     GrantorRoles roles;
     GrantorWatch grantorWatch;
     std::shared_ptr<const RouteTable> routes;
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -52,6 +52,15 @@
     auto operator==(const GrantorRoleSettings &) const -> bool = default;
 };
 
+/// The configuration that this daemon announces as grantor.
+struct AnnouncedConfiguration
+{
+    StoreRevision revision;
+    /// Time since it was known to be the newest.
+    Duration age{0};
+    auto operator==(const AnnouncedConfiguration &) const -> bool = default;
+};
+
 /// Sends an order to an upstream; the callback receives its end once, never from within the call.
 using SendRangeOrder =
     std::function<void(const RangeOrder &order, std::function<void(RangeOrderEnd)> done)>;
@@ -77,6 +86,13 @@
     /// @param ratio retries allowed for each request in the retry window
     /// @param extra retries allowed besides
     auto setRetryAllowance(double ratio, double extra) -> void;
+    /// Sets what the announcements tell about the operators' configuration.
+    auto setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void
+    {
+        this->announcedConfiguration = std::move(source);
+    }
+    /// Announces this daemon to all others with the next advance().
+    auto announceSoon() -> void { this->announceDue = Instant{}; }
     /// Gives up the grantor's place, and doesn't claim it again.
     auto resign() -> void;
 
@@ -130,6 +146,7 @@
     std::function<Instant()> now;
     Logger &logger;
     RequestLog &requestLog;
+    std::function<AnnouncedConfiguration()> announcedConfiguration;
     std::shared_ptr<bool> alive;
     Duration ownClaimDelay;
     GrantorElection election;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -28,6 +28,10 @@
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
     auto setRetryAllowance(double ratio, double extra) -> void;
+    /// Sets what grantors announce about the operators' configuration.
+    auto setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void;
+    /// Lets all grantors announce themselves with the next advance().
+    auto announceSoon() -> void;
     auto advance() -> void;
     auto resign() -> void;
 
@@ -50,6 +54,7 @@
     std::function<Instant()> now;
     Logger &logger;
     RequestLog &requestLog;
+    std::function<AnnouncedConfiguration()> announcedConfiguration;
     std::map<ServiceName, std::unique_ptr<GrantorRole>> roles;
     std::vector<PermitDatagram> datagrams;
     bool hasResigned = false;
--- a/src/edge/grantorwatch.h
+++ b/src/edge/grantorwatch.h
@@ -22,9 +22,14 @@
     /// VMs with at least this share of a core are stand-bys, because they become grantors; it is
     /// several times that of the users' smallest VM.
     double standByMinimumCores = 0.25;
-    /// One in this many of the other daemons is a stand-by too: some in a fleet of 27, and few in a
-    /// fleet of hundreds.
+    /// One in this many of the other daemons is a stand-by too, in a fleet of up to
+    /// `standBysWanted` times as many daemons.
     std::uint64_t standByOneIn = 6;
+    /// Stand-bys among the other daemons of a larger fleet.
+    std::uint64_t standBysWanted = 6;
+    /// After its start a daemon has this long to hear of grantors before it watches the store;
+    /// until then it polls, as hundreds of daemons may start together.
+    Duration startTime = std::chrono::seconds{3};
     /// Changes in the store are batched for this long: new grantors announce themselves, so reading
     /// them from the store isn't urgent.
     Duration gatherPause = std::chrono::milliseconds{600};
@@ -53,6 +58,8 @@
         bool isSilent = true;
     };
 
+    /// @returns whether this daemon watches the store even while all grantors are heard
+    [[nodiscard]] auto isStandBy() const -> bool;
     auto publish() -> void;
     /// Logs once that a grantor is new, silent, or heard again.
     auto logGrantors(Instant moment) -> void;
@@ -70,7 +77,9 @@
     /// The state last logged for each service's grantor.
     std::map<ServiceName, LoggedGrantor> loggedGrantors;
     std::vector<ServiceName> services;
-    bool isStandBy;
+    /// Size of the fleet as grantors announce it; zero until one is heard.
+    std::uint64_t daemonCount = 0;
+    Instant startedAt;
     PrefixView view;
 };
 
--- /dev/null
+++ b/src/edge/internal/componentsettings.cpp
@@ -0,0 +1,59 @@
+#include "edge/componentsettings.h"
+
+namespace gooseberrywall {
+
+auto upstreamPoolSettings(const std::string &echoHeader) -> OutboundPoolSettings
+{
+    OutboundPoolSettings result;
+    result.echoHeader = echoHeader;
+    return result;
+}
+
+auto storePoolSettings() -> OutboundPoolSettings
+{
+    OutboundPoolSettings result;
+    result.connectTimeout = std::chrono::milliseconds{500};
+    return result;
+}
+
+auto pageSettings(const Address &listen) -> FrontSettings
+{
+    FrontSettings result;
+    result.listen = listen;
+    return result;
+}
+
+auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation) -> GrantorRoleSettings
+{
+    GrantorRoleSettings result;
+    result.daemon = settings.id;
+    result.peerAddress = settings.peerListen;
+    result.incarnation = incarnation;
+    result.processorCores = settings.processorCores;
+    result.retries.ratio = settings.retryRatio;
+    result.retries.extra = settings.retryExtra;
+    result.retries.window = settings.retryWindow;
+    result.ranges.longestHoldTime = settings.longestHold;
+    return result;
+}
+
+auto grantorWatchSettings(const EdgeSettings &settings) -> GrantorWatchSettings
+{
+    GrantorWatchSettings result;
+    result.grantorPrefix = GrantorRoleSettings{}.grantorPrefix;
+    result.daemon = settings.id;
+    result.processorCores = settings.processorCores;
+    return result;
+}
+
+auto configurationSettings(const EdgeSettings &settings, const std::string &key,
+                           std::uint64_t incarnation) -> ConfigurationSourceSettings
+{
+    ConfigurationSourceSettings result;
+    result.key = key;
+    result.listen = settings.peerListen;
+    result.seed = incarnation;
+    return result;
+}
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/internal/configurationrelay.cpp
@@ -0,0 +1,117 @@
+#include "edge/configurationrelay.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywall {
+
+ConfigurationRelay::ConfigurationRelay(ConfigurationRelaySettings settings, Duration delay)
+    : settings(settings)
+    , delay(delay)
+{
+}
+
+auto ConfigurationRelay::onAnnouncement(const Address &from,
+                                        const GrantorAnnouncement &announcement, Instant now)
+    -> void
+{
+    const StoreRevision revision{announcement.configurationRevision};
+    std::erase_if(this->sources, [&](const auto &row) {
+        return now - row.second.heardAt > this->settings.silenceTimeout;
+    });
+    if (revision.value == 0) {
+        return;
+    }
+    auto &source = this->sources[from];
+    source.failures = source.revision == revision ? source.failures : 0;
+    source.revision = revision;
+    source.heardAt = now;
+    const auto confirmed = now - std::max(Duration{0}, announcement.configurationAge);
+    this->confirmedAt = std::max(this->confirmedAt.value_or(confirmed), confirmed);
+    if (revision > this->ownRevision && !this->newerKnownSince) {
+        this->newerKnownSince = now;
+        this->fetchDue = now + this->delay;
+    }
+}
+
+auto ConfigurationRelay::onAdopted(StoreRevision revision) -> void
+{
+    this->ownRevision = std::max(this->ownRevision, revision);
+    this->isFetching = false;
+    const auto isNewerKnown =
+        std::any_of(this->sources.begin(), this->sources.end(),
+                    [&](const auto &row) { return row.second.revision > this->ownRevision; });
+    if (!isNewerKnown) {
+        this->newerKnownSince.reset();
+    }
+}
+
+auto ConfigurationRelay::onFetchStarted(Instant now) -> void
+{
+    this->isFetching = true;
+    this->fetchDue = now + this->settings.retryPause;
+}
+
+auto ConfigurationRelay::onFetchFailed(const Address &from, Instant now) -> void
+{
+    this->isFetching = false;
+    this->fetchDue = now + this->settings.retryPause;
+    if (const auto found = this->sources.find(from); found != this->sources.end()) {
+        ++found->second.failures;
+    }
+}
+
+auto ConfigurationRelay::fetchSource(Instant now) const -> std::optional<Address>
+{
+    if (this->isFetching || !this->newerKnownSince || now < this->fetchDue) {
+        return std::nullopt;
+    }
+    // The newest revision with the fewest failures; the delay spreads daemons over equal sources.
+    const auto rank = [](const Source &source) {
+        return std::pair(source.revision, -source.failures);
+    };
+    std::vector<Address> best;
+    auto bestRank = std::pair(this->ownRevision, 1);
+    for (const auto &[address, source] : this->sources) {
+        if (rank(source) > bestRank) {
+            bestRank = rank(source);
+            best.clear();
+        }
+        if (rank(source) == bestRank) {
+            best.push_back(address);
+        }
+    }
+    return best.empty()
+               ? std::nullopt
+               : std::optional(best[static_cast<std::size_t>(this->delay.count()) % best.size()]);
+}
+
+auto ConfigurationRelay::isStoreNeeded(Instant now) const -> bool
+{
+    const auto isConfirmed =
+        this->confirmedAt && now - *this->confirmedAt < this->settings.confirmationTimeout;
+    const auto isFetchFailing =
+        this->newerKnownSince && now - *this->newerKnownSince >= this->settings.fetchTimeLimit;
+    return !isConfirmed || isFetchFailing;
+}
+
+auto ConfigurationRelay::nextDue(Instant now) const -> std::optional<Instant>
+{
+    std::optional<Instant> due;
+    const auto consider = [&](Instant moment) {
+        if (moment > now) {
+            due = std::min(due.value_or(moment), moment);
+        }
+    };
+    if (this->confirmedAt) {
+        consider(*this->confirmedAt + this->settings.confirmationTimeout);
+    }
+    if (this->newerKnownSince) {
+        consider(this->fetchDue);
+        consider(*this->newerKnownSince + this->settings.fetchTimeLimit);
+    }
+    return due;
+}
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/internal/configurationsource.cpp
@@ -0,0 +1,244 @@
+#include "edge/configurationsource.h"
+
+#include "common/durations.h"
+#include "edge/callclients.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace gooseberrywall {
+
+namespace {
+
+constexpr const char *configurationPath = "/configuration";
+constexpr const char *revisionHeader = "X-Revision";
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+/// Connections of other daemons; further ones get the configuration from another grantor.
+constexpr std::size_t peerConnectionLimit = 600;
+/// Other daemons fetch one version at a time, so their connections needn't stay open.
+constexpr Duration peerIdleTimeout = std::chrono::seconds{2};
+/// Age of a configuration that was never known to be the newest.
+constexpr Duration unknownAge = std::chrono::hours{1};
+
+auto listenerSettings(const Address &listen) -> FrontSettings
+{
+    FrontSettings result;
+    result.listen = listen;
+    result.connectionLimit = peerConnectionLimit;
+    result.idleTimeout = peerIdleTimeout;
+    return result;
+}
+
+auto viewSettings(const ConfigurationSourceSettings &settings) -> PrefixViewSettings
+{
+    PrefixViewSettings result;
+    result.gatherPause = settings.gatherPause;
+    result.mayFirstReadBeStale = true;
+    return result;
+}
+
+auto fetchDelay(const ConfigurationSourceSettings &settings) -> Duration
+{
+    return Duration{static_cast<Duration::rep>(
+        settings.seed % static_cast<std::uint64_t>(settings.fetchSpread.count()))};
+}
+
+auto revisionOf(const WholeMessage &answer) -> StoreRevision
+{
+    const auto *value = answer.head.find(revisionHeader);
+    StoreRevision result;
+    if (answer.head.status != statusOk || value == nullptr) {
+        return result;
+    }
+    const auto *const end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, result.value);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? result : StoreRevision{};
+}
+
+} // namespace
+
+ConfigurationSource::ConfigurationSource(event_base *base, ConfigurationSourceSettings settings,
+                                         SendStoreCall store, std::function<Instant()> now,
+                                         Logger &logger, OnText onText,
+                                         std::function<void()> onWork)
+    : settings(std::move(settings))
+    , store(std::move(store))
+    , now(now)
+    , logger(logger)
+    , onText(std::move(onText))
+    , onWork(std::move(onWork))
+    , relay(ConfigurationRelaySettings{}, fetchDelay(this->settings))
+    , view(this->settings.key, viewSettings(this->settings), this->store, now,
+           [this](const PrefixView::Items &items) {
+               const auto found = items.find(this->settings.key);
+               if (found != items.end()) {
+                   this->adopt(found->second.value, found->second.revision);
+               }
+           })
+    , listener(
+          base, listenerSettings(this->settings.listen), now,
+          [this](ExchangeId exchange, const WholeMessage &request) {
+              this->onAsked(exchange, request);
+          },
+          [](ExchangeId) {})
+    , pool(base, OutboundPoolSettings{}, now)
+    , startedAt(now())
+{
+}
+
+auto ConfigurationSource::start() -> void
+{
+    try {
+        this->listener.start();
+    } catch (const std::runtime_error &failure) {
+        this->logger.write(LogLevel::Warning,
+                           LogLine("configuration_not_served").with("why", failure.what()).text());
+    }
+}
+
+auto ConfigurationSource::onAnnouncement(const Address &from,
+                                         const GrantorAnnouncement &announcement) -> void
+{
+    if (from != this->settings.listen) {
+        this->relay.onAnnouncement(from, announcement, this->now());
+    }
+}
+
+auto ConfigurationSource::advance(bool isGrantor) -> void
+{
+    const auto moment = this->now();
+    const auto isStarting = moment - this->startedAt < this->settings.startTime;
+    const auto isFollowing = isGrantor || (!isStarting && this->relay.isStoreNeeded(moment));
+    this->logMode(isFollowing, isGrantor);
+    this->view.setPaused(!isFollowing);
+    this->view.advance();
+    if (!isFollowing && isStarting && this->textRevision.value == 0) {
+        this->poll();
+    }
+    if (const auto source = this->relay.fetchSource(moment); source && !isGrantor) {
+        this->fetch(*source);
+    }
+}
+
+auto ConfigurationSource::nextDue() const -> std::optional<Instant>
+{
+    const auto moment = this->now();
+    auto due = this->view.nextDue();
+    const auto consider = [&](const std::optional<Instant> &next) {
+        if (next) {
+            due = std::min(due.value_or(*next), *next);
+        }
+    };
+    consider(this->relay.nextDue(moment));
+    const auto startEnd = this->startedAt + this->settings.startTime;
+    if (moment < startEnd) {
+        consider(startEnd);
+        if (this->textRevision.value == 0 && !this->isPolling) {
+            consider(this->pollDue);
+        }
+    }
+    return due;
+}
+
+auto ConfigurationSource::age(Instant storeContact) const -> Duration
+{
+    return this->view.isCurrent() ? std::max(Duration{0}, Duration{this->now() - storeContact})
+                                  : unknownAge;
+}
+
+auto ConfigurationSource::adopt(const std::string &newText, StoreRevision revision) -> void
+{
+    if (revision <= this->textRevision) {
+        return;
+    }
+    this->text = newText;
+    this->textRevision = revision;
+    this->relay.onAdopted(revision);
+    this->onText(newText, revision);
+}
+
+auto ConfigurationSource::poll() -> void
+{
+    if (this->isPolling || this->now() < this->pollDue) {
+        return;
+    }
+    this->isPolling = true;
+    this->store(StoreGet{this->settings.key, true}, this->settings.fetchTimeout,
+                [this](const StoreAnswer &answer) {
+                    this->isPolling = false;
+                    this->pollDue = this->now() + this->settings.pollInterval;
+                    if (answer.kind == StoreAnswer::Kind::Ok && !answer.items.empty()) {
+                        this->adopt(answer.items.front().value, answer.items.front().revision);
+                    }
+                });
+}
+
+auto ConfigurationSource::fetch(const Address &from) -> void
+{
+    OutboundRequest request;
+    request.address = from;
+    request.timeout = this->settings.fetchTimeout;
+    MessageHead head;
+    head.method = "GET";
+    head.target = configurationPath;
+    head.headers = {HttpHeader{"Host", from.value}};
+    request.text = requestText(head, "", {});
+    this->relay.onFetchStarted(this->now());
+    this->pool.send(std::move(request), [this, from](const OutboundResult &result) {
+        this->onFetched(from, result);
+        this->onWork();
+    });
+}
+
+auto ConfigurationSource::onFetched(const Address &from, const OutboundResult &result) -> void
+{
+    const auto isAnswered = result.end == OutboundResult::End::Answered;
+    const auto revision = isAnswered ? revisionOf(result.answer) : StoreRevision{};
+    if (revision <= this->textRevision) {
+        this->relay.onFetchFailed(from, this->now());
+        this->logger.write(LogLevel::Info, LogLine("configuration_fetch_failed")
+                                               .with("from", from.value)
+                                               .with("status", result.answer.head.status)
+                                               .text());
+        return;
+    }
+    ++this->fetches;
+    this->adopt(result.answer.body, revision);
+}
+
+auto ConfigurationSource::onAsked(ExchangeId exchange, const WholeMessage &request) -> void
+{
+    MessageHead head;
+    if (request.head.method != "GET" || request.head.target != configurationPath) {
+        head.status = statusNotFound;
+        this->listener.reply(exchange, head, "");
+        return;
+    }
+    if (this->textRevision.value == 0) {
+        head.status = statusUnavailable;
+        this->listener.reply(exchange, head, "");
+        return;
+    }
+    head.status = statusOk;
+    head.headers = {HttpHeader{revisionHeader, std::to_string(this->textRevision.value)}};
+    this->listener.reply(exchange, head, this->text);
+}
+
+auto ConfigurationSource::logMode(bool isFollowing, bool isGrantor) -> void
+{
+    if (isFollowing == this->isFollowingStore) {
+        return;
+    }
+    this->isFollowingStore = isFollowing;
+    LogLine line(isFollowing ? "configuration_from_store" : "configuration_from_grantors");
+    line.with("why", isGrantor     ? "grantor"
+                     : isFollowing ? "no confirmation"
+                                   : "confirmed")
+        .with("revision", static_cast<std::int64_t>(this->textRevision.value));
+    this->logger.write(LogLevel::Info, line.text());
+}
+
+} // namespace gooseberrywall
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -315,9 +315,13 @@
 auto GrantorRole::announce() -> void
 {
     this->announceDue = this->now() + this->settings.announceEvery;
+    const auto configuration =
+        this->announcedConfiguration ? this->announcedConfiguration() : AnnouncedConfiguration{};
+    const GrantorAnnouncement announcement{this->spec.name, this->term->value,
+                                           configuration.revision.value, configuration.age,
+                                           static_cast<std::uint32_t>(this->daemons.size())};
     for (const auto &daemon : this->daemons) {
-        this->datagrams.push_back(
-            PermitDatagram{daemon, GrantorAnnouncement{this->spec.name, this->term->value}});
+        this->datagrams.push_back(PermitDatagram{daemon, announcement});
     }
 }
 
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -25,6 +25,7 @@
         auto role =
             std::make_unique<GrantorRole>(spec, this->roleSettings, this->store, this->orders,
                                           this->now, this->logger, this->requestLog);
+        role->setAnnouncedConfiguration(this->announcedConfiguration);
         if (this->hasResigned) {
             role->resign();
         }
@@ -80,6 +81,21 @@
     }
 }
 
+auto GrantorRoles::setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void
+{
+    this->announcedConfiguration = std::move(source);
+    for (auto &[name, role] : this->roles) {
+        role->setAnnouncedConfiguration(this->announcedConfiguration);
+    }
+}
+
+auto GrantorRoles::announceSoon() -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->announceSoon();
+    }
+}
+
 auto GrantorRoles::advance() -> void
 {
     for (auto &[name, role] : this->roles) {
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -13,6 +13,7 @@
 {
     PrefixViewSettings result;
     result.gatherPause = settings.gatherPause;
+    result.mayFirstReadBeStale = true;
     return result;
 }
 
@@ -27,8 +28,7 @@
     , roles(roles)
     , logger(logger)
     , directory(GrantorDirectorySettings{})
-    , isStandBy(this->settings.processorCores >= this->settings.standByMinimumCores
-                || stableHash(this->settings.daemon.value) % this->settings.standByOneIn == 0)
+    , startedAt(now())
     , view(this->settings.grantorPrefix, viewSettings(this->settings), std::move(store),
            std::move(now), [this](const PrefixView::Items &) { this->publish(); })
 {
@@ -46,21 +46,32 @@
 auto GrantorWatch::onAnnouncement(const Address &from, const GrantorAnnouncement &announcement)
     -> void
 {
+    this->daemonCount = announcement.daemonCount;
     this->directory.onAnnouncement(announcement.service, from, announcement.term, this->now());
     this->permits.setGrantor(announcement.service, from, announcement.term);
 }
 
 auto GrantorWatch::advance() -> void
 {
+    const auto isStarting = this->now() - this->startedAt < this->settings.startTime;
+    this->view.setPolling(isStarting && !this->isStandBy() && this->roles.servingCount() == 0);
     this->view.setPaused(!this->isNeeded());
     this->view.advance();
     this->publish();
 }
 
+auto GrantorWatch::isStandBy() const -> bool
+{
+    const auto oneIn =
+        std::max(this->settings.standByOneIn, this->daemonCount / this->settings.standBysWanted);
+    return this->settings.processorCores >= this->settings.standByMinimumCores
+           || stableHash(this->settings.daemon.value) % oneIn == 0;
+}
+
 auto GrantorWatch::isNeeded() const -> bool
 {
     const auto moment = this->now();
-    return this->isStandBy || this->roles.servingCount() > 0 || !this->view.isLoaded()
+    return this->isStandBy() || this->roles.servingCount() > 0 || !this->view.isLoaded()
            || this->services.empty()
            || std::any_of(this->services.begin(), this->services.end(),
                           [&](const auto &each) { return this->directory.isSilent(each, moment); });
--- /dev/null
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -0,0 +1,110 @@
+#include "edge/configurationrelay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Address first{"10.0.0.1:7000"};
+const Address second{"10.0.0.2:7000"};
+const Instant start{std::chrono::seconds{10}};
+
+auto announcement(std::uint64_t revision, Duration age) -> GrantorAnnouncement
+{
+    GrantorAnnouncement result;
+    result.configurationRevision = revision;
+    result.configurationAge = age;
+    return result;
+}
+
+} // namespace
+
+SCENARIO("ConfigurationRelay: given grantors that are up to date, a daemon doesn't need the store",
+         "[edge][relay]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    CHECK(relay.isStoreNeeded(start));
+    relay.onAnnouncement(first, announcement(7, milliseconds{100}), start);
+    CHECK_FALSE(relay.isStoreNeeded(start));
+    WHEN("the daemon hasn't the announced configuration")
+    {
+        THEN("it is fetched from the grantor, once at a time")
+        {
+            CHECK(relay.fetchSource(start) == first);
+            relay.onFetchStarted(start);
+            CHECK_FALSE(relay.fetchSource(start + milliseconds{200}));
+            relay.onAdopted(StoreRevision{7});
+            CHECK_FALSE(relay.fetchSource(start + milliseconds{200}));
+            CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{1000}));
+        }
+    }
+    WHEN("the fetch fails")
+    {
+        relay.onAnnouncement(second, announcement(7, milliseconds{100}), start);
+        relay.onFetchStarted(start);
+        relay.onFetchFailed(first, start + milliseconds{50});
+        THEN("another grantor is asked, and after some time the store")
+        {
+            CHECK(relay.fetchSource(start + milliseconds{200}) == second);
+            CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{200}));
+            CHECK(relay.isStoreNeeded(start + milliseconds{700}));
+        }
+    }
+    WHEN("a grantor announces an older configuration than the daemon has")
+    {
+        relay.onAdopted(StoreRevision{9});
+        relay.onAnnouncement(second, announcement(8, milliseconds{0}), start);
+        THEN("nothing is fetched")
+        {
+            CHECK_FALSE(relay.fetchSource(start + milliseconds{500}));
+        }
+    }
+    WHEN("the next version is known while one is fetched")
+    {
+        relay.onFetchStarted(start);
+        relay.onAnnouncement(second, announcement(8, milliseconds{0}), start);
+        relay.onAdopted(StoreRevision{7});
+        THEN("it is fetched from the grantor that has it")
+        {
+            CHECK(relay.fetchSource(start + milliseconds{100}) == second);
+        }
+    }
+}
+
+SCENARIO("ConfigurationRelay: given grantors that are cut off, the store is followed in time",
+         "[edge][relay]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    relay.onAdopted(StoreRevision{7});
+    WHEN("a grantor goes on announcing, without contact to the store")
+    {
+        relay.onAnnouncement(first, announcement(7, milliseconds{0}), start);
+        relay.onAnnouncement(first, announcement(7, milliseconds{1000}),
+                             start + milliseconds{1000});
+        THEN("the store is needed 1.5 s after its last contact")
+        {
+            CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{1400}));
+            CHECK(relay.isStoreNeeded(start + milliseconds{1500}));
+            CHECK(relay.nextDue(start + milliseconds{1000}) == start + milliseconds{1500});
+        }
+    }
+    WHEN("one of two grantors has lost its contact")
+    {
+        relay.onAnnouncement(first, announcement(7, milliseconds{3000}), start);
+        relay.onAnnouncement(second, announcement(7, milliseconds{10}), start);
+        THEN("the other one is enough")
+        {
+            CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{1000}));
+        }
+    }
+    WHEN("a grantor has no configuration yet")
+    {
+        relay.onAnnouncement(first, announcement(0, milliseconds{0}), start);
+        THEN("it confirms nothing")
+        {
+            CHECK(relay.isStoreNeeded(start));
+        }
+    }
+}
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -99,6 +99,9 @@
     auto out = builder.initAnnouncement();
     out.setService(announcement.service.value);
     out.setTerm(announcement.term);
+    out.setConfiguration(announcement.configurationRevision);
+    out.setConfigurationAge(announcement.configurationAge.count());
+    out.setDaemons(announcement.daemonCount);
 }
 
 auto readRequest(permitwire::Request::Reader in, const Address &sender) -> PermitMessage
@@ -180,7 +183,9 @@
     case permitwire::Message::ANNOUNCEMENT: {
         const auto announcement = in.getAnnouncement();
         return GrantorAnnouncement{ServiceName{textOf(announcement.getService())},
-                                   announcement.getTerm()};
+                                   announcement.getTerm(), announcement.getConfiguration(),
+                                   Duration{announcement.getConfigurationAge()},
+                                   announcement.getDaemons()};
     }
     }
     return std::nullopt;
--- a/src/permitlink/permitmessages.h
+++ b/src/permitlink/permitmessages.h
@@ -20,6 +20,12 @@
     ServiceName service;
     /// Term of the sender; each later grantor has a higher one.
     std::uint64_t term = 0;
+    /// Store revision of the operators' configuration that the sender has; zero: it has none.
+    std::uint64_t configurationRevision = 0;
+    /// Time since the sender last knew that this is the newest configuration.
+    Duration configurationAge{0};
+    /// How many daemons the sender announces itself to.
+    std::uint32_t daemonCount = 0;
     auto operator==(const GrantorAnnouncement &) const -> bool = default;
 };
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -50,7 +50,13 @@
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
 
-struct Announcement { service @0 :Text; term @1 :UInt64; }
+struct Announcement {
+  service @0 :Text;
+  term @1 :UInt64;
+  configuration @2 :UInt64;
+  configurationAge @3 :Int64;
+  daemons @4 :UInt32;
+}
 
 struct Message {
   union {
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -113,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e25c50d95b757b6e, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e25c50d95b757b6e, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -766,6 +766,12 @@
 
   inline  ::uint64_t getTerm() const;
 
+  inline  ::uint64_t getConfiguration() const;
+
+  inline  ::int64_t getConfigurationAge() const;
+
+  inline  ::uint32_t getDaemons() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -804,6 +810,15 @@
   inline  ::uint64_t getTerm();
   inline void setTerm( ::uint64_t value);
 
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
+  inline  ::int64_t getConfigurationAge();
+  inline void setConfigurationAge( ::int64_t value);
+
+  inline  ::uint32_t getDaemons();
+  inline void setDaemons( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1787,6 +1802,48 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Announcement::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Announcement::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Announcement::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setConfigurationAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Announcement::Reader::getDaemons() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Announcement::Builder::getDaemons() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setDaemons( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::gooseberrywall::permitwire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -57,7 +57,8 @@
 
     const PermitCancel cancel{PermitId{sender, 5, 6}, ServiceName{"fitment"}};
     CHECK(roundTrip(cancel, sender, self) == PermitMessage{cancel});
-    const GrantorAnnouncement announcement{ServiceName{"fitment"}, 42};
+    const GrantorAnnouncement announcement{ServiceName{"fitment"}, 42, 4711,
+                                           std::chrono::milliseconds{120}, 295};
     CHECK(roundTrip(announcement, sender, self) == PermitMessage{announcement});
 }
 
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -29,9 +29,20 @@
     }
     this->newCopy.clear();
     this->newCopyRevision = StoreRevision{};
+    this->hasWatched = false;
     this->readPage("");
 }
 
+auto PrefixView::setPolling(bool polling) -> void
+{
+    if (this->isPolling == polling) {
+        return;
+    }
+    this->isPolling = polling;
+    this->isWatching = this->isCopyLoaded && !polling && this->failures == 0;
+    this->due = std::min(this->due, this->now());
+}
+
 auto PrefixView::nextDue() const -> std::optional<Instant>
 {
     return this->isCalling || this->isPaused ? std::nullopt : std::optional(this->due);
@@ -39,7 +50,10 @@
 
 auto PrefixView::readPage(const std::string &after) -> void
 {
-    this->call(StoreRange{this->prefix, after}, this->settings.readTimeout, &PrefixView::onPage);
+    const auto mayBeStale =
+        this->isPolling || (this->settings.mayFirstReadBeStale && !this->isCopyLoaded);
+    this->call(StoreRange{this->prefix, after, mayBeStale}, this->settings.readTimeout,
+               &PrefixView::onPage);
 }
 
 auto PrefixView::onPage(const StoreAnswer &answer) -> void
@@ -61,13 +75,22 @@
         this->readPage(answer.items.back().key);
         return;
     }
-    const auto isChanged = !this->isCopyLoaded || this->copy != this->newCopy;
-    this->copy = std::move(this->newCopy);
+    this->isWatching = !this->isPolling;
+    this->due = this->now() + (this->isPolling ? this->settings.pollInterval : Duration{0});
+    this->adoptPages();
+}
+
+auto PrefixView::adoptPages() -> void
+{
+    // A stale read may be older than the copy.
+    const auto isOlder = this->isCopyLoaded && this->newCopyRevision < this->copyRevision;
+    const auto isChanged = !isOlder && (!this->isCopyLoaded || this->copy != this->newCopy);
+    if (!isOlder) {
+        this->copy = std::move(this->newCopy);
+        this->copyRevision = this->newCopyRevision;
+        this->isCopyLoaded = true;
+    }
     this->newCopy.clear();
-    this->copyRevision = this->newCopyRevision;
-    this->isCopyLoaded = true;
-    this->isWatching = true;
-    this->due = this->now();
     if (isChanged) {
         this->onChange(this->copy);
     }
@@ -76,6 +99,7 @@
 auto PrefixView::watch() -> void
 {
     const auto wait = this->settings.watchWait;
+    this->hasWatched = true;
     this->call(StoreWatch{this->prefix, this->copyRevision, wait},
                wait + this->settings.watchAnswerGrace, &PrefixView::onEvents);
 }
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -23,6 +23,10 @@
     Duration gatherPause = std::chrono::milliseconds{60};
     /// A watch times out this long after its answer was due.
     Duration watchAnswerGrace = std::chrono::seconds{2};
+    /// Time between two reads while polling.
+    Duration pollInterval = std::chrono::milliseconds{500};
+    /// The first read may be seconds old; the watch that follows brings what it has missed.
+    bool mayFirstReadBeStale = false;
     auto operator==(const PrefixViewSettings &) const -> bool = default;
 };
 
@@ -50,6 +54,9 @@
     /// While paused, no call is started, so the copy gets out of date. The answer to a call that is
     /// already open is still applied.
     auto setPaused(bool paused) -> void { this->isPaused = paused; }
+    /// While polling, the keys are read from time to time instead of watched, and the copy may be
+    /// seconds old; this costs the store far less.
+    auto setPolling(bool polling) -> void;
     /// @returns when to call advance() next; nothing while paused or while a call is open
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     [[nodiscard]] auto items() const -> const Items & { return this->copy; }
@@ -57,9 +64,16 @@
     [[nodiscard]] auto isLoaded() const -> bool { return this->isCopyLoaded; }
     /// @returns whether the last call failed
     [[nodiscard]] auto isFailing() const -> bool { return this->failures > 0; }
+    /// @returns whether the copy follows the store by a watch that hasn't failed
+    [[nodiscard]] auto isCurrent() const -> bool
+    {
+        return this->isWatching && !this->isPaused && this->failures == 0 && this->hasWatched;
+    }
 
 private:
     auto readPage(const std::string &after) -> void;
+    /// Takes over the pages that were read, unless the copy is newer.
+    auto adoptPages() -> void;
     auto onPage(const StoreAnswer &answer) -> void;
     auto watch() -> void;
     auto onEvents(const StoreAnswer &answer) -> void;
@@ -85,6 +99,9 @@
     bool isWatching = false;
     bool isCalling = false;
     bool isPaused = false;
+    bool isPolling = false;
+    /// A watch has been sent since the last read.
+    bool hasWatched = false;
     /// Failed calls in a row.
     int failures = 0;
     /// When the next call is to be started.
--- a/src/storelink/types/storecalls.h
+++ b/src/storelink/types/storecalls.h
@@ -47,6 +47,8 @@
     std::string prefix;
     /// The last key of the previous page; empty for the first page.
     std::string after;
+    /// As in StoreGet.
+    bool mayBeStale = false;
     auto operator==(const StoreRange &) const -> bool = default;
 };
 
