Move keys only where more than chance says that an owner is busy

Cause: the load of a range was the sum over its keys of the higher of a short and a long average. Change: the long average counts; for blocks of 64 keys the short one does where it exceeds the long one by four standard deviations and five requests. Of the ranges that carry enough load, the one with the fewest keys moves. An upstream that has joined gets half of the mean load while no upstream is busy. Ruled out: a longer short half-life (hot keys are spread later); a higher limit of busy (the same chance moves at a higher load). Tests: RangePlanner at a steady load, with joining upstreams, with hot keys.

--- a/src/keyranges/internal/rangeplanner.cpp
+++ b/src/keyranges/internal/rangeplanner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
+#include <optional>
 
 namespace gooseberrywall {
 
@@ -26,6 +28,17 @@
 constexpr double maxTargetToSourceRatio = 0.85;
 /// Upstreams without keys get some even if no upstream is busy, until a round has this many moves.
 constexpr std::size_t maxMovesToNewUpstreams = 4;
+/// An upstream without keys gets this share of the mean utilisation, as long as no upstream is
+/// busy: it serves, and few keys change hands.
+constexpr double newUpstreamShare = 0.5;
+/// Keys that are judged together when a rise of their requests may be due to chance.
+constexpr std::size_t blockSize = 64;
+/// A block's requests have risen if the short-term rate exceeds the long-term rate by this many
+/// standard deviations of the short-term rate, and by this many requests in its averaging time.
+constexpr double riseDeviations = 4;
+constexpr double riseRequests = 5;
+/// A move carries enough if it carries at least this share of the load that is to move.
+constexpr double enoughLoadShare = 0.7;
 
 } // namespace
 
@@ -81,13 +94,29 @@
 auto RangePlanner::updateLoadPrefixSums() -> void
 {
     constexpr auto base = baseRequestRate / static_cast<double>(keyCount);
-    for (std::size_t key = 0; key < keyCount; ++key) {
-        this->loadPrefixSums[key + 1] =
-            this->loadPrefixSums[key] + base
-            + std::max(this->shortTermRates[key], this->longTermRates[key]);
+    for (std::size_t first = 0; first < keyCount; first += blockSize) {
+        const auto &rates = this->hasRisen(first) ? this->shortTermRates : this->longTermRates;
+        for (auto key = first; key < first + blockSize; ++key) {
+            this->loadPrefixSums[key + 1] = this->loadPrefixSums[key] + base + rates[key];
+        }
     }
 }
 
+auto RangePlanner::hasRisen(std::size_t first) const -> bool
+{
+    const auto sumOf = [&](const std::vector<double> &rates) {
+        const auto begin = rates.begin() + static_cast<std::ptrdiff_t>(first);
+        return std::accumulate(begin, begin + blockSize, 0.0);
+    };
+    const auto longTerm = sumOf(this->longTermRates);
+    const auto rise = sumOf(this->shortTermRates) - longTerm;
+    const auto averagingSeconds =
+        std::chrono::duration<double>(this->settings.shortHalfLife).count() / std::log(2.0);
+    // Variance of an exponential average of a Poisson process.
+    const auto deviation = std::sqrt(longTerm / (2 * averagingSeconds));
+    return rise > std::max(riseDeviations * deviation, riseRequests / averagingSeconds);
+}
+
 auto RangePlanner::loadOf(const KeyRange &range) const -> double
 {
     return this->loadPrefixSums[std::size_t{range.last} + 1] - this->loadPrefixSums[range.first];
@@ -190,7 +219,8 @@
                                    desiredUtilisationShare * this->settings.minBusyUtilisation);
         const auto surplusLoad =
             source->isUsable ? source->load - source->capacity * desiredUtilisation : source->load;
-        const auto spareLoad = target->capacity * desiredUtilisation - target->load;
+        const auto targetShare = isTargetNew && !isBusy ? newUpstreamShare : 1.0;
+        const auto spareLoad = target->capacity * desiredUtilisation * targetShare - target->load;
         const auto isMoved = this->moveLoad(plannedViews, *source, *target,
                                             std::min(surplusLoad, spareLoad), now, moves);
         // A single key that is too hot for its owner moves to the upstream of the highest capacity.
@@ -253,46 +283,64 @@
     if (source.isUsable && load < minLoad * this->settings.minBusyUtilisation) {
         return false;
     }
-    std::vector<std::size_t> indexes;
+    struct Choice
+    {
+        std::size_t index = 0;
+        KeyRange range;
+        double load = 0;
+    };
+    // The fewest keys that carry enough, or else the most load.
+    const auto isBetter = [&](const Choice &left, const Choice &right) {
+        const auto isLeftEnough = left.load >= enoughLoadShare * load;
+        const auto isRightEnough = right.load >= enoughLoadShare * load;
+        if (isLeftEnough && isRightEnough) {
+            return left.range.size() < right.range.size();
+        }
+        return isLeftEnough != isRightEnough ? isLeftEnough : left.load > right.load;
+    };
+    std::optional<Choice> best;
     for (std::size_t index = 0; index < plannedViews.size(); ++index) {
         const auto &view = plannedViews[index];
-        if (view.isMovable && view.owner == source.id
-            && now - view.ownedSince >= this->settings.minOwnershipTime) {
-            indexes.push_back(index);
+        if (!view.isMovable || view.owner != source.id
+            || now - view.ownedSince < this->settings.minOwnershipTime) {
+            continue;
         }
-    }
-    std::sort(indexes.begin(), indexes.end(), [&](std::size_t left, std::size_t right) {
-        return this->loadOf(plannedViews[left].range) > this->loadOf(plannedViews[right].range);
-    });
-    for (const auto index : indexes) {
-        const auto range = this->edgeRange(plannedViews[index].range, load);
-        const auto movedLoad = this->loadOf(range);
+        const auto range = this->edgeRange(view.range, load);
+        const Choice choice{index, range, this->loadOf(range)};
         // A single key may have more than the load to move; the target must not get as busy.
-        const auto lowersPeak = (target.load + movedLoad) / target.capacity
+        const auto lowersPeak = (target.load + choice.load) / target.capacity
                                 < maxTargetToSourceRatio * source.utilisation();
-        if (source.isUsable && !lowersPeak) {
-            continue;
-        }
-        moves.push_back(RangeMove{range, target.id});
-        source.load -= movedLoad;
-        target.load += movedLoad;
-        ++target.rangeCount;
-        const auto original = plannedViews[index];
-        plannedViews[index].isMovable = false;
-        plannedViews[index].range = range;
-        if (range.first > original.range.first) {
-            auto lower = original;
-            lower.range.last = static_cast<KeyPosition>(range.first - 1);
-            plannedViews.push_back(lower);
-        }
-        if (range.last < original.range.last) {
-            auto upper = original;
-            upper.range.first = static_cast<KeyPosition>(range.last + 1);
-            plannedViews.push_back(upper);
+        if ((!source.isUsable || lowersPeak) && (!best || isBetter(choice, *best))) {
+            best = choice;
         }
-        return true;
     }
-    return false;
+    if (!best) {
+        return false;
+    }
+    moves.push_back(RangeMove{best->range, target.id});
+    source.load -= best->load;
+    target.load += best->load;
+    ++target.rangeCount;
+    splitView(plannedViews, best->index, best->range);
+    return true;
+}
+
+auto RangePlanner::splitView(std::vector<RangeView> &plannedViews, std::size_t index,
+                             const KeyRange &range) -> void
+{
+    const auto original = plannedViews[index];
+    plannedViews[index].isMovable = false;
+    plannedViews[index].range = range;
+    if (range.first > original.range.first) {
+        auto lower = original;
+        lower.range.last = static_cast<KeyPosition>(range.first - 1);
+        plannedViews.push_back(lower);
+    }
+    if (range.last < original.range.last) {
+        auto upper = original;
+        upper.range.first = static_cast<KeyPosition>(range.last + 1);
+        plannedViews.push_back(upper);
+    }
 }
 
 auto RangePlanner::splitByLoad(const KeyRange &range, int parts) const -> std::vector<KeyRange>
--- a/src/keyranges/rangeplanner.h
+++ b/src/keyranges/rangeplanner.h
@@ -67,6 +67,12 @@
                             const std::map<KeyPosition, std::uint32_t> &counts, Duration halfLife,
                             Duration elapsed) -> void;
     auto updateLoadPrefixSums() -> void;
+    /// @param first the first key of a block
+    /// @returns whether the block's requests have risen by more than chance explains
+    [[nodiscard]] auto hasRisen(std::size_t first) const -> bool;
+    /// Splits `range` off from the view, and makes it immovable.
+    static auto splitView(std::vector<RangeView> &plannedViews, std::size_t index,
+                          const KeyRange &range) -> void;
     /// @returns the requests per second for a range
     [[nodiscard]] auto loadOf(const KeyRange &range) const -> double;
     [[nodiscard]] auto candidatesOf(const std::vector<RangeView> &views,
@@ -100,8 +106,8 @@
     /// Requests per second for each key, averaged with the short and the long half-life.
     std::vector<double> shortTermRates;
     std::vector<double> longTermRates;
-    /// Prefix sums over the keys of the higher of the two rates plus a small base rate; the load of
-    /// a range is the difference of two of them.
+    /// Prefix sums over the keys of their rates plus a small base rate; the load of a range is the
+    /// difference of two of them. The short-term rates count where requests have risen.
     std::vector<double> loadPrefixSums;
     Instant observedAt{};
 };
--- /dev/null
+++ b/src/keyranges/tests/rangeplanner_tests.cpp
@@ -0,0 +1,187 @@
+#include "keyranges/rangeplanner.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t keyCount = 65536;
+
+/// A planner whose moves are carried out at once, and random requests.
+class PlannedKeys
+{
+public:
+    PlannedKeys(int upstreamCount, int slots, Duration latency)
+        : slots(slots)
+        , latency(latency)
+    {
+        this->addUpstreams(upstreamCount);
+        this->views = {RangeView{KeyRange{0, keyCount - 1}, std::nullopt, true, this->now}};
+        this->planRound();
+        this->movedKeys = 0;
+    }
+
+    auto addUpstreams(int count) -> void
+    {
+        for (auto index = 0; index < count; ++index) {
+            this->statuses.push_back(
+                UpstreamStatus{UpstreamId{"u" + std::to_string(this->statuses.size())}, this->slots,
+                               this->latency, 0, true});
+        }
+    }
+
+    /// Two thirds of the requests are for an eighth of the keys.
+    auto setRate(double requestsPerSecond) -> void { this->rate = requestsPerSecond; }
+    auto setHotKeys(KeyRange keys, double requestsPerSecond) -> void
+    {
+        this->hotKeys = keys;
+        this->hotRate = requestsPerSecond;
+    }
+
+    auto run(Duration time) -> void
+    {
+        for (const auto end = this->now + time; this->now < end;) {
+            this->now += interval;
+            this->planRound();
+        }
+    }
+
+    /// @returns how often all keys have changed their owner
+    [[nodiscard]] auto movedShare() const -> double
+    {
+        return static_cast<double>(this->movedKeys) / keyCount;
+    }
+    [[nodiscard]] auto ownersOf(KeyRange keys) const -> std::set<UpstreamId>
+    {
+        std::set<UpstreamId> result;
+        for (const auto &view : this->views) {
+            if (view.range.first <= keys.last && view.range.last >= keys.first) {
+                result.insert(*view.owner);
+            }
+        }
+        return result;
+    }
+
+private:
+    static constexpr Duration interval = milliseconds{300};
+
+    auto planRound() -> void
+    {
+        this->planner.observe(this->counts(), this->now);
+        for (const auto &move : this->planner.plan(this->views, this->statuses, this->now)) {
+            this->apply(move);
+        }
+    }
+
+    auto counts() -> std::map<KeyPosition, std::uint32_t>
+    {
+        std::map<KeyPosition, std::uint32_t> result;
+        const auto seconds = std::chrono::duration<double>(interval).count();
+        const auto add = [&](double perSecond, std::uint32_t first, std::uint32_t size) {
+            std::poisson_distribution<int> count(std::max(1e-9, perSecond * seconds));
+            for (auto left = count(this->random); left > 0; --left) {
+                ++result[static_cast<KeyPosition>(first + this->random() % size)];
+            }
+        };
+        add(this->rate / 3, 0, keyCount);
+        add(this->rate * 2 / 3, keyCount / 4, keyCount / 8);
+        add(this->hotRate, this->hotKeys.first, this->hotKeys.size());
+        return result;
+    }
+
+    auto apply(const RangeMove &move) -> void
+    {
+        std::vector<RangeView> next;
+        for (const auto &view : this->views) {
+            const auto first = std::max(view.range.first, move.range.first);
+            const auto last = std::min(view.range.last, move.range.last);
+            if (first > last) {
+                next.push_back(view);
+                continue;
+            }
+            if (view.range.first < first) {
+                next.push_back(view);
+                next.back().range.last = static_cast<KeyPosition>(first - 1);
+            }
+            next.push_back(RangeView{KeyRange{first, last}, move.target, true, this->now});
+            this->movedKeys += view.owner == move.target ? 0 : KeyRange{first, last}.size();
+            if (view.range.last > last) {
+                next.push_back(view);
+                next.back().range.first = static_cast<KeyPosition>(last + 1);
+            }
+        }
+        this->views = std::move(next);
+    }
+
+    int slots;
+    Duration latency;
+    RangePlanner planner{RangePlannerSettings{}};
+    std::mt19937_64 random{7};
+    Instant now{seconds{100}};
+    std::vector<UpstreamStatus> statuses;
+    std::vector<RangeView> views;
+    double rate = 0;
+    KeyRange hotKeys;
+    double hotRate = 0;
+    std::uint64_t movedKeys = 0;
+};
+
+} // namespace
+
+SCENARIO("RangePlanner: given a steady load of a quarter of the capacity, it hardly moves keys",
+         "[keyranges][load]")
+{
+    // 28 upstreams of 10 requests a second each.
+    PlannedKeys keys(28, 3, milliseconds{300});
+    keys.setRate(80);
+    // The owners of the busy keys settle first.
+    keys.run(seconds{15});
+    const auto before = keys.movedShare();
+    keys.run(seconds{30});
+    THEN("chance makes at most a twentieth of the keys change hands in half a minute")
+    {
+        CHECK(keys.movedShare() - before < 0.05);
+    }
+}
+
+SCENARIO(
+    "RangePlanner: given upstreams that join, they get keys, and no more than their share moves",
+    "[keyranges][load]")
+{
+    PlannedKeys keys(28, 3, milliseconds{300});
+    keys.setRate(80);
+    keys.run(seconds{15});
+    const auto before = keys.movedShare();
+    keys.addUpstreams(8);
+    keys.run(seconds{4});
+    THEN("each has keys after four seconds")
+    {
+        CHECK(keys.ownersOf(KeyRange{0, keyCount - 1}).size() == 36);
+        CHECK(keys.movedShare() - before < 8.0 / 36);
+    }
+}
+
+SCENARIO("RangePlanner: given hot neighbouring keys with a third of all requests in a large fleet, "
+         "they are spread within 1.5 seconds",
+         "[keyranges][load][hotkeys]")
+{
+    // 200 upstreams of 18 requests a second each.
+    PlannedKeys keys(200, 6, milliseconds{333});
+    keys.setRate(1200);
+    keys.run(seconds{10});
+    const auto before = keys.movedShare();
+    const KeyRange hot{40'000, 40'199};
+    keys.setHotKeys(hot, 680);
+    keys.run(milliseconds{1500});
+    THEN("their owners can serve them, and few other keys move")
+    {
+        CHECK(keys.ownersOf(hot).size() >= 680 / 18);
+        CHECK(keys.movedShare() - before < 0.1);
+    }
+}
