Register daemons with grantors by datagram, and gather store changes

Change: a daemon says hello to grantors that it doesn't hear, and each grantor stores the list of daemons as one key, gathered for 1.5 s; the next grantor reads it and announces itself at once. One in nine weak daemons is a stand-by. Ruled out: registrations under one lease (still a call per daemon).

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -105,7 +105,6 @@
                                .with("life", static_cast<std::int64_t>(this->incarnation))
                                .with("domain", this->settings.domain.value)
                                .text());
-        this->registerDaemon();
         this->processPending();
     }
 
@@ -138,8 +137,6 @@
 private:
     /// How often callers' connections are swept; also the longest time between two timer events.
     static constexpr Duration housekeepingEvery = std::chrono::milliseconds{500};
-    /// A failed registration of this daemon's address is retried after this time.
-    static constexpr Duration registerPause = std::chrono::seconds{1};
     /// Upstreams are watched for this long after the last request without a grantor.
     static constexpr Duration directWatchTime = std::chrono::seconds{3};
     /// Key owners are read from the store at most this often.
@@ -182,20 +179,6 @@
                                       this->configurationSource.age(this->store.lastContactAt())};
     }
 
-    auto registerDaemon() -> void
-    {
-        StoreTransaction transaction;
-        transaction.writes = {
-            StoreWrite{this->roles.settings().daemonPrefix + this->settings.id.value,
-                       this->settings.peerListen.value, StoreLease{}}};
-        this->store.send(transaction, std::chrono::seconds{1}, [this](const StoreAnswer &answer) {
-            const auto isDone = answer.kind == StoreAnswer::Kind::Ok;
-            this->registerDue = isDone ? std::nullopt : std::optional(this->now() + registerPause);
-            this->processPending();
-        });
-        this->registerDue.reset();
-    }
-
     auto onConfiguration(const std::string &text, StoreRevision revision) -> void
     {
         this->roles.announceSoon();
@@ -303,6 +286,9 @@
             for (const auto &datagram : this->roles.takeDatagrams()) {
                 this->sendDatagram(datagram);
             }
+            for (const auto &datagram : this->grantorWatch.takeDatagrams()) {
+                this->sendDatagram(datagram);
+            }
             for (const auto &message : std::exchange(this->localMessages, {})) {
                 this->deliver(this->settings.peerListen, message);
                 this->hasPending = true;
@@ -322,9 +308,6 @@
         this->watchUpstreams(moment);
         this->permits.advance(moment);
         this->flow.advance(moment);
-        if (this->registerDue && *this->registerDue <= moment) {
-            this->registerDaemon();
-        }
         if (moment >= this->housekeepingDue) {
             this->housekeepingDue = moment + housekeepingEvery;
             this->entry.listener().sweep();
@@ -374,7 +357,6 @@
         consider(this->upstreamWatch.nextDue());
         consider(this->permits.nextDue());
         consider(this->flow.nextDue());
-        consider(this->registerDue);
         consider(this->roles.nextDue());
         if (this->stoppingSince) {
             consider(this->shutdownDue);
@@ -458,7 +440,6 @@
     Instant ownersReadDue{};
     std::uint64_t seenDirectSends = 0;
     std::uint64_t badDatagrams = 0;
-    std::optional<Instant> registerDue;
     std::optional<Instant> stoppingSince;
     Instant shutdownDue{};
     bool isProcessing = false;
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/healthchanges.h"
 #include "dispatch/slotbroker.h"
+#include "edge/knowndaemons.h"
 #include "election/grantorelection.h"
 #include "keyranges/rangegrantor.h"
 #include "keyranges/rangeplanner.h"
@@ -14,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -27,10 +27,11 @@
     Address peerAddress;
     /// Differs after each restart of this daemon.
     std::uint64_t incarnation = 0;
-    /// Store key prefixes of the grantors, the range records and the daemons' addresses.
+    /// Store key prefixes of the grantors, the range records and the daemons' addresses; the name
+    /// of the service follows.
     std::string grantorPrefix = "gw/grantor/";
     std::string recordPrefix = "gw/ranges/";
-    std::string daemonPrefix = "gw/daemon/";
+    std::string daemonPrefix = "gw/daemons/";
     ElectionSettings election;
     SlotBrokerSettings broker;
     RetryWindowSettings retries;
@@ -126,13 +127,19 @@
     auto onRecordRead(const StoreAnswer &answer) -> void;
     auto adoptRecord(const StoreAnswer &answer) -> void;
     auto onRecordWritten(const StoreAnswer &answer, std::uint64_t version) -> void;
-    auto readDaemons(const std::string &after) -> void;
+    auto readDaemons() -> void;
+    auto writeDaemons(Instant moment) -> void;
+    /// @returns the store key of the daemons to which this service's grantor announces itself
+    [[nodiscard]] auto daemonsKey() const -> std::string;
     auto announce() -> void;
+    [[nodiscard]] auto announcement() const -> GrantorAnnouncement;
     auto plan(Instant moment) -> void;
     auto advanceRanges(Instant moment) -> void;
     auto issueOrders() -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
+    /// @returns whether this daemon leads, and its lease surely lasts
+    [[nodiscard]] auto hasAuthority(Instant moment) const -> bool;
     auto flushVerdicts() -> void;
     auto logVerdict(const IssuedVerdict &issued) -> void;
     auto log(LogLevel level, LogLine &line) -> void;
@@ -181,7 +188,7 @@
     Instant planDue{};
     Instant planUnownedDue{};
     bool isProlonging = false;
-    std::set<Address> daemons;
+    KnownDaemons daemons{KnownDaemonsSettings{}};
     bool areDaemonsKnown = false;
     bool isReadingDaemons = false;
     /// The owners last passed to the broker.
--- a/src/edge/grantorwatch.h
+++ b/src/edge/grantorwatch.h
@@ -24,7 +24,7 @@
     double standByMinimumCores = 0.25;
     /// One in this many of the other daemons is a stand-by too, in a fleet of up to
     /// `standBysWanted` times as many daemons.
-    std::uint64_t standByOneIn = 6;
+    std::uint64_t standByOneIn = 9;
     /// Stand-bys among the other daemons of a larger fleet.
     std::uint64_t standBysWanted = 6;
     /// After its start a daemon has this long to hear of grantors before it watches the store;
@@ -33,6 +33,8 @@
     /// Changes in the store are batched for this long: new grantors announce themselves, so reading
     /// them from the store isn't urgent.
     Duration gatherPause = std::chrono::milliseconds{600};
+    /// How often a known grantor that isn't heard is asked to announce itself.
+    Duration helloInterval = std::chrono::milliseconds{500};
     auto operator==(const GrantorWatchSettings &) const -> bool = default;
 };
 
@@ -50,6 +52,8 @@
     auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
     auto advance() -> void;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant> { return this->view.nextDue(); }
+    /// @returns the datagrams to send since the last call
+    [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
 
 private:
     struct LoggedGrantor
@@ -61,6 +65,8 @@
     /// @returns whether this daemon watches the store even while all grantors are heard
     [[nodiscard]] auto isStandBy() const -> bool;
     auto publish() -> void;
+    /// Asks known grantors that aren't heard to announce themselves.
+    auto greetGrantors(Instant moment) -> void;
     /// Logs once that a grantor is new, silent, or heard again.
     auto logGrantors(Instant moment) -> void;
     /// @returns whether this daemon has to watch the store
@@ -80,6 +86,8 @@
     /// Size of the fleet as grantors announce it; zero until one is heard.
     std::uint64_t daemonCount = 0;
     Instant startedAt;
+    Instant helloDue{};
+    std::vector<PermitDatagram> datagrams;
     PrefixView view;
 };
 
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -139,12 +139,18 @@
                 PermitDatagram{from, PermitAnswer{request->id, this->notGrantorVerdict()}});
             return;
         }
-        this->daemons.insert(from);
+        this->daemons.onHeard(from, moment);
         this->broker->ask(*request, moment);
     } else if (const auto *report = std::get_if<PermitReport>(&message)) {
         this->broker->report(*report, moment);
     } else if (const auto *cancel = std::get_if<PermitCancel>(&message)) {
         this->broker->cancel(cancel->id, moment);
+    } else if (std::holds_alternative<DaemonHello>(message)) {
+        // Also before this daemon is elected: it then announces itself at once.
+        this->daemons.onHeard(from, moment);
+        if (this->serving && this->hasAuthority(moment)) {
+            this->datagrams.push_back(PermitDatagram{from, this->announcement()});
+        }
     }
     this->flushVerdicts();
 }
@@ -170,12 +176,19 @@
     this->logHealth(moment);
     // Without authority, this daemon falls silent, so that the others look for a grantor: one of
     // them may have to take over.
-    const auto hasAuthority = this->isLeading() && moment < this->election.authorityEnd();
-    if (moment >= this->announceDue && hasAuthority) {
-        this->announce();
+    if (this->hasAuthority(moment)) {
+        this->writeDaemons(moment);
+        if (moment >= this->announceDue) {
+            this->announce();
+        }
     }
 }
 
+auto GrantorRole::hasAuthority(Instant moment) const -> bool
+{
+    return this->isLeading() && moment < this->election.authorityEnd();
+}
+
 auto GrantorRole::onElected(StoreRevision term) -> void
 {
     const auto moment = this->now();
@@ -192,7 +205,7 @@
     line.with("service", this->spec.name.value).with("term", static_cast<std::int64_t>(term.value));
     this->log(LogLevel::Info, line);
     if (!this->areDaemonsKnown && !this->isReadingDaemons) {
-        this->readDaemons("");
+        this->readDaemons();
     }
     this->announce();
     if (this->spec.isSharded) {
@@ -292,36 +305,60 @@
     this->requestLog.write(line);
 }
 
-auto GrantorRole::readDaemons(const std::string &after) -> void
+auto GrantorRole::readDaemons() -> void
 {
     this->isReadingDaemons = true;
-    this->call(StoreRange{this->settings.daemonPrefix, after}, [this](const StoreAnswer &answer) {
+    this->call(StoreGet{this->daemonsKey(), false}, [this](const StoreAnswer &answer) {
         this->isReadingDaemons = false;
-        if (answer.kind != StoreAnswer::Kind::Ok) {
+        const auto isRead =
+            answer.kind == StoreAnswer::Kind::Ok || answer.kind == StoreAnswer::Kind::NotFound;
+        if (!isRead) {
             return;
         }
-        for (const auto &item : answer.items) {
-            this->daemons.insert(Address{item.value});
-        }
-        if (answer.hasMore && !answer.items.empty()) {
-            this->readDaemons(answer.items.back().key);
-            return;
+        if (!answer.items.empty()) {
+            this->daemons.adopt(answer.items.front().value, this->now());
         }
         this->areDaemonsKnown = true;
         this->announce();
     });
 }
 
-auto GrantorRole::announce() -> void
+auto GrantorRole::writeDaemons(Instant moment) -> void
+{
+    this->daemons.advance(moment);
+    const auto text = this->daemons.takeText(moment);
+    if (!text) {
+        return;
+    }
+    StoreTransaction transaction;
+    transaction.writes = {StoreWrite{this->daemonsKey(), *text, StoreLease{}}};
+    this->call(transaction, [this](const StoreAnswer &answer) {
+        if (answer.kind != StoreAnswer::Kind::Ok) {
+            this->daemons.retryText(this->now());
+        }
+    });
+}
+
+auto GrantorRole::daemonsKey() const -> std::string
+{
+    return this->settings.daemonPrefix + this->spec.name.value;
+}
+
+auto GrantorRole::announcement() const -> GrantorAnnouncement
 {
-    this->announceDue = this->now() + this->settings.announceEvery;
     const auto configuration =
         this->announcedConfiguration ? this->announcedConfiguration() : AnnouncedConfiguration{};
-    const GrantorAnnouncement announcement{this->spec.name, this->term->value,
-                                           configuration.revision.value, configuration.age,
-                                           static_cast<std::uint32_t>(this->daemons.size())};
-    for (const auto &daemon : this->daemons) {
-        this->datagrams.push_back(PermitDatagram{daemon, announcement});
+    return GrantorAnnouncement{this->spec.name, this->term->value, configuration.revision.value,
+                               configuration.age,
+                               static_cast<std::uint32_t>(this->daemons.count())};
+}
+
+auto GrantorRole::announce() -> void
+{
+    this->announceDue = this->now() + this->settings.announceEvery;
+    const auto message = this->announcement();
+    for (const auto &daemon : this->daemons.addresses()) {
+        this->datagrams.push_back(PermitDatagram{daemon, message});
     }
 }
 
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -53,6 +53,12 @@
 
 auto GrantorRoles::deliver(const Address &from, const PermitMessage &message) -> void
 {
+    if (std::holds_alternative<DaemonHello>(message)) {
+        for (auto &[name, role] : this->roles) {
+            role->onMessage(from, message);
+        }
+        return;
+    }
     const auto service = std::visit(
         [](const auto &each) -> ServiceName {
             if constexpr (requires { each.service; }) {
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace gooseberrywall {
@@ -58,6 +59,32 @@
     this->view.setPaused(!this->isNeeded());
     this->view.advance();
     this->publish();
+    this->greetGrantors(this->now());
+}
+
+auto GrantorWatch::greetGrantors(Instant moment) -> void
+{
+    if (moment < this->helloDue) {
+        return;
+    }
+    std::set<Address> grantors;
+    for (const auto &service : this->services) {
+        const auto grantor = this->storedGrantor(service);
+        if (grantor && this->directory.isSilent(service, moment)) {
+            grantors.insert(GrantorDirectory::addressOf(*grantor));
+        }
+    }
+    for (const auto &grantor : grantors) {
+        this->datagrams.push_back(PermitDatagram{grantor, DaemonHello{}});
+    }
+    if (!grantors.empty()) {
+        this->helloDue = moment + this->settings.helloInterval;
+    }
+}
+
+auto GrantorWatch::takeDatagrams() -> std::vector<PermitDatagram>
+{
+    return std::exchange(this->datagrams, {});
 }
 
 auto GrantorWatch::isStandBy() const -> bool
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -51,7 +51,7 @@
             this->isForGrantor = isGrantor;
             this->viewStartedAt = this->now();
             auto settings = PrefixViewSettings{};
-            settings.gatherPause = isGrantor ? settings.gatherPause : directGatherPause;
+            settings.gatherPause = isGrantor ? grantorGatherPause : directGatherPause;
             this->view = std::make_unique<PrefixView>(
                 this->wire.upstreamPrefix(), settings, this->store, this->now,
                 [this](const PrefixView::Items &items) { this->onItems(items); });
@@ -98,6 +98,9 @@
     /// Entries known before are trusted again where the store hasn't answered for this long; a slow
     /// store answers sooner.
     static constexpr Duration readTimeout = std::chrono::milliseconds{300};
+    /// A grantor batches changes that follow another within this time; far below the time after
+    /// which a leaving upstream may get no request.
+    static constexpr Duration grantorGatherPause = std::chrono::milliseconds{300};
     /// Changes are batched for this long where this daemon is no grantor.
     static constexpr Duration directGatherPause = std::chrono::milliseconds{1200};
 
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -104,6 +104,11 @@
     out.setDaemons(announcement.daemonCount);
 }
 
+auto write(permitwire::Message::Builder builder, const DaemonHello &) -> void
+{
+    builder.initHello();
+}
+
 auto readRequest(permitwire::Request::Reader in, const Address &sender) -> PermitMessage
 {
     PermitRequest request;
@@ -187,6 +192,8 @@
                                    Duration{announcement.getConfigurationAge()},
                                    announcement.getDaemons()};
     }
+    case permitwire::Message::HELLO:
+        return DaemonHello{};
     }
     return std::nullopt;
 }
--- a/src/permitlink/permitmessages.h
+++ b/src/permitlink/permitmessages.h
@@ -29,6 +29,12 @@
     auto operator==(const GrantorAnnouncement &) const -> bool = default;
 };
 
+/// A daemon's request that a grantor announces itself to it.
+struct DaemonHello
+{
+    auto operator==(const DaemonHello &) const -> bool = default;
+};
+
 /// The grantor's verdict on the permit request with this id.
 struct PermitAnswer
 {
@@ -37,8 +43,8 @@
     auto operator==(const PermitAnswer &) const -> bool = default;
 };
 
-using PermitMessage =
-    std::variant<PermitRequest, PermitAnswer, PermitReport, PermitCancel, GrantorAnnouncement>;
+using PermitMessage = std::variant<PermitRequest, PermitAnswer, PermitReport, PermitCancel,
+                                   GrantorAnnouncement, DaemonHello>;
 
 /// A message with the address of its receiver or sender.
 struct PermitDatagram
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -58,6 +58,8 @@
   daemons @4 :UInt32;
 }
 
+struct Hello {}
+
 struct Message {
   union {
     request @0 :Request;
@@ -65,5 +67,6 @@
     report @2 :Report;
     cancel @3 :Cancel;
     announcement @4 :Announcement;
+    hello @5 :Hello;
   }
 }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(a35b5886d75dce60);
 CAPNP_DECLARE_SCHEMA(d999e97e5277248c);
 CAPNP_DECLARE_SCHEMA(e25c50d95b757b6e);
+CAPNP_DECLARE_SCHEMA(f86a7013235fd496);
 CAPNP_DECLARE_SCHEMA(c6ae5c726e63bee2);
 
 }  // namespace schemas
@@ -120,6 +121,21 @@
   };
 };
 
+struct Hello {
+  Hello() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f86a7013235fd496, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -132,6 +148,7 @@
     REPORT,
     CANCEL,
     ANNOUNCEMENT,
+    HELLO,
   };
 
   struct _capnpPrivate {
@@ -845,6 +862,77 @@
 };
 #endif  // !CAPNP_LITE
 
+class Hello::Reader {
+public:
+  typedef Hello Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Hello::Builder {
+public:
+  typedef Hello Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Hello::Pipeline {
+public:
+  typedef Hello Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -883,6 +971,10 @@
   inline bool hasAnnouncement() const;
   inline  ::gooseberrywall::permitwire::Announcement::Reader getAnnouncement() const;
 
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::gooseberrywall::permitwire::Hello::Reader getHello() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -952,6 +1044,14 @@
   inline void adoptAnnouncement(::capnp::Orphan< ::gooseberrywall::permitwire::Announcement>&& value);
   inline ::capnp::Orphan< ::gooseberrywall::permitwire::Announcement> disownAnnouncement();
 
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::gooseberrywall::permitwire::Hello::Builder getHello();
+  inline void setHello( ::gooseberrywall::permitwire::Hello::Reader value);
+  inline  ::gooseberrywall::permitwire::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::gooseberrywall::permitwire::Hello>&& value);
+  inline ::capnp::Orphan< ::gooseberrywall::permitwire::Hello> disownHello();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2123,6 +2223,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isHello() const {
+  return which() == Message::HELLO;
+}
+inline bool Message::Builder::isHello() {
+  return which() == Message::HELLO;
+}
+inline bool Message::Reader::hasHello() const {
+  if (which() != Message::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasHello() {
+  if (which() != Message::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gooseberrywall::permitwire::Hello::Reader Message::Reader::getHello() const {
+  KJ_IREQUIRE((which() == Message::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Hello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gooseberrywall::permitwire::Hello::Builder Message::Builder::getHello() {
+  KJ_IREQUIRE((which() == Message::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Hello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setHello( ::gooseberrywall::permitwire::Hello::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HELLO);
+  ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Hello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gooseberrywall::permitwire::Hello::Builder Message::Builder::initHello() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HELLO);
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Hello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptHello(
+    ::capnp::Orphan< ::gooseberrywall::permitwire::Hello>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::HELLO);
+  ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Hello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gooseberrywall::permitwire::Hello> Message::Builder::disownHello() {
+  KJ_IREQUIRE((which() == Message::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Hello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -55,6 +55,7 @@
     report.load = ReportedLoad{3, 1, 3};
     CHECK(roundTrip(report, sender, self) == PermitMessage{report});
 
+    CHECK(roundTrip(DaemonHello{}, sender, self) == PermitMessage{DaemonHello{}});
     const PermitCancel cancel{PermitId{sender, 5, 6}, ServiceName{"fitment"}};
     CHECK(roundTrip(cancel, sender, self) == PermitMessage{cancel});
     const GrantorAnnouncement announcement{ServiceName{"fitment"}, 42, 4711,
