Stop a grantor that is cut off from the store from giving out slots

Change: a grantor that hasn't reached the store, though another grantor's announcement shows that the store was reached 0.85 s later, answers NotGrantor and falls silent; entry daemons then choose from the store's list. A verdict for an upstream that drains meanwhile is neither repeated nor given again. Ruled out: stopping with the lease's end (stops service while the store is away for all); shorter leases alone (1.2 s leave no margin after the election).

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -95,8 +95,13 @@
 auto SlotBroker::ask(const PermitRequest &request, Instant now) -> void
 {
     if (const auto known = this->permits.find(request.id); known != this->permits.end()) {
-        this->issue(request, known->second.verdict, VerdictBasis{});
-        return;
+        if (this->isInService(known->second.upstream)) {
+            this->issue(request, known->second.verdict, VerdictBasis{});
+            return;
+        }
+        // The verdict was lost, and its upstream leaves meanwhile: another one is chosen. An entry
+        // daemon uses only the first verdict that reaches it.
+        this->permits.erase(known);
     }
     const auto isWaiting =
         std::any_of(this->backlog.begin(), this->backlog.end(), [&](const WaitingRequest &waiting) {
@@ -228,7 +233,7 @@
     for (auto &[id, permit] : this->permits) {
         if (permit.expiresAt <= now) {
             this->release(permit, now);
-        } else if (permit.repeatAt <= now) {
+        } else if (permit.repeatAt <= now && this->isInService(permit.upstream)) {
             permit.repeatAfter *= 2;
             permit.repeatAt = now + permit.repeatAfter;
             this->verdicts.push_back(
@@ -318,6 +323,12 @@
     return this->isSharded && request.key.has_value();
 }
 
+auto SlotBroker::isInService(const UpstreamId &id) const -> bool
+{
+    const auto found = this->upstreams.find(id);
+    return found != this->upstreams.end() && !found->second.entry.isDraining;
+}
+
 auto SlotBroker::grant(const WaitingRequest &waiting, Upstream &upstream, Instant now) -> void
 {
     PermitVerdict verdict;
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -219,6 +219,8 @@
     auto release(const Permit &permit, Instant now) -> void;
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
+    /// @returns whether the upstream is known and doesn't drain
+    [[nodiscard]] auto isInService(const UpstreamId &id) const -> bool;
     /// @returns whether only the owner of the request's key may run it
     [[nodiscard]] auto isKeyed(const PermitRequest &request) const -> bool;
     [[nodiscard]] auto rangeOf(KeyPosition key) const -> const OwnedRange *;
--- a/src/dispatch/tests/slotbroker_tests.cpp
+++ b/src/dispatch/tests/slotbroker_tests.cpp
@@ -194,6 +194,21 @@
             CHECK(broker.permitCount() == 1);
         }
     }
+    WHEN("the upstream starts to drain before the lost verdict is repeated")
+    {
+        auto leaving = upstream("a");
+        leaving.isDraining = true;
+        broker.setUpstreams({leaving, upstream("b")}, now + milliseconds{50});
+        static_cast<void>(broker.takeVerdicts());
+        broker.advance(now + milliseconds{500});
+        broker.ask(permit(1), now + milliseconds{500});
+        THEN("the request isn't sent to it")
+        {
+            for (const auto &issued : broker.takeVerdicts()) {
+                CHECK(issued.verdict.upstream.value != "a");
+            }
+        }
+    }
     WHEN("an attempt takes as long as its deadline allows")
     {
         for (auto elapsed = 0; elapsed < 800; elapsed += 20) {
--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -21,6 +21,9 @@
     /// A daemon follows the store itself where it couldn't fetch a newer configuration for this
     /// long.
     Duration fetchTimeLimit = std::chrono::milliseconds{700};
+    /// A grantor is cut off from the store if another one has reached it this much later. Grantors
+    /// call the store more than twice in this time.
+    Duration cutOffLag = std::chrono::milliseconds{850};
     /// Pause after a failed fetch.
     Duration retryPause = std::chrono::milliseconds{80};
     auto operator==(const ConfigurationRelaySettings &) const -> bool = default;
@@ -49,6 +52,10 @@
     [[nodiscard]] auto fetchSource(Instant now) const -> std::optional<Address>;
     /// @returns whether this daemon has to follow the store itself
     [[nodiscard]] auto isStoreNeeded(Instant now) const -> bool;
+    /// @param ownContact when this daemon last reached the store
+    /// @returns whether this daemon, a grantor, can't reach the store while another grantor can:
+    /// what it knows of upstreams is out of date then
+    [[nodiscard]] auto isCutOff(Instant ownContact, Instant now) const -> bool;
     /// @returns when the result of fetchSource() or isStoreNeeded() may change by itself
     [[nodiscard]] auto nextDue(Instant now) const -> std::optional<Instant>;
 
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -63,6 +63,12 @@
     /// @param storeContact when a call to the store was sent that was answered
     /// @returns how long ago this configuration was known to be the newest
     [[nodiscard]] auto age(Instant storeContact) const -> Duration;
+    /// @param storeContact as in age()
+    /// @returns whether this daemon can't reach the store while a grantor can
+    [[nodiscard]] auto isCutOff(Instant storeContact) const -> bool
+    {
+        return this->relay.isCutOff(storeContact, this->now());
+    }
     /// @returns how many configurations were fetched from other daemons
     [[nodiscard]] auto fetchCount() const -> std::uint64_t { return this->fetches; }
 
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -304,6 +304,7 @@
         const auto moment = this->now();
         this->configurationSource.advance(this->roles.servingCount() > 0);
         this->grantorWatch.advance();
+        this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
         this->roles.advance();
         this->watchUpstreams(moment);
         this->permits.advance(moment);
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -92,6 +92,9 @@
     {
         this->announcedConfiguration = std::move(source);
     }
+    /// While cut off from the store that other daemons reach, a grantor gives out no slots:
+    /// upstreams may have started to drain without its knowledge.
+    auto setCutOff(bool cutOff) -> void;
     /// Announces this daemon to all others with the next advance().
     auto announceSoon() -> void { this->announceDue = Instant{}; }
     /// Gives up the grantor's place, and doesn't claim it again.
@@ -141,6 +144,8 @@
     /// @returns whether this daemon leads, and its lease surely lasts
     [[nodiscard]] auto hasAuthority(Instant moment) const -> bool;
     auto flushVerdicts() -> void;
+    /// Answers all verdicts of the broker with NotGrantor, and takes their permits back.
+    auto declineVerdicts() -> void;
     auto logVerdict(const IssuedVerdict &issued) -> void;
     auto log(LogLevel level, LogLine &line) -> void;
     /// Calls the store; the answer is dropped where this role has been destroyed by then.
@@ -163,6 +168,7 @@
     std::vector<UpstreamEntry> upstreams;
     bool hasUpstreams = false;
     bool serving = false;
+    bool isCutOff = false;
     /// The grantor as last passed to onGrantor().
     std::optional<ElectedGrantor> knownGrantor;
     /// The last term for which this daemon was elected.
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -30,6 +30,7 @@
     auto setRetryAllowance(double ratio, double extra) -> void;
     /// Sets what grantors announce about the operators' configuration.
     auto setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void;
+    auto setCutOff(bool cutOff) -> void;
     /// Lets all grantors announce themselves with the next advance().
     auto announceSoon() -> void;
     auto advance() -> void;
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -96,6 +96,12 @@
     return !isConfirmed || isFetchFailing;
 }
 
+auto ConfigurationRelay::isCutOff(Instant ownContact, Instant now) const -> bool
+{
+    return this->confirmedAt && now - ownContact >= this->settings.cutOffLag
+           && *this->confirmedAt - ownContact >= this->settings.cutOffLag;
+}
+
 auto ConfigurationRelay::nextDue(Instant now) const -> std::optional<Instant>
 {
     std::optional<Instant> due;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -134,7 +134,7 @@
 {
     const auto moment = this->now();
     if (const auto *request = std::get_if<PermitRequest>(&message)) {
-        if (!this->serving) {
+        if (!this->serving || this->isCutOff) {
             this->datagrams.push_back(
                 PermitDatagram{from, PermitAnswer{request->id, this->notGrantorVerdict()}});
             return;
@@ -186,7 +186,21 @@
 
 auto GrantorRole::hasAuthority(Instant moment) const -> bool
 {
-    return this->isLeading() && moment < this->election.authorityEnd();
+    return this->isLeading() && moment < this->election.authorityEnd() && !this->isCutOff;
+}
+
+auto GrantorRole::setCutOff(bool cutOff) -> void
+{
+    if (this->isCutOff == cutOff) {
+        return;
+    }
+    this->isCutOff = cutOff;
+    if (this->serving) {
+        LogLine line(cutOff ? "grantor_cut_off" : "grantor_reconnected");
+        line.with("service", this->spec.name.value)
+            .with("why", cutOff ? "another grantor reaches the store" : "store reached");
+        this->log(LogLevel::Warning, line);
+    }
 }
 
 auto GrantorRole::onElected(StoreRevision term) -> void
@@ -267,6 +281,10 @@
 
 auto GrantorRole::flushVerdicts() -> void
 {
+    if (this->isCutOff) {
+        this->declineVerdicts();
+        return;
+    }
     for (auto &issued : this->broker->takeVerdicts()) {
         this->logVerdict(issued);
         const auto entry = issued.id.entry;
@@ -275,6 +293,19 @@
     }
 }
 
+auto GrantorRole::declineVerdicts() -> void
+{
+    // Taking a permit back may grant its slot to the next waiting request.
+    for (auto verdicts = this->broker->takeVerdicts(); !verdicts.empty();
+         verdicts = this->broker->takeVerdicts()) {
+        for (const auto &issued : verdicts) {
+            this->broker->cancel(issued.id, this->now());
+            this->datagrams.push_back(PermitDatagram{
+                issued.id.entry, PermitAnswer{issued.id, this->notGrantorVerdict()}});
+        }
+    }
+}
+
 auto GrantorRole::logVerdict(const IssuedVerdict &issued) -> void
 {
     const auto isRefused = issued.verdict.kind == PermitVerdict::Kind::Refused;
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -95,6 +95,13 @@
     }
 }
 
+auto GrantorRoles::setCutOff(bool cutOff) -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->setCutOff(cutOff);
+    }
+}
+
 auto GrantorRoles::announceSoon() -> void
 {
     for (auto &[name, role] : this->roles) {
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -99,6 +99,27 @@
             CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{1000}));
         }
     }
+    WHEN("this daemon can't reach the store, but another grantor can")
+    {
+        const auto ownContact = start;
+        relay.onAnnouncement(first, announcement(7, milliseconds{100}), start + milliseconds{1000});
+        THEN("it is cut off, well before the others would have to stop using its list of upstreams")
+        {
+            CHECK_FALSE(relay.isCutOff(start + milliseconds{500}, start + milliseconds{1000}));
+            CHECK(relay.isCutOff(ownContact, start + milliseconds{1000}));
+        }
+    }
+    WHEN("nobody can reach the store")
+    {
+        relay.onAnnouncement(first, announcement(7, milliseconds{300}), start);
+        relay.onAnnouncement(first, announcement(7, milliseconds{1300}),
+                             start + milliseconds{1000});
+        THEN("no grantor is cut off")
+        {
+            CHECK_FALSE(relay.isCutOff(start - milliseconds{700}, start + milliseconds{1000}));
+            CHECK_FALSE(relay.isCutOff(start - milliseconds{700}, start + milliseconds{9000}));
+        }
+    }
     WHEN("a grantor has no configuration yet")
     {
         relay.onAnnouncement(first, announcement(0, milliseconds{0}), start);
--- a/src/edge/tests/grantorrole_tests.cpp
+++ b/src/edge/tests/grantorrole_tests.cpp
@@ -105,6 +105,43 @@
 
 } // namespace
 
+SCENARIO("GrantorRole grants nothing while it is cut off from the store that others reach",
+         "[grantorrole]")
+{
+    GIVEN("a grantor whose keys all have owners")
+    {
+        GrantorRoleFixture fixture;
+        fixture.run(seconds{5});
+        REQUIRE(fixture.isServed(100));
+        WHEN("it is cut off")
+        {
+            fixture.role.setCutOff(true);
+            THEN("a request for a permit is answered that it isn't the grantor, and it is silent")
+            {
+                (void) fixture.role.takeDatagrams();
+                PermitRequest request;
+                request.id = PermitId{Address{"10.0.0.2:7000"}, 1, 99};
+                request.service = GrantorRoleFixture::spec().name;
+                request.remaining = seconds{1};
+                fixture.role.onMessage(request.id.entry, request);
+                fixture.run(seconds{2});
+                const auto datagrams = fixture.role.takeDatagrams();
+                REQUIRE_FALSE(datagrams.empty());
+                for (const auto &datagram : datagrams) {
+                    const auto *answer = std::get_if<PermitAnswer>(&datagram.message);
+                    REQUIRE(answer != nullptr);
+                    CHECK(answer->verdict.kind == PermitVerdict::Kind::NotGrantor);
+                }
+            }
+            THEN("it grants again once it reaches the store")
+            {
+                fixture.role.setCutOff(false);
+                CHECK(fixture.isServed(100));
+            }
+        }
+    }
+}
+
 SCENARIO("GrantorRole serves the same owners again after it is re-elected", "[grantorrole]")
 {
     GIVEN("a grantor whose keys all have owners")
