--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -13,7 +13,7 @@
 /// The ends of orders that come within this time of the first are handled together.
 constexpr Duration orderEndBatchTime = std::chrono::milliseconds{8};
 /// A range record that no grant waits for is written at most this often.
-constexpr Duration recordBatchTime = std::chrono::milliseconds{4000};
+constexpr Duration recordBatchTime = std::chrono::milliseconds{1500};
 /// Upstreams that start at the same time as the daemons have registered within this time.
 constexpr Duration firstPlanDelay = std::chrono::milliseconds{2500};
 
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -164,13 +164,9 @@
     using Kind = RangeOrderEnd::Kind;
     const auto hasReleased = end.kind == Kind::Accepted || end.kind == Kind::OtherUpstream;
     if (state.phase == Phase::ReleasingEarlier) {
-        if (hasReleased) {
-            // Grants of the earlier grantor may still be carried out. Their hold time counts from
-            // their arrival, which was before this release.
-            state.latestHoldEnd =
-                std::min(state.latestHoldEnd, this->latestEndOfHold(now, this->settings.holdTime));
-            state.isReleased = true;
-        }
+        // Grants of the earlier grantor may still be carried out, also prolonged ones, so the
+        // release doesn't shorten the wait for `latestHoldEnd`.
+        state.isReleased = state.isReleased || hasReleased;
         state.nextOrderAt = hasReleased ? state.latestHoldEnd : now + this->settings.retryPause;
         return;
     }
--- a/src/keyranges/tests/keyranges_tests.cpp
+++ b/src/keyranges/tests/keyranges_tests.cpp
@@ -123,6 +123,54 @@
     }
 }
 
+SCENARIO("RangeGrantor waits for prolonged grants of the grantor before it", "[keyranges]")
+{
+    // An earlier grantor that couldn't renew its lease prolongs grants to the longest time. One
+    // that an upstream left unanswered may be carried out after a release.
+    GIVEN("a takeover while keys move from one upstream to another")
+    {
+        const RangeGrantorSettings settings;
+        Instant now{seconds{100}};
+        UpstreamEntry first;
+        first.id = UpstreamId{"a"};
+        auto second = first;
+        second.id = UpstreamId{"b"};
+        const auto holderOf = [](const UpstreamEntry &entry) {
+            return RangeHolder{entry.id, entry.incarnation, entry.address};
+        };
+        RangeRecord record;
+        record.rows = {RangeRow{KeyRange{0, 65535}, holderOf(second), {holderOf(first)}}};
+        RangeGrantor grantor(settings, 2);
+        grantor.setAuthorityEnd(now + seconds{60});
+        grantor.setUpstreams({first, second}, now);
+        grantor.adopt(record, now);
+        const auto takenOverAt = now;
+        grantor.advance(now);
+        const auto released = grantor.takeOrders();
+        REQUIRE(released.size() == 1);
+        REQUIRE(released[0].kind == RangeOrder::Kind::Release);
+        WHEN("the upstream that is to lose them has released them")
+        {
+            grantor.onOrderEnd({released[0].call, RangeOrderEnd::Kind::Accepted, ""}, now);
+            THEN("the other one gets them once the longest grants have run out")
+            {
+                std::optional<Instant> grantedAt;
+                while (!grantedAt && now < takenOverAt + seconds{20}) {
+                    now += milliseconds{50};
+                    grantor.advance(now);
+                    for (const auto &order : grantor.takeOrders()) {
+                        grantedAt =
+                            order.kind == RangeOrder::Kind::Grant ? std::optional(now) : grantedAt;
+                    }
+                }
+                REQUIRE(grantedAt.has_value());
+                CHECK(*grantedAt - takenOverAt >= settings.longestHoldTime);
+                CHECK(*grantedAt - takenOverAt < settings.longestHoldTime + seconds{1});
+            }
+        }
+    }
+}
+
 SCENARIO("RangeGrantor changes no owner without the store", "[keyranges]")
 {
     RangeSimulation simulation(5, 5, {});
