Let a grantor's work grow little with its queue and its fleet

Cause: with a full queue each permit, report and check scanned all waiting requests, each free slot all upstreams times all waiting requests; each datagram recalculated the timers over all ranges and upstreams; each timer event copied all ranges. A grantor that falls behind is skipped by entry daemons, which then send to upstreams that don't hold the key. Change: waiting requests are kept by id and in queues sorted by rank, one an owner, one for requests that any upstream may run. The capacity of all upstreams is calculated each 10 ms. Datagrams that are received together are handled together; ranges are copied only when a plan is due. Upstreams keep their state by move when the list changes. Ruled out: heaps (a position in the queue is needed for forecasts).

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -20,11 +20,6 @@
 constexpr Duration permitCheckInterval = milliseconds{250};
 /// Time for which the load in an answer counts.
 constexpr Duration otherRequestsValidity = milliseconds{200};
-/// A request is refused if less than this share of the expected latency is left until its deadline:
-/// it isn't worth a slot.
-constexpr double minLatencyShareLeft = 0.6;
-/// How often the waits of late requests are forecast again.
-constexpr Duration lateCheckInterval = milliseconds{40};
 /// Shortest time after which a refused caller is asked to retry.
 constexpr Duration minRetryAfter = milliseconds{25};
 /// Longest such time; callers wait for at most a third of their remaining time.
@@ -62,33 +57,38 @@
 
 auto SlotBroker::setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void
 {
+    std::map<UpstreamId, Incarnation> former;
+    for (const auto &[id, upstream] : this->upstreams) {
+        former.emplace(id, upstream.entry.incarnation);
+    }
     std::map<UpstreamId, Upstream> next;
     for (const auto &entry : entries) {
         const auto known = this->upstreams.find(entry.id);
         const auto isSameIncarnation =
             known != this->upstreams.end() && known->second.entry.incarnation == entry.incarnation;
-        Upstream upstream = isSameIncarnation ? known->second : Upstream{};
+        Upstream upstream = isSameIncarnation ? std::move(known->second) : Upstream{};
         if (!isSameIncarnation || upstream.entry.remainingWarmUp != entry.remainingWarmUp) {
             upstream.warmUpEnd = now + entry.remainingWarmUp;
         }
         upstream.entry = entry;
         next.emplace(entry.id, std::move(upstream));
     }
-    for (const auto &[id, old] : this->upstreams) {
+    for (const auto &[id, incarnation] : former) {
         const auto found = next.find(id);
-        if (found == next.end() || found->second.entry.incarnation != old.entry.incarnation) {
-            this->quarantine.onUpstreamLost(id, old.entry.incarnation, now);
+        if (found == next.end() || found->second.entry.incarnation != incarnation) {
+            this->quarantine.onUpstreamLost(id, incarnation, now);
         }
     }
     this->upstreams = std::move(next);
-    this->assignOwners();
+    this->capacity.recalculateAt = now;
+    this->fillQueues();
     this->grantFreeSlots(now);
 }
 
 auto SlotBroker::setOwners(std::vector<OwnedRange> ranges, Instant now) -> void
 {
     this->ownedRanges = std::move(ranges);
-    this->assignOwners();
+    this->fillQueues();
     this->grantFreeSlots(now);
 }
 
@@ -103,11 +103,7 @@
         // daemon uses only the first verdict that reaches it.
         this->permits.erase(known);
     }
-    const auto isWaiting =
-        std::any_of(this->backlog.begin(), this->backlog.end(), [&](const WaitingRequest &waiting) {
-            return waiting.request.id == request.id;
-        });
-    if (isWaiting) {
+    if (this->backlog.contains(request.id)) {
         this->issue(request, PermitVerdict{}, VerdictBasis{});
         return;
     }
@@ -117,11 +113,12 @@
     if (request.key) {
         ++this->keyCounts[*request.key];
     }
-    WaitingRequest waiting{request, now + request.remaining, now + request.untilTarget,
-                           this->ownerOf(request)};
-    if (!this->isLate(waiting, now)) {
-        (waiting.owner != nullptr ? waiting.owner->onTimeArrivals : this->onTimeArrivals)
-            .record(now);
+    WaitingRequest waiting{request, now + request.remaining, now + request.untilTarget, {}};
+    const auto isLate = this->isLate(waiting, now);
+    waiting.rank = WaitingRank{request.priority, isLate, waiting.deadline, this->nextArrival++};
+    if (!isLate) {
+        auto *owner = this->ownerOf(request);
+        (owner != nullptr ? owner->onTimeArrivals : this->onTimeArrivals).record(now);
     }
     if (this->quarantine.isQuarantined(RequestFingerprint{request.fingerprint}, now)) {
         this->refuse(waiting, Reason::Quarantined, maxRetryAfter, now);
@@ -145,7 +142,8 @@
         return;
     }
     this->issue(request, PermitVerdict{}, this->verdictBasis(waiting, forecast, now));
-    this->backlog.push_back(std::move(waiting));
+    auto &placed = this->backlog.emplace(request.id, std::move(waiting)).first->second;
+    this->queueOf(placed.request).insert(placed);
 }
 
 auto SlotBroker::report(const PermitReport &report, Instant now) -> void
@@ -207,8 +205,7 @@
 
 auto SlotBroker::cancel(const PermitId &id, Instant now) -> void
 {
-    std::erase_if(this->backlog,
-                  [&](const WaitingRequest &waiting) { return waiting.request.id == id; });
+    this->removeWaiting(id);
     const auto permit = this->permits.find(id);
     if (permit == this->permits.end()) {
         return;
@@ -224,6 +221,11 @@
 auto SlotBroker::advance(Instant now) -> void
 {
     this->checkPermits(now);
+    this->sharedQueue.updateLateness(this->meanLatency, now);
+    this->ownerlessQueue.updateLateness(this->meanLatency, now);
+    for (auto &[id, upstream] : this->upstreams) {
+        upstream.waiting.updateLateness(this->meanLatency, now);
+    }
     this->refuseUnservable(now);
     this->grantFreeSlots(now);
 }
@@ -289,16 +291,9 @@
 
 auto SlotBroker::grantFreeSlotsOf(Upstream &upstream, Instant now) -> void
 {
-    while (!this->backlog.empty() && this->hasRoom(upstream, now)) {
-        auto best = this->backlog.end();
-        for (auto at = this->backlog.begin(); at != this->backlog.end(); ++at) {
-            const auto mayRunHere = this->isKeyed(at->request) ? at->owner == &upstream : true;
-            if (mayRunHere && at->deadline > now
-                && (best == this->backlog.end() || this->ranksBefore(*at, *best, now))) {
-                best = at;
-            }
-        }
-        if (best == this->backlog.end()) {
+    while (this->hasRoom(upstream, now)) {
+        const auto *best = this->firstFor(upstream, now);
+        if (best == nullptr) {
             return;
         }
         // Another upstream with a free slot may be better for the request than this one.
@@ -307,14 +302,7 @@
             return;
         }
         this->grant(*best, *preferred, now);
-        this->backlog.erase(best);
-    }
-}
-
-auto SlotBroker::assignOwners() -> void
-{
-    for (auto &waiting : this->backlog) {
-        waiting.owner = this->ownerOf(waiting.request);
+        this->removeWaiting(PermitId{best->request.id});
     }
 }
 
@@ -367,8 +355,8 @@
                 this->verdictBasis(waiting, this->forecast(waiting, now), now));
 }
 
-auto SlotBroker::verdictBasis(const WaitingRequest &waiting, const Forecast &forecast,
-                              Instant now) const -> VerdictBasis
+auto SlotBroker::verdictBasis(const WaitingRequest &waiting, const Forecast &forecast, Instant now)
+    -> VerdictBasis
 {
     VerdictBasis basis;
     basis.backlogSize = this->backlog.size();
@@ -377,7 +365,8 @@
     basis.expectedLatency = forecast.latency;
     if (this->isKeyed(waiting.request)) {
         basis.key = waiting.request.key;
-        basis.owner = waiting.owner != nullptr ? waiting.owner->entry.id : UpstreamId{};
+        const auto *owner = this->ownerOf(waiting.request);
+        basis.owner = owner != nullptr ? owner->entry.id : UpstreamId{};
     }
     return basis;
 }
@@ -389,36 +378,6 @@
         IssuedVerdict{request.id, request.request, std::move(verdict), std::move(basis)});
 }
 
-auto SlotBroker::refuseUnservable(Instant now) -> void
-{
-    const auto isLateCheckDue = now >= this->lateCheckDue;
-    if (isLateCheckDue) {
-        this->lateCheckDue = now + lateCheckInterval;
-    }
-    std::vector<bool> isUnservable(this->backlog.size(), false);
-    for (std::size_t index = 0; index < this->backlog.size(); ++index) {
-        const auto &waiting = this->backlog[index];
-        const auto remaining = waiting.deadline - now;
-        const auto latency =
-            waiting.owner != nullptr ? this->latencyOf(*waiting.owner, now) : this->meanLatency;
-        isUnservable[index] = remaining < scaled(latency, minLatencyShareLeft);
-        if (!isUnservable[index] && isLateCheckDue && this->isLate(waiting, now)) {
-            const auto forecast = this->forecast(waiting, now);
-            isUnservable[index] =
-                forecast.wait + scaled(forecast.latency, minLatencyShareLeft) > remaining;
-        }
-        if (isUnservable[index] || this->hasNoOwnerInTime(waiting, now)) {
-            isUnservable[index] = true;
-            this->refuse(waiting,
-                         this->hasNoOwnerInTime(waiting, now) ? Reason::NoOwner
-                                                              : Reason::DeadlineTooShort,
-                         this->jittered(this->meanLatency / 2), now);
-        }
-    }
-    std::size_t index = 0;
-    std::erase_if(this->backlog, [&](const WaitingRequest &) { return isUnservable[index++]; });
-}
-
 auto SlotBroker::release(const Permit &permit, Instant now) -> void
 {
     const auto found = this->upstreams.find(permit.upstream);
@@ -457,8 +416,8 @@
 {
     const auto &request = waiting.request;
     if (this->isKeyed(request)) {
-        const auto isFree = waiting.owner != nullptr && this->hasRoom(*waiting.owner, now);
-        return isFree ? waiting.owner : nullptr;
+        auto *owner = this->ownerOf(request);
+        return owner != nullptr && this->hasRoom(*owner, now) ? owner : nullptr;
     }
     Upstream *best = nullptr;
     double lowestCost = 0;
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -17,6 +17,8 @@
 constexpr double minShareForLate = 0.05;
 /// Upstreams take about twice as long while they warm up.
 constexpr double warmUpLatencyFactor = 2.0;
+/// How often the capacity of all upstreams is calculated; it changes little in this time.
+constexpr Duration capacityInterval = std::chrono::milliseconds{10};
 
 } // namespace
 
@@ -73,23 +75,18 @@
     return isAvoided ? cost * 100 : cost;
 }
 
-auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) const -> Forecast
+auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
 {
-    const auto ranksAhead = [&](const WaitingRequest &other) {
-        return this->ranksBefore(other, waiting, now);
-    };
-    if (this->isKeyed(waiting.request) && waiting.owner == nullptr) {
+    const auto *owner = this->ownerOf(waiting.request);
+    if (this->isKeyed(waiting.request) && owner == nullptr) {
         const auto *owned = this->rangeOf(*waiting.request.key);
         const auto readyAt = owned == nullptr ? now : owned->readyAt;
         return Forecast{std::max(Duration{0}, Duration{readyAt - now}), this->meanLatency};
     }
-    if (waiting.owner != nullptr) {
-        const auto &upstream = *waiting.owner;
+    if (owner != nullptr) {
+        const auto &upstream = *owner;
         const auto latency = this->latencyOf(upstream, now);
-        const auto ahead = std::count_if(
-            this->backlog.begin(), this->backlog.end(), [&](const WaitingRequest &other) {
-                return other.owner == waiting.owner && ranksAhead(other);
-            });
+        const auto ahead = upstream.waiting.countBefore(waiting.rank);
         const auto blocked = std::max(Duration{0}, Duration{upstream.health.blockedUntil() - now});
         const auto isFree = this->hasRoom(upstream, now) && ahead == 0;
         const auto servedPerSecond =
@@ -100,38 +97,58 @@
             isFree ? Duration{0} : this->queueTime(ahead, servedPerSecond, overtakingPerSecond);
         return Forecast{std::max(blocked, queue), latency};
     }
-    double requestsPerMicrosecond = 0;
-    auto isFree = false;
-    for (const auto &[id, upstream] : this->upstreams) {
-        if (upstream.entry.isDraining || upstream.health.isLimitedToTrials()
-            || this->isSilent(upstream, now)) {
-            continue;
-        }
-        isFree = isFree || this->hasRoom(upstream, now);
-        requestsPerMicrosecond += static_cast<double>(upstream.entry.slots)
-                                  / static_cast<double>(std::max<std::int64_t>(
-                                      1, this->latencyOf(upstream, now).count()));
-    }
-    const auto ahead = std::count_if(this->backlog.begin(), this->backlog.end(), ranksAhead);
-    if (isFree && ahead == 0) {
+    const auto &shared = this->sharedCapacity(now);
+    const auto ahead = this->countBefore(waiting.rank);
+    if (shared.hasRoom && ahead == 0) {
         return Forecast{Duration{0}, this->meanLatency};
     }
-    if (requestsPerMicrosecond <= 0) {
+    if (shared.requestsPerSecond <= 0) {
         // There is no usable upstream; one may join or recover while the request waits.
         return Forecast{waiting.request.remaining / 2, this->meanLatency};
     }
     const auto overtakingPerSecond =
         this->isLate(waiting, now) ? this->onTimeArrivals.perSecond(now) : 0.0;
-    return Forecast{this->queueTime(ahead, requestsPerMicrosecond * 1e6, overtakingPerSecond),
+    return Forecast{this->queueTime(ahead, shared.requestsPerSecond, overtakingPerSecond),
                     this->meanLatency};
 }
 
+auto SlotBroker::countBefore(const WaitingRank &rank) const -> std::size_t
+{
+    auto count = this->sharedQueue.countBefore(rank);
+    if (this->isSharded) {
+        count += this->ownerlessQueue.countBefore(rank);
+        for (const auto &[id, upstream] : this->upstreams) {
+            count += upstream.waiting.countBefore(rank);
+        }
+    }
+    return count;
+}
+
+auto SlotBroker::sharedCapacity(Instant now) -> const SharedCapacity &
+{
+    if (now < this->capacity.recalculateAt) {
+        return this->capacity;
+    }
+    this->capacity = SharedCapacity{0, false, now + capacityInterval};
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.entry.isDraining || upstream.health.isLimitedToTrials()
+            || this->isSilent(upstream, now)) {
+            continue;
+        }
+        const auto latency = std::max(Duration{1}, this->latencyOf(upstream, now));
+        this->capacity.hasRoom = this->capacity.hasRoom || this->hasRoom(upstream, now);
+        this->capacity.requestsPerSecond +=
+            upstream.entry.slots / std::chrono::duration<double>(latency).count();
+    }
+    return this->capacity;
+}
+
 auto SlotBroker::isLate(const WaitingRequest &waiting, Instant now) const -> bool
 {
     return now + this->meanLatency > waiting.target;
 }
 
-auto SlotBroker::queueTime(std::ptrdiff_t ahead, double servedPerSecond,
+auto SlotBroker::queueTime(std::size_t ahead, double servedPerSecond,
                            double overtakingPerSecond) const -> Duration
 {
     const auto availablePerSecond =
@@ -140,22 +157,6 @@
         static_cast<std::int64_t>(1e6 * static_cast<double>(ahead + 1) / availablePerSecond)};
 }
 
-auto SlotBroker::ranksBefore(const WaitingRequest &left, const WaitingRequest &right,
-                             Instant now) const -> bool
-{
-    if (left.request.priority != right.request.priority) {
-        return left.request.priority < right.request.priority;
-    }
-    // Requests that can still meet their target go first: under overload, serving strictly by age
-    // would make every answer late.
-    const auto isLeftLate = this->isLate(left, now);
-    const auto isRightLate = this->isLate(right, now);
-    if (isLeftLate != isRightLate) {
-        return isRightLate;
-    }
-    return left.deadline < right.deadline;
-}
-
 auto SlotBroker::hasNoOwnerInTime(const WaitingRequest &waiting, Instant now) const -> bool
 {
     if (!this->isKeyed(waiting.request)) {
--- /dev/null
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -0,0 +1,96 @@
+#include "common/durations.h"
+#include "dispatch/slotbroker.h"
+
+#include <vector>
+
+namespace gooseberrywall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A request is refused if less than this share of the expected latency is left until its deadline:
+/// it isn't worth a slot.
+constexpr double minLatencyShareLeft = 0.6;
+/// How often the waits of late requests are forecast again.
+constexpr Duration lateCheckInterval = milliseconds{40};
+
+} // namespace
+
+auto SlotBroker::firstFor(const Upstream &upstream, Instant now) const -> WaitingRequest *
+{
+    auto *own = upstream.waiting.first(now);
+    auto *shared = this->sharedQueue.first(now);
+    if (own == nullptr || shared == nullptr) {
+        return own != nullptr ? own : shared;
+    }
+    return own->rank < shared->rank ? own : shared;
+}
+
+auto SlotBroker::fillQueues() -> void
+{
+    this->sharedQueue.clear();
+    this->ownerlessQueue.clear();
+    for (auto &[id, upstream] : this->upstreams) {
+        upstream.waiting.clear();
+    }
+    for (auto &[id, waiting] : this->backlog) {
+        this->queueOf(waiting.request).insert(waiting);
+    }
+}
+
+auto SlotBroker::queueOf(const PermitRequest &request) -> WaitingQueue &
+{
+    if (!this->isKeyed(request)) {
+        return this->sharedQueue;
+    }
+    auto *owner = this->ownerOf(request);
+    return owner != nullptr ? owner->waiting : this->ownerlessQueue;
+}
+
+auto SlotBroker::removeWaiting(const PermitId &id) -> void
+{
+    const auto found = this->backlog.find(id);
+    if (found != this->backlog.end()) {
+        this->queueOf(found->second.request).erase(found->second);
+        this->backlog.erase(found);
+    }
+}
+
+auto SlotBroker::refuseUnservable(Instant now) -> void
+{
+    const auto isLateCheckDue = now >= this->lateCheckDue;
+    if (isLateCheckDue) {
+        this->lateCheckDue = now + lateCheckInterval;
+    }
+    std::vector<PermitId> refused;
+    for (const auto &[id, waiting] : this->backlog) {
+        const auto hasNoOwner = this->hasNoOwnerInTime(waiting, now);
+        if (hasNoOwner || this->isUnservable(waiting, isLateCheckDue, now)) {
+            this->refuse(waiting, hasNoOwner ? Reason::NoOwner : Reason::DeadlineTooShort,
+                         this->jittered(this->meanLatency / 2), now);
+            refused.push_back(id);
+        }
+    }
+    for (const auto &id : refused) {
+        this->removeWaiting(id);
+    }
+}
+
+auto SlotBroker::isUnservable(const WaitingRequest &waiting, bool isLateCheckDue, Instant now)
+    -> bool
+{
+    const auto remaining = waiting.deadline - now;
+    const auto *owner = this->ownerOf(waiting.request);
+    const auto latency = owner != nullptr ? this->latencyOf(*owner, now) : this->meanLatency;
+    if (remaining < scaled(latency, minLatencyShareLeft)) {
+        return true;
+    }
+    if (!isLateCheckDue || !this->isLate(waiting, now)) {
+        return false;
+    }
+    const auto forecast = this->forecast(waiting, now);
+    return forecast.wait + scaled(forecast.latency, minLatencyShareLeft) > remaining;
+}
+
+} // namespace gooseberrywall
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -5,6 +5,7 @@
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
 #include "dispatch/upstreamhealth.h"
+#include "dispatch/waitingqueue.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -169,15 +170,16 @@
         /// Start of the time with permits out and no report: the last report, or the first permit
         /// after a time without any.
         Instant noReportSince{};
+        /// Requests with a key that it owns.
+        WaitingQueue waiting;
     };
-    struct WaitingRequest
+    /// What all upstreams together can serve; recalculated from time to time only.
+    struct SharedCapacity
     {
-        PermitRequest request;
-        Instant deadline;
-        /// When the route's target latency has passed.
-        Instant target;
-        /// Keyed requests only: the upstream that owns the key; nullptr while there is none.
-        Upstream *owner = nullptr;
+        double requestsPerSecond = 0;
+        /// An upstream has a free slot.
+        bool hasRoom = false;
+        Instant recalculateAt{};
     };
     struct Permit
     {
@@ -208,14 +210,27 @@
         -> void;
     /// Grants waiting requests that may run at this upstream while it has a free slot.
     auto grantFreeSlotsOf(Upstream &upstream, Instant now) -> void;
-    auto assignOwners() -> void;
+    /// Sorts all waiting requests into the queues anew, after a change of upstreams or owners.
+    auto fillQueues() -> void;
+    /// Takes a waiting request out of its queue and the backlog.
+    auto removeWaiting(const PermitId &id) -> void;
+    /// @returns the queue in which the request waits
+    [[nodiscard]] auto queueOf(const PermitRequest &request) -> WaitingQueue &;
+    /// @returns the waiting request that gets the upstream's next slot; nullptr where there is none
+    [[nodiscard]] auto firstFor(const Upstream &upstream, Instant now) const -> WaitingRequest *;
+    [[nodiscard]] auto sharedCapacity(Instant now) -> const SharedCapacity &;
+    /// @returns how many waiting requests without an owner's queue of their own rank before
+    [[nodiscard]] auto countBefore(const WaitingRank &rank) const -> std::size_t;
     auto grant(const WaitingRequest &waiting, Upstream &upstream, Instant now) -> void;
     auto refuse(const WaitingRequest &waiting, Reason reason, Duration retryAfter, Instant now)
         -> void;
     auto issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis) -> void;
     [[nodiscard]] auto verdictBasis(const WaitingRequest &waiting, const Forecast &forecast,
-                                    Instant now) const -> VerdictBasis;
+                                    Instant now) -> VerdictBasis;
     auto refuseUnservable(Instant now) -> void;
+    /// @param isLateCheckDue whether to forecast the waits of late requests
+    [[nodiscard]] auto isUnservable(const WaitingRequest &waiting, bool isLateCheckDue, Instant now)
+        -> bool;
     auto release(const Permit &permit, Instant now) -> void;
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
@@ -235,16 +250,14 @@
     /// @returns the expected latency in microseconds plus penalties; lower is better
     [[nodiscard]] auto costOf(const Upstream &upstream, const PermitRequest &request,
                               Instant now) const -> double;
-    [[nodiscard]] auto forecast(const WaitingRequest &waiting, Instant now) const -> Forecast;
-    [[nodiscard]] auto ranksBefore(const WaitingRequest &left, const WaitingRequest &right,
-                                   Instant now) const -> bool;
+    [[nodiscard]] auto forecast(const WaitingRequest &waiting, Instant now) -> Forecast;
     /// @returns whether the request can't be answered within its route's target any more
     [[nodiscard]] auto isLate(const WaitingRequest &waiting, Instant now) const -> bool;
     /// @param ahead number of requests that rank before
     /// @param servedPerSecond requests that the upstreams can serve
     /// @param overtakingPerSecond requests that arrive later and are served first
     /// @returns the expected time until a request behind `ahead` others gets a slot
-    [[nodiscard]] auto queueTime(std::ptrdiff_t ahead, double servedPerSecond,
+    [[nodiscard]] auto queueTime(std::size_t ahead, double servedPerSecond,
                                  double overtakingPerSecond) const -> Duration;
     /// @returns the duration times a random factor, so that refused callers don't retry all at once
     [[nodiscard]] auto jittered(Duration base) -> Duration;
@@ -259,7 +272,13 @@
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
     std::vector<OwnedRange> ownedRanges;
-    std::vector<WaitingRequest> backlog;
+    std::unordered_map<PermitId, WaitingRequest, IdHash> backlog;
+    /// Waiting requests that any upstream may run.
+    WaitingQueue sharedQueue;
+    /// Waiting requests whose key has no owner.
+    WaitingQueue ownerlessQueue;
+    std::uint64_t nextArrival = 1;
+    SharedCapacity capacity;
     std::unordered_map<PermitId, Permit, IdHash> permits;
     std::vector<IssuedVerdict> verdicts;
     std::map<KeyPosition, std::uint32_t> keyCounts;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -59,10 +59,12 @@
               loop.base(), pageSettings(this->settings.metricsListen), now,
               [this](ExchangeId exchange, const WholeMessage &) { this->onMetricsAsked(exchange); },
               [](ExchangeId) {})
-        , peerSocket(loop.base(), this->settings.peerListen,
-                     [this](const Address &from, std::string_view bytes) {
-                         this->onDatagram(from, bytes);
-                     })
+        , peerSocket(
+              loop.base(), this->settings.peerListen,
+              [this](const Address &from, std::string_view bytes) {
+                  this->onDatagram(from, bytes);
+              },
+              [this] { this->processPending(); })
         , upstreamWatch(wire, this->storeSender(), now, this->direct,
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
@@ -237,7 +239,6 @@
             return;
         }
         this->deliver(from, *message);
-        this->processPending();
     }
 
     auto deliver(const Address &from, const PermitMessage &message) -> void
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -179,10 +179,7 @@
 
 auto GrantorRole::plan(Instant moment) -> void
 {
-    const auto views = this->ranges->views();
-    const auto hasUnowned =
-        std::any_of(views.begin(), views.end(), [](const RangeView &view) { return !view.owner; });
-    const auto isUnownedDue = hasUnowned && moment >= this->planUnownedDue;
+    const auto isUnownedDue = moment >= this->planUnownedDue && this->ranges->hasUnowned();
     if (moment < this->planDue && !isUnownedDue) {
         return;
     }
@@ -191,7 +188,8 @@
         this->planDue = moment + this->settings.planEvery;
         this->planner.observe(this->broker->takeKeyCounts(), moment);
     }
-    const auto moves = this->planner.plan(views, this->broker->upstreamStatuses(moment), moment);
+    const auto moves =
+        this->planner.plan(this->ranges->views(), this->broker->upstreamStatuses(moment), moment);
     if (moves.empty()) {
         return;
     }
--- a/src/keyranges/internal/rangegrantorviews.cpp
+++ b/src/keyranges/internal/rangegrantorviews.cpp
@@ -91,16 +91,30 @@
     return ownedRanges;
 }
 
+auto RangeGrantor::plannedOwner(const RangeState &state) const -> const UpstreamId *
+{
+    if (state.target) {
+        return &*state.target;
+    }
+    const auto isKept = state.holder && state.phase != Phase::Expiring
+                        && (state.phase != Phase::Held || this->isUsable(*state.holder));
+    return isKept ? &state.holder->id : nullptr;
+}
+
+auto RangeGrantor::hasUnowned() const -> bool
+{
+    return std::any_of(
+        this->rangeStates.begin(), this->rangeStates.end(),
+        [&](const RangeState &state) { return this->plannedOwner(state) == nullptr; });
+}
+
 auto RangeGrantor::views() const -> std::vector<RangeView>
 {
     std::vector<RangeView> result;
     for (const auto &state : this->rangeStates) {
         RangeView view{state.range, std::nullopt, false, state.ownedSince};
-        if (state.target) {
-            view.owner = state.target;
-        } else if (state.holder && state.phase != Phase::Expiring
-                   && (state.phase != Phase::Held || this->isUsable(*state.holder))) {
-            view.owner = state.holder->id;
+        if (const auto *owner = this->plannedOwner(state)) {
+            view.owner = *owner;
         }
         view.isMovable = state.call.value == 0 && state.phase == Phase::Held && !state.target
                          && !state.needsNewFence;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -85,6 +85,8 @@
     [[nodiscard]] auto isRecordUrgent() const -> bool;
     /// @returns for all keys, which upstream may be sent requests
     [[nodiscard]] auto owners(Instant now) const -> std::vector<OwnedRange>;
+    /// @returns whether an owner has to be chosen for a range
+    [[nodiscard]] auto hasUnowned() const -> bool;
     /// @returns all ranges in the order of their keys
     [[nodiscard]] auto views() const -> std::vector<RangeView>;
     /// @returns when to call advance() next
@@ -162,6 +164,9 @@
     auto markUnowned(RangeState &state, Instant now) -> void;
     /// @returns the version of the next record, which has the change
     auto markRecordChanged() -> std::uint64_t;
+    /// @returns the upstream that owns the range or is to own it; nullptr where one has to be
+    /// chosen
+    [[nodiscard]] auto plannedOwner(const RangeState &state) const -> const UpstreamId *;
     [[nodiscard]] auto stateOf(CallId call) -> RangeState *;
     [[nodiscard]] auto entryOf(const UpstreamId &id) const -> const UpstreamEntry *;
     /// @returns whether the upstream runs as another incarnation, which holds none of its grants
--- a/src/streams/datagramsocket.h
+++ b/src/streams/datagramsocket.h
@@ -19,8 +19,10 @@
 public:
     using OnDatagram = std::function<void(const Address &from, std::string_view bytes)>;
 
+    /// @param onBatchEnd called after the datagrams that were received together
     /// @throws std::runtime_error if the address can't be bound
-    DatagramSocket(event_base *base, const Address &listen, OnDatagram onDatagram);
+    DatagramSocket(event_base *base, const Address &listen, OnDatagram onDatagram,
+                   std::function<void()> onBatchEnd);
     ~DatagramSocket();
     DatagramSocket(const DatagramSocket &) = delete;
     auto operator=(const DatagramSocket &) -> DatagramSocket & = delete;
@@ -35,6 +37,7 @@
 
     int descriptor = -1;
     OnDatagram onDatagram;
+    std::function<void()> onBatchEnd;
     EventPointer readEvent;
     /// Cache of senders' addresses as text, since most datagrams come from the same few senders.
     /// The key holds the IPv4 address and the port.
--- a/src/streams/internal/datagramsocket.cpp
+++ b/src/streams/internal/datagramsocket.cpp
@@ -24,9 +24,11 @@
 
 } // namespace
 
-DatagramSocket::DatagramSocket(event_base *base, const Address &listen, OnDatagram onDatagram)
+DatagramSocket::DatagramSocket(event_base *base, const Address &listen, OnDatagram onDatagram,
+                               std::function<void()> onBatchEnd)
     : descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     , onDatagram(std::move(onDatagram))
+    , onBatchEnd(std::move(onBatchEnd))
 {
     const auto address = toSocketAddress(listen);
     const auto *raw = reinterpret_cast<const sockaddr *>(&address);
@@ -69,11 +71,12 @@
         const auto received = recvfrom(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT,
                                        reinterpret_cast<sockaddr *>(&from), &size);
         if (received < 0) {
-            return;
+            break;
         }
         const auto &name = this->senderName(from.sin_addr.s_addr, from.sin_port);
         this->onDatagram(name, {buffer.data(), static_cast<std::size_t>(received)});
     }
+    this->onBatchEnd();
 }
 
 auto DatagramSocket::senderName(std::uint32_t host, std::uint16_t port) -> const Address &
--- a/src/streams/tests/streams_tests.cpp
+++ b/src/streams/tests/streams_tests.cpp
@@ -304,13 +304,19 @@
     const auto receiverAddress = freeAddress();
     std::string text;
     Address from;
-    DatagramSocket sender(loop.base(), senderAddress, [](const Address &, std::string_view) {});
-    DatagramSocket receiver(loop.base(), receiverAddress,
-                            [&](const Address &name, std::string_view bytes) {
-                                from = name;
-                                text = bytes;
-                            });
-    sender.send(receiverAddress, "hello");
+    auto batchCount = 0;
+    DatagramSocket sender(
+        loop.base(), senderAddress, [](const Address &, std::string_view) {}, [] {});
+    DatagramSocket receiver(
+        loop.base(), receiverAddress,
+        [&](const Address &name, std::string_view bytes) {
+            from = name;
+            text += bytes;
+        },
+        [&] { ++batchCount; });
+    sender.send(receiverAddress, "hel");
+    sender.send(receiverAddress, "lo");
     CHECK(loop.runUntil([&] { return text == "hello"; }, seconds{2}));
     CHECK(from == senderAddress);
+    CHECK(batchCount == 1);
 }
