Answer waiting requests before a planned stop ends

Those at an upstream run on. Ruled out: refusing from the SIGTERM on (callers that the balancer still sends would lose good service for 4 s). Test: RequestFlow refuses requests that wait when the daemon is about to stop.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -330,6 +330,7 @@
         const auto isBalancerDrained = age >= balancerDrainTime;
         if (age >= this->settings.shutdownTimeout - refusalTime) {
             this->entry.refuseNew();
+            this->flow.refuseWaiting(moment);
         }
         if (isBalancerDrained) {
             this->entry.listener().closeIdle();
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -378,6 +378,21 @@
     this->retryPermits(now);
 }
 
+auto RequestFlow::refuseWaiting(Instant now) -> void
+{
+    std::vector<ExchangeId> waiting;
+    for (const auto &[exchange, flow] : this->flows) {
+        if (!flow.isSent) {
+            waiting.push_back(exchange);
+        }
+    }
+    for (const auto exchange : waiting) {
+        this->permits.cancel(exchange);
+        this->failRequest(this->flows.at(exchange), Reason::ShuttingDown,
+                          this->settings.defaultRetryAfter, now);
+    }
+}
+
 auto RequestFlow::deliver(const Flow &flow, Instant now) -> void
 {
     this->records.counters.countAnswer(flow.request.service, CallerId{flow.request.route.name},
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -58,6 +58,8 @@
     /// Cancels the request of a caller that has disconnected. An attempt that isn't repeatable runs
     /// to its end.
     auto onCallerGone(ExchangeId exchange, Instant now) -> void;
+    /// Refuses all requests that aren't at an upstream, because this daemon is about to stop.
+    auto refuseWaiting(Instant now) -> void;
     /// Ends requests whose time is up, and asks again for the permits of waiting ones.
     auto advance(Instant now) -> void;
 
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -134,6 +134,41 @@
     }
 }
 
+SCENARIO("RequestFlow refuses requests that wait when the daemon is about to stop", "[entry]")
+{
+    // Guards against requests that are cut off without an answer: they waited for a permit, in an
+    // outage of the store, when the daemon ended.
+    GIVEN("a request without a permit")
+    {
+        const auto hasGrantor = GENERATE(true, false);
+        RequestFlowFixture fixture(hasGrantor);
+        fixture.begin(false);
+        fixture.flow.refuseWaiting(fixture.now);
+        fixture.processPending();
+        THEN("it is refused at once as one that hasn't run, and leaves the grantor's queue")
+        {
+            CHECK(fixture.refusal().status == 503);
+            CHECK(fixture.refusal().reason == Reason::ShuttingDown);
+            CHECK(fixture.refusal().retryAfter.has_value());
+            CHECK(fixture.countSent<PermitCancel>() == (hasGrantor ? 1 : 0));
+            CHECK(fixture.flow.openCount() == 0);
+        }
+    }
+    GIVEN("a request at its upstream")
+    {
+        RequestFlowFixture fixture;
+        fixture.begin(false);
+        fixture.grant();
+        fixture.flow.refuseWaiting(fixture.now);
+        fixture.end(AttemptEnd::Answered);
+        THEN("its answer is delivered")
+        {
+            CHECK(fixture.count<FlowRefuse>() == 0);
+            CHECK(fixture.count<FlowDeliver>() == 1);
+        }
+    }
+}
+
 SCENARIO("RequestFlow cancels the request of a caller that has disconnected", "[entry]")
 {
     GIVEN("a caller that disconnects while its permit is pending")
