Spread grantors of several services over the VMs

Change: a claim that waits is postponed by 150 ms for each service that the daemon has come to grant meanwhile. The 500 ms before counted only for claims that began later, and would let weak VMs claim before the strong one. Ruled out: 500 ms for waiting claims (a fleet with one strong VM opens 188 leases at its start, where 3 are allowed; test). Tests: GrantorElection waits longer; no daemon grants two services while strong VMs grant none.

--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Added to a claim's delay for each service that the daemon grants already.
-constexpr Duration delayPerGrant = std::chrono::milliseconds{500};
+constexpr Duration delayPerGrant = std::chrono::milliseconds{150};
 /// Bounds the claim delay: VMs with a smaller share of a core wait as long as with this one.
 constexpr double minimumCores = 0.05;
 constexpr Duration idleAdvanceEvery = std::chrono::milliseconds{500};
--- a/src/edge/tests/grantorwatch_tests.cpp
+++ b/src/edge/tests/grantorwatch_tests.cpp
@@ -168,6 +168,12 @@
                 CHECK_FALSE(fleet.knownGrantors(service).contains("none"));
             }
         }
+        THEN("no daemon grants two services while strong VMs grant none")
+        {
+            for (const auto &daemon : fleet.daemons) {
+                CHECK(daemon->roles.servingCount() <= 1);
+            }
+        }
         THEN("a minute without changes costs few calls: renewals, and the stand-bys' watches")
         {
             const auto before = fleet.store.callCount();
--- a/src/election/grantorelection.h
+++ b/src/election/grantorelection.h
@@ -64,7 +64,7 @@
 
     /// Takes in what the watch of the store shows; may be called again without a change.
     /// @param grantor the key's value and revision; nothing where the key doesn't exist
-    /// @param claimDelay how long to wait before claiming a free key
+    /// @param claimDelay how long to wait before claiming a free key; a longer one counts at once
     auto onElectedGrantor(const std::optional<ElectedGrantor> &grantor, Duration claimDelay)
         -> void;
     /// Starts the next store call if it is due.
@@ -106,6 +106,8 @@
     bool hasResigned = false;
     /// When the next call is to be started.
     Instant due{};
+    /// The delay with which this daemon waits to claim the key.
+    Duration waitingDelay{0};
     Instant authorityEndsAt{};
     Instant leaseRequestedAt{};
     StoreLease lease;
--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -39,9 +39,16 @@
         return;
     }
     if (!grantor && this->currentState == State::Following) {
+        this->waitingDelay = claimDelay;
         this->enterState(State::Waiting, this->now() + claimDelay);
         return;
     }
+    if (!grantor && this->currentState == State::Waiting && claimDelay > this->waitingDelay) {
+        // This daemon has become grantor of another service meanwhile: others go first.
+        this->due += claimDelay - this->waitingDelay;
+        this->waitingDelay = claimDelay;
+        return;
+    }
     if (grantor && this->currentState == State::Waiting) {
         this->enterState(State::Following, this->now());
     }
--- a/src/election/tests/election_tests.cpp
+++ b/src/election/tests/election_tests.cpp
@@ -72,6 +72,20 @@
 
 } // namespace
 
+SCENARIO("GrantorElection waits longer if the daemon becomes grantor of another service meanwhile",
+         "[election]")
+{
+    FakeStore store;
+    GrantorElection election("grantor", "daemon", ElectionSettings{}, store.sender(),
+                             [&store] { return store.now(); });
+    const auto start = store.now();
+    election.onElectedGrantor(std::nullopt, milliseconds{100});
+    store.advance(milliseconds{50});
+    election.onElectedGrantor(std::nullopt, milliseconds{600});
+    election.onElectedGrantor(std::nullopt, milliseconds{600});
+    CHECK(election.nextDue() == start + milliseconds{600});
+}
+
 SCENARIO("GrantorElection elects one daemon as grantor", "[election]")
 {
     Trial trial(4);
