--- a/src/streams/tests/streams_tests.cpp
+++ b/src/streams/tests/streams_tests.cpp
@@ -120,6 +120,38 @@
         PoolFixture fixture({{"garbage garbage\r\n\r\n"}});
         CHECK(fixture.ask("a").end == End::BadAnswer);
     }
+    GIVEN("bytes without end that are no answer")
+    {
+        // Guards against an upstream whose bytes would fill this daemon's memory.
+        const auto kind = GENERATE(0, 1, 2, 3);
+        const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+        constexpr std::size_t tooLong = std::size_t{17} * 1024 * 1024;
+        std::string text;
+        switch (kind) {
+        case 0:
+            text = std::string(tooLong, 'x');
+            break;
+        case 1:
+            text = start + "X-Filler: " + std::string(tooLong, 'x');
+            break;
+        case 2:
+            text = start + "\r\n" + std::string(tooLong, 'x');
+            break;
+        default:
+            text =
+                start + "Transfer-Encoding: chunked\r\n\r\n1000000\r\n" + std::string(tooLong, 'x');
+            break;
+        }
+        PoolFixture fixture({{text}, {answer("b", "2")}});
+        THEN("the request ends at the limits, and the connection is closed")
+        {
+            CHECK(fixture.ask("a", seconds{5}).end == End::BadAnswer);
+            fixture.loop.runUntil([&] { return fixture.peer.ended > 0; }, seconds{2});
+            CHECK(fixture.peer.ended > 0);
+            CHECK(fixture.ask("b").answer.body == "2");
+            CHECK(fixture.peer.connections == 2);
+        }
+    }
     GIVEN("no answer in time")
     {
         PoolFixture fixture({});
