--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -402,6 +402,7 @@
         metrics.configurationVersion = this->routes ? this->routes->configuration().version : 0;
         metrics.grantedServices = this->roles.servingCount();
         metrics.movedKeys = this->roles.movedKeys();
+        metrics.configurationFetches = this->configurationSource.fetchCount();
         MessageHead head;
         head.status = 200;
         head.headers = {HttpHeader{"Content-Type", "text/plain; version=0.0.4"}};
