--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -45,7 +45,7 @@
     /// @param onText receives each newer configuration
     /// @param onWork called after each event for which advance() may be due earlier
     ConfigurationSource(event_base *base, ConfigurationSourceSettings settings, SendStoreCall store,
-                        std::function<Instant()> now, Logger &logger, OnText onText,
+                        const std::function<Instant()> &now, Logger &logger, OnText onText,
                         std::function<void()> onWork);
 
     /// Starts to serve other daemons; they use the store where that fails.
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 ConfigurationSource::ConfigurationSource(event_base *base, ConfigurationSourceSettings settings,
-                                         SendStoreCall store, std::function<Instant()> now,
+                                         SendStoreCall store, const std::function<Instant()> &now,
                                          Logger &logger, OnText onText,
                                          std::function<void()> onWork)
     : settings(std::move(settings))
