Let a grantor serve from its election on

Cause, seen while reading the diff: a daemon that grants nothing doesn't call the store, so by its last contact it looked cut off; when it was elected it answered NotGrantor until the next timer event, and logged a reconnection. Change: only a daemon that is grantor can be cut off. Test (failed first): GrantorRole serves from its election on.

--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -219,7 +219,7 @@
     /// @returns the waiting request that gets the upstream's next slot; nullptr where there is none
     [[nodiscard]] auto firstFor(const Upstream &upstream, Instant now) const -> WaitingRequest *;
     [[nodiscard]] auto sharedCapacity(Instant now) -> const SharedCapacity &;
-    /// @returns how many waiting requests without an owner's queue of their own rank before
+    /// @returns how many waiting requests rank before one that any upstream may run
     [[nodiscard]] auto countBefore(const WaitingRank &rank) const -> std::size_t;
     auto grant(const WaitingRequest &waiting, Upstream &upstream, Instant now) -> void;
     auto refuse(const WaitingRequest &waiting, Reason reason, Duration retryAfter, Instant now)
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -93,7 +93,8 @@
         this->announcedConfiguration = std::move(source);
     }
     /// While cut off from the store that other daemons reach, a grantor gives out no slots:
-    /// upstreams may have started to drain without its knowledge.
+    /// upstreams may have started to drain without its knowledge. Has no effect while this daemon
+    /// isn't grantor.
     auto setCutOff(bool cutOff) -> void;
     /// Announces this daemon to all others with the next advance().
     auto announceSoon() -> void { this->announceDue = Instant{}; }
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -191,16 +191,15 @@
 
 auto GrantorRole::setCutOff(bool cutOff) -> void
 {
-    if (this->isCutOff == cutOff) {
+    // Other daemons have no need to call the store, so they aren't cut off by their silence.
+    if (!this->serving || this->isCutOff == cutOff) {
         return;
     }
     this->isCutOff = cutOff;
-    if (this->serving) {
-        LogLine line(cutOff ? "grantor_cut_off" : "grantor_reconnected");
-        line.with("service", this->spec.name.value)
-            .with("why", cutOff ? "another grantor reaches the store" : "store reached");
-        this->log(LogLevel::Warning, line);
-    }
+    LogLine line(cutOff ? "grantor_cut_off" : "grantor_reconnected");
+    line.with("service", this->spec.name.value)
+        .with("why", cutOff ? "another grantor reaches the store" : "store reached");
+    this->log(LogLevel::Warning, line);
 }
 
 auto GrantorRole::onElected(StoreRevision term) -> void
@@ -234,6 +233,7 @@
         .with("term", static_cast<std::int64_t>(this->term->value));
     this->log(LogLevel::Warning, line);
     this->serving = false;
+    this->isCutOff = false;
     this->ranges.reset();
     this->isRecordAdopted = false;
     // The new broker has no owners yet, even if the next term starts with the same ones.
--- a/src/edge/tests/grantorrole_tests.cpp
+++ b/src/edge/tests/grantorrole_tests.cpp
@@ -142,6 +142,23 @@
     }
 }
 
+SCENARIO(
+    "GrantorRole serves from its election on, though the daemon had no need of the store before",
+    "[grantorrole]")
+{
+    GIVEN("a daemon that grants nothing, and hasn't called the store for longer than grantors have")
+    {
+        GrantorRoleFixture fixture;
+        fixture.role.setCutOff(true);
+        fixture.run(seconds{5});
+        REQUIRE(fixture.role.isServing());
+        THEN("it gives out slots once it is elected")
+        {
+            CHECK(fixture.isServed(100));
+        }
+    }
+}
+
 SCENARIO("GrantorRole serves the same owners again after it is re-elected", "[grantorrole]")
 {
     GIVEN("a grantor whose keys all have owners")
