Include in ConfigurationSource what it uses

It included the store client, a template with the grantor role behind it, for the request writer alone, and a header of durations that it doesn't use. No behaviour changes. Format, lint of the file, build and edge_tests passed.

--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -1,10 +1,10 @@
 #include "edge/configurationsource.h"
 
-#include "common/durations.h"
-#include "edge/callclients.h"
+#include "http1/messagewriter.h"
 
 #include <algorithm>
 #include <charconv>
+#include <stdexcept>
 #include <utility>
 
 namespace gooseberrywall {
