Log the request limits that upstreams name

Daemons now read it from answers and pass it to the grantor with the report of each attempt; the grantor logs upstream_health with state limited, unlimited and over_limit, and counts limited upstreams. Nothing decides by it.

--- a/src/common/internal/logline.cpp
+++ b/src/common/internal/logline.cpp
@@ -1,7 +1,9 @@
 #include "common/logline.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
+#include <cstdio>
 
 namespace gooseberrywall {
 
@@ -65,4 +67,11 @@
     return this->with(key, std::to_string(value));
 }
 
+auto LogLine::withDecimal(std::string_view key, double value) -> LogLine &
+{
+    std::array<char, 32> text{};
+    static_cast<void>(std::snprintf(text.data(), text.size(), "%.1f", value));
+    return this->with(key, text.data());
+}
+
 } // namespace gooseberrywall
--- a/src/common/logline.h
+++ b/src/common/logline.h
@@ -17,6 +17,9 @@
     auto with(std::string_view key, std::string_view value) -> LogLine &;
     auto with(std::string_view key, std::int64_t value) -> LogLine &;
 
+    /// Adds a number with one decimal.
+    auto withDecimal(std::string_view key, double value) -> LogLine &;
+
     /// @returns the line, without a newline
     [[nodiscard]] auto text() const -> const std::string & { return this->line; }
 
--- a/src/common/tests/logline_tests.cpp
+++ b/src/common/tests/logline_tests.cpp
@@ -21,3 +21,9 @@
         }
     }
 }
+
+SCENARIO("LogLine: given a decimal number, when it is logged, then it has one decimal", "[logline]")
+{
+    CHECK(LogLine("upstream_health").withDecimal("limit_per_s", 6.25).text()
+          == "event=upstream_health limit_per_s=6.2");
+}
--- a/src/dispatch/healthchanges.h
+++ b/src/dispatch/healthchanges.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -20,6 +21,12 @@
         /// The upstream drains, is silent, or its last attempts failed; it gets no requests or one
         /// at a time.
         Unusable,
+        /// The upstream names a limit of requests per second, or a clearly different one.
+        Limited,
+        /// It names none any more.
+        Unlimited,
+        /// It is granted clearly more requests than its limit.
+        OverLimit,
     };
 
     Kind kind = Kind::Joined;
@@ -41,7 +48,13 @@
         -> std::vector<HealthChange>;
 
 private:
+    /// @returns the change of the upstream's request limit since the last one that was returned
+    [[nodiscard]] auto limitChange(const UpstreamStatus &upstream)
+        -> std::optional<HealthChange::Kind>;
+
     std::map<UpstreamId, UpstreamStatus> lastStatuses;
+    /// The last limits returned as changes, of upstreams that name one.
+    std::map<UpstreamId, RequestLimit> returnedLimits;
 };
 
 } // namespace gooseberrywall
--- a/src/dispatch/internal/healthchanges.cpp
+++ b/src/dispatch/internal/healthchanges.cpp
@@ -1,9 +1,26 @@
 #include "dispatch/healthchanges.h"
 
+#include <cmath>
 #include <utility>
 
 namespace gooseberrywall {
 
+namespace {
+
+/// A limit that differs by less than this share from the last one is no change.
+constexpr double limitChangeShare = 0.1;
+/// Average grants above this multiple of the limit, and this many more, are too many.
+constexpr double overLimitFactor = 1.5;
+constexpr double overLimitSlack = 2;
+
+auto isOverLimit(const UpstreamStatus &upstream) -> bool
+{
+    return upstream.grantedPerSecond
+           > overLimitFactor * upstream.requestLimit.perSecond + overLimitSlack;
+}
+
+} // namespace
+
 auto toString(HealthChange::Kind kind) -> std::string_view
 {
     switch (kind) {
@@ -15,6 +32,12 @@
         return "usable";
     case HealthChange::Kind::Unusable:
         return "unusable";
+    case HealthChange::Kind::Limited:
+        return "limited";
+    case HealthChange::Kind::Unlimited:
+        return "unlimited";
+    case HealthChange::Kind::OverLimit:
+        return "over_limit";
     }
     return "unusable";
 }
@@ -33,15 +56,41 @@
             result.push_back(
                 HealthChange{upstream.isUsable ? Kind::Usable : Kind::Unusable, upstream});
         }
+        if (const auto kind = this->limitChange(upstream)) {
+            result.push_back(HealthChange{*kind, upstream});
+        }
+        const auto wasOverLimit = before != this->lastStatuses.end() && isOverLimit(before->second);
+        if (isOverLimit(upstream) && !wasOverLimit) {
+            result.push_back(HealthChange{Kind::OverLimit, upstream});
+        }
         next.emplace(upstream.id, upstream);
     }
     for (const auto &[id, upstream] : this->lastStatuses) {
         if (!next.contains(id)) {
             result.push_back(HealthChange{Kind::Gone, upstream});
+            this->returnedLimits.erase(id);
         }
     }
     this->lastStatuses = std::move(next);
     return result;
 }
 
+auto HealthChanges::limitChange(const UpstreamStatus &upstream) -> std::optional<HealthChange::Kind>
+{
+    const auto known = this->returnedLimits.find(upstream.id);
+    const auto wasLimited = known != this->returnedLimits.end();
+    if (!upstream.requestLimit.isLimited()) {
+        this->returnedLimits.erase(upstream.id);
+        return wasLimited ? std::optional(HealthChange::Kind::Unlimited) : std::nullopt;
+    }
+    const auto limit = upstream.requestLimit.perSecond;
+    if (wasLimited
+        && std::abs(limit - known->second.perSecond)
+               <= limitChangeShare * known->second.perSecond) {
+        return std::nullopt;
+    }
+    this->returnedLimits[upstream.id] = upstream.requestLimit;
+    return HealthChange::Kind::Limited;
+}
+
 } // namespace gooseberrywall
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -173,6 +173,7 @@
         upstream.otherRequests = std::max(0, others);
         upstream.otherRequestsValidUntil = now + otherRequestsValidity;
     }
+    upstream.requestLimit = report.requestLimit.value_or(upstream.requestLimit);
     if (report.end == AttemptEnd::Answered) {
         this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
     }
@@ -274,7 +275,8 @@
                                         upstream.health.failureShare(now),
                                         !upstream.entry.isDraining
                                             && !upstream.health.isLimitedToTrials()
-                                            && !this->isSilent(upstream, now)});
+                                            && !this->isSilent(upstream, now),
+                                        upstream.requestLimit, upstream.grants.perSecond(now)});
     }
     return result;
 }
@@ -330,6 +332,7 @@
         upstream.noReportSince = now;
     }
     ++upstream.inFlight;
+    upstream.grants.record(now);
     upstream.lastUse[waiting.request.id.entry] = now;
     const Forecast forecast{Duration{0}, this->latencyOf(upstream, now)};
     const auto repeatAfter = std::max(this->settings.minRepeatAfter,
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -103,6 +103,10 @@
     /// The upstream gets requests as usual: it doesn't drain, isn't silent and its last attempts
     /// didn't fail.
     bool isUsable = true;
+    /// As its answers state it.
+    RequestLimit requestLimit;
+    /// Permits for it per second, an average over about a second.
+    double grantedPerSecond = 0;
     auto operator==(const UpstreamStatus &) const -> bool = default;
 };
 
@@ -167,6 +171,9 @@
         Instant otherRequestsValidUntil{};
         /// Requests for its keys that could still meet their target when they arrived.
         ArrivalRate onTimeArrivals;
+        ArrivalRate grants;
+        /// As its answers state it.
+        RequestLimit requestLimit;
         /// Start of the time with permits out and no report: the last report, or the first permit
         /// after a time without any.
         Instant noReportSince{};
--- a/src/dispatch/tests/healthchanges_tests.cpp
+++ b/src/dispatch/tests/healthchanges_tests.cpp
@@ -40,4 +40,31 @@
                   == std::vector{HealthChange{Kind::Usable, upstream("b", true)}});
         }
     }
+    GIVEN("an upstream that names a request limit")
+    {
+        auto limited = upstream("a", true);
+        limited.requestLimit = RequestLimit{10};
+        CHECK(changes.update({limited})
+              == std::vector{HealthChange{Kind::Joined, limited},
+                             HealthChange{Kind::Limited, limited}});
+        THEN("only a clearly different limit is a change")
+        {
+            limited.requestLimit = RequestLimit{10.5};
+            CHECK(changes.update({limited}).empty());
+            limited.requestLimit = RequestLimit{5};
+            CHECK(changes.update({limited}) == std::vector{HealthChange{Kind::Limited, limited}});
+        }
+        THEN("the end of the limit is returned once")
+        {
+            CHECK(changes.update({upstream("a", true)})
+                  == std::vector{HealthChange{Kind::Unlimited, upstream("a", true)}});
+            CHECK(changes.update({upstream("a", true)}).empty());
+        }
+        THEN("grants clearly above the limit are returned once")
+        {
+            limited.grantedPerSecond = 17.5;
+            CHECK(changes.update({limited}) == std::vector{HealthChange{Kind::OverLimit, limited}});
+            CHECK(changes.update({limited}).empty());
+        }
+    }
 }
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -4,8 +4,10 @@
 #include "common/types/instant.h"
 #include "common/types/reason.h"
 
+#include <cmath>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -120,6 +122,15 @@
     auto operator==(const ReportedLoad &) const -> bool = default;
 };
 
+/// Requests per second that an upstream takes from all daemons together.
+struct RequestLimit
+{
+    /// Infinity where the upstream takes as many as it has slots for.
+    double perSecond = std::numeric_limits<double>::infinity();
+    auto operator==(const RequestLimit &) const -> bool = default;
+    [[nodiscard]] auto isLimited() const -> bool { return std::isfinite(this->perSecond); }
+};
+
 /// An entry daemon's report on an attempt, which returns the permit.
 struct PermitReport
 {
@@ -131,6 +142,8 @@
     Duration latency{0};
     /// Empty where the upstream reported none.
     std::optional<ReportedLoad> load;
+    /// Empty where the answer doesn't tell, or there was none.
+    std::optional<RequestLimit> requestLimit;
     auto operator==(const PermitReport &) const -> bool = default;
 };
 
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -403,6 +403,7 @@
         metrics.grantedServices = this->roles.servingCount();
         metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
+        metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
         MessageHead head;
         head.status = 200;
         head.headers = {HttpHeader{"Content-Type", "text/plain; version=0.0.4"}};
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -240,6 +240,7 @@
             const auto fields = this->wire.answerFields(result.answer.head, entry.isRepeatable);
             end.end = fields.end;
             end.load = fields.load;
+            end.requestLimit = fields.requestLimit;
             entry.answer = std::move(result.answer);
             break;
         }
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -111,6 +111,8 @@
     /// successor is known yet
     [[nodiscard]] auto isServing() const -> bool { return this->serving; }
     [[nodiscard]] auto isSharded() const -> bool { return this->spec.isSharded; }
+    /// @returns how many upstreams name a request limit; zero while this daemon isn't grantor
+    [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
     /// @returns how many keys have changed owner in this term; zero where there are no ranges
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
 
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -43,6 +43,8 @@
     /// @returns how many services this daemon grants
     [[nodiscard]] auto servingCount() const -> std::uint64_t;
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
+    /// @returns how many upstreams of the services that this daemon grants name a request limit
+    [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
     [[nodiscard]] auto settings() const -> const GrantorRoleSettings &
     {
         return this->roleSettings;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -275,6 +275,10 @@
             .with("failures_percent",
                   static_cast<std::int64_t>(change.upstream.failureShare * percent))
             .with("latency_ms", toMilliseconds(change.upstream.expectedLatency));
+        if (change.upstream.requestLimit.isLimited()) {
+            line.withDecimal("limit_per_s", change.upstream.requestLimit.perSecond)
+                .withDecimal("granted_per_s", change.upstream.grantedPerSecond);
+        }
         this->log(LogLevel::Info, line);
     }
 }
@@ -419,6 +423,14 @@
     return std::exchange(this->datagrams, {});
 }
 
+auto GrantorRole::limitedUpstreamCount() const -> std::uint64_t
+{
+    const auto statuses = this->broker->upstreamStatuses(this->now());
+    return static_cast<std::uint64_t>(
+        std::count_if(statuses.begin(), statuses.end(),
+                      [](const auto &each) { return each.requestLimit.isLimited(); }));
+}
+
 auto GrantorRole::movedKeys() const -> std::uint64_t
 {
     return this->ranges ? this->ranges->movedKeys() : 0;
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -163,6 +163,15 @@
                       [](const auto &row) { return row.second->isServing(); }));
 }
 
+auto GrantorRoles::limitedUpstreamCount() const -> std::uint64_t
+{
+    std::uint64_t count = 0;
+    for (const auto &[name, role] : this->roles) {
+        count += role->limitedUpstreamCount();
+    }
+    return count;
+}
+
 auto GrantorRoles::movedKeys() const -> std::uint64_t
 {
     std::uint64_t moved = 0;
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 12> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 13> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -23,7 +23,8 @@
          {"configuration_version", metrics.configurationVersion},
          {"granted_services", metrics.grantedServices},
          {"moved_keys_total", metrics.movedKeys},
-         {"configuration_fetches_total", metrics.configurationFetches}}};
+         {"configuration_fetches_total", metrics.configurationFetches},
+         {"limited_upstreams", metrics.limitedUpstreams}}};
     for (const auto &[name, value] : rows) {
         page += "gooseberrywall_" + std::string(name) + " " + std::to_string(value) + "\n";
     }
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -24,6 +24,7 @@
     std::uint64_t grantedServices = 0;
     std::uint64_t movedKeys = 0;
     std::uint64_t configurationFetches = 0;
+    std::uint64_t limitedUpstreams = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -89,5 +89,6 @@
     EdgeMetrics metrics;
     metrics.grantedServices = 2;
     const auto text = metricsText(CounterSnapshot{}, {}, metrics);
+    CHECK(text.find("gooseberrywall_limited_upstreams 0\n") != std::string::npos);
     CHECK(text.find("gooseberrywall_granted_services 2\n") != std::string::npos);
 }
--- a/src/edge/types/wiretypes.h
+++ b/src/edge/types/wiretypes.h
@@ -27,6 +27,8 @@
     AttemptEnd end = AttemptEnd::NoAnswer;
     /// Empty where the upstream doesn't report its load.
     std::optional<ReportedLoad> load;
+    /// Empty where the answer doesn't tell.
+    std::optional<RequestLimit> requestLimit;
     auto operator==(const AnswerFields &) const -> bool = default;
 };
 
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -260,6 +260,7 @@
         report.end = end.end;
         report.latency = now - flow.sentAt;
         report.load = end.load;
+        report.requestLimit = end.requestLimit;
         this->permits.report(report);
         flow.permit.reset();
     }
@@ -347,7 +348,8 @@
         return;
     }
     this->commands.emplace_back(FlowAbort{exchange});
-    this->endAttempt(flow, FlowAttemptEnd{exchange, AttemptEnd::Unused, std::nullopt}, now);
+    this->endAttempt(flow, FlowAttemptEnd{exchange, AttemptEnd::Unused, std::nullopt, std::nullopt},
+                     now);
     this->finish(exchange);
 }
 
@@ -366,8 +368,9 @@
         if (flow.isSent) {
             flow.mayHaveRun = true;
             this->commands.emplace_back(FlowAbort{exchange});
-            this->endAttempt(flow, FlowAttemptEnd{exchange, AttemptEnd::NoAnswer, std::nullopt},
-                             now);
+            this->endAttempt(
+                flow, FlowAttemptEnd{exchange, AttemptEnd::NoAnswer, std::nullopt, std::nullopt},
+                now);
         }
         if (flow.isAbandoned) {
             this->finish(exchange);
--- a/src/entry/tests/requestflowfixture.h
+++ b/src/entry/tests/requestflowfixture.h
@@ -95,7 +95,8 @@
 
     auto end(AttemptEnd end) -> void
     {
-        this->flow.onAttemptEnd(FlowAttemptEnd{ExchangeId{1}, end, std::nullopt}, this->now);
+        this->flow.onAttemptEnd(FlowAttemptEnd{ExchangeId{1}, end, std::nullopt, std::nullopt},
+                                this->now);
         this->processPending();
     }
 
--- a/src/entry/types/flowmessages.h
+++ b/src/entry/types/flowmessages.h
@@ -70,6 +70,7 @@
     ExchangeId exchange;
     AttemptEnd end = AttemptEnd::NoAnswer;
     std::optional<ReportedLoad> load;
+    std::optional<RequestLimit> requestLimit;
     auto operator==(const FlowAttemptEnd &) const -> bool = default;
 };
 
--- a/src/keyranges/tests/rangeplanner_tests.cpp
+++ b/src/keyranges/tests/rangeplanner_tests.cpp
@@ -30,9 +30,11 @@
     auto addUpstreams(int count) -> void
     {
         for (auto index = 0; index < count; ++index) {
-            this->statuses.push_back(
-                UpstreamStatus{UpstreamId{"u" + std::to_string(this->statuses.size())}, this->slots,
-                               this->latency, 0, true});
+            UpstreamStatus status;
+            status.id = UpstreamId{"u" + std::to_string(this->statuses.size())};
+            status.slots = this->slots;
+            status.expectedLatency = this->latency;
+            this->statuses.push_back(status);
         }
     }
 
--- a/src/keyranges/tests/rangesimulation.cpp
+++ b/src/keyranges/tests/rangesimulation.cpp
@@ -124,9 +124,12 @@
             this->planner.observe(counts, this->moment);
             std::vector<UpstreamStatus> demand;
             for (const auto &upstream : this->upstreams) {
-                demand.push_back(UpstreamStatus{upstream.entry.id, upstream.entry.slots,
-                                                std::chrono::milliseconds{80}, 0,
-                                                upstream.isUp && !upstream.entry.isDraining});
+                UpstreamStatus status;
+                status.id = upstream.entry.id;
+                status.slots = upstream.entry.slots;
+                status.expectedLatency = std::chrono::milliseconds{80};
+                status.isUsable = upstream.isUp && !upstream.entry.isDraining;
+                demand.push_back(status);
             }
             this->grantor->move(this->planner.plan(this->grantor->views(), demand, this->moment),
                                 this->moment);
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -85,6 +85,8 @@
     out.setRunning(load.running);
     out.setWaiting(load.waiting);
     out.setSlots(load.slots);
+    out.setHasLimit(report.requestLimit.has_value());
+    out.setLimitPerSecond(report.requestLimit.value_or(RequestLimit{}).perSecond);
 }
 
 auto write(permitwire::Message::Builder builder, const PermitCancel &cancel) -> void
@@ -167,6 +169,10 @@
     if (in.getHasLoad()) {
         report.load = ReportedLoad{in.getRunning(), in.getWaiting(), in.getSlots()};
     }
+    // Also refuses NaN.
+    if (in.getHasLimit() && in.getLimitPerSecond() >= 0) {
+        report.requestLimit = RequestLimit{in.getLimitPerSecond()};
+    }
     return report;
 }
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -46,6 +46,8 @@
   running @6 :Int32;
   waiting @7 :Int32;
   slots @8 :Int32;
+  hasLimit @9 :Bool;
+  limitPerSecond @10 :Float64;
 }
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -575,6 +575,10 @@
 
   inline  ::int32_t getSlots() const;
 
+  inline bool getHasLimit() const;
+
+  inline double getLimitPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -642,6 +646,12 @@
   inline  ::int32_t getSlots();
   inline void setSlots( ::int32_t value);
 
+  inline bool getHasLimit();
+  inline void setHasLimit(bool value);
+
+  inline double getLimitPerSecond();
+  inline void setLimitPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1781,6 +1791,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::getHasLimit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getHasLimit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setHasLimit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Report::Reader::getLimitPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Report::Builder::getLimitPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setLimitPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Cancel::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -53,6 +53,10 @@
     report.end = AttemptEnd::NoAnswer;
     report.latency = std::chrono::milliseconds{80};
     report.load = ReportedLoad{3, 1, 3};
+    report.requestLimit = RequestLimit{6.5};
+    CHECK(roundTrip(report, sender, self) == PermitMessage{report});
+
+    report.requestLimit = RequestLimit{};
     CHECK(roundTrip(report, sender, self) == PermitMessage{report});
 
     CHECK(roundTrip(DaemonHello{}, sender, self) == PermitMessage{DaemonHello{}});
