--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int slots = 3;
+constexpr std::size_t keyCount = 65536;
 constexpr Duration tick = std::chrono::milliseconds{20};
 const ServiceName service{"service"};
 
@@ -18,29 +19,84 @@
 } // namespace
 
 BrokerSimulation::BrokerSimulation(std::uint64_t seed, std::vector<double> speeds,
-                                   std::vector<RequestClass> classes)
+                                   std::vector<RequestClass> classes, bool isSharded)
     : random(seed)
     , speeds(std::move(speeds))
     , slowdowns(this->speeds.size(), 1.0)
+    , limits(this->speeds.size())
+    , judgedSince(this->speeds.size())
+    , recentSends(this->speeds.size())
     , classes(std::move(classes))
     , results(this->classes.size())
     , sentRequests(this->speeds.size(), 0)
     , running(this->speeds.size(), 0)
-    , broker(service, false, SlotBrokerSettings{}, RetryWindowSettings{}, seed)
+    , isSharded(isSharded)
+    , seed(seed)
 {
+    this->setUpBroker();
+    for (std::size_t classIndex = 0; classIndex < this->classes.size(); ++classIndex) {
+        this->scheduleArrival(classIndex);
+    }
+    this->events.push(Event{this->now + tick, Event::Kind::Tick});
+}
+
+auto BrokerSimulation::setUpBroker() -> void
+{
+    this->broker = std::make_unique<SlotBroker>(service, this->isSharded, SlotBrokerSettings{},
+                                                RetryWindowSettings{}, this->seed);
     std::vector<UpstreamEntry> entries;
+    std::vector<OwnedRange> owners;
+    const auto count = this->speeds.size();
     for (std::size_t index = 0; index < this->speeds.size(); ++index) {
         UpstreamEntry entry;
         entry.id = upstreamId(index);
         entry.service = service;
         entry.slots = slots;
         entries.push_back(entry);
+        OwnedRange owned;
+        owned.keys = KeyRange{static_cast<KeyPosition>(keyCount * index / count),
+                              static_cast<KeyPosition>(keyCount * (index + 1) / count - 1)};
+        owned.owner = entry.id;
+        owners.push_back(owned);
     }
-    this->broker.setUpstreams(entries, this->now);
-    for (std::size_t classIndex = 0; classIndex < this->classes.size(); ++classIndex) {
-        this->scheduleArrival(classIndex);
+    this->broker->setUpstreams(entries, this->now);
+    if (this->isSharded) {
+        this->broker->setOwners(owners, this->now);
     }
-    this->events.push(Event{this->now + tick, Event::Kind::Tick});
+}
+
+auto BrokerSimulation::replaceBroker() -> void
+{
+    this->setUpBroker();
+}
+
+auto BrokerSimulation::setRequestLimit(std::size_t upstream, RequestLimit limit) -> void
+{
+    constexpr Duration firstReactionTime = std::chrono::seconds{3};
+    constexpr Duration reactionTime = std::chrono::milliseconds{500};
+    const auto isFirst = !this->judgedSince.at(upstream).has_value();
+    const auto isLower = limit.perSecond < this->limits.at(upstream).perSecond;
+    this->limits.at(upstream) = limit;
+    if (isLower) {
+        this->judgedSince.at(upstream) = this->now + (isFirst ? firstReactionTime : reactionTime);
+    }
+}
+
+auto BrokerSimulation::onSent(std::size_t upstream) -> void
+{
+    constexpr Duration window = std::chrono::seconds{4};
+    auto &sends = this->recentSends[upstream];
+    sends.push_back(this->now);
+    while (sends.front() <= this->now - window) {
+        sends.pop_front();
+    }
+    const auto limit = this->limits[upstream];
+    if (!limit.isLimited() || this->now < *this->judgedSince[upstream] + window) {
+        return;
+    }
+    const auto allowed = 1.5 * limit.perSecond * 4 + 5;
+    this->worstLimitExcess =
+        std::max(this->worstLimitExcess, static_cast<double>(sends.size()) - allowed);
 }
 
 auto BrokerSimulation::scheduleArrival(std::size_t classIndex) -> void
@@ -48,7 +104,8 @@
     std::exponential_distribution<double> gap(std::max(0.001, this->classes[classIndex].perSecond));
     const auto request = this->nextRequest++;
     const auto at = this->now + Duration{static_cast<std::int64_t>(gap(this->random) * 1e6)};
-    this->callers[request] = Caller{classIndex, at, false};
+    const auto key = static_cast<KeyPosition>(this->isSharded ? this->random() % keyCount : 0);
+    this->callers[request] = Caller{classIndex, at, false, key};
     this->events.push(Event{at, Event::Kind::Arrive, request});
 }
 
@@ -76,7 +133,7 @@
         this->events.pop();
         this->now = event.at;
         if (event.kind == Event::Kind::Tick) {
-            this->broker.advance(this->now);
+            this->broker->advance(this->now);
             this->events.push(Event{this->now + tick, Event::Kind::Tick});
         } else if (event.kind == Event::Kind::End) {
             this->onEnd(event);
@@ -90,11 +147,14 @@
             request.id = PermitId{Address{"entry"}, 1, event.request};
             request.service = service;
             const auto &requestClass = this->classes[caller.classIndex];
+            if (this->isSharded) {
+                request.key = caller.key;
+            }
             request.priority = requestClass.priority;
             request.remaining = caller.arrivedAt + requestClass.deadline - this->now;
             request.untilTarget = caller.arrivedAt + requestClass.target - this->now;
             this->askedAt[event.request] = this->now;
-            this->broker.ask(request, this->now);
+            this->broker->ask(request, this->now);
         }
         this->takeVerdicts();
     }
@@ -103,7 +163,7 @@
 
 auto BrokerSimulation::takeVerdicts() -> void
 {
-    for (const auto &issued : this->broker.takeVerdicts()) {
+    for (const auto &issued : this->broker->takeVerdicts()) {
         const auto request = issued.id.sequence;
         const auto caller = this->callers.at(request);
         const auto &requestClass = this->classes[caller.classIndex];
@@ -116,6 +176,7 @@
                 static_cast<std::size_t>(std::stoi(issued.verdict.upstream.value.substr(1)));
             this->results[caller.classIndex].grantedWait += this->now - this->askedAt.at(request);
             ++this->sentRequests[index];
+            this->onSent(index);
             ++this->running[index];
             this->worstOvercommit = std::max(this->worstOvercommit, this->running[index] - slots);
             std::lognormal_distribution<double> factor(-0.045, 0.3);
@@ -133,7 +194,8 @@
             const auto retryAt = this->now + std::min(issued.verdict.retryAfter, remaining / 3);
             if (requestClass.retriesOnce && !caller.isRetry && remaining > Duration{0}) {
                 const auto retry = this->nextRequest++;
-                this->callers[retry] = Caller{caller.classIndex, caller.arrivedAt, true};
+                this->callers[retry] =
+                    Caller{caller.classIndex, caller.arrivedAt, true, caller.key};
                 this->events.push(Event{retryAt, Event::Kind::Arrive, retry});
             } else {
                 ++result.refused;
@@ -155,13 +217,16 @@
     report.upstream = upstreamId(event.upstream);
     report.end = isAnswered ? AttemptEnd::Answered : AttemptEnd::NoAnswer;
     report.latency = this->now - this->askedAt.at(event.request);
+    if (isAnswered) {
+        report.requestLimit = this->limits[event.upstream];
+    }
     auto &result = this->results[caller.classIndex];
     if (isAnswered) {
         const auto isInTarget = this->now <= caller.arrivedAt + requestClass.target;
         result.inTarget += isInTarget ? 1 : 0;
         result.late += isInTarget ? 0 : 1;
     }
-    this->broker.report(report, this->now);
+    this->broker->report(report, this->now);
 }
 
 } // namespace gooseberrywall
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -3,7 +3,10 @@
 #include "dispatch/slotbroker.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -48,13 +51,18 @@
 class BrokerSimulation
 {
 public:
+    /// @param isSharded each request has a key; each upstream owns an equal part of the keys
     BrokerSimulation(std::uint64_t seed, std::vector<double> speeds,
-                     std::vector<RequestClass> classes);
+                     std::vector<RequestClass> classes, bool isSharded = false);
 
     auto run(Duration time) -> void;
     auto setRate(std::size_t index, double perSecond) -> void;
     /// Makes the upstream's work take this many times as long; with 0 it never answers.
     auto setSlowdown(std::size_t upstream, double factor) -> void;
+    /// Makes the upstream name this limit in its answers.
+    auto setRequestLimit(std::size_t upstream, RequestLimit limit) -> void;
+    /// Replaces the broker by one that knows the upstreams and owners only, as a new grantor does.
+    auto replaceBroker() -> void;
 
     [[nodiscard]] auto counts(std::size_t index) const -> const ClassCounts &
     {
@@ -63,6 +71,10 @@
     auto resetCounts() -> void;
     /// @returns the largest number of requests beyond its slots that an upstream has had at once
     [[nodiscard]] auto maxOvercommit() const -> int { return this->worstOvercommit; }
+    /// @returns the largest number of requests beyond what a limit allows, that an upstream got in
+    /// a window of 4 s; the first window begins 3 s after its first limit, or half a second after
+    /// a lower one
+    [[nodiscard]] auto maxLimitExcess() const -> double { return this->worstLimitExcess; }
     /// @returns the number of requests sent to the upstream since the last reset
     [[nodiscard]] auto sentTo(std::size_t upstream) const -> int
     {
@@ -75,6 +87,7 @@
         std::size_t classIndex = 0;
         Instant arrivedAt;
         bool isRetry = false;
+        KeyPosition key = 0;
     };
     struct Event
     {
@@ -88,16 +101,25 @@
     auto ask(const Caller &caller) -> void;
     auto takeVerdicts() -> void;
     auto onEnd(const Event &event) -> void;
+    auto setUpBroker() -> void;
+    auto onSent(std::size_t upstream) -> void;
     auto scheduleArrival(std::size_t classIndex) -> void;
 
     std::mt19937_64 random;
     std::vector<double> speeds;
     std::vector<double> slowdowns;
+    std::vector<RequestLimit> limits;
+    /// From when on the requests that each upstream gets are compared with its limit.
+    std::vector<std::optional<Instant>> judgedSince;
+    std::vector<std::deque<Instant>> recentSends;
     std::vector<RequestClass> classes;
     std::vector<ClassCounts> results;
     std::vector<int> sentRequests;
     std::vector<int> running;
-    SlotBroker broker;
+    bool isSharded;
+    std::uint64_t seed;
+    std::unique_ptr<SlotBroker> broker;
+    double worstLimitExcess = 0;
     Instant now = Instant{std::chrono::seconds{50}};
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
     std::map<std::uint64_t, Caller> callers;
