Keep the limit of requests per second that an upstream names

What upstreams saw: up to 2.7 times the limit that they named. Cause: the grantor gives out slots, and an upstream of three slots and 45 ms takes 66 requests/s whatever it says; limits weren't a part of the model.

A token bucket an upstream bounds what the grantor grants, over all entry daemons, with and without a key and for retries. A limit ends only by an answer to a request that was sent after the limit was known, so answers that cross don't end it. What the limit can't serve in time is refused at once, as request_limit_reached; the forecast reckons with the spacing, and with requests that will be overtaken once they are late.

Ruled out: a bucket that starts full (a grantor that takes over would add its content), and to end a limit by any answer without one.

--- a/src/common/types/reason.cpp
+++ b/src/common/types/reason.cpp
@@ -44,6 +44,8 @@
     {"upstream_draining", "Nothing to do; the shard is moving to another upstream."},
     {"owner_changed", "Nothing to do; the request goes to the new owner."},
     {"retry_budget_empty", "Retry later; too many requests are being retried."},
+    {"request_limit_reached",
+     "Retry later; the upstream has named a limit of requests per second."},
 }};
 
 } // namespace
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -136,8 +136,7 @@
     const auto forecast = this->forecast(waiting, now);
     if (forecast.wait + forecast.latency > request.remaining
         || this->backlog.size() >= this->settings.backlogLimit) {
-        const auto isOwnerMissing = this->hasNoOwnerInTime(waiting, now);
-        this->refuse(waiting, isOwnerMissing ? Reason::NoOwner : Reason::QueueFull,
+        this->refuse(waiting, this->refusalReason(waiting, Reason::QueueFull, now),
                      this->jittered(std::max(forecast.wait / 2, this->meanLatency / 2)), now);
         return;
     }
@@ -173,7 +172,12 @@
         upstream.otherRequests = std::max(0, others);
         upstream.otherRequestsValidUntil = now + otherRequestsValidity;
     }
-    upstream.requestLimit = report.requestLimit.value_or(upstream.requestLimit);
+    if (report.requestLimit) {
+        upstream.limiter.onStated(*report.requestLimit, this->permits.at(report.id).grantedAt, now);
+    }
+    if (report.end == AttemptEnd::NotSent) {
+        upstream.limiter.onNotSent(now);
+    }
     if (report.end == AttemptEnd::Answered) {
         this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
     }
@@ -215,6 +219,7 @@
     const auto upstream = this->upstreams.find(permit->second.upstream);
     this->permits.erase(permit);
     if (upstream != this->upstreams.end()) {
+        upstream->second.limiter.onNotSent(now);
         this->grantFreeSlotsOf(upstream->second, now);
     }
 }
@@ -276,7 +281,7 @@
                                         !upstream.entry.isDraining
                                             && !upstream.health.isLimitedToTrials()
                                             && !this->isSilent(upstream, now),
-                                        upstream.requestLimit, upstream.grants.perSecond(now)});
+                                        upstream.limiter.limit(), upstream.grants.perSecond(now)});
     }
     return result;
 }
@@ -333,6 +338,7 @@
     }
     ++upstream.inFlight;
     upstream.grants.record(now);
+    upstream.limiter.onSent(now);
     upstream.lastUse[waiting.request.id.entry] = now;
     const Forecast forecast{Duration{0}, this->latencyOf(upstream, now)};
     const auto repeatAfter = std::max(this->settings.minRepeatAfter,
@@ -343,7 +349,8 @@
                                                verdict,
                                                RequestFingerprint{waiting.request.fingerprint},
                                                now + repeatAfter,
-                                               repeatAfter};
+                                               repeatAfter,
+                                               now};
     this->issue(waiting.request, std::move(verdict), this->verdictBasis(waiting, forecast, now));
 }
 
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -17,6 +17,8 @@
 constexpr double minShareForLate = 0.05;
 /// Upstreams take about twice as long while they warm up.
 constexpr double warmUpLatencyFactor = 2.0;
+/// Lower bound of latencies where rates are reckoned from them.
+constexpr double minLatencySeconds = 0.001;
 /// How often the capacity of all upstreams is calculated; it changes little in this time.
 constexpr Duration capacityInterval = std::chrono::milliseconds{10};
 
@@ -24,7 +26,8 @@
 
 auto SlotBroker::hasRoom(const Upstream &upstream, Instant now) const -> bool
 {
-    if (upstream.entry.isDraining || upstream.health.isBlocked(now)) {
+    if (upstream.entry.isDraining || upstream.health.isBlocked(now)
+        || !upstream.limiter.allows(now)) {
         return false;
     }
     if (upstream.health.isLimitedToTrials() || this->isSilent(upstream, now)) {
@@ -88,9 +91,12 @@
         const auto latency = this->latencyOf(upstream, now);
         const auto ahead = upstream.waiting.countBefore(waiting.rank);
         const auto blocked = std::max(Duration{0}, Duration{upstream.health.blockedUntil() - now});
+        if (this->isHeldByLimit(upstream, now)) {
+            return Forecast{std::max(blocked, this->limitedWait(waiting, upstream, ahead, now)),
+                            latency};
+        }
         const auto isFree = this->hasRoom(upstream, now) && ahead == 0;
-        const auto servedPerSecond =
-            upstream.entry.slots / std::max(0.001, std::chrono::duration<double>(latency).count());
+        const auto servedPerSecond = this->servedPerSecond(upstream, now);
         const auto overtakingPerSecond =
             this->isLate(waiting, now) ? upstream.onTimeArrivals.perSecond(now) : 0.0;
         const auto queue =
@@ -135,14 +141,52 @@
             || this->isSilent(upstream, now)) {
             continue;
         }
-        const auto latency = std::max(Duration{1}, this->latencyOf(upstream, now));
         this->capacity.hasRoom = this->capacity.hasRoom || this->hasRoom(upstream, now);
-        this->capacity.requestsPerSecond +=
-            upstream.entry.slots / std::chrono::duration<double>(latency).count();
+        this->capacity.requestsPerSecond += this->servedPerSecond(upstream, now);
     }
     return this->capacity;
 }
 
+auto SlotBroker::servedPerSecond(const Upstream &upstream, Instant now) const -> double
+{
+    const auto seconds = std::chrono::duration<double>(this->latencyOf(upstream, now)).count();
+    return std::min(upstream.entry.slots / std::max(minLatencySeconds, seconds),
+                    upstream.limiter.ratePerSecond());
+}
+
+auto SlotBroker::isHeldByLimit(const Upstream &upstream, Instant now) const -> bool
+{
+    return this->servedPerSecond(upstream, now) >= upstream.limiter.ratePerSecond();
+}
+
+auto SlotBroker::limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
+                             std::size_t ahead, Instant now) const -> Duration
+{
+    const auto perSecond = upstream.limiter.ratePerSecond();
+    const auto next = upstream.limiter.timeToNext(now);
+    const auto wait = ahead == 0 ? next : next + this->queueTime(ahead - 1, perSecond, 0);
+    // A request that is late by then is overtaken by those that aren't.
+    const auto lateAt = std::max(now, waiting.target - this->meanLatency);
+    if (now + wait <= lateAt) {
+        return wait;
+    }
+    const auto overtakingPerSecond = upstream.onTimeArrivals.perSecond(now);
+    const auto overdueSeconds = std::chrono::duration<double>(now + wait - lateAt).count();
+    const auto aheadWhenLate = static_cast<std::size_t>(overdueSeconds * perSecond);
+    return (lateAt - now) + this->queueTime(aheadWhenLate, perSecond, overtakingPerSecond);
+}
+
+auto SlotBroker::refusalReason(const WaitingRequest &waiting, Reason otherwise, Instant now)
+    -> Reason
+{
+    if (this->hasNoOwnerInTime(waiting, now)) {
+        return Reason::NoOwner;
+    }
+    const auto *owner = this->ownerOf(waiting.request);
+    return owner != nullptr && this->isHeldByLimit(*owner, now) ? Reason::RequestLimitReached
+                                                                : otherwise;
+}
+
 auto SlotBroker::isLate(const WaitingRequest &waiting, Instant now) const -> bool
 {
     return now + this->meanLatency > waiting.target;
--- a/src/dispatch/internal/slotbrokerqueues.cpp
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -65,9 +65,9 @@
     }
     std::vector<PermitId> refused;
     for (const auto &[id, waiting] : this->backlog) {
-        const auto hasNoOwner = this->hasNoOwnerInTime(waiting, now);
-        if (hasNoOwner || this->isUnservable(waiting, isLateCheckDue, now)) {
-            this->refuse(waiting, hasNoOwner ? Reason::NoOwner : Reason::DeadlineTooShort,
+        if (this->hasNoOwnerInTime(waiting, now)
+            || this->isUnservable(waiting, isLateCheckDue, now)) {
+            this->refuse(waiting, this->refusalReason(waiting, Reason::DeadlineTooShort, now),
                          this->jittered(this->meanLatency / 2), now);
             refused.push_back(id);
         }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
 #include "dispatch/types/permits.h"
@@ -172,8 +173,7 @@
         /// Requests for its keys that could still meet their target when they arrived.
         ArrivalRate onTimeArrivals;
         ArrivalRate grants;
-        /// As its answers state it.
-        RequestLimit requestLimit;
+        RequestLimiter limiter;
         /// Start of the time with permits out and no report: the last report, or the first permit
         /// after a time without any.
         Instant noReportSince{};
@@ -199,6 +199,7 @@
         /// When the verdict is repeated, and the time until then; doubled each time.
         Instant repeatAt;
         Duration repeatAfter;
+        Instant grantedAt;
     };
     struct IdHash
     {
@@ -254,6 +255,14 @@
     /// long
     [[nodiscard]] auto isSilent(const Upstream &upstream, Instant now) const -> bool;
     [[nodiscard]] auto latencyOf(const Upstream &upstream, Instant now) const -> Duration;
+    /// @returns the requests per second that the upstream can serve: as many as its slots and its
+    /// request limit allow
+    [[nodiscard]] auto servedPerSecond(const Upstream &upstream, Instant now) const -> double;
+    /// @returns whether its request limit keeps requests from the upstream, and not its slots
+    [[nodiscard]] auto isHeldByLimit(const Upstream &upstream, Instant now) const -> bool;
+    /// @returns the time until an upstream's request limit allows a request behind `ahead` others
+    [[nodiscard]] auto limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
+                                   std::size_t ahead, Instant now) const -> Duration;
     /// @returns the expected latency in microseconds plus penalties; lower is better
     [[nodiscard]] auto costOf(const Upstream &upstream, const PermitRequest &request,
                               Instant now) const -> double;
@@ -268,6 +277,9 @@
                                  double overtakingPerSecond) const -> Duration;
     /// @returns the duration times a random factor, so that refused callers don't retry all at once
     [[nodiscard]] auto jittered(Duration base) -> Duration;
+    /// @returns why a request is refused that would wait for too long
+    [[nodiscard]] auto refusalReason(const WaitingRequest &waiting, Reason otherwise, Instant now)
+        -> Reason;
     /// @returns whether the request's key has no owner and gets none in time for the deadline
     [[nodiscard]] auto hasNoOwnerInTime(const WaitingRequest &waiting, Instant now) const -> bool;
 
--- a/src/dispatch/tests/requestlimit_tests.cpp
+++ b/src/dispatch/tests/requestlimit_tests.cpp
@@ -35,7 +35,7 @@
 
 // Guards against upstreams that get more requests than the limit that they name in their answers.
 SCENARIO("SlotBroker: given upstreams that name a request limit, they get no more than it allows",
-         "[dispatch][requestlimit][!mayfail]")
+         "[dispatch][requestlimit]")
 {
     const auto isSharded = GENERATE(false, true);
     auto simulation = simulationOf(300, isSharded);
