Move keys away from upstreams whose request limit is below their load

What callers saw: with the limits kept, most requests for keys of a limited upstream were refused while others had free slots. Cause: the planner took slots over latency for an upstream's capacity. It is now the limit where that is lower.

--- a/src/keyranges/internal/rangeplanner.cpp
+++ b/src/keyranges/internal/rangeplanner.cpp
@@ -131,8 +131,10 @@
         const auto seconds = std::chrono::duration<double>(upstream.expectedLatency).count();
         Candidate candidate;
         candidate.id = upstream.id;
+        const auto slotsPerSecond =
+            upstream.slots * (1 - upstream.failureShare) / std::max(0.001, seconds);
         candidate.capacity =
-            std::max(0.1, upstream.slots * (1 - upstream.failureShare) / std::max(0.001, seconds));
+            std::max(0.1, std::min(slotsPerSecond, upstream.requestLimit.perSecond));
         candidate.isUsable = upstream.isUsable;
         result.emplace(upstream.id, candidate);
     }
--- a/src/keyranges/tests/rangeplanner_tests.cpp
+++ b/src/keyranges/tests/rangeplanner_tests.cpp
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Lets the first upstreams name a limit.
+    auto setRequestLimits(std::size_t count, RequestLimit limit) -> void
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            this->statuses[index].requestLimit = limit;
+        }
+    }
+
     /// Two thirds of the requests are for an eighth of the keys.
     auto setRate(double requestsPerSecond) -> void { this->rate = requestsPerSecond; }
     auto setHotKeys(KeyRange keys, double requestsPerSecond) -> void
@@ -54,6 +62,21 @@
         }
     }
 
+    /// @returns the share of the requests that their keys' owners can serve
+    [[nodiscard]] auto servableShare() const -> double
+    {
+        std::map<UpstreamId, double> loads;
+        for (const auto &view : this->views) {
+            loads[*view.owner] += this->rateOf(view.range);
+        }
+        double servable = 0;
+        for (const auto &status : this->statuses) {
+            const auto seconds = std::chrono::duration<double>(status.expectedLatency).count();
+            servable +=
+                std::min({loads[status.id], status.slots / seconds, status.requestLimit.perSecond});
+        }
+        return servable / this->rate;
+    }
     /// @returns how often all keys have changed their owner
     [[nodiscard]] auto movedShare() const -> double
     {
@@ -81,6 +104,17 @@
         }
     }
 
+    /// @returns the mean number of requests per second for the keys
+    [[nodiscard]] auto rateOf(KeyRange keys) const -> double
+    {
+        const auto busyFirst = std::max<std::uint32_t>(keys.first, keyCount / 4);
+        const auto busyEnd =
+            std::min<std::uint32_t>(std::uint32_t{keys.last} + 1, keyCount / 4 + keyCount / 8);
+        const auto busyCount = busyEnd > busyFirst ? busyEnd - busyFirst : 0;
+        return this->rate / 3 * keys.size() / keyCount
+               + this->rate * 2 / 3 * busyCount / (keyCount / 8.0);
+    }
+
     auto counts() -> std::map<KeyPosition, std::uint32_t>
     {
         std::map<KeyPosition, std::uint32_t> result;
@@ -187,3 +221,32 @@
         CHECK(keys.movedShare() - before < 0.1);
     }
 }
+
+// Guards against keys that stay where a request limit turns most of their requests away, though
+// other upstreams have room.
+SCENARIO("RangePlanner: given upstreams that name a request limit, their keys move to where there "
+         "is room",
+         "[keyranges][load][requestlimit]")
+{
+    // 21 upstreams of 38 requests a second each.
+    PlannedKeys keys(21, 3, milliseconds{79});
+    keys.setRate(300);
+    keys.run(seconds{10});
+    const auto before = keys.movedShare();
+    // What all can serve exceeds the requests by a tenth.
+    keys.setRequestLimits(15, RequestLimit{7});
+    THEN("within three seconds, nine tenths of the requests can be served")
+    {
+        keys.run(seconds{3});
+        CHECK(keys.servableShare() >= 0.9);
+        CHECK(keys.movedShare() - before < 0.6);
+    }
+    THEN("keys don't move on and on while the limits last")
+    {
+        keys.run(seconds{6});
+        const auto settled = keys.movedShare();
+        keys.run(seconds{10});
+        CHECK(keys.servableShare() >= 0.9);
+        CHECK(keys.movedShare() - settled < 0.3);
+    }
+}
