Divide an upstream's request limit between daemons without a grantor

Each daemon now sends a limited upstream one request a period of daemons over limit, within half a second from the period's start, so that shares can't be saved up and used at once.

Ruled out: a token bucket a daemon (27 tokens saved up are more than the allowance at small limits); to announce limits to all daemons (9 KB a datagram in a fleet of 295, more than a small VM's link carries).

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -250,6 +250,7 @@
         if (const auto *announcement = std::get_if<GrantorAnnouncement>(&message)) {
             this->grantorWatch.onAnnouncement(from, *announcement);
             this->configurationSource.onAnnouncement(from, *announcement);
+            this->direct.setDaemonCount(announcement->daemonCount);
             return;
         }
         this->roles.deliver(from, message);
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -2,7 +2,9 @@
 
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
+#include "entry/requestlimitshare.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -37,7 +39,13 @@
     auto onGranted(const ServiceName &service, const PermitVerdict &verdict) -> void;
     /// Replaces the known key owners of a service with those read from the store.
     auto setOwners(const ServiceName &service, const std::vector<DirectOwner> &owners) -> void;
-    auto onSent(const UpstreamId &upstream) -> void { ++this->inFlight[upstream]; }
+    /// @param count daemons between which the limit of an upstream is divided
+    auto setDaemonCount(std::size_t count) -> void { this->daemonCount = count; }
+    auto onSent(const UpstreamId &upstream, Instant now) -> void;
+    /// Takes in what an answer states about the upstream's request limit.
+    /// @param sentAt when the request was sent
+    auto onLimitStated(const UpstreamId &upstream, RequestLimit limit, Instant sentAt, Instant now)
+        -> void;
     auto onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void;
 
     /// @param request names the service, the key and the upstreams to avoid
@@ -46,8 +54,13 @@
         -> std::optional<PermitVerdict>;
 
 private:
+    /// Number of daemons while no grantor has told it.
+    static constexpr std::size_t assumedDaemonCount = 30;
+
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
+    [[nodiscard]] auto limitAllows(const UpstreamId &id, Instant now) const -> bool;
 
+    std::uint64_t seed;
     std::mt19937_64 random;
     bool isTrusted = false;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
@@ -55,6 +68,9 @@
     std::map<ServiceName, std::map<KeyPosition, DirectOwner>> owners;
     std::map<UpstreamId, int> inFlight;
     std::map<UpstreamId, Instant> avoidedUntil;
+    std::size_t daemonCount = assumedDaemonCount;
+    /// Of upstreams that have named a request limit.
+    std::map<UpstreamId, RequestLimitShare> limitShares;
 };
 
 } // namespace gooseberrywall
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -1,5 +1,7 @@
 #include "entry/directchoice.h"
 
+#include "common/hash.h"
+
 #include <algorithm>
 
 namespace gooseberrywall {
@@ -13,7 +15,8 @@
 } // namespace
 
 DirectChoice::DirectChoice(std::uint64_t seed)
-    : random(seed)
+    : seed(seed)
+    , random(seed)
 {
 }
 
@@ -54,6 +57,28 @@
     }
 }
 
+auto DirectChoice::onSent(const UpstreamId &upstream, Instant now) -> void
+{
+    ++this->inFlight[upstream];
+    if (const auto share = this->limitShares.find(upstream); share != this->limitShares.end()) {
+        share->second.onSent(now);
+    }
+}
+
+auto DirectChoice::onLimitStated(const UpstreamId &upstream, RequestLimit limit, Instant sentAt,
+                                 Instant now) -> void
+{
+    auto share = this->limitShares.find(upstream);
+    if (share == this->limitShares.end()) {
+        if (!limit.isLimited()) {
+            return;
+        }
+        const auto shareSeed = stableHash(upstream.value, this->seed);
+        share = this->limitShares.emplace(upstream, RequestLimitShare(shareSeed)).first;
+    }
+    share->second.onStated(limit, sentAt, now);
+}
+
 auto DirectChoice::onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void
 {
     auto &count = this->inFlight[upstream];
@@ -81,7 +106,8 @@
             return std::nullopt;
         }
         const auto &owned = std::prev(it)->second;
-        if (!owned.range.contains(*request.key) || isAvoided(owned.upstream)) {
+        if (!owned.range.contains(*request.key) || isAvoided(owned.upstream)
+            || !this->limitAllows(owned.upstream, now)) {
             return std::nullopt;
         }
         verdict.upstream = owned.upstream;
@@ -100,7 +126,7 @@
     double bestCost = 0;
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (const auto &entry : known->second) {
-        if (entry.isDraining || isAvoided(entry.id)) {
+        if (entry.isDraining || isAvoided(entry.id) || !this->limitAllows(entry.id, now)) {
             continue;
         }
         const auto found = this->inFlight.find(entry.id);
@@ -127,4 +153,10 @@
     return found == this->avoidedUntil.end() || found->second <= now;
 }
 
+auto DirectChoice::limitAllows(const UpstreamId &id, Instant now) const -> bool
+{
+    const auto share = this->limitShares.find(id);
+    return share == this->limitShares.end() || share->second.allows(this->daemonCount, now);
+}
+
 } // namespace gooseberrywall
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -209,7 +209,7 @@
     flow.isSent = true;
     flow.sentAt = now;
     flow.upstream = verdict.upstream;
-    this->direct.onSent(verdict.upstream);
+    this->direct.onSent(verdict.upstream, now);
     if (auto line = this->logLine(flow, "request_sent", flow.isDirect, now)) {
         this->records.log.write(line->with("upstream", verdict.upstream.value)
                                     .with("way", flow.isDirect ? "direct" : "permit")
@@ -251,6 +251,9 @@
 {
     flow.isSent = false;
     this->direct.onEnd(flow.upstream, end.end, now);
+    if (end.requestLimit) {
+        this->direct.onLimitStated(flow.upstream, *end.requestLimit, flow.sentAt, now);
+    }
     this->recordStage(flow, RequestStage::Upstream, now - flow.sentAt);
     if (flow.permit) {
         PermitReport report;
--- /dev/null
+++ b/src/entry/requestlimitshare.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dispatch/types/permits.h"
+
+#include <cstdint>
+
+namespace gooseberrywall {
+
+/// One daemon's share of the requests that a limited upstream takes, while no grantor divides them
+/// between the daemons: one request in each period of the number of daemons over the limit. The
+/// periods of different daemons begin at different times. A request may only be sent within a short
+/// time from the start of a period, so that daemons can't save up their shares and use them at
+/// once.
+class RequestLimitShare
+{
+public:
+    /// @param seed spreads the starts of the periods; differs between daemons and upstreams
+    explicit RequestLimitShare(std::uint64_t seed);
+
+    /// Takes in what an answer states.
+    /// @param sentAt when the answered request was sent; an answer to one that was sent before a
+    ///        limit became known doesn't end that limit
+    auto onStated(RequestLimit stated, Instant sentAt, Instant now) -> void;
+    /// Counts a request that is sent without a permit.
+    auto onSent(Instant now) -> void { this->sentAt = now; }
+    /// @returns whether a request may be sent now
+    [[nodiscard]] auto allows(std::size_t daemonCount, Instant now) const -> bool;
+
+private:
+    double phase;
+    RequestLimit limit;
+    Instant statedAt{};
+    Instant sentAt{};
+};
+
+} // namespace gooseberrywall
