Log the era of the store

The daemons read Store-Era from each answer, log store_known and store_restored, the configurations that they leave out as older, and the revision of an adopted range record. Nothing decides by it.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -54,6 +54,8 @@
     /// @returns when the last call was sent that the store has answered; watches don't count, as
     /// they wait
     [[nodiscard]] auto lastContactAt() const -> Instant { return this->contactAt; }
+    /// @returns the highest era that the store has named; zero where it hasn't named any
+    [[nodiscard]] auto currentEra() const -> std::uint64_t { return this->era.value_or(0); }
     [[nodiscard]] auto callCount() const -> std::uint64_t { return this->calls; }
     [[nodiscard]] auto failureCount() const -> std::uint64_t { return this->failures; }
 
@@ -87,10 +89,24 @@
             this->failedAt = this->now();
             ++this->failures;
         }
+        this->logEra(answer);
         this->logState(isFailed, answer.kind == StoreAnswer::Kind::Refused);
         return answer;
     }
 
+    /// Logs the store's era once, and each rise.
+    auto logEra(const StoreAnswer &answer) -> void
+    {
+        if (!answer.era || (this->era && *answer.era <= *this->era)) {
+            return;
+        }
+        LogLine line(this->era ? "store_restored" : "store_known");
+        line.with("era", static_cast<std::int64_t>(*answer.era))
+            .with("revision", static_cast<std::int64_t>(answer.revision.value));
+        this->logger.write(this->era ? LogLevel::Warning : LogLevel::Info, line.text());
+        this->era = answer.era;
+    }
+
     /// Logs once that the store has become unavailable, and once that it is available again.
     auto logState(bool isFailed, bool isRefused) -> void
     {
@@ -117,6 +133,8 @@
     Instant failedAt{};
     Instant contactAt{};
     std::optional<Instant> outageSince;
+    /// The highest era that the store has named.
+    std::optional<std::uint64_t> era;
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
 };
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -405,6 +405,7 @@
         metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
         metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
+        metrics.storeEra = this->store.currentEra();
         MessageHead head;
         head.status = 200;
         head.headers = {HttpHeader{"Content-Type", "text/plain; version=0.0.4"}};
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -152,6 +152,14 @@
 auto ConfigurationSource::adopt(const std::string &newText, StoreRevision revision) -> void
 {
     if (revision <= this->textRevision) {
+        if (revision < this->textRevision) {
+            this->logger.write(
+                LogLevel::Info,
+                LogLine("configuration_older")
+                    .with("revision", static_cast<std::int64_t>(revision.value))
+                    .with("known", static_cast<std::int64_t>(this->textRevision.value))
+                    .text());
+        }
         return;
     }
     this->text = newText;
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -102,6 +102,7 @@
     LogLine line("ranges_adopted");
     line.with("service", this->spec.name.value)
         .with("rows", static_cast<std::int64_t>(record.rows.size()))
+        .with("revision", static_cast<std::int64_t>(this->recordRevision.value))
         .with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
     this->log(LogLevel::Info, line);
 }
--- a/src/storelink/types/storecalls.h
+++ b/src/storelink/types/storecalls.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -133,6 +134,9 @@
     };
 
     Kind kind = Kind::Unknown;
+    /// Rises each time the store comes back from a copy, and has lost what it acknowledged since;
+    /// empty without an answer, or where the store doesn't tell.
+    std::optional<std::uint64_t> era;
     std::vector<StoreItem> items;
     /// Of the store at the time of the answer; for a transaction, the one that it created.
     StoreRevision revision;
