--- /dev/null
+++ b/src/edge/tests/restoredstore_tests.cpp
@@ -0,0 +1,118 @@
+#include "edge/tests/restoredstorecell.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const KeyRange hotKeys{20'000, 21'999};
+const KeyRange laterHotKeys{40'000, 41'999};
+
+/// Takes the store away, and brings it back from the copy.
+auto restore(RestoredStoreCell &cell, Duration outage) -> void
+{
+    cell.store.mode = FakeStore::Mode::Silent;
+    cell.run(outage);
+    cell.store.restoreCopy();
+    cell.store.mode = FakeStore::Mode::Normal;
+}
+
+/// A cell in which keys move after the copy of the store was taken.
+auto movedSinceCopy(std::size_t daemonCount) -> std::unique_ptr<RestoredStoreCell>
+{
+    auto cell = std::make_unique<RestoredStoreCell>(static_cast<int>(daemonCount));
+    cell->setLoad(hotKeys, 90);
+    cell->run(seconds{12});
+    cell->store.keepCopy();
+    cell->setLoad(laterHotKeys, 90);
+    cell->run(seconds{6});
+    return cell;
+}
+
+auto checkOwners(const RestoredStoreCell &cell) -> void
+{
+    CHECK(cell.doubleOwnerCount() == 0);
+    CHECK(cell.lowFenceCount() == 0);
+}
+
+} // namespace
+
+// Guards against two owners of a key after the store has come back from a copy without the last
+// moves of keys, without the last election, or without the lease of the grantor.
+SCENARIO("GrantorRole: given a store that comes back from an older copy, no key gets two owners",
+         "[edge][restored][!mayfail]")
+{
+    const auto outage = milliseconds{GENERATE(200, 1000, 2000)};
+    auto cell = movedSinceCopy(4);
+    GIVEN("a grantor that lives on")
+    {
+        restore(*cell, outage);
+        cell->run(seconds{20});
+        checkOwners(*cell);
+        THEN("requests are served again")
+        {
+            cell->resetCounts();
+            cell->run(seconds{5});
+            CHECK(cell->grantedCount() >= cell->askedCount() * 9 / 10);
+        }
+    }
+    GIVEN("a grantor that is lost as the store comes back")
+    {
+        restore(*cell, outage);
+        cell->run(milliseconds{GENERATE(0, 150, 400, 900)});
+        cell->killGrantor(std::nullopt);
+        cell->run(seconds{25});
+        checkOwners(*cell);
+        THEN("requests are served again")
+        {
+            cell->resetCounts();
+            cell->run(seconds{5});
+            CHECK(cell->grantedCount() >= cell->askedCount() * 9 / 10);
+        }
+    }
+    GIVEN("a grantor that was lost before, so that its successor's election isn't in the copy")
+    {
+        cell->killGrantor(seconds{1});
+        cell->run(seconds{4});
+        restore(*cell, outage);
+        cell->run(seconds{25});
+        checkOwners(*cell);
+    }
+    GIVEN("a grantor that doesn't reach the store when it comes back")
+    {
+        const auto grantor = cell->grantorIndex().value();
+        cell->setCutOff(grantor, true);
+        restore(*cell, outage);
+        cell->run(seconds{3});
+        cell->setCutOff(grantor, false);
+        cell->run(seconds{20});
+        checkOwners(*cell);
+    }
+    GIVEN("no daemon that knew what was lost")
+    {
+        restore(*cell, outage);
+        cell->killAll();
+        cell->run(seconds{25});
+        checkOwners(*cell);
+        THEN("requests are served again")
+        {
+            cell->resetCounts();
+            cell->run(seconds{5});
+            CHECK(cell->grantedCount() >= cell->askedCount() * 9 / 10);
+        }
+    }
+    GIVEN("a second restoration from the same copy")
+    {
+        restore(*cell, outage);
+        cell->run(seconds{4});
+        cell->setLoad(hotKeys, 90);
+        cell->run(seconds{4});
+        restore(*cell, outage);
+        cell->killGrantor(seconds{2});
+        cell->run(seconds{25});
+        checkOwners(*cell);
+    }
+}
--- /dev/null
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -0,0 +1,302 @@
+#include "edge/tests/restoredstorecell.h"
+
+#include <algorithm>
+
+namespace gooseberrywall {
+
+namespace {
+
+constexpr Duration stepTime = std::chrono::milliseconds{10};
+constexpr int upstreamCount = 6;
+/// Keys whose owners are checked, at equal distances.
+constexpr std::uint32_t sampleDistance = 256;
+const ServiceName service{"fitment"};
+const Address entryDaemon{"10.9.0.1:7000"};
+
+auto daemonAddress(std::size_t index) -> Address
+{
+    return Address{"10.0.0." + std::to_string(index) + ":7000"};
+}
+
+} // namespace
+
+struct RestoredStoreCell::Daemon
+{
+    Logger logger{"error", 1};
+    RequestLog log{this->logger, 0};
+    PermitClient permits;
+    GrantorRoles roles;
+    GrantorWatch watch;
+
+    Daemon(const GrantorRoleSettings &settings, const SendStoreCall &store,
+           const SendRangeOrder &orders, const std::function<Instant()> &now)
+        : permits(settings.peerAddress, settings.incarnation, PermitClientSettings{})
+        , roles(settings, store, orders, now, this->logger, this->log)
+        , watch(watchSettings(settings), store, now, this->permits, this->roles, this->logger)
+    {
+        ServiceSpec spec;
+        spec.name = service;
+        spec.isSharded = true;
+        this->roles.setServices({spec});
+        this->watch.setServices({spec});
+    }
+
+    static auto watchSettings(const GrantorRoleSettings &settings) -> GrantorWatchSettings
+    {
+        GrantorWatchSettings result;
+        result.grantorPrefix = settings.grantorPrefix;
+        result.daemon = settings.daemon;
+        result.processorCores = settings.processorCores;
+        return result;
+    }
+};
+
+RestoredStoreCell::RestoredStoreCell(int daemonCount)
+{
+    this->store.pageSize = 500;
+    for (auto index = 0; index < upstreamCount; ++index) {
+        UpstreamEntry entry;
+        entry.id = UpstreamId{"u" + std::to_string(index)};
+        entry.service = service;
+        entry.address = Address{"10.1.0." + std::to_string(index) + ":80"};
+        entry.slots = 3;
+        this->entries.push_back(entry);
+        this->upstreams.emplace(entry.id, Upstream{});
+    }
+    for (auto index = 0; index < daemonCount; ++index) {
+        this->startDaemon(static_cast<std::size_t>(index));
+    }
+}
+
+RestoredStoreCell::~RestoredStoreCell() = default;
+
+auto RestoredStoreCell::startDaemon(std::size_t index) -> void
+{
+    GrantorRoleSettings settings;
+    settings.daemon = DaemonId{"d" + std::to_string(index)};
+    settings.peerAddress = daemonAddress(index);
+    settings.incarnation = this->nextIncarnation++;
+    settings.processorCores = 0.5;
+    const auto send = [this, index, sender = this->store.sender()](
+                          StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
+        if (this->cutOff[index]) {
+            this->store.loseCall(timeout, std::move(done));
+            return;
+        }
+        sender(std::move(call), timeout, std::move(done));
+    };
+    auto &daemon = this->daemons[index];
+    daemon = std::make_unique<Daemon>(
+        settings, send,
+        [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
+            this->orders.push_back(SentOrder{order, std::move(done)});
+        },
+        [this] { return this->store.now(); });
+    daemon->roles.onUpstreams(this->entries);
+}
+
+auto RestoredStoreCell::setLoad(KeyRange keys, double perSecond) -> void
+{
+    this->loadedKeys = keys;
+    this->requestsPerSecond = perSecond;
+}
+
+auto RestoredStoreCell::grantorIndex() const -> std::optional<std::size_t>
+{
+    for (const auto &[index, daemon] : this->daemons) {
+        if (daemon->roles.servingCount() > 0) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+auto RestoredStoreCell::killGrantor(std::optional<Duration> restartAfter) -> void
+{
+    const auto index = this->grantorIndex();
+    if (!index) {
+        return;
+    }
+    this->daemons.erase(*index);
+    if (restartAfter) {
+        this->restarts[*index] = this->store.now() + *restartAfter;
+    }
+}
+
+auto RestoredStoreCell::killAll() -> void
+{
+    for (const auto &[index, daemon] : this->daemons) {
+        this->restarts[index] = this->store.now() + std::chrono::milliseconds{500};
+    }
+    this->daemons.clear();
+}
+
+auto RestoredStoreCell::setCutOff(std::size_t daemon, bool isCutOff) -> void
+{
+    this->cutOff[daemon] = isCutOff;
+}
+
+auto RestoredStoreCell::resetCounts() -> void
+{
+    this->grantedRequests = 0;
+    this->askedRequests = 0;
+}
+
+auto RestoredStoreCell::run(Duration time) -> void
+{
+    for (auto passed = Duration{0}; passed < time; passed += stepTime) {
+        this->step();
+    }
+}
+
+auto RestoredStoreCell::step() -> void
+{
+    for (auto restart = this->restarts.begin(); restart != this->restarts.end();) {
+        if (restart->second > this->store.now()) {
+            ++restart;
+            continue;
+        }
+        this->startDaemon(restart->first);
+        restart = this->restarts.erase(restart);
+    }
+    this->sendRequests();
+    this->deliverDatagrams();
+    for (const auto &[index, daemon] : this->daemons) {
+        daemon->watch.advance();
+        daemon->roles.advance();
+    }
+    this->carryOutOrders();
+    this->checkOwners();
+    this->store.advance(stepTime);
+}
+
+auto RestoredStoreCell::sendRequests() -> void
+{
+    const auto mean = this->requestsPerSecond * std::chrono::duration<double>(stepTime).count();
+    std::poisson_distribution<int> count(std::max(1e-9, mean));
+    const auto grantor = this->grantorIndex();
+    for (auto left = count(this->random); left > 0; --left) {
+        ++this->askedRequests;
+        if (!grantor) {
+            continue;
+        }
+        PermitRequest request;
+        request.id = PermitId{entryDaemon, 1, this->nextRequest++};
+        request.service = service;
+        request.key = static_cast<KeyPosition>(this->loadedKeys.first
+                                               + this->random() % this->loadedKeys.size());
+        request.remaining = std::chrono::milliseconds{800};
+        request.untilTarget = std::chrono::milliseconds{300};
+        this->datagrams.emplace_back(entryDaemon, PermitDatagram{daemonAddress(*grantor), request});
+    }
+}
+
+auto RestoredStoreCell::deliverDatagrams() -> void
+{
+    for (const auto &[index, daemon] : this->daemons) {
+        for (auto &datagram : daemon->roles.takeDatagrams()) {
+            this->datagrams.emplace_back(daemonAddress(index), std::move(datagram));
+        }
+        for (auto &datagram : daemon->watch.takeDatagrams()) {
+            this->datagrams.emplace_back(daemonAddress(index), std::move(datagram));
+        }
+    }
+    for (const auto &[from, datagram] : std::exchange(this->datagrams, {})) {
+        if (const auto *answer = std::get_if<PermitAnswer>(&datagram.message)) {
+            if (answer->verdict.kind == PermitVerdict::Kind::Granted) {
+                ++this->grantedRequests;
+                PermitReport report;
+                report.id = answer->id;
+                report.service = service;
+                report.upstream = answer->verdict.upstream;
+                report.end = AttemptEnd::Answered;
+                report.latency = std::chrono::milliseconds{80};
+                this->datagrams.emplace_back(entryDaemon, PermitDatagram{from, report});
+            }
+            continue;
+        }
+        for (const auto &[index, daemon] : this->daemons) {
+            if (daemonAddress(index) != datagram.peer) {
+                continue;
+            }
+            if (const auto *announcement = std::get_if<GrantorAnnouncement>(&datagram.message)) {
+                daemon->watch.onAnnouncement(from, *announcement);
+            } else {
+                daemon->roles.deliver(from, datagram.message);
+            }
+        }
+    }
+}
+
+auto RestoredStoreCell::carryOutOrders() -> void
+{
+    for (auto &sent : std::exchange(this->orders, {})) {
+        RangeOrderEnd end;
+        end.call = sent.order.call;
+        end.kind = this->apply(this->upstreams.at(sent.order.upstream), sent.order);
+        sent.done(end);
+    }
+}
+
+auto RestoredStoreCell::apply(Upstream &upstream, const RangeOrder &order) -> RangeOrderEnd::Kind
+{
+    const auto overlaps = [&](const Hold &hold) {
+        return hold.range.first <= order.range.last && hold.range.last >= order.range.first;
+    };
+    const auto isGrant = order.kind == RangeOrder::Kind::Grant;
+    const auto isTooLow = isGrant
+                          && std::any_of(upstream.takenFences.begin(), upstream.takenFences.end(),
+                                         [&](const Hold &hold) {
+                                             return overlaps(hold) && hold.fence > order.fence;
+                                         });
+    if (isTooLow) {
+        return RangeOrderEnd::Kind::FenceTooLow;
+    }
+    std::vector<Hold> next;
+    for (const auto &hold : upstream.holds) {
+        if (!overlaps(hold)) {
+            next.push_back(hold);
+            continue;
+        }
+        if (hold.range.first < order.range.first) {
+            next.push_back({{hold.range.first, static_cast<KeyPosition>(order.range.first - 1)},
+                            hold.fence,
+                            hold.endsAt});
+        }
+        if (hold.range.last > order.range.last) {
+            next.push_back({{static_cast<KeyPosition>(order.range.last + 1), hold.range.last},
+                            hold.fence,
+                            hold.endsAt});
+        }
+    }
+    if (isGrant) {
+        next.push_back({order.range, order.fence, this->store.now() + order.holdTime});
+        upstream.takenFences.push_back({order.range, order.fence, Instant{}});
+    }
+    upstream.holds = std::move(next);
+    return RangeOrderEnd::Kind::Accepted;
+}
+
+auto RestoredStoreCell::checkOwners() -> void
+{
+    for (std::uint32_t sample = 0; sample < 65536; sample += sampleDistance) {
+        const auto key = static_cast<KeyPosition>(sample);
+        auto ownerCount = 0;
+        for (const auto &[id, upstream] : this->upstreams) {
+            for (const auto &hold : upstream.holds) {
+                if (!hold.range.contains(key) || hold.endsAt <= this->store.now()) {
+                    continue;
+                }
+                ++ownerCount;
+                auto &highest = this->highestFences[key];
+                this->lowFences += hold.fence <= highest.first && highest.second != id ? 1 : 0;
+                if (hold.fence > highest.first) {
+                    highest = {hold.fence, id};
+                }
+            }
+        }
+        this->ownerConflicts += ownerCount > 1 ? 1 : 0;
+    }
+}
+
+} // namespace gooseberrywall
--- /dev/null
+++ b/src/edge/tests/restoredstorecell.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "edge/grantorwatch.h"
+#include "storelink/tests/fakestore.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// Daemons that compete for the grantor's place of one sharded service, its upstreams, requests for
+/// its keys, and a store, in virtual time. Datagrams and orders take one step of 10 ms.
+class RestoredStoreCell
+{
+public:
+    explicit RestoredStoreCell(int daemonCount);
+    ~RestoredStoreCell();
+    RestoredStoreCell(const RestoredStoreCell &) = delete;
+    auto operator=(const RestoredStoreCell &) -> RestoredStoreCell & = delete;
+
+    auto run(Duration time) -> void;
+    /// Lets requests arrive for keys of a range.
+    auto setLoad(KeyRange keys, double perSecond) -> void;
+    /// Ends the serving grantor, or starts it anew `restartAfter` later.
+    auto killGrantor(std::optional<Duration> restartAfter) -> void;
+    auto killAll() -> void;
+    /// Keeps a daemon from the store, but not from the other daemons.
+    auto setCutOff(std::size_t daemon, bool isCutOff) -> void;
+    [[nodiscard]] auto grantorIndex() const -> std::optional<std::size_t>;
+
+    /// @returns how often a sampled key was held by two upstreams after a step
+    [[nodiscard]] auto doubleOwnerCount() const -> int { return this->ownerConflicts; }
+    /// @returns how often an upstream took a sampled key with a fence that wasn't above that of
+    /// another upstream before
+    [[nodiscard]] auto lowFenceCount() const -> int { return this->lowFences; }
+    [[nodiscard]] auto grantedCount() const -> int { return this->grantedRequests; }
+    [[nodiscard]] auto askedCount() const -> int { return this->askedRequests; }
+    auto resetCounts() -> void;
+
+    FakeStore store;
+
+private:
+    struct Daemon;
+    struct Hold
+    {
+        KeyRange range;
+        std::uint64_t fence = 0;
+        Instant endsAt;
+    };
+    struct Upstream
+    {
+        std::vector<Hold> holds;
+        std::vector<Hold> takenFences;
+    };
+    struct SentOrder
+    {
+        RangeOrder order;
+        std::function<void(RangeOrderEnd)> done;
+    };
+
+    auto startDaemon(std::size_t index) -> void;
+    auto step() -> void;
+    auto sendRequests() -> void;
+    auto carryOutOrders() -> void;
+    auto deliverDatagrams() -> void;
+    auto checkOwners() -> void;
+    [[nodiscard]] auto apply(Upstream &upstream, const RangeOrder &order) -> RangeOrderEnd::Kind;
+
+    std::map<std::size_t, std::unique_ptr<Daemon>> daemons;
+    std::map<std::size_t, Instant> restarts;
+    std::map<std::size_t, bool> cutOff;
+    std::vector<UpstreamEntry> entries;
+    std::map<UpstreamId, Upstream> upstreams;
+    std::deque<SentOrder> orders;
+    std::vector<std::pair<Address, PermitDatagram>> datagrams;
+    std::mt19937_64 random{3};
+    KeyRange loadedKeys;
+    double requestsPerSecond = 0;
+    std::uint64_t nextRequest = 1;
+    std::uint64_t nextIncarnation = 1;
+    int ownerConflicts = 0;
+    int lowFences = 0;
+    int grantedRequests = 0;
+    int askedRequests = 0;
+    /// For each sampled key: the highest fence, and the upstream that took it.
+    std::map<KeyPosition, std::pair<std::uint64_t, UpstreamId>> highestFences;
+};
+
+} // namespace gooseberrywall
--- a/src/storelink/tests/fakestore.h
+++ b/src/storelink/tests/fakestore.h
@@ -29,20 +29,34 @@
         };
     }
 
+    /// Takes a call that never arrives; it ends as Unknown after `timeout`.
+    auto loseCall(Duration timeout, std::function<void(StoreAnswer)> done) -> void
+    {
+        this->lostCalls.push_back(Call{StoreGet{}, this->moment + timeout, std::move(done)});
+    }
+
     /// Moves the clock forward, ends the leases that have expired, and answers the open calls.
     auto advance(Duration step) -> void
     {
         this->moment += step;
-        for (auto lease = this->leases.begin(); lease != this->leases.end();) {
+        for (auto lease = this->data.leases.begin(); lease != this->data.leases.end();) {
             const auto isExpired =
                 lease->second.expiresAt <= this->moment && !this->areLeasesPaused;
             if (isExpired) {
                 this->endLease(lease->first);
-                lease = this->leases.erase(lease);
+                lease = this->data.leases.erase(lease);
             } else {
                 ++lease;
             }
         }
+        auto lost = std::exchange(this->lostCalls, {});
+        for (auto &call : lost) {
+            if (call.deadline <= this->moment) {
+                call.done(StoreAnswer{});
+            } else {
+                this->lostCalls.push_back(std::move(call));
+            }
+        }
         auto openCalls = std::exchange(this->calls, {});
         for (auto &call : openCalls) {
             this->serve(call);
@@ -56,26 +70,37 @@
 
     auto remove(const std::string &key) -> void
     {
-        this->items.erase(key);
-        this->history.push_back(StoreItem{key, "", StoreRevision{++this->revision}, {}, {}, true});
+        this->data.items.erase(key);
+        this->data.history.push_back(
+            StoreItem{key, "", StoreRevision{++this->data.revision}, {}, {}, true});
     }
 
     /// Drops the history of changes: watches from an earlier revision fail.
     auto compact() -> void
     {
-        this->compactedRevision = this->revision;
-        this->history.clear();
+        this->data.compactedRevision = this->data.revision;
+        this->data.history.clear();
+    }
+
+    /// Keeps a copy of the keys and leases as they are.
+    auto keepCopy() -> void { this->kept = this->data; }
+    /// Comes back from the copy: what was written since is gone, and revisions and leases are given
+    /// out again.
+    auto restoreCopy() -> void
+    {
+        this->data = this->kept;
+        ++this->era;
     }
 
     [[nodiscard]] auto now() const -> Instant { return this->moment; }
     /// @returns how many calls have been executed; a watch counts when it is answered
     [[nodiscard]] auto callCount() const -> int { return this->executedCalls; }
     /// @returns how many leases have been opened, ended ones included
-    [[nodiscard]] auto leaseCount() const -> std::uint64_t { return this->lastLeaseId; }
+    [[nodiscard]] auto leaseCount() const -> std::uint64_t { return this->data.lastLeaseId; }
     [[nodiscard]] auto find(const std::string &key) const -> const StoreItem *
     {
-        const auto found = this->items.find(key);
-        return found == this->items.end() ? nullptr : &found->second;
+        const auto found = this->data.items.find(key);
+        return found == this->data.items.end() ? nullptr : &found->second;
     }
 
     Mode mode = Mode::Normal;
@@ -96,11 +121,23 @@
         Duration timeToLive{0};
     };
 
+    /// What a copy has.
+    struct Data
+    {
+        std::map<std::string, StoreItem> items;
+        std::vector<StoreItem> history;
+        std::map<std::uint64_t, Lease> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t compactedRevision = 0;
+        std::uint64_t lastLeaseId = 0;
+    };
+
     auto serve(Call &call) -> void
     {
         StoreAnswer answer;
         if (this->mode == Mode::Refusing) {
             answer.kind = StoreAnswer::Kind::Refused;
+            answer.era = this->era;
             call.done(answer);
             return;
         }
@@ -120,8 +157,10 @@
         }
         ++this->executedCalls;
         if (this->mode == Mode::AnswersLost) {
-            answer = StoreAnswer{};
+            call.done(StoreAnswer{});
+            return;
         }
+        answer.era = this->era;
         call.done(answer);
     }
 
@@ -142,7 +181,7 @@
         if (item != nullptr) {
             answer.items = {*item};
         }
-        answer.revision = StoreRevision{this->revision};
+        answer.revision = StoreRevision{this->data.revision};
         return answer;
     }
 
@@ -150,8 +189,8 @@
     {
         StoreAnswer answer;
         answer.kind = StoreAnswer::Kind::Ok;
-        answer.revision = StoreRevision{this->revision};
-        for (const auto &[key, item] : this->items) {
+        answer.revision = StoreRevision{this->data.revision};
+        for (const auto &[key, item] : this->data.items) {
             if (!key.starts_with(call.prefix) || key <= call.after) {
                 continue;
             }
@@ -167,14 +206,15 @@
     auto watch(const StoreWatch &call) -> StoreAnswer
     {
         StoreAnswer answer;
-        if (call.after.value < this->compactedRevision) {
+        const auto isUnknown = call.after.value > this->data.revision;
+        if (isUnknown || call.after.value < this->data.compactedRevision) {
             answer.kind = StoreAnswer::Kind::HistoryGone;
             return answer;
         }
         answer.kind = StoreAnswer::Kind::Ok;
-        answer.revision = StoreRevision{this->revision};
-        std::copy_if(this->history.begin(), this->history.end(), std::back_inserter(answer.items),
-                     [&](const StoreItem &item) {
+        answer.revision = StoreRevision{this->data.revision};
+        std::copy_if(this->data.history.begin(), this->data.history.end(),
+                     std::back_inserter(answer.items), [&](const StoreItem &item) {
                          return item.key.starts_with(call.prefix) && item.revision > call.after;
                      });
         return answer;
@@ -194,14 +234,14 @@
             }
         }
         for (const auto &write : call.writes) {
-            if (write.lease.value != 0 && !this->leases.contains(write.lease.value)) {
+            if (write.lease.value != 0 && !this->data.leases.contains(write.lease.value)) {
                 answer.kind = StoreAnswer::Kind::NotFound;
                 return answer;
             }
             this->write(write);
         }
         answer.kind = StoreAnswer::Kind::Ok;
-        answer.revision = StoreRevision{this->revision};
+        answer.revision = StoreRevision{this->data.revision};
         return answer;
     }
 
@@ -209,18 +249,19 @@
     {
         StoreAnswer answer;
         answer.kind = StoreAnswer::Kind::Ok;
-        answer.lease = StoreLease{++this->lastLeaseId};
-        this->leases[this->lastLeaseId] = Lease{this->moment + call.timeToLive, call.timeToLive};
+        answer.lease = StoreLease{++this->data.lastLeaseId};
+        this->data.leases[this->data.lastLeaseId] =
+            Lease{this->moment + call.timeToLive, call.timeToLive};
         return answer;
     }
 
     auto answer(const StoreLeaseRenew &call) -> StoreAnswer
     {
         StoreAnswer answer;
-        const auto found = this->leases.find(call.lease.value);
+        const auto found = this->data.leases.find(call.lease.value);
         answer.kind =
-            found == this->leases.end() ? StoreAnswer::Kind::NotFound : StoreAnswer::Kind::Ok;
-        if (found != this->leases.end()) {
+            found == this->data.leases.end() ? StoreAnswer::Kind::NotFound : StoreAnswer::Kind::Ok;
+        if (found != this->data.leases.end()) {
             found->second.expiresAt = this->moment + found->second.timeToLive;
         }
         return answer;
@@ -229,7 +270,7 @@
     auto answer(const StoreLeaseEnd &call) -> StoreAnswer
     {
         this->endLease(call.lease.value);
-        this->leases.erase(call.lease.value);
+        this->data.leases.erase(call.lease.value);
         StoreAnswer answer;
         answer.kind = StoreAnswer::Kind::Ok;
         return answer;
@@ -237,21 +278,21 @@
 
     auto write(const StoreWrite &write) -> void
     {
-        const auto known = this->items.find(write.key);
+        const auto known = this->data.items.find(write.key);
         StoreItem item;
         item.key = write.key;
         item.value = write.value;
         item.lease = write.lease;
-        item.revision = StoreRevision{++this->revision};
-        item.created = known == this->items.end() ? item.revision : known->second.created;
-        this->items[write.key] = item;
-        this->history.push_back(item);
+        item.revision = StoreRevision{++this->data.revision};
+        item.created = known == this->data.items.end() ? item.revision : known->second.created;
+        this->data.items[write.key] = item;
+        this->data.history.push_back(item);
     }
 
     auto endLease(std::uint64_t lease) -> void
     {
         std::vector<std::string> keys;
-        for (const auto &[key, item] : this->items) {
+        for (const auto &[key, item] : this->data.items) {
             if (item.lease.value == lease) {
                 keys.push_back(key);
             }
@@ -263,12 +304,10 @@
 
     Instant moment = Instant{std::chrono::seconds{10}};
     std::deque<Call> calls;
-    std::map<std::string, StoreItem> items;
-    std::vector<StoreItem> history;
-    std::map<std::uint64_t, Lease> leases;
-    std::uint64_t revision = 1;
-    std::uint64_t compactedRevision = 0;
-    std::uint64_t lastLeaseId = 0;
+    std::deque<Call> lostCalls;
+    Data data;
+    Data kept;
+    std::uint64_t era = 0;
     int executedCalls = 0;
 };
 
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -5,6 +5,7 @@
 
 using namespace gooseberrywall;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -80,7 +81,7 @@
         trial.run(milliseconds{300});
         trial.store.put("p/a", "3");
         const auto callsBefore = trial.store.callCount();
-        trial.run(std::chrono::seconds{60});
+        trial.run(seconds{60});
         THEN("the answer to the open watch is applied, and no call is started")
         {
             CHECK(trial.view.items().at("p/a").value == "2");
@@ -97,7 +98,7 @@
     WHEN("the store refuses everything for ten seconds")
     {
         trial.store.mode = FakeStore::Mode::Refusing;
-        trial.run(std::chrono::seconds{10});
+        trial.run(seconds{10});
         THEN("the copy stays, and the view reports the failure")
         {
             CHECK(trial.view.items().size() == 5);
@@ -105,3 +106,61 @@
         }
     }
 }
+
+// Guards against a copy that keeps what the store has lost, and misses what is written to it
+// afterwards, because revisions have gone back.
+SCENARIO("PrefixView: given a store that comes back from an older copy, the view follows it",
+         "[storelink][restored][!mayfail]")
+{
+    Trial trial;
+    trial.store.put("p/a", "1");
+    trial.run(milliseconds{200});
+    trial.store.keepCopy();
+    for (const auto *key : {"p/a", "p/b", "q/x", "q/y", "p/c"}) {
+        trial.store.put(key, "lost");
+    }
+    trial.run(milliseconds{200});
+    REQUIRE(trial.view.items().size() == 3);
+    GIVEN("a store that was away meanwhile")
+    {
+        trial.store.mode = FakeStore::Mode::Refusing;
+        trial.run(milliseconds{500});
+        trial.store.restoreCopy();
+        trial.store.mode = FakeStore::Mode::Normal;
+        THEN("what it has lost is dropped")
+        {
+            trial.run(milliseconds{2500});
+            CHECK(trial.view.items().size() == 1);
+            CHECK(trial.view.items().at("p/a").value == "1");
+        }
+        THEN("later changes are seen, though their revisions were given out before")
+        {
+            trial.run(milliseconds{2500});
+            trial.store.put("p/a", "new");
+            trial.run(milliseconds{200});
+            CHECK(trial.view.items().at("p/a").value == "new");
+        }
+        THEN("few calls are needed")
+        {
+            const auto callsBefore = trial.store.callCount();
+            trial.run(seconds{10});
+            CHECK(trial.store.callCount() - callsBefore <= 3);
+        }
+    }
+    GIVEN("a store that has given out the revisions again before the next call")
+    {
+        trial.view.setPaused(true);
+        trial.run(milliseconds{100});
+        trial.store.restoreCopy();
+        for (auto count = 0; count < 8; ++count) {
+            trial.store.put("p/d", std::to_string(count));
+        }
+        trial.view.setPaused(false);
+        trial.run(milliseconds{1000});
+        THEN("the copy is that of the store")
+        {
+            CHECK(trial.view.items().size() == 2);
+            CHECK(trial.view.items().contains("p/d"));
+        }
+    }
+}
--- a/src/stubs/kvplatform/kvstorestub.cpp
+++ b/src/stubs/kvplatform/kvstorestub.cpp
@@ -58,23 +58,29 @@
 
 auto KvStoreStub::remove(const std::string &key) -> void
 {
-    this->items.erase(key);
-    this->history.push_back(
-        json{{"key", key}, {"revision", ++this->revision}, {"tombstone", true}});
+    this->data.items.erase(key);
+    this->data.history.push_back(
+        json{{"key", key}, {"revision", ++this->data.revision}, {"tombstone", true}});
     this->answerWatches();
 }
 
 auto KvStoreStub::compact() -> void
 {
-    this->compactedRevision = this->revision;
-    this->history.clear();
+    this->data.compactedRevision = this->data.revision;
+    this->data.history.clear();
+}
+
+auto KvStoreStub::restoreCopy() -> void
+{
+    this->data = this->kept;
+    ++this->era;
 }
 
 auto KvStoreStub::tick() -> void
 {
     const auto time = this->now();
     std::vector<std::uint64_t> expiredIds;
-    for (const auto &[id, lease] : this->leases) {
+    for (const auto &[id, lease] : this->data.leases) {
         if (lease.expiresAt <= time) {
             expiredIds.push_back(id);
         }
@@ -88,8 +94,8 @@
 
 auto KvStoreStub::value(const std::string &key) const -> std::optional<std::string>
 {
-    const auto found = this->items.find(key);
-    return found == this->items.end() ? std::nullopt : std::optional(found->second.value);
+    const auto found = this->data.items.find(key);
+    return found == this->data.items.end() ? std::nullopt : std::optional(found->second.value);
 }
 
 auto KvStoreStub::onRequest(ExchangeId exchange, const WholeMessage &request) -> void
@@ -132,19 +138,20 @@
 {
     MessageHead head;
     head.status = status;
-    head.headers = {HttpHeader{"Content-Type", "application/json"}};
+    head.headers = {HttpHeader{"Content-Type", "application/json"},
+                    HttpHeader{"Store-Era", std::to_string(this->era)}};
     this->listener.reply(exchange, head, body.dump());
 }
 
 auto KvStoreStub::get(ExchangeId exchange, const std::string &key) -> void
 {
-    const auto found = this->items.find(key);
-    if (found == this->items.end()) {
+    const auto found = this->data.items.find(key);
+    if (found == this->data.items.end()) {
         this->reply(exchange, 404, json::object());
         return;
     }
     auto item = itemJson(key, found->second);
-    item["current_rev"] = this->revision;
+    item["current_rev"] = this->data.revision;
     this->reply(exchange, 200, item);
 }
 
@@ -152,13 +159,13 @@
     -> void
 {
     auto list = json::array();
-    for (const auto &[key, item] : this->items) {
+    for (const auto &[key, item] : this->data.items) {
         if (key.starts_with(prefix) && key > after) {
             list.push_back(itemJson(key, item));
         }
     }
     this->reply(exchange, 200,
-                json{{"items", list}, {"has_more", false}, {"current_rev", this->revision}});
+                json{{"items", list}, {"has_more", false}, {"current_rev", this->data.revision}});
 }
 
 auto KvStoreStub::transact(ExchangeId exchange, const json &body) -> void
@@ -167,11 +174,11 @@
     auto preconditionsHold = true;
     for (const auto &condition : body.at("precondition")) {
         const auto key = condition.at("key").get<std::string>();
-        const auto found = this->items.find(key);
-        const auto actual = found == this->items.end() ? 0 : found->second.revision;
+        const auto found = this->data.items.find(key);
+        const auto actual = found == this->data.items.end() ? 0 : found->second.revision;
         preconditionsHold =
             preconditionsHold && actual == condition.at("revision").get<std::uint64_t>();
-        if (found != this->items.end()) {
+        if (found != this->data.items.end()) {
             currentItems.push_back(itemJson(key, found->second));
         }
     }
@@ -181,7 +188,7 @@
     }
     for (const auto &write : body.at("writes")) {
         const auto lease = write.value("lease", std::uint64_t{0});
-        if (lease != 0 && !this->leases.contains(lease)) {
+        if (lease != 0 && !this->data.leases.contains(lease)) {
             this->reply(exchange, 404, json::object());
             return;
         }
@@ -195,7 +202,7 @@
         this->remove(key.get<std::string>());
     }
     if (this->mode != KvStoreMode::WritesUnanswered) {
-        this->reply(exchange, 200, json{{"revision", this->revision}});
+        this->reply(exchange, 200, json{{"revision", this->data.revision}});
     }
     this->answerWatches();
 }
@@ -209,14 +216,15 @@
         const auto seconds = body.at("ttl_s_time").get<double>();
         const auto timeToLive =
             std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-        this->leases[++this->lastLeaseId] = Lease{this->now() + timeToLive, timeToLive};
-        this->reply(exchange, 200, json{{"lease", this->lastLeaseId}, {"ttl_s_time", seconds}});
+        this->data.leases[++this->data.lastLeaseId] = Lease{this->now() + timeToLive, timeToLive};
+        this->reply(exchange, 200,
+                    json{{"lease", this->data.lastLeaseId}, {"ttl_s_time", seconds}});
         return;
     }
     const auto isKeepAlive = path.starts_with(keepAlivePrefix);
     const auto id = std::stoull(path.substr((isKeepAlive ? keepAlivePrefix : endPrefix).size()));
-    const auto found = this->leases.find(id);
-    if (found == this->leases.end()) {
+    const auto found = this->data.leases.find(id);
+    if (found == this->data.leases.end()) {
         this->reply(exchange, 404, json::object());
         return;
     }
@@ -231,11 +239,11 @@
 auto KvStoreStub::write(const std::string &key, const std::string &value, std::uint64_t lease)
     -> void
 {
-    const auto known = this->items.find(key);
+    const auto known = this->data.items.find(key);
     const auto createdRevision =
-        known == this->items.end() ? this->revision + 1 : known->second.createdRevision;
-    this->items[key] = Item{value, ++this->revision, createdRevision, lease};
-    this->history.push_back(itemJson(key, this->items[key]));
+        known == this->data.items.end() ? this->data.revision + 1 : known->second.createdRevision;
+    this->data.items[key] = Item{value, ++this->data.revision, createdRevision, lease};
+    this->data.history.push_back(itemJson(key, this->data.items[key]));
 }
 
 auto KvStoreStub::answerWatches() -> void
@@ -246,13 +254,14 @@
     for (auto current = this->watches.begin(); current != this->watches.end();) {
         const auto watch = *current;
         auto events = json::array();
-        for (const auto &event : this->history) {
+        for (const auto &event : this->data.history) {
             if (event.at("revision").get<std::uint64_t>() > watch.afterRevision
                 && event.at("key").get<std::string>().starts_with(watch.prefix)) {
                 events.push_back(event);
             }
         }
-        const auto isCompacted = watch.afterRevision < this->compactedRevision;
+        const auto isCompacted = watch.afterRevision < this->data.compactedRevision
+                                 || watch.afterRevision > this->data.revision;
         if (!isCompacted && events.empty() && watch.deadline > this->now()) {
             ++current;
             continue;
@@ -262,16 +271,16 @@
             this->reply(watch.exchange, 410, json::object());
         } else {
             this->reply(watch.exchange, 200,
-                        json{{"events", events}, {"current_rev", this->revision}});
+                        json{{"events", events}, {"current_rev", this->data.revision}});
         }
     }
 }
 
 auto KvStoreStub::endLease(std::uint64_t lease) -> void
 {
-    this->leases.erase(lease);
+    this->data.leases.erase(lease);
     std::vector<std::string> keys;
-    for (const auto &[key, item] : this->items) {
+    for (const auto &[key, item] : this->data.items) {
         if (item.lease == lease) {
             keys.push_back(key);
         }
--- a/src/stubs/kvplatform/kvstorestub.h
+++ b/src/stubs/kvplatform/kvstorestub.h
@@ -40,6 +40,11 @@
     auto remove(const std::string &key) -> void;
     /// Drops the history of changes; watches that start before it are answered with 410.
     auto compact() -> void;
+    /// Keeps a copy of the items and leases as they are.
+    auto keepCopy() -> void { this->kept = this->data; }
+    /// Comes back from the copy: what was written since is gone, and revisions and leases are given
+    /// out again.
+    auto restoreCopy() -> void;
     /// Ends expired leases and answers watches that have changes or have timed out.
     auto tick() -> void;
 
@@ -61,6 +66,16 @@
         Instant expiresAt;
         Duration timeToLive{0};
     };
+    /// What a copy has.
+    struct Data
+    {
+        std::map<std::string, Item> items;
+        std::vector<json> history;
+        std::map<std::uint64_t, Lease> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t compactedRevision = 0;
+        std::uint64_t lastLeaseId = 0;
+    };
     struct Watch
     {
         ExchangeId exchange;
@@ -83,13 +98,10 @@
     std::function<Instant()> now;
     FrontListener listener;
     KvStoreMode mode = KvStoreMode::Normal;
-    std::map<std::string, Item> items;
-    std::vector<json> history;
-    std::map<std::uint64_t, Lease> leases;
+    Data data;
+    Data kept;
     std::list<Watch> watches;
-    std::uint64_t revision = 1;
-    std::uint64_t compactedRevision = 0;
-    std::uint64_t lastLeaseId = 0;
+    std::uint64_t era = 1;
     std::uint64_t receivedCalls = 0;
 };
 
