Keep an upstream as draining that a restored store shows as ready

A daemon now remembers the incarnations that it has seen draining for 60 s. The new test fails before (2 of 4 checks).

--- a/src/edge/internal/upstreamdirectory.cpp
+++ b/src/edge/internal/upstreamdirectory.cpp
@@ -13,10 +13,15 @@
 auto UpstreamDirectory::update(const std::vector<UpstreamEntry> &present, Instant storeFailedAt,
                                Instant now) -> void
 {
+    std::erase_if(this->drained, [&](const auto &row) {
+        return now - row.second.seenAt > this->settings.drainedRetention;
+    });
     std::map<UpstreamId, Known> next;
     std::set<Address> addresses;
     for (const auto &entry : present) {
-        next[entry.id] = Known{entry, std::nullopt};
+        auto &added = next[entry.id];
+        added = Known{entry, std::nullopt};
+        this->markDrained(added.entry, now);
         addresses.insert(entry.address);
     }
     const auto missing =
@@ -41,6 +46,17 @@
     this->known = std::move(next);
 }
 
+auto UpstreamDirectory::markDrained(UpstreamEntry &entry, Instant now) -> void
+{
+    const auto found = this->drained.find(entry.id);
+    const auto isKnown =
+        found != this->drained.end() && found->second.incarnation == entry.incarnation;
+    entry.isDraining = entry.isDraining || isKnown;
+    if (entry.isDraining) {
+        this->drained[entry.id] = Drained{entry.incarnation, now};
+    }
+}
+
 auto UpstreamDirectory::advance(Instant now) -> void
 {
     std::erase_if(this->known,
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -84,6 +84,39 @@
     }
 }
 
+// Guards against requests to upstreams that have left, after the store has come back from a copy in
+// which they haven't.
+SCENARIO("UpstreamDirectory: given an upstream that has started to drain, it isn't ready again",
+         "[edge][restored]")
+{
+    const Instant start{seconds{100}};
+    const Instant longAgo{};
+    UpstreamDirectory directory(UpstreamDirectorySettings{});
+    auto draining = entries({1, 2, 3});
+    draining[0].isDraining = true;
+    directory.update(entries({1, 2, 3}), longAgo, start);
+    directory.update(draining, longAgo, start + seconds{1});
+    GIVEN("a store that shows it as ready again")
+    {
+        directory.update(entries({1, 2, 3}), longAgo, start + seconds{2});
+        CHECK(directory.entries()[0].isDraining);
+    }
+    GIVEN("a store that shows it as ready again after it had gone")
+    {
+        directory.update(entries({2, 3}), longAgo, start + seconds{2});
+        directory.update(entries({1, 2, 3}), longAgo, start + seconds{3});
+        REQUIRE(directory.entries().size() == 3);
+        CHECK(directory.entries()[0].isDraining);
+    }
+    GIVEN("its next incarnation")
+    {
+        auto restarted = entries({1, 2, 3});
+        restarted[0].incarnation = Incarnation{7};
+        directory.update(restarted, longAgo, start + seconds{2});
+        CHECK_FALSE(directory.entries()[0].isDraining);
+    }
+}
+
 SCENARIO("metricsText shows the daemon's own metrics", "[edge]")
 {
     EdgeMetrics metrics;
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -19,6 +19,9 @@
     /// A larger share than this of entries missing at once indicates an outage that this daemon
     /// didn't notice.
     double outageMissingShare = 0.35;
+    /// An upstream that has drained is remembered for this long after it was last seen, as a
+    /// restored store may show it as ready once more.
+    Duration drainedRetention = std::chrono::seconds{60};
     auto operator==(const UpstreamDirectorySettings &) const -> bool = default;
 };
 
@@ -47,8 +50,19 @@
         std::optional<Instant> dropAt;
     };
 
+    /// An incarnation that has started to drain; it is never ready again.
+    struct Drained
+    {
+        Incarnation incarnation;
+        Instant seenAt;
+    };
+
+    /// Marks the entry as draining if its upstream has started to drain before.
+    auto markDrained(UpstreamEntry &entry, Instant now) -> void;
+
     UpstreamDirectorySettings settings;
     std::map<UpstreamId, Known> known;
+    std::map<UpstreamId, Drained> drained;
 };
 
 } // namespace gooseberrywall
