--- a/src/keyranges/internal/rangegrantorviews.cpp
+++ b/src/keyranges/internal/rangegrantorviews.cpp
@@ -72,13 +72,11 @@
     std::vector<OwnedRange> ownedRanges;
     for (const auto &state : this->rangeStates) {
         OwnedRange owned{state.range, std::nullopt, Instant{}};
-        if (state.phase == Phase::Held && now < state.confirmedUntil
-            && this->isUsable(*state.holder)) {
-            owned.owner = state.holder->id;
-        } else if (state.phase == Phase::Outdated && state.holder
-                   && this->isUsable(*state.holder)) {
-            // An upstream that doesn't hold the keys any more rejects requests without running
-            // them.
+        const auto isConfirmed = state.phase == Phase::Held && now < state.confirmedUntil;
+        // The likely owner of an outdated range rejects requests for it without running them where
+        // it isn't the owner any more.
+        const auto isLikely = state.phase == Phase::Outdated && state.holder.has_value();
+        if ((isConfirmed || isLikely) && this->isUsable(*state.holder)) {
             owned.owner = state.holder->id;
         } else if (state.phase == Phase::Expiring || state.phase == Phase::Outdated) {
             owned.readyAt = state.latestHoldEnd;
