Divide request limits by the daemons of the earlier grantor, too

Found by reading: a grantor that has just been elected announces the few daemons that it knows so far; if it is lost at once, each daemon would take (nearly) the whole limit for its share. The largest number of the last 30 s counts now. The test of daemons without a grantor hears such a grantor first, and fails without the change.

--- a/src/dispatch/internal/requestlimiter.cpp
+++ b/src/dispatch/internal/requestlimiter.cpp
@@ -8,23 +8,15 @@
 
 /// The bucket holds the requests of this time, and one at least.
 constexpr double burstSeconds = 0.25;
-/// Only answers tell that a limit has changed, so an upstream that takes none gets as many still.
-constexpr double minRatePerSecond = 0.5;
 
 } // namespace
 
-auto RequestLimiter::onStated(RequestLimit stated, Instant sentAt, Instant now) -> void
+auto RequestLimiter::onStated(RequestLimit limit, Instant sentAt, Instant now) -> void
 {
-    if (!stated.isLimited()) {
-        if (sentAt >= this->statedAt) {
-            this->statedLimit = stated;
-        }
-        return;
-    }
-    this->tokens = this->statedLimit.isLimited() ? this->tokensAt(now) : 0;
+    // Requests of the time without a limit don't count.
+    this->tokens = this->limit().isLimited() ? this->tokensAt(now) : 0;
     this->tokensUpdatedAt = now;
-    this->statedLimit = stated;
-    this->statedAt = now;
+    this->stated.onStated(limit, sentAt, now);
 }
 
 auto RequestLimiter::onSent(Instant now) -> void
@@ -41,12 +33,7 @@
 
 auto RequestLimiter::allows(Instant now) const -> bool
 {
-    return !this->statedLimit.isLimited() || this->tokensAt(now) >= 1;
-}
-
-auto RequestLimiter::ratePerSecond() const -> double
-{
-    return std::max(minRatePerSecond, this->statedLimit.perSecond);
+    return !this->limit().isLimited() || this->tokensAt(now) >= 1;
 }
 
 auto RequestLimiter::timeToNext(Instant now) const -> Duration
@@ -60,7 +47,7 @@
 
 auto RequestLimiter::tokensAt(Instant now) const -> double
 {
-    if (!this->statedLimit.isLimited()) {
+    if (!this->limit().isLimited()) {
         return 0;
     }
     const auto seconds = std::chrono::duration<double>(now - this->tokensUpdatedAt).count();
--- a/src/dispatch/requestlimiter.h
+++ b/src/dispatch/requestlimiter.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "dispatch/types/permits.h"
-
-#include <cstddef>
+#include "dispatch/statedrequestlimit.h"
 
 namespace gooseberrywall {
 
@@ -11,28 +9,25 @@
 class RequestLimiter
 {
 public:
-    /// Takes in what an answer states.
-    /// @param sentAt when the request was sent; an answer to one that was sent before a limit
-    ///        became known doesn't end that limit
-    auto onStated(RequestLimit stated, Instant sentAt, Instant now) -> void;
+    /// Takes in what an answer states, as StatedRequestLimit does.
+    auto onStated(RequestLimit limit, Instant sentAt, Instant now) -> void;
     /// Counts a request that is sent to the upstream.
     auto onSent(Instant now) -> void;
     /// Takes back a request that has certainly not reached the upstream.
     auto onNotSent(Instant now) -> void;
 
-    [[nodiscard]] auto limit() const -> RequestLimit { return this->statedLimit; }
+    [[nodiscard]] auto limit() const -> RequestLimit { return this->stated.value(); }
     /// @returns whether the limit allows another request now
     [[nodiscard]] auto allows(Instant now) const -> bool;
     /// @returns the requests per second that the upstream gets at most; infinity without a limit
-    [[nodiscard]] auto ratePerSecond() const -> double;
+    [[nodiscard]] auto ratePerSecond() const -> double { return this->limit().sendingRate(); }
     /// @returns the time until the limit allows the next request
     [[nodiscard]] auto timeToNext(Instant now) const -> Duration;
 
 private:
     [[nodiscard]] auto tokensAt(Instant now) const -> double;
 
-    RequestLimit statedLimit;
-    Instant statedAt{};
+    StatedRequestLimit stated;
     double tokens = 0;
     Instant tokensUpdatedAt{};
 };
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -4,6 +4,7 @@
 #include "common/types/instant.h"
 #include "common/types/reason.h"
 
+#include <algorithm>
 #include <cmath>
 #include <compare>
 #include <cstdint>
@@ -129,6 +130,13 @@
     double perSecond = std::numeric_limits<double>::infinity();
     auto operator==(const RequestLimit &) const -> bool = default;
     [[nodiscard]] auto isLimited() const -> bool { return std::isfinite(this->perSecond); }
+    /// @returns the requests per second that are sent at most; above zero, as only answers tell
+    /// that an upstream takes requests again
+    [[nodiscard]] auto sendingRate() const -> double
+    {
+        constexpr double minSendingRate = 0.5;
+        return std::max(minSendingRate, this->perSecond);
+    }
 };
 
 /// An entry daemon's report on an attempt, which returns the permit.
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -271,7 +271,7 @@
             this->onStoreEra(eraOf(StoreRevision{announcement->term}));
             this->grantorWatch.onAnnouncement(from, *announcement);
             this->configurationSource.onAnnouncement(from, *announcement);
-            this->direct.setDaemonCount(announcement->daemonCount);
+            this->direct.onDaemonCount(announcement->daemonCount, this->now());
             return;
         }
         this->roles.deliver(from, message);
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -39,8 +39,9 @@
     auto onGranted(const ServiceName &service, const PermitVerdict &verdict) -> void;
     /// Replaces the known key owners of a service with those read from the store.
     auto setOwners(const ServiceName &service, const std::vector<DirectOwner> &owners) -> void;
-    /// @param count daemons between which the limit of an upstream is divided
-    auto setDaemonCount(std::size_t count) -> void { this->daemonCount = count; }
+    /// @param count daemons that a grantor knows; an upstream's limit is divided between the most
+    ///        that were told lately, as a new grantor knows few at first
+    auto onDaemonCount(std::size_t count, Instant now) -> void;
     auto onSent(const UpstreamId &upstream, Instant now) -> void;
     /// Takes in what an answer states about the upstream's request limit.
     /// @param sentAt when the request was sent
@@ -69,6 +70,7 @@
     std::map<UpstreamId, int> inFlight;
     std::map<UpstreamId, Instant> avoidedUntil;
     std::size_t daemonCount = assumedDaemonCount;
+    Instant daemonCountAt{};
     /// Of upstreams that have named a request limit.
     std::map<UpstreamId, RequestLimitShare> limitShares;
 };
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -11,6 +11,8 @@
 /// An upstream that didn't run or answer an attempt is avoided for this time where there are
 /// others.
 constexpr Duration avoidDuration = std::chrono::milliseconds{500};
+/// A larger number of daemons counts for this long.
+constexpr Duration daemonCountMemory = std::chrono::seconds{30};
 
 } // namespace
 
@@ -153,6 +155,14 @@
     return found == this->avoidedUntil.end() || found->second <= now;
 }
 
+auto DirectChoice::onDaemonCount(std::size_t count, Instant now) -> void
+{
+    if (count >= this->daemonCount || now - this->daemonCountAt > daemonCountMemory) {
+        this->daemonCount = count;
+        this->daemonCountAt = now;
+    }
+}
+
 auto DirectChoice::limitAllows(const UpstreamId &id, Instant now) const -> bool
 {
     const auto share = this->limitShares.find(id);
--- a/src/entry/requestlimitshare.h
+++ b/src/entry/requestlimitshare.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "dispatch/types/permits.h"
+#include "dispatch/statedrequestlimit.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace gooseberrywall {
@@ -17,10 +18,11 @@
     /// @param seed spreads the starts of the periods; differs between daemons and upstreams
     explicit RequestLimitShare(std::uint64_t seed);
 
-    /// Takes in what an answer states.
-    /// @param sentAt when the answered request was sent; an answer to one that was sent before a
-    ///        limit became known doesn't end that limit
-    auto onStated(RequestLimit stated, Instant sentAt, Instant now) -> void;
+    /// Takes in what an answer states, as StatedRequestLimit does.
+    auto onStated(RequestLimit limit, Instant answeredSentAt, Instant now) -> void
+    {
+        this->stated.onStated(limit, answeredSentAt, now);
+    }
     /// Counts a request that is sent without a permit.
     auto onSent(Instant now) -> void { this->sentAt = now; }
     /// @returns whether a request may be sent now
@@ -28,8 +30,7 @@
 
 private:
     double phase;
-    RequestLimit limit;
-    Instant statedAt{};
+    StatedRequestLimit stated;
     Instant sentAt{};
 };
 
--- a/src/entry/tests/directlimit_tests.cpp
+++ b/src/entry/tests/directlimit_tests.cpp
@@ -31,7 +31,7 @@
             daemon.setUpstreams({entry});
             daemon.setOwners(service, {DirectOwner{KeyRange{0, 65535}, limited, Address{}}});
             daemon.setTrusted(true);
-            daemon.setDaemonCount(daemonCount);
+            daemon.onDaemonCount(daemonCount, start);
         }
     }
 
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Lets a grantor that knows only itself announce itself for a moment.
+    auto hearNewGrantor() -> void
+    {
+        for (auto &daemon : this->daemons) {
+            daemon.onDaemonCount(daemonCount, this->now);
+            daemon.onDaemonCount(1, this->now);
+        }
+    }
     auto setLimit(double perSecond) -> void { this->limit = RequestLimit{perSecond}; }
     /// @returns the most requests sent in four seconds
     [[nodiscard]] auto mostInWindow() const -> std::size_t { return this->worst; }
@@ -99,6 +107,7 @@
     DaemonsWithoutGrantor daemons(limit);
     // Until each daemon has heard of the limit.
     daemons.run(200, seconds{8});
+    daemons.hearNewGrantor();
     daemons.forgetSends();
     daemons.run(60, seconds{20});
     CHECK(static_cast<double>(daemons.mostInWindow()) <= 1.5 * limit * 4 + 5);
