Answer requests at silent upstreams before a planned stop ends

Cause: requests that are at an upstream when the daemon stops were cut with its connections; where the upstream leaves a request unanswered and its deadline is later than the stop, nothing ended it before.

They are aborted 0.55 s before the shutdown timeout now, and answered with 502: the outcome is unknown. The new test covers what is answered; it can't run on the code before, which had no such step.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -151,6 +151,8 @@
     /// New requests are refused for this long before the shutdown timeout, so that all end in time.
     static constexpr Duration refusalTime = std::chrono::milliseconds{1700};
     static constexpr Duration shutdownCheckEvery = std::chrono::milliseconds{100};
+    /// Requests that are still at an upstream are answered this long before the shutdown timeout.
+    static constexpr Duration lastAnswerTime = std::chrono::milliseconds{550};
     /// The loop stops this long before the shutdown timeout.
     static constexpr Duration exitMargin = std::chrono::milliseconds{350};
 
@@ -354,6 +356,9 @@
             this->entry.refuseNew();
             this->flow.refuseWaiting(moment);
         }
+        if (age >= this->settings.shutdownTimeout - lastAnswerTime) {
+            this->flow.endSent(moment);
+        }
         if (isBalancerDrained) {
             this->entry.listener().closeIdle();
         }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -369,14 +369,7 @@
         auto &flow = this->flows.at(exchange);
         this->permits.cancel(exchange);
         if (flow.isSent) {
-            flow.mayHaveRun = true;
-            this->commands.emplace_back(FlowAbort{exchange});
-            this->endAttempt(
-                flow, FlowAttemptEnd{exchange, AttemptEnd::NoAnswer, std::nullopt, std::nullopt},
-                now);
-        }
-        if (flow.isAbandoned) {
-            this->finish(exchange);
+            this->abortAttempt(flow, Reason::DeadlinePassed, now);
             continue;
         }
         this->failRequest(flow, Reason::DeadlinePassed, std::nullopt, now);
@@ -399,6 +392,33 @@
     }
 }
 
+auto RequestFlow::endSent(Instant now) -> void
+{
+    std::vector<ExchangeId> sent;
+    for (const auto &[exchange, flow] : this->flows) {
+        if (flow.isSent) {
+            sent.push_back(exchange);
+        }
+    }
+    for (const auto exchange : sent) {
+        this->abortAttempt(this->flows.at(exchange), Reason::ShuttingDown, now);
+    }
+}
+
+auto RequestFlow::abortAttempt(Flow &flow, Reason reason, Instant now) -> void
+{
+    const auto exchange = flow.request.exchange;
+    flow.mayHaveRun = true;
+    this->commands.emplace_back(FlowAbort{exchange});
+    this->endAttempt(
+        flow, FlowAttemptEnd{exchange, AttemptEnd::NoAnswer, std::nullopt, std::nullopt}, now);
+    if (flow.isAbandoned) {
+        this->finish(exchange);
+        return;
+    }
+    this->failRequest(flow, reason, std::nullopt, now);
+}
+
 auto RequestFlow::deliver(const Flow &flow, Instant now) -> void
 {
     this->records.counters.countAnswer(flow.request.service, CallerId{flow.request.route.name},
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -60,6 +60,9 @@
     auto onCallerGone(ExchangeId exchange, Instant now) -> void;
     /// Refuses all requests that aren't at an upstream, because this daemon is about to stop.
     auto refuseWaiting(Instant now) -> void;
+    /// Ends requests that are at an upstream, with an unknown outcome, because this daemon stops
+    /// now and their connections with it.
+    auto endSent(Instant now) -> void;
     /// Ends requests whose time is up, and asks again for the permits of waiting ones.
     auto advance(Instant now) -> void;
 
@@ -112,6 +115,8 @@
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
     /// Returns the attempt's permit and records how the attempt ended; the request stays open.
     auto endAttempt(Flow &flow, const FlowAttemptEnd &end, Instant now) -> void;
+    /// Aborts the attempt in progress, and ends the request with an unknown outcome.
+    auto abortAttempt(Flow &flow, Reason reason, Instant now) -> void;
     auto retryOrEnd(Flow &flow, AttemptEnd end, Instant now) -> void;
     /// Ends a request that no attempt has answered successfully: delivers the upstream's server
     /// error where there is one, and refuses the request otherwise.
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -134,6 +134,24 @@
     }
 }
 
+// Guards against requests that are cut off without an answer, because their upstream leaves them
+// unanswered until the daemon ends.
+SCENARIO("RequestFlow answers requests that are still at an upstream when the daemon stops",
+         "[entry]")
+{
+    const auto isIdempotent = GENERATE(true, false);
+    RequestFlowFixture fixture;
+    fixture.begin(isIdempotent);
+    fixture.grant();
+    fixture.flow.endSent(fixture.now);
+    fixture.processPending();
+    CHECK(fixture.refusal().status == 502);
+    CHECK_FALSE(fixture.refusal().retryAfter.has_value());
+    CHECK(fixture.count<FlowAbort>() == 1);
+    CHECK(fixture.countSent<PermitReport>() == 1);
+    CHECK(fixture.flow.openCount() == 0);
+}
+
 SCENARIO("RequestFlow refuses requests that wait when the daemon is about to stop", "[entry]")
 {
     // Guards against requests that are cut off without an answer: they waited for a permit, in an
