--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -329,6 +329,7 @@
     PermitVerdict verdict;
     verdict.kind = PermitVerdict::Kind::Granted;
     verdict.upstream = upstream.entry.id;
+    verdict.incarnation = upstream.entry.incarnation;
     verdict.address = upstream.entry.address;
     if (this->isSharded && waiting.request.key) {
         verdict.ownedRange = this->rangeOf(*waiting.request.key)->keys;
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -79,6 +79,9 @@
     Kind kind = Kind::Queued;
     /// Granted only: the upstream to send the request to.
     UpstreamId upstream;
+    /// Granted only: which of the successive processes with the upstream's id is meant; zero where
+    /// that isn't known.
+    Incarnation incarnation;
     /// Granted: the upstream's address. NotGrantor: the grantor's address, empty if unknown.
     Address address;
     /// NotGrantor with an address: the term of that grantor.
@@ -152,6 +155,10 @@
     std::optional<ReportedLoad> load;
     /// Empty where the answer doesn't tell, or there was none.
     std::optional<RequestLimit> requestLimit;
+    /// The upstream has stated that it is about to stop.
+    bool isLeaving = false;
+    /// Rejections only: for this time the upstream wants no requests from the reporting daemon.
+    std::optional<Duration> pause = std::nullopt;
     auto operator==(const PermitReport &) const -> bool = default;
 };
 
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -241,6 +241,8 @@
             end.end = fields.end;
             end.load = fields.load;
             end.requestLimit = fields.requestLimit;
+            end.isLeaving = fields.isLeaving;
+            end.pause = fields.pause;
             entry.answer = std::move(result.answer);
             break;
         }
--- a/src/edge/types/wiretypes.h
+++ b/src/edge/types/wiretypes.h
@@ -29,6 +29,10 @@
     std::optional<ReportedLoad> load;
     /// Empty where the answer doesn't tell.
     std::optional<RequestLimit> requestLimit;
+    /// The upstream is about to stop and takes no new requests for long.
+    bool isLeaving = false;
+    /// Rejections only: for this time the upstream wants no requests from this daemon.
+    std::optional<Duration> pause = std::nullopt;
     auto operator==(const AnswerFields &) const -> bool = default;
 };
 
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -145,6 +145,7 @@
         return std::nullopt;
     }
     verdict.upstream = best->id;
+    verdict.incarnation = best->incarnation;
     verdict.address = best->address;
     return verdict;
 }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -264,6 +264,8 @@
         report.latency = now - flow.sentAt;
         report.load = end.load;
         report.requestLimit = end.requestLimit;
+        report.isLeaving = end.isLeaving;
+        report.pause = end.pause;
         this->permits.report(report);
         flow.permit.reset();
     }
--- a/src/entry/types/flowmessages.h
+++ b/src/entry/types/flowmessages.h
@@ -71,6 +71,10 @@
     AttemptEnd end = AttemptEnd::NoAnswer;
     std::optional<ReportedLoad> load;
     std::optional<RequestLimit> requestLimit;
+    /// The upstream has stated that it is about to stop.
+    bool isLeaving = false;
+    /// Rejections only: for this time the upstream wants no requests from this daemon.
+    std::optional<Duration> pause = std::nullopt;
     auto operator==(const FlowAttemptEnd &) const -> bool = default;
 };
 
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -70,6 +70,7 @@
     out.setReason(static_cast<std::uint8_t>(verdict.reason));
     out.setRetryAfter(verdict.retryAfter.count());
     out.setGrantorTerm(verdict.grantorTerm);
+    out.setUpstreamLife(verdict.incarnation.value);
 }
 
 auto write(permitwire::Message::Builder builder, const PermitReport &report) -> void
@@ -87,6 +88,9 @@
     out.setSlots(load.slots);
     out.setHasLimit(report.requestLimit.has_value());
     out.setLimitPerSecond(report.requestLimit.value_or(RequestLimit{}).perSecond);
+    out.setLeaving(report.isLeaving);
+    out.setHasPause(report.pause.has_value());
+    out.setPause(report.pause.value_or(Duration{0}).count());
 }
 
 auto write(permitwire::Message::Builder builder, const PermitCancel &cancel) -> void
@@ -151,6 +155,7 @@
     verdict.reason = static_cast<Reason>(in.getReason());
     verdict.retryAfter = Duration{in.getRetryAfter()};
     verdict.grantorTerm = in.getGrantorTerm();
+    verdict.incarnation.value = in.getUpstreamLife();
     return answer;
 }
 
@@ -173,6 +178,10 @@
     if (in.getHasLimit() && in.getLimitPerSecond() >= 0) {
         report.requestLimit = RequestLimit{in.getLimitPerSecond()};
     }
+    report.isLeaving = in.getLeaving();
+    if (in.getHasPause() && in.getPause() >= 0) {
+        report.pause = Duration{in.getPause()};
+    }
     return report;
 }
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -34,6 +34,7 @@
   reason @7 :UInt8;
   retryAfter @8 :Int64;
   grantorTerm @9 :UInt64;
+  upstreamLife @10 :UInt64;
 }
 
 struct Report {
@@ -48,6 +49,9 @@
   slots @8 :Int32;
   hasLimit @9 :Bool;
   limitPerSecond @10 :Float64;
+  leaving @11 :Bool;
+  hasPause @12 :Bool;
+  pause @13 :Int64;
 }
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e8c4d82946d5715, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9e8c4d82946d5715, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -440,6 +440,8 @@
 
   inline  ::uint64_t getGrantorTerm() const;
 
+  inline  ::uint64_t getUpstreamLife() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -510,6 +512,9 @@
   inline  ::uint64_t getGrantorTerm();
   inline void setGrantorTerm( ::uint64_t value);
 
+  inline  ::uint64_t getUpstreamLife();
+  inline void setUpstreamLife( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -579,6 +584,12 @@
 
   inline double getLimitPerSecond() const;
 
+  inline bool getLeaving() const;
+
+  inline bool getHasPause() const;
+
+  inline  ::int64_t getPause() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -652,6 +663,15 @@
   inline double getLimitPerSecond();
   inline void setLimitPerSecond(double value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline bool getHasPause();
+  inline void setHasPause(bool value);
+
+  inline  ::int64_t getPause();
+  inline void setPause( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1600,6 +1620,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Verdict::Reader::getUpstreamLife() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Verdict::Builder::getUpstreamLife() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setUpstreamLife( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Report::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1819,6 +1853,48 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::getHasPause() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getHasPause() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setHasPause(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Report::Reader::getPause() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Report::Builder::getPause() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setPause( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Cancel::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -39,6 +39,7 @@
     answer.id = PermitId{self, 5, 6};
     answer.verdict.kind = PermitVerdict::Kind::Granted;
     answer.verdict.upstream = UpstreamId{"a"};
+    answer.verdict.incarnation = Incarnation{1733};
     answer.verdict.address = Address{"10.1.0.1:80"};
     answer.verdict.ownedRange = KeyRange{7, 9};
     answer.verdict.reason = Reason::QueueFull;
@@ -54,6 +55,8 @@
     report.latency = std::chrono::milliseconds{80};
     report.load = ReportedLoad{3, 1, 3};
     report.requestLimit = RequestLimit{6.5};
+    report.isLeaving = true;
+    report.pause = std::chrono::milliseconds{700};
     CHECK(roundTrip(report, sender, self) == PermitMessage{report});
 
     report.requestLimit = RequestLimit{};
