Give orders to upstreams connections of their own

Cause: orders shared kept connections with requests, and their answers carry no id. A second copy of an earlier answer (a request's 421, another order's 200 or 409) was taken as the answer of the order that was waiting: a release that the upstream hadn't carried out counted as carried out, a grant that it had accepted as refused, so keys could get a second owner.

Change: orders have a pool of their own; grants of a new fence and releases go on new connections. Renewals reuse one on which only accepted grants came before, so that a copy can only make a grant count as longer than it is.

The price, connections for each move of keys, is not measured.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -139,7 +139,11 @@
     std::uint64_t failures = 0;
 };
 
-/// Sends orders that grant or release keys to upstreams.
+/// Sends orders that grant or release keys to upstreams. Their answers carry no id, so an order
+/// whose result may end an ownership has a connection of its own: a second copy of an earlier
+/// answer can't be taken for its answer. Renewals share connections on which only renewals and an
+/// accepted grant came before; a copy there can only make a grant count as longer than it is, which
+/// is safe.
 template<WireAdapter Wire>
 class OrderClient
 {
@@ -149,6 +153,7 @@
     /// An upstream answers a release when the requests on its keys have ended.
     static constexpr Duration releaseTimeout = std::chrono::milliseconds{1500};
 
+    /// @param pool for orders only, with reusesAfterErrors unset
     OrderClient(const Wire &wire, OutboundPool &pool)
         : wire(wire)
         , pool(pool)
@@ -162,6 +167,7 @@
         OutboundRequest request;
         request.address = order.address;
         request.timeout = isGrant ? grantTimeout : releaseTimeout;
+        request.needsNewConnection = !order.isRenewal;
         request.text = StoreClient<Wire>::callText(this->wire.order(order), order.address,
                                                    this->wire.targetHeaders(order.upstream));
         this->pool.send(std::move(request),
--- a/src/edge/componentsettings.h
+++ b/src/edge/componentsettings.h
@@ -15,6 +15,9 @@
 /// @param echoHeader header in which upstreams repeat the id of a request
 [[nodiscard]] auto upstreamPoolSettings(const std::string &echoHeader) -> OutboundPoolSettings;
 [[nodiscard]] auto storePoolSettings() -> OutboundPoolSettings;
+/// Settings of a pool for orders only: their answers carry no id, so they share no connection with
+/// requests.
+[[nodiscard]] auto orderPoolSettings() -> OutboundPoolSettings;
 /// @param listen address of the readiness or the metrics page
 [[nodiscard]] auto pageSettings(const Address &listen) -> FrontSettings;
 [[nodiscard]] auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation)
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -43,7 +43,8 @@
         , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now)
         , storePool(loop.base(), storePoolSettings(), now)
         , store(wire, this->storePool, this->settings.store, now, logger)
-        , orders(wire, this->upstreamPool)
+        , orderPool(loop.base(), orderPoolSettings(), now)
+        , orders(wire, this->orderPool)
         , permits(this->settings.peerListen, incarnation, PermitClientSettings{})
         , direct(incarnation)
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
@@ -422,7 +423,8 @@
         metrics.directRequests = this->flow.directSendCount();
         metrics.storeCalls = this->store.callCount();
         metrics.storeFailures = this->store.failureCount();
-        metrics.upstreamConnections = this->upstreamPool.openedCount();
+        metrics.upstreamConnections =
+            this->upstreamPool.openedCount() + this->orderPool.openedCount();
         metrics.badDatagrams = this->badDatagrams;
         metrics.unsentDatagrams = this->peerSocket.failedCount();
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
@@ -452,6 +454,7 @@
     OutboundPool upstreamPool;
     OutboundPool storePool;
     StoreClient<Wire> store;
+    OutboundPool orderPool;
     OrderClient<Wire> orders;
     PermitClient permits;
     DirectChoice direct;
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -16,6 +16,13 @@
     return result;
 }
 
+auto orderPoolSettings() -> OutboundPoolSettings
+{
+    OutboundPoolSettings result;
+    result.reusesAfterErrors = false;
+    return result;
+}
+
 auto pageSettings(const Address &listen) -> FrontSettings
 {
     FrontSettings result;
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -302,9 +302,11 @@
     state.call = CallId{this->nextCallId++};
     state.sentAt = now;
     const auto isGrant = kind == RangeOrder::Kind::Grant;
+    const auto isRenewal =
+        isGrant && state.phase == Phase::Held && !state.needsNewFence && !state.isUnconfirmedInTerm;
     this->orders.push_back(RangeOrder{kind, state.call, holder.id, holder.address, state.range,
                                       state.fence, isGrant ? state.sentHoldTime : Duration{0},
-                                      isGrant ? state.handover : std::string{}});
+                                      isGrant ? state.handover : std::string{}, isRenewal});
 }
 
 auto RangeGrantor::takeOrders() -> std::vector<RangeOrder>
--- a/src/keyranges/types/rangeorders.h
+++ b/src/keyranges/types/rangeorders.h
@@ -26,6 +26,8 @@
     Duration holdTime{0};
     /// Grants only: what the previous owner returned with its release, so that the keys stay warm.
     std::string handover;
+    /// Grants only: prolongs one that the upstream has accepted, with the same fence.
+    bool isRenewal = false;
     auto operator==(const RangeOrder &) const -> bool = default;
 };
 
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -146,8 +146,11 @@
             }
             return;
         }
-        const auto isClean = isOpen && !this->hasLateAnswer && this->stream.input().empty()
-                             && this->stream.unsentBytes() == 0 && answer.head.keepsConnection();
+        const auto mayFollow =
+            this->pool.settings.reusesAfterErrors || answer.head.status / 100 == 2;
+        const auto isClean = isOpen && mayFollow && !this->hasLateAnswer
+                             && this->stream.input().empty() && this->stream.unsentBytes() == 0
+                             && answer.head.keepsConnection();
         this->idleTimeout = this->pool.settings.idleTimeout;
         if (const auto advertised = advertisedIdleTimeout(answer.head)) {
             this->idleTimeout = std::min(this->idleTimeout, *advertised - keepAliveMargin);
@@ -224,7 +227,7 @@
 {
     this->discardStale();
     const auto id = this->nextId++;
-    auto *connection = this->takeIdle(request.address);
+    auto *connection = request.needsNewConnection ? nullptr : this->takeIdle(request.address);
     if (connection == nullptr) {
         const auto endpoint = parseEndpoint(request.address).value_or(Endpoint{});
         auto created = std::make_unique<Connection>(*this, request.address, endpoint);
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -26,13 +26,14 @@
     std::size_t idlePerAddress = 8;
     /// Header in which answers repeat the id of their request; if empty, ids aren't compared.
     std::string echoHeader;
+    /// Otherwise a connection is used again only after an answer of status 2xx.
+    bool reusesAfterErrors = true;
     MessageLimits limits;
     auto operator==(const OutboundPoolSettings &) const -> bool = default;
 };
 
 /// Sends HTTP requests over keep-alive connections, one request at a time on each. A connection is
-/// used again only if the answer was complete, belonged to its request and was followed by no
-/// further bytes. Requests are never repeated.
+/// used again only if the answer was complete, belonged to its request and was followed by no further bytes. Requests are never repeated.
 class OutboundPool
 {
 public:
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -25,6 +25,10 @@
     /// Id that the answer repeats in the echo header; an answer with another id belongs to an
     /// earlier request.
     std::optional<std::string> echoedId;
+    /// Not to be sent on a connection that was used before, where a second copy of an earlier
+    /// answer could be taken for this request's: it has no id, or one that was sent to this address
+    /// before.
+    bool needsNewConnection = false;
     auto operator==(const OutboundRequest &) const -> bool = default;
 };
 
