Tell second copies of rejections from answers to later requests

Cause: a rejection without an id left its connection in use, where a second copy of it was taken for the answer to the next request; and a request that went to the same address again did so on the same connection, where the copy matched its id. The caller was told 'not run' for a request that was running, or it was sent to a second upstream.

Change: a connection is used again only after an answer that names its request; a request without an id, or one that goes to an address once more, gets a new connection.

Can't happen, and covered by tests: copies before the next answer, with interim answers between, on an idle connection, before a HEAD.

Connections opened more: not measured yet.

--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -10,11 +10,13 @@
 #include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -94,6 +96,8 @@
         CallerFields fields;
         bool isRepeatable = false;
         std::optional<OutboundId> attempt;
+        /// Where the request was sent to.
+        std::vector<Address> sentTo;
         WholeMessage answer;
         /// The caller has disconnected; an attempt is still in progress.
         bool isCallerGone = false;
@@ -181,6 +185,11 @@
         if (!entry.fields.id.empty()) {
             request.echoedId = entry.fields.id.value;
         }
+        const auto wasSentThere =
+            std::find(entry.sentTo.begin(), entry.sentTo.end(), command.address)
+            != entry.sentTo.end();
+        request.needsNewConnection = !request.echoedId || wasSentThere;
+        entry.sentTo.push_back(command.address);
         entry.attempt = this->upstreams.send(
             std::move(request), [this, exchange = command.exchange](OutboundResult result) {
                 this->onAttemptEnd(exchange, std::move(result));
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -146,9 +146,11 @@
             }
             return;
         }
+        // A second copy of an answer without an id couldn't be told from the next answer.
+        const auto isIdentified = echo.empty() || echoed != nullptr;
         const auto mayFollow =
             this->pool.settings.reusesAfterErrors || answer.head.status / 100 == 2;
-        const auto isClean = isOpen && mayFollow && !this->hasLateAnswer
+        const auto isClean = isOpen && isIdentified && mayFollow && !this->hasLateAnswer
                              && this->stream.input().empty() && this->stream.unsentBytes() == 0
                              && answer.head.keepsConnection();
         this->idleTimeout = this->pool.settings.idleTimeout;
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -33,7 +33,8 @@
 };
 
 /// Sends HTTP requests over keep-alive connections, one request at a time on each. A connection is
-/// used again only if the answer was complete, belonged to its request and was followed by no further bytes. Requests are never repeated.
+/// used again only if the answer was complete, was identified by its id as that of the request
+/// where ids are compared, and was followed by no further bytes. Requests are never repeated.
 class OutboundPool
 {
 public:
--- a/src/streams/tests/scriptedpeer.h
+++ b/src/streams/tests/scriptedpeer.h
@@ -32,6 +32,12 @@
     ScriptedPeer(const ScriptedPeer &) = delete;
     auto operator=(const ScriptedPeer &) -> ScriptedPeer & = delete;
 
+    /// Writes bytes that no request has asked for.
+    auto writeTo(std::size_t connection, std::string_view text) -> void
+    {
+        this->streams.at(connection)->write(text);
+    }
+
     Address address = freeAddress();
     std::string received;
     int connections = 0;
--- a/src/streams/tests/streams_tests.cpp
+++ b/src/streams/tests/streams_tests.cpp
@@ -39,10 +39,15 @@
     auto ask(const std::string &id, Duration timeout = seconds{2}) -> OutboundResult
     {
         OutboundRequest request;
-        request.address = this->peer.address;
         request.text = "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n";
         request.timeout = timeout;
         request.echoedId = id;
+        return this->ask(std::move(request));
+    }
+
+    auto ask(OutboundRequest request) -> OutboundResult
+    {
+        request.address = this->peer.address;
         OutboundResult result;
         auto isDone = false;
         this->pool.send(std::move(request), [&](OutboundResult ended) {
@@ -100,6 +105,86 @@
     }
 }
 
+SCENARIO("OutboundPool never takes a second copy of an answer for another request's", "[streams]")
+{
+    // Guards against an upstream that writes an earlier rejection once more on a kept connection: a
+    // request that it is running would be called one that hasn't run.
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const auto rejection = [](const std::string &id) {
+        const auto idLine = id.empty() ? "" : "Request-Id: " + id + "\r\n";
+        return "HTTP/1.1 503 Service Unavailable\r\n" + idLine
+               + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    };
+
+    GIVEN("a rejection without an id")
+    {
+        PoolFixture fixture({{rejection("")}, {answer("b", "2")}});
+        CHECK(fixture.ask("a").answer.head.status == 503);
+        THEN("its connection isn't used again, as a copy of it couldn't be told apart")
+        {
+            CHECK(fixture.ask("b").answer.body == "2");
+            CHECK(fixture.peer.connections == 2);
+        }
+    }
+    GIVEN("a rejection with an id, and its copy before, or with interim answers between, the next "
+          "answer")
+    {
+        const auto next = GENERATE(0, 1, 2, 3);
+        const auto copy = rejection("a");
+        const std::vector<std::string> texts{copy + answer("b", "2"),
+                                             copy + interim + answer("b", "2"),
+                                             interim + copy + answer("b", "2"), copy + copy};
+        PoolFixture fixture({{rejection("a")}, {texts.at(static_cast<std::size_t>(next))}});
+        CHECK(fixture.ask("a").answer.head.status == 503);
+        const auto result = fixture.ask("b", milliseconds{200});
+        CHECK(fixture.peer.connections == 1);
+        if (next == 3) {
+            CHECK(result.end == End::NoAnswer);
+        } else {
+            CHECK(result.answer.body == "2");
+        }
+    }
+    GIVEN("a copy that arrives while the connection is idle")
+    {
+        PoolFixture fixture({{answer("a", "1")}, {answer("b", "2")}});
+        CHECK(fixture.ask("a").answer.body == "1");
+        fixture.peer.writeTo(0, answer("a", "1"));
+        fixture.loop.runFor(milliseconds{50});
+        CHECK(fixture.ask("b").answer.body == "2");
+        CHECK(fixture.peer.connections == 2);
+    }
+    GIVEN("the same id once more, which the copy would match")
+    {
+        PoolFixture fixture({{rejection("a")}, {answer("a", "1")}});
+        CHECK(fixture.ask("a").answer.head.status == 503);
+        OutboundRequest again;
+        again.text = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+        again.timeout = seconds{2};
+        again.echoedId = "a";
+        again.needsNewConnection = true;
+        THEN("it is sent on a connection of its own")
+        {
+            CHECK(fixture.ask(std::move(again)).answer.body == "1");
+            CHECK(fixture.peer.connections == 2);
+        }
+    }
+    GIVEN("a HEAD request, and before its answer a copy that has a body")
+    {
+        PoolFixture fixture(
+            {{answer("a", "some body")}, {answer("a", "some body") + answer("b", "")}});
+        CHECK(fixture.ask("a").answer.body == "some body");
+        OutboundRequest head;
+        head.text = "HEAD /b HTTP/1.1\r\nHost: h\r\n\r\n";
+        head.timeout = seconds{2};
+        head.echoedId = "b";
+        head.isHead = true;
+        THEN("the copy's body is no answer")
+        {
+            CHECK(fixture.ask(std::move(head)).end == End::BadAnswer);
+        }
+    }
+}
+
 SCENARIO("OutboundPool reports how each request ended", "[streams]")
 {
     GIVEN("an answer without a length that ends with its connection")
