Reject answers whose head was cut off before another answer

Cause: an answer that stopped in the middle of a header and was followed by another answer on its connection was read as one: a 503 with Not-Executed of an earlier request took over the id and the body of the answer behind it.

Change: a status line within a head makes it malformed.

Can't happen, and now covered: each beginning of an answer (length, chunks, until close, interim answer before it, lines ended by LF only) before a close or a reset is no answer, but one without a length that closes cleanly; a caller of HTTP/1.0 gets a length.

--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -50,6 +50,22 @@
     return number;
 }
 
+/// @returns whether the text contains the start of a status line: in the middle of a head it means
+/// that the head was cut off and that another response follows
+auto hasStatusLine(std::string_view text) -> bool
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t lengthBehind = 5;
+    for (auto at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1)) {
+        const auto rest = text.substr(at + version.size());
+        if (rest.size() >= lengthBehind && rest[1] == ' ' && parsedNumber(rest.substr(2, 3), 10)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 auto MessageHead::find(std::string_view name) const -> const std::string *
@@ -142,7 +158,9 @@
         const auto end = text.find(lineEnd);
         const auto line = text.substr(0, end);
         text.remove_prefix(end + 2);
-        if (hasControls(line)) {
+        const auto isMerged = this->kind == Kind::Response
+                              && hasStatusLine(line.substr(std::min<std::size_t>(1, line.size())));
+        if (hasControls(line) || isMerged) {
             return false;
         }
         if (isFirst) {
--- a/src/http1/tests/http1_tests.cpp
+++ b/src/http1/tests/http1_tests.cpp
@@ -2,6 +2,8 @@
 #include "http1/messagewriter.h"
 
 #include <catch2/catch.hpp>
+#include <string>
+#include <vector>
 
 using namespace gooseberrywall;
 using Step = MessageReader::Step;
@@ -136,6 +138,65 @@
     }
 }
 
+SCENARIO("MessageReader never takes the beginning of a response for the whole", "[http1]")
+{
+    // Guards against an upstream that stops in the middle of an answer and closes its connection.
+    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Signature: s\r\n";
+    const auto withLineFeeds = [](std::string text) {
+        std::erase(text, '\r');
+        return text;
+    };
+    const auto byLength = start + "Content-Length: 5\r\n\r\nwhole";
+    const auto byChunks =
+        start + "Transfer-Encoding: chunked\r\n\r\n2;x=1\r\nwh\r\n3\r\nole\r\n0\r\nT: y\r\n\r\n";
+    const auto untilClose = start + "\r\nwhole";
+    const auto isWhole = [](const std::string &text) {
+        MessageReader reader(Kind::Response, MessageLimits{});
+        std::string rest;
+        const auto step = readAll(reader, text, 7, rest);
+        return step == Step::Whole || (step == Step::NeedMore && reader.endOfInput());
+    };
+
+    GIVEN("each beginning of an answer that states where it ends")
+    {
+        const std::vector<std::string> texts{byLength, byChunks,
+                                             "HTTP/1.1 103 X\r\n\r\n" + byLength,
+                                             "HTTP/1.1 204 No Content\r\n\r\n"};
+        const auto &text = texts.at(GENERATE(0U, 1U, 2U, 3U));
+        for (std::size_t size = 0; size < text.size(); ++size) {
+            CAPTURE(text.substr(0, size));
+            CHECK_FALSE(isWhole(text.substr(0, size)));
+        }
+        CAPTURE(text);
+        CHECK(isWhole(text));
+    }
+    GIVEN("each beginning of an answer that ends with its connection")
+    {
+        for (std::size_t size = 0; size < untilClose.size() - 5; ++size) {
+            CAPTURE(untilClose.substr(0, size));
+            CHECK_FALSE(isWhole(untilClose.substr(0, size)));
+        }
+        CHECK(isWhole(untilClose));
+    }
+    GIVEN("lines that end with a line feed only, up to each byte")
+    {
+        const std::vector<std::string> texts{byLength, byChunks, untilClose};
+        const auto text = withLineFeeds(texts.at(GENERATE(0U, 1U, 2U)));
+        for (std::size_t size = 0; size <= text.size(); ++size) {
+            CAPTURE(text.substr(0, size));
+            CHECK_FALSE(isWhole(text.substr(0, size)));
+        }
+    }
+    GIVEN("another answer behind each beginning of a head")
+    {
+        for (std::size_t size = 0; size < start.size(); ++size) {
+            CAPTURE(start.substr(0, size));
+            const auto isEmpty = size == 0;
+            CHECK(isWhole(start.substr(0, size) + byLength) == isEmpty);
+        }
+    }
+}
+
 SCENARIO("MessageReader limits the size of head and body", "[http1]")
 {
     const MessageLimits limits{64, 10};
--- a/src/streams/tests/scriptedpeer.h
+++ b/src/streams/tests/scriptedpeer.h
@@ -38,6 +38,15 @@
         this->streams.at(connection)->write(text);
     }
 
+    /// Resets all connections.
+    auto reset() -> void
+    {
+        for (auto &stream : this->streams) {
+            stream->resetOnClose();
+        }
+        this->streams.clear();
+    }
+
     Address address = freeAddress();
     std::string received;
     int connections = 0;
--- a/src/streams/tests/streams_tests.cpp
+++ b/src/streams/tests/streams_tests.cpp
@@ -45,6 +45,27 @@
         return this->ask(std::move(request));
     }
 
+    /// Resets the connection once the answer has arrived.
+    auto askAndReset(const std::string &id) -> OutboundResult
+    {
+        OutboundRequest request;
+        request.address = this->peer.address;
+        request.text = "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        request.timeout = seconds{2};
+        request.echoedId = id;
+        OutboundResult result;
+        auto isDone = false;
+        this->pool.send(std::move(request), [&](OutboundResult ended) {
+            result = std::move(ended);
+            isDone = true;
+        });
+        this->loop.runUntil([&] { return !this->peer.received.empty(); });
+        this->loop.runFor(milliseconds{4});
+        this->peer.reset();
+        this->loop.runUntil([&] { return isDone; });
+        return result;
+    }
+
     auto ask(OutboundRequest request) -> OutboundResult
     {
         request.address = this->peer.address;
@@ -200,6 +221,30 @@
             {{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\ncut", true}});
         CHECK(fixture.ask("a").end == End::NoAnswer);
     }
+    GIVEN("each beginning of an answer, before a close and before a reset")
+    {
+        const auto isReset = GENERATE(false, true);
+        const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+        const std::vector<std::string> texts{
+            answer("a", "whole"),
+            start + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+            start + "\r\nwhole"};
+        const auto kind = GENERATE(0U, 1U, 2U);
+        const auto &text = texts.at(kind);
+        const auto endsWithConnection = kind == 2;
+        for (std::size_t size = 0; size < text.size(); ++size) {
+            CAPTURE(text.substr(0, size));
+            PoolFixture fixture({{text.substr(0, size), !isReset}});
+            const auto isWholeByClose = endsWithConnection && !isReset && size >= start.size() + 2;
+            const auto result = isReset ? fixture.askAndReset("a") : fixture.ask("a");
+            CHECK(result.end == (isWholeByClose ? End::Answered : End::NoAnswer));
+        }
+    }
+    GIVEN("an answer without a length whose connection is reset at its end")
+    {
+        PoolFixture fixture({{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nwhole"}});
+        CHECK(fixture.askAndReset("a").end == End::NoAnswer);
+    }
     GIVEN("a malformed answer")
     {
         PoolFixture fixture({{"garbage garbage\r\n\r\n"}});
@@ -378,6 +423,19 @@
                                         seconds{2}));
         }
     }
+    GIVEN("a caller of HTTP/1.0, which takes the end of the connection for that of a body")
+    {
+        fixture.caller->write("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+        REQUIRE(fixture.waitRequests(1));
+        fixture.reply(0, "whole");
+        fixture.loop.runUntil([&] { return fixture.isEnded; });
+        THEN("its answer states a length, so that it can tell a cut body from a whole one")
+        {
+            CHECK(fixture.received.find("Content-Length: 5\r\n") != std::string::npos);
+            CHECK(fixture.received.find("Connection: close\r\n") != std::string::npos);
+            CHECK(fixture.isEnded);
+        }
+    }
     GIVEN("a malformed request after a valid one")
     {
         fixture.caller->write(getRequest + "GET /y HTTP/1.1\r\nbad header\r\n\r\n");
