Send no request in a planned stop that the stop would cut off

Cause: until 1.7 s before the end of the grace every request was taken and sent, whatever its deadline; those that were at an upstream at the end were answered with an unknown outcome, also those that came late and those that may not be repeated. And requests that end by themselves were refused in the last 1.7 s without need.

Change: RequestFlow knows the time of the last answers. A request that comes 2.8 s after SIGTERM or later is sent only if its deadline or its route's timeout is before that; an earlier one if that or its expected latency is (four target latencies, eight where it may not be repeated). All others, also waiting ones, are refused at once with 503 and Retry-After. The loop goes on until 0.15 s before the end while answers are unsent.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -135,6 +135,7 @@
                                .text());
         this->roles.resign();
         this->entry.listener().closeAfterReplies();
+        this->advanceShutdown(*this->stoppingSince);
         this->processPending();
     }
 
@@ -149,13 +150,17 @@
     static constexpr Duration grantorWaitLimit = std::chrono::seconds{4};
     /// The load balancer may still send connections for this long after SIGTERM.
     static constexpr Duration balancerDrainTime = std::chrono::milliseconds{3200};
-    /// New requests are refused for this long before the shutdown timeout, so that all end in time.
-    static constexpr Duration refusalTime = std::chrono::milliseconds{1700};
-    static constexpr Duration shutdownCheckEvery = std::chrono::milliseconds{100};
-    /// Requests that are still at an upstream are answered this long before the shutdown timeout.
+    /// Requests that arrive this long after SIGTERM, or later, are sent to an upstream only if
+    /// their deadline is before the last answers: nearly all callers use other daemons by then.
+    static constexpr Duration certainAnswerTime = std::chrono::milliseconds{2800};
+    static constexpr Duration shutdownCheckEvery = std::chrono::milliseconds{50};
+    /// All requests that are still open are answered this long before the shutdown timeout.
     static constexpr Duration lastAnswerTime = std::chrono::milliseconds{550};
-    /// The loop stops this long before the shutdown timeout.
+    /// The loop stops this long before the shutdown timeout where all answers are sent.
     static constexpr Duration exitMargin = std::chrono::milliseconds{350};
+    /// The loop stops this long before the shutdown timeout, also where a slow caller hasn't taken
+    /// its answer.
+    static constexpr Duration lastExitMargin = std::chrono::milliseconds{150};
 
     [[nodiscard]] auto storeSender() -> SendStoreCall
     {
@@ -353,11 +358,11 @@
         this->shutdownDue = moment + shutdownCheckEvery;
         const auto age = moment - *this->stoppingSince;
         const auto isBalancerDrained = age >= balancerDrainTime;
-        if (age >= this->settings.shutdownTimeout - refusalTime) {
+        const auto end = *this->stoppingSince + this->settings.shutdownTimeout;
+        this->flow.stopAt(FlowStop{end - lastAnswerTime, *this->stoppingSince + certainAnswerTime});
+        if (moment >= end - lastAnswerTime) {
             this->entry.refuseNew();
             this->flow.refuseWaiting(moment);
-        }
-        if (age >= this->settings.shutdownTimeout - lastAnswerTime) {
             this->flow.endSent(moment);
         }
         if (isBalancerDrained) {
@@ -365,7 +370,9 @@
         }
         const auto isIdle = this->entry.openCount() == 0 && isBalancerDrained
                             && this->entry.listener().connectionCount() == 0;
-        if (isIdle || age >= this->settings.shutdownTimeout - exitMargin) {
+        const auto isFlushed =
+            moment >= end - exitMargin && this->entry.listener().unsentBytes() == 0;
+        if (isIdle || isFlushed || moment >= end - lastExitMargin) {
             this->logger.write(LogLevel::Info,
                                LogLine("daemon_stopped")
                                    .with("open", static_cast<std::int64_t>(this->entry.openCount()))
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -84,6 +84,10 @@
         this->failRequest(placed, Reason::DeadlinePassed, std::nullopt, now);
         return;
     }
+    if (this->isTooLateToSend(placed, now)) {
+        this->failRequest(placed, Reason::ShuttingDown, this->settings.defaultRetryAfter, now);
+        return;
+    }
     this->askPermit(placed, false, now);
 }
 
@@ -128,12 +132,7 @@
     const auto isExpected =
         found != this->flows.end() && !found->second.isSent && found->second.permit == result.id;
     if (!isExpected) {
-        if (result.verdict && result.verdict->kind == PermitVerdict::Kind::Granted) {
-            PermitReport unused;
-            unused.id = result.id;
-            unused.upstream = result.verdict->upstream;
-            this->permits.report(unused);
-        }
+        this->returnUnused(result);
         return;
     }
     auto &flow = found->second;
@@ -152,10 +151,27 @@
         return;
     }
     this->direct.onGranted(flow.request.service, *result.verdict);
+    if (this->isTooLateToSend(flow, now)) {
+        flow.permit.reset();
+        this->returnUnused(result);
+        this->failRequest(flow, Reason::ShuttingDown, this->settings.defaultRetryAfter, now);
+        return;
+    }
     flow.isDirect = false;
     this->send(flow, *result.verdict, now);
 }
 
+auto RequestFlow::returnUnused(const PermitResult &result) -> void
+{
+    if (!result.verdict || result.verdict->kind != PermitVerdict::Kind::Granted) {
+        return;
+    }
+    PermitReport unused;
+    unused.id = result.id;
+    unused.upstream = result.verdict->upstream;
+    this->permits.report(unused);
+}
+
 auto RequestFlow::proceedWithoutGrantor(Flow &flow, Instant now) -> void
 {
     // A retry draws on the grantor's retry budget, so it isn't sent without a permit.
@@ -376,37 +392,10 @@
         }
         this->failRequest(flow, Reason::DeadlinePassed, std::nullopt, now);
     }
+    this->refuseTooLate(now);
     this->retryPermits(now);
 }
 
-auto RequestFlow::refuseWaiting(Instant now) -> void
-{
-    std::vector<ExchangeId> waiting;
-    for (const auto &[exchange, flow] : this->flows) {
-        if (!flow.isSent) {
-            waiting.push_back(exchange);
-        }
-    }
-    for (const auto exchange : waiting) {
-        this->permits.cancel(exchange);
-        this->failRequest(this->flows.at(exchange), Reason::ShuttingDown,
-                          this->settings.defaultRetryAfter, now);
-    }
-}
-
-auto RequestFlow::endSent(Instant now) -> void
-{
-    std::vector<ExchangeId> sent;
-    for (const auto &[exchange, flow] : this->flows) {
-        if (flow.isSent) {
-            sent.push_back(exchange);
-        }
-    }
-    for (const auto exchange : sent) {
-        this->abortAttempt(this->flows.at(exchange), Reason::ShuttingDown, now);
-    }
-}
-
 auto RequestFlow::abortAttempt(Flow &flow, Reason reason, Instant now) -> void
 {
     const auto exchange = flow.request.exchange;
@@ -450,6 +439,9 @@
     for (const auto &[exchange, flow] : this->flows) {
         auto moment = flow.answerDue + (flow.isSent ? this->settings.answerGrace : Duration{0});
         moment = std::min(moment, flow.grantorRetryAt.value_or(moment));
+        if (!flow.isSent) {
+            moment = std::min(moment, this->sendLimit(flow).value_or(moment));
+        }
         due = due ? std::min(*due, moment) : moment;
     }
     return due;
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -29,9 +29,25 @@
     Duration grantorRetryEvery = std::chrono::milliseconds{40};
     /// After such a wait has failed, no other request starts to wait for this time.
     Duration grantorWaitPause = std::chrono::seconds{2};
+    /// How long an attempt may last, in multiples of its route's target latency, where the daemon
+    /// is about to stop and the request's own end comes after that.
+    int expectedTargets = 4;
+    /// The same for requests that aren't repeatable, whose callers can't try again where they are
+    /// cut off.
+    int expectedTargetsOnce = 8;
     auto operator==(const RequestFlowSettings &) const -> bool = default;
 };
 
+/// When the daemon stops.
+struct FlowStop
+{
+    /// Requests that are still at an upstream are ended then.
+    Instant lastAnswerAt;
+    /// Requests that arrive from then on are sent only if they surely end before `lastAnswerAt`.
+    Instant certainFrom;
+    auto operator==(const FlowStop &) const -> bool = default;
+};
+
 /// Log, counters and histograms in which RequestFlow records its decisions.
 struct FlowRecords
 {
@@ -58,6 +74,9 @@
     /// Cancels the request of a caller that has disconnected. An attempt that isn't repeatable runs
     /// to its end.
     auto onCallerGone(ExchangeId exchange, Instant now) -> void;
+    /// Announces that this daemon stops. Requests that would still be at an upstream then are
+    /// refused instead of being sent.
+    auto stopAt(FlowStop stop) -> void { this->stop = stop; }
     /// Refuses all requests that aren't at an upstream, because this daemon is about to stop.
     auto refuseWaiting(Instant now) -> void;
     /// Ends requests that are at an upstream, with an unknown outcome, because this daemon stops
@@ -103,6 +122,15 @@
         bool isAbandoned = false;
     };
 
+    /// @returns until when the request may be sent; empty where it ends by itself before the stop
+    [[nodiscard]] auto sendLimit(const Flow &flow) const -> std::optional<Instant>;
+    [[nodiscard]] auto isTooLateToSend(const Flow &flow, Instant now) const -> bool;
+    /// Returns a permit that no request uses.
+    auto returnUnused(const PermitResult &result) -> void;
+    template<typename Condition>
+    auto refuseWaitingIf(Condition condition, Instant now) -> void;
+    /// Refuses requests that aren't at an upstream and can't end any more before the stop.
+    auto refuseTooLate(Instant now) -> void;
     /// Estimates how long ago the caller first sent a request that it may be retrying: callers keep
     /// one deadline over their retries, so a timeout below the route's longest means earlier tries.
     /// @returns zero where the caller gives no timeout
@@ -147,6 +175,7 @@
     std::map<std::string, CallerTimeout> callerTimeouts;
     std::vector<FlowCommand> commands;
     std::uint64_t directSends = 0;
+    std::optional<FlowStop> stop;
     /// When a wait for a grantor last failed.
     std::optional<Instant> waitFailedAt;
 };
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -73,6 +73,8 @@
     auto sweep() -> void;
 
     [[nodiscard]] auto connectionCount() const -> std::size_t { return this->connections.size(); }
+    /// @returns the bytes of answers that callers haven't taken yet
+    [[nodiscard]] auto unsentBytes() const -> std::size_t;
     [[nodiscard]] auto openExchanges() const -> std::size_t { return this->exchanges.size(); }
     [[nodiscard]] auto counters() const -> const FrontCounters & { return this->counts; }
 
--- a/src/streams/internal/frontlistener.cpp
+++ b/src/streams/internal/frontlistener.cpp
@@ -81,6 +81,8 @@
         }
     }
 
+    [[nodiscard]] auto unsentBytes() const -> std::size_t { return this->stream.unsentBytes(); }
+
 private:
     struct PendingReply
     {
@@ -289,6 +291,15 @@
     }
 }
 
+auto FrontListener::unsentBytes() const -> std::size_t
+{
+    std::size_t bytes = 0;
+    for (const auto &[connection, owner] : this->connections) {
+        bytes += connection->unsentBytes();
+    }
+    return bytes;
+}
+
 auto FrontListener::sweep() -> void
 {
     const auto moment = this->now();
