Answer requests that have arrived in part when a planned stop ends

Cause: a request of which only a part had arrived when the process ended was closed without an answer; its caller can't know that it hasn't run.

Change: with the last answers of a stop they are refused with 503 and Retry-After, and their connections closed.

Test fails first: platform_tests, 'given the end of a planned stop, late requests are refused unsent' (2 of 8 assertions).

--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -72,8 +72,14 @@
         }
     }
 
-    /// From now on refuses new requests; open ones continue.
-    auto refuseNew() -> void { this->isRefusing = true; }
+    /// From now on refuses new requests, also those of which a part has arrived; open ones
+    /// continue.
+    auto refuseNew() -> void
+    {
+        this->isRefusing = true;
+        this->front.refuseIncomplete(
+            this->refusalHead(RequestId{}, 503, Reason::ShuttingDown, notReadyRetryAfter));
+    }
 
     [[nodiscard]] auto listener() -> FrontListener & { return this->front; }
     [[nodiscard]] auto openCount() const -> std::size_t { return this->exchanges.size(); }
@@ -273,12 +279,18 @@
 
     auto refuse(ExchangeId exchange, const RequestId &id, int status, Reason reason,
                 std::optional<Duration> retryAfter) -> void
+    {
+        this->front.reply(exchange, this->refusalHead(id, status, reason, retryAfter), "");
+    }
+
+    [[nodiscard]] auto refusalHead(const RequestId &id, int status, Reason reason,
+                                   std::optional<Duration> retryAfter) const -> MessageHead
     {
         MessageHead head;
         head.status = status;
         head.headers = this->wire.refusalHeaders(id, retryAfter);
         head.headers.push_back(HttpHeader{"X-Reason", std::string(toString(reason))});
-        this->front.reply(exchange, head, "");
+        return head;
     }
 
     const Wire &wire;
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -67,6 +67,8 @@
     auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
     /// From now on a connection is closed after the answer to its last open request.
     auto closeAfterReplies() -> void { this->isClosing = true; }
+    /// Answers requests of which only a part has arrived, and closes their connections.
+    auto refuseIncomplete(const MessageHead &head) -> void;
     /// Closes connections that have no open request and no unread input.
     auto closeIdle() -> void;
     /// Closes connections that exceed a timeout; to be called about twice a second.
--- a/src/streams/internal/frontlistener.cpp
+++ b/src/streams/internal/frontlistener.cpp
@@ -21,6 +21,13 @@
 /// pipeline limit.
 constexpr std::size_t unreadLimitBytes = std::size_t{256} * 1024;
 
+auto headOf(int status) -> MessageHead
+{
+    MessageHead head;
+    head.status = status;
+    return head;
+}
+
 } // namespace
 
 /// A caller's connection and its open requests.
@@ -69,7 +76,14 @@
                                                   : this->front.settings.headerTimeout;
         if (moment - this->requestStartedAt > limit) {
             ++this->front.counts.slowSenders;
-            this->refuse(statusRequestTimeout);
+            this->refuse(headOf(statusRequestTimeout));
+        }
+    }
+
+    auto refuseIfIncomplete(const MessageHead &head) -> void
+    {
+        if (!this->isEnding && !this->refusal && this->reader.isMidMessage()) {
+            this->refuse(head);
         }
     }
 
@@ -129,7 +143,7 @@
             this->stream.consume(taken);
             if (step == MessageReader::Step::Malformed) {
                 ++this->front.counts.malformed;
-                this->refuse(this->reader.refusalStatus());
+                this->refuse(headOf(this->reader.refusalStatus()));
                 return;
             }
             if (step == MessageReader::Step::NeedMore) {
@@ -186,9 +200,9 @@
     }
 
     /// Refuses a request that can't be read, after the answers to the requests before it.
-    auto refuse(int status) -> void
+    auto refuse(MessageHead head) -> void
     {
-        this->refusal = status;
+        this->refusal = std::move(head);
         this->isLastRequestRead = true;
         if (this->pendingReplies.empty()) {
             this->sendRefusal();
@@ -197,9 +211,8 @@
 
     auto sendRefusal() -> void
     {
-        MessageHead head;
-        head.status = *std::exchange(this->refusal, std::nullopt);
-        this->stream.write(responseText(head, "", false, false));
+        this->stream.write(
+            responseText(*std::exchange(this->refusal, std::nullopt), "", false, false));
         this->end();
     }
 
@@ -239,7 +252,7 @@
     bool hasSentContinue = false;
     bool isLastRequestRead = false;
     bool isEnding = false;
-    std::optional<int> refusal;
+    std::optional<MessageHead> refusal;
     SocketStream stream;
 };
 
@@ -291,6 +304,13 @@
     }
 }
 
+auto FrontListener::refuseIncomplete(const MessageHead &head) -> void
+{
+    for (const auto &[connection, owner] : this->connections) {
+        connection->refuseIfIncomplete(head);
+    }
+}
+
 auto FrontListener::unsentBytes() const -> std::size_t
 {
     std::size_t bytes = 0;
