First daemon: close a connection that carries more than its answer

Cause: bytes that came behind an answer stayed in the connection's buffer and were read as the answer to the next request. Runs compare the attempt's number, but answers to grants name only shard and fence: a second copy of a grant's answer could count as that of the revocation behind it, and the shard could get a second owner.

Change: HttpConnection closes a connection on which bytes are left behind an answer. Bytes on an idle connection close it already.

Test fails first: http_tests, 'a server that writes each answer twice': 1 connection instead of 3 for three exchanges. Each beginning of an answer (length, chunks, LF only) is no answer; that held before.

--- a/src/http/internal/httpconnection.cpp
+++ b/src/http/internal/httpconnection.cpp
@@ -171,6 +171,15 @@
         this->end({HttpOutcome::NotSent, 0, {}, {}});
         return;
     }
+    auto *const bufferEvent = evhttp_connection_get_bufferevent(this->connection.get());
+    if (evbuffer_get_length(bufferevent_get_input(bufferEvent)) > 0) {
+        // Bytes after the answer would be taken for the next one. The connection can't be freed
+        // from within this callback, so the exchange ends with the next event.
+        this->hasExtraBytes = true;
+        this->earlyAnswer = std::make_unique<HttpAnswer>(toAnswer(request));
+        this->armTimer(Duration{0});
+        return;
+    }
     this->end(toAnswer(request));
 }
 
@@ -184,6 +193,9 @@
 auto HttpConnection::onTimer() -> void
 {
     if (this->earlyAnswer != nullptr) {
+        if (std::exchange(this->hasExtraBytes, false)) {
+            this->connection.reset();
+        }
         const auto answer = std::exchange(this->earlyAnswer, nullptr);
         this->end(std::move(*answer));
         return;
--- a/src/http/internal/httpconnection.h
+++ b/src/http/internal/httpconnection.h
@@ -66,8 +66,11 @@
     Done done;
     std::unique_ptr<evhttp_connection, ConnectionDeleter> connection;
     std::unique_ptr<event, EventDeleter> timer;
-    /// The result of an exchange that ended within start(), reported by the timer.
+    /// The result of an exchange that is reported by the timer: it ended within start(), or its
+    /// connection has to be closed first.
     std::unique_ptr<HttpAnswer> earlyAnswer;
+    /// More bytes came with the answer; the connection must not be used again.
+    bool hasExtraBytes = false;
     HttpOutcome failure = HttpOutcome::NotSent;
     bool isActive = false;
     bool isStarting = false;
--- a/src/http/tests/httppool_tests.cpp
+++ b/src/http/tests/httppool_tests.cpp
@@ -228,6 +228,35 @@
         }
         CHECK(server.requests() == 5);
     }
+    GIVEN("a server that writes each answer twice")
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        const ScriptedServer server(loop.base(), {answer + answer, false});
+        for (int count = 0; count < 3; ++count) {
+            CHECK(exchange(loop, pool, server.address()).outcome == HttpOutcome::Answered);
+        }
+        THEN("the second copy is never taken for the next answer")
+        {
+            CHECK(server.requests() == 3);
+            CHECK(server.accepted() == 3);
+        }
+    }
+    GIVEN("each beginning of an answer")
+    {
+        const std::string start = "HTTP/1.1 200 OK\r\n";
+        const std::vector<std::string> texts{
+            start + "X-Name: v\r\nContent-Length: 2\r\n\r\nok",
+            start + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\nContent-Length: 2\n\nok"};
+        const auto &text = texts.at(GENERATE(0U, 1U, 2U));
+        for (std::size_t size = 0; size < text.size(); ++size) {
+            CAPTURE(text.substr(0, size));
+            const ScriptedServer server(loop.base(), {text.substr(0, size)});
+            const auto outcome = exchange(loop, pool, server.address()).outcome;
+            CHECK(outcome != HttpOutcome::Answered);
+            CHECK(outcome != HttpOutcome::NotSent);
+        }
+    }
     GIVEN("an exchange that timed out")
     {
         const ScriptedServer silent(loop.base(), {"", false});
