--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -10,11 +10,13 @@
 #include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -70,8 +72,14 @@
         }
     }
 
-    /// From now on refuses new requests; open ones continue.
-    auto refuseNew() -> void { this->isRefusing = true; }
+    /// From now on refuses new requests, also those of which a part has arrived; open ones
+    /// continue.
+    auto refuseNew() -> void
+    {
+        this->isRefusing = true;
+        this->front.refuseIncomplete(
+            this->refusalHead(RequestId{}, 503, Reason::ShuttingDown, notReadyRetryAfter));
+    }
 
     [[nodiscard]] auto listener() -> FrontListener & { return this->front; }
     [[nodiscard]] auto openCount() const -> std::size_t { return this->exchanges.size(); }
@@ -94,6 +102,8 @@
         CallerFields fields;
         bool isRepeatable = false;
         std::optional<OutboundId> attempt;
+        /// Where the request was sent to.
+        std::vector<Address> sentTo;
         WholeMessage answer;
         /// The caller has disconnected; an attempt is still in progress.
         bool isCallerGone = false;
@@ -181,6 +191,11 @@
         if (!entry.fields.id.empty()) {
             request.echoedId = entry.fields.id.value;
         }
+        const auto wasSentThere =
+            std::find(entry.sentTo.begin(), entry.sentTo.end(), command.address)
+            != entry.sentTo.end();
+        request.needsNewConnection = !request.echoedId || wasSentThere;
+        entry.sentTo.push_back(command.address);
         entry.attempt = this->upstreams.send(
             std::move(request), [this, exchange = command.exchange](OutboundResult result) {
                 this->onAttemptEnd(exchange, std::move(result));
@@ -264,12 +279,18 @@
 
     auto refuse(ExchangeId exchange, const RequestId &id, int status, Reason reason,
                 std::optional<Duration> retryAfter) -> void
+    {
+        this->front.reply(exchange, this->refusalHead(id, status, reason, retryAfter), "");
+    }
+
+    [[nodiscard]] auto refusalHead(const RequestId &id, int status, Reason reason,
+                                   std::optional<Duration> retryAfter) const -> MessageHead
     {
         MessageHead head;
         head.status = status;
         head.headers = this->wire.refusalHeaders(id, retryAfter);
         head.headers.push_back(HttpHeader{"X-Reason", std::string(toString(reason))});
-        this->front.reply(exchange, head, "");
+        return head;
     }
 
     const Wire &wire;
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -146,8 +146,13 @@
             }
             return;
         }
-        const auto isClean = isOpen && !this->hasLateAnswer && this->stream.input().empty()
-                             && this->stream.unsentBytes() == 0 && answer.head.keepsConnection();
+        // A second copy of an answer without an id couldn't be told from the next answer.
+        const auto isIdentified = echo.empty() || echoed != nullptr;
+        const auto mayFollow =
+            this->pool.settings.reusesAfterErrors || answer.head.status / 100 == 2;
+        const auto isClean = isOpen && isIdentified && mayFollow && !this->hasLateAnswer
+                             && this->stream.input().empty() && this->stream.unsentBytes() == 0
+                             && answer.head.keepsConnection();
         this->idleTimeout = this->pool.settings.idleTimeout;
         if (const auto advertised = advertisedIdleTimeout(answer.head)) {
             this->idleTimeout = std::min(this->idleTimeout, *advertised - keepAliveMargin);
@@ -224,7 +229,7 @@
 {
     this->discardStale();
     const auto id = this->nextId++;
-    auto *connection = this->takeIdle(request.address);
+    auto *connection = request.needsNewConnection ? nullptr : this->takeIdle(request.address);
     if (connection == nullptr) {
         const auto endpoint = parseEndpoint(request.address).value_or(Endpoint{});
         auto created = std::make_unique<Connection>(*this, request.address, endpoint);
