Hold back requests from upstreams that leave or pause

Change: UpstreamStatements keeps what this daemon's upstreams have stated, by id and incarnation; only a later incarnation or, for a pause, its time ends a statement. RequestFlow asks it before each send, DirectChoice at each choice. A permit for such an upstream is returned unused with a report that repeats the statement, and another is asked for with the upstream in `avoid`, five times at most. A request whose key's owner pauses is refused at once with the rest of the pause. An upstream that leaves gets, until half a second before the drain time (new setting drain_time_s) ends, only what no other can serve. After a pause, one request in 250 ms is a trial until one is answered. The log, /metrics and the new reason upstream_paused tell of it.

Known gap: a permit names the process that the grantor knows. Where an upstream has started again at the same address and the grantor doesn't know that yet, a statement of the new process counts for the earlier one.

Tests: entry_tests, 27 cases pass. With a holdOf() that reports nothing, 10 of them fail, 83 assertions.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -45,9 +45,10 @@
         , store(wire, this->storePool, this->settings.store, now, logger)
         , orders(wire, this->upstreamPool)
         , permits(this->settings.peerListen, incarnation, PermitClientSettings{})
-        , direct(incarnation)
+        , statements(UpstreamStatementSettings{this->settings.drainTime})
+        , direct(incarnation, this->statements)
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
-               FlowRecords{this->requestLog, this->counters, this->stages})
+               this->statements, FlowRecords{this->requestLog, this->counters, this->stages})
         , entry(
               loop.base(), wire, this->settings, this->upstreamPool, this->flow, this->counters,
               now, [this] { this->processPending(); },
@@ -431,6 +432,10 @@
         metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
         metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
+        metrics.leavingUpstreams = this->statements.leavingCount();
+        metrics.pausedUpstreams = this->statements.pausedCount();
+        metrics.heldByLeaving = this->flow.heldByLeavingCount();
+        metrics.heldByPause = this->flow.heldByPauseCount();
         metrics.storeEra = this->store.currentEra();
         MessageHead head;
         head.status = 200;
@@ -454,6 +459,7 @@
     StoreClient<Wire> store;
     OrderClient<Wire> orders;
     PermitClient permits;
+    UpstreamStatements statements;
     DirectChoice direct;
     RequestFlow flow;
     EntryService<Wire> entry;
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -26,6 +26,12 @@
     std::uint64_t configurationFetches = 0;
     std::uint64_t limitedUpstreams = 0;
     std::uint64_t storeEra = 0;
+    /// Upstreams that have stated to this daemon that they are about to stop.
+    std::uint64_t leavingUpstreams = 0;
+    /// Upstreams that want no requests from this daemon at present.
+    std::uint64_t pausedUpstreams = 0;
+    std::uint64_t heldByLeaving = 0;
+    std::uint64_t heldByPause = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -123,5 +123,9 @@
     metrics.grantedServices = 2;
     const auto text = metricsText(CounterSnapshot{}, {}, metrics);
     CHECK(text.find("gooseberrywall_limited_upstreams 0\n") != std::string::npos);
+    for (const auto *name : {"leaving_upstreams", "paused_upstreams", "held_by_leaving_total",
+                             "held_by_pause_total"}) {
+        CHECK(text.find("gooseberrywall_" + std::string(name) + " 0\n") != std::string::npos);
+    }
     CHECK(text.find("gooseberrywall_granted_services 2\n") != std::string::npos);
 }
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -141,7 +141,8 @@
         }
         std::vector<DirectOwner> owners;
         for (const auto &row : record->rows) {
-            owners.push_back(DirectOwner{row.range, row.owner.id, row.owner.address});
+            owners.push_back(
+                DirectOwner{row.range, row.owner.id, row.owner.address, row.owner.incarnation});
         }
         this->direct.setOwners(service, owners);
     }
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -3,6 +3,7 @@
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
 #include "entry/requestlimitshare.h"
+#include "entry/upstreamstatements.h"
 
 #include <cstdint>
 #include <map>
@@ -18,6 +19,8 @@
     KeyRange range;
     UpstreamId upstream;
     Address address;
+    /// Zero where it isn't known.
+    Incarnation incarnation{};
     auto operator==(const DirectOwner &) const -> bool = default;
 };
 
@@ -27,7 +30,8 @@
 {
 public:
     /// @param seed for the random choice between equally loaded upstreams
-    explicit DirectChoice(std::uint64_t seed);
+    /// @param statements tells which upstreams want no requests
+    DirectChoice(std::uint64_t seed, UpstreamStatements &statements);
 
     /// Replaces the known upstreams of all services.
     auto setUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
@@ -50,11 +54,16 @@
     auto onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void;
 
     /// @param request names the service, the key and the upstreams to avoid
-    /// @returns a granted verdict; empty where no suitable upstream is known
+    /// @returns a granted verdict, or a refusal where each upstream that may run the request wants
+    ///          none for a time; empty where no suitable upstream is known
     [[nodiscard]] auto choose(const PermitRequest &request, Instant now)
         -> std::optional<PermitVerdict>;
 
 private:
+    using Verdict = std::optional<PermitVerdict>;
+
+    [[nodiscard]] auto chooseOwner(const PermitRequest &request, Instant now) -> Verdict;
+    [[nodiscard]] auto chooseAny(const PermitRequest &request, Instant now) -> Verdict;
     /// Number of daemons while no grantor has told it.
     static constexpr std::size_t assumedDaemonCount = 30;
 
@@ -62,6 +71,7 @@
     [[nodiscard]] auto limitAllows(const UpstreamId &id, Instant now) const -> bool;
 
     std::uint64_t seed;
+    UpstreamStatements &statements;
     std::mt19937_64 random;
     bool isTrusted = false;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -13,11 +13,40 @@
 constexpr Duration avoidDuration = std::chrono::milliseconds{500};
 /// A larger number of daemons counts for this long.
 constexpr Duration daemonCountMemory = std::chrono::seconds{30};
+/// Costs of upstreams that are chosen only where there are no others, in requests per slot.
+constexpr double avoidedPenalty = 100;
+constexpr double leavingPenalty = 10'000;
+
+auto isAvoided(const PermitRequest &request, const UpstreamId &id) -> bool
+{
+    return std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end();
+}
+
+auto granted(const UpstreamId &upstream, Incarnation incarnation, const Address &address)
+    -> std::optional<PermitVerdict>
+{
+    PermitVerdict verdict;
+    verdict.kind = PermitVerdict::Kind::Granted;
+    verdict.upstream = upstream;
+    verdict.incarnation = incarnation;
+    verdict.address = address;
+    return verdict;
+}
+
+auto refusedForPause(Duration remaining) -> std::optional<PermitVerdict>
+{
+    PermitVerdict verdict;
+    verdict.kind = PermitVerdict::Kind::Refused;
+    verdict.reason = Reason::UpstreamPaused;
+    verdict.retryAfter = remaining;
+    return verdict;
+}
 
 } // namespace
 
-DirectChoice::DirectChoice(std::uint64_t seed)
+DirectChoice::DirectChoice(std::uint64_t seed, UpstreamStatements &statements)
     : seed(seed)
+    , statements(statements)
     , random(seed)
 {
 }
@@ -46,7 +75,8 @@
         const auto isBefore = it->second.range.last < range.first;
         it = isBefore ? std::next(it) : ranges.erase(it);
     }
-    ranges[range.first] = DirectOwner{range, verdict.upstream, verdict.address};
+    ranges[range.first] =
+        DirectOwner{range, verdict.upstream, verdict.address, verdict.incarnation};
 }
 
 auto DirectChoice::setOwners(const ServiceName &service, const std::vector<DirectOwner> &owners)
@@ -90,50 +120,76 @@
     }
 }
 
-auto DirectChoice::choose(const PermitRequest &request, Instant now) -> std::optional<PermitVerdict>
+auto DirectChoice::choose(const PermitRequest &request, Instant now) -> Verdict
 {
     if (!this->isTrusted) {
         return std::nullopt;
     }
-    const auto isAvoided = [&](const UpstreamId &id) {
-        return std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end();
-    };
-    const auto known = this->services.find(request.service);
-    PermitVerdict verdict;
-    verdict.kind = PermitVerdict::Kind::Granted;
-    if (request.key) {
-        const auto &ranges = this->owners[request.service];
-        auto it = ranges.upper_bound(*request.key);
-        if (it == ranges.begin()) {
-            return std::nullopt;
-        }
-        const auto &owned = std::prev(it)->second;
-        if (!owned.range.contains(*request.key) || isAvoided(owned.upstream)
-            || !this->limitAllows(owned.upstream, now)) {
+    return request.key ? this->chooseOwner(request, now) : this->chooseAny(request, now);
+}
+
+auto DirectChoice::chooseOwner(const PermitRequest &request, Instant now) -> Verdict
+{
+    const auto &ranges = this->owners[request.service];
+    auto it = ranges.upper_bound(*request.key);
+    if (it == ranges.begin()) {
+        return std::nullopt;
+    }
+    const auto &owned = std::prev(it)->second;
+    if (!owned.range.contains(*request.key) || isAvoided(request, owned.upstream)
+        || !this->limitAllows(owned.upstream, now)) {
+        return std::nullopt;
+    }
+    auto incarnation = owned.incarnation;
+    if (const auto known = this->services.find(request.service); known != this->services.end()) {
+        const auto &entries = known->second;
+        const auto entry = std::find_if(entries.begin(), entries.end(), [&](const auto &each) {
+            return each.id == owned.upstream && !each.isDraining;
+        });
+        if (entry == entries.end()) {
             return std::nullopt;
         }
-        verdict.upstream = owned.upstream;
-        verdict.address = owned.address;
-        const auto isUnavailable =
-            known != this->services.end()
-            && std::none_of(known->second.begin(), known->second.end(), [&](const auto &entry) {
-                   return entry.id == owned.upstream && !entry.isDraining;
-               });
-        return isUnavailable ? std::nullopt : std::optional(verdict);
+        incarnation = std::max(incarnation, entry->incarnation);
+    }
+    const auto hold = this->statements.holdOf(owned.upstream, incarnation, now);
+    if (hold && hold->pause) {
+        return refusedForPause(*hold->pause);
     }
+    // Nobody else has the key, and no grantor can move it.
+    if (hold && !hold->allowsLastResort) {
+        return std::nullopt;
+    }
+    return granted(owned.upstream, incarnation, owned.address);
+}
+
+auto DirectChoice::chooseAny(const PermitRequest &request, Instant now) -> Verdict
+{
+    const auto known = this->services.find(request.service);
     if (known == this->services.end()) {
         return std::nullopt;
     }
     const UpstreamEntry *best = nullptr;
     double bestCost = 0;
+    auto areAllPaused = true;
+    std::optional<Duration> shortestPause;
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (const auto &entry : known->second) {
-        if (entry.isDraining || isAvoided(entry.id) || !this->limitAllows(entry.id, now)) {
+        if (entry.isDraining || isAvoided(request, entry.id)) {
+            continue;
+        }
+        const auto hold = this->statements.holdOf(entry.id, entry.incarnation, now);
+        if (hold && hold->pause) {
+            shortestPause = std::min(shortestPause.value_or(*hold->pause), *hold->pause);
+            continue;
+        }
+        areAllPaused = false;
+        if ((hold && !hold->allowsLastResort) || !this->limitAllows(entry.id, now)) {
             continue;
         }
         const auto found = this->inFlight.find(entry.id);
         const auto count = found == this->inFlight.end() ? 0 : found->second;
-        const auto penalty = this->isUsable(entry.id, now) ? 0.0 : 100.0;
+        const auto penalty =
+            (this->isUsable(entry.id, now) ? 0 : avoidedPenalty) + (hold ? leavingPenalty : 0);
         const auto cost = static_cast<double>(count) / std::max(1, entry.slots) + penalty
                           + tieBreak(this->random);
         if (best == nullptr || cost < bestCost) {
@@ -141,13 +197,10 @@
             bestCost = cost;
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
+    if (best != nullptr) {
+        return granted(best->id, best->incarnation, best->address);
     }
-    verdict.upstream = best->id;
-    verdict.incarnation = best->incarnation;
-    verdict.address = best->address;
-    return verdict;
+    return areAllPaused && shortestPause ? refusedForPause(*shortestPause) : std::nullopt;
 }
 
 auto DirectChoice::isUsable(const UpstreamId &id, Instant now) const -> bool
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -54,10 +54,11 @@
 } // namespace
 
 RequestFlow::RequestFlow(RequestFlowSettings settings, PermitClient &permits, DirectChoice &direct,
-                         FlowRecords records)
+                         UpstreamStatements &statements, FlowRecords records)
     : settings(std::move(settings))
     , permits(permits)
     , direct(direct)
+    , statements(statements)
     , records(records)
 {
 }
@@ -119,6 +120,7 @@
     request.fingerprint = flow.request.fingerprint;
     request.isRetry = isRetry;
     request.avoid = flow.avoid;
+    request.avoid.insert(request.avoid.end(), flow.held.begin(), flow.held.end());
     return request;
 }
 
@@ -129,10 +131,7 @@
         found != this->flows.end() && !found->second.isSent && found->second.permit == result.id;
     if (!isExpected) {
         if (result.verdict && result.verdict->kind == PermitVerdict::Kind::Granted) {
-            PermitReport unused;
-            unused.id = result.id;
-            unused.upstream = result.verdict->upstream;
-            this->permits.report(unused);
+            this->returnUnused(result.id, *result.verdict, std::nullopt);
         }
         return;
     }
@@ -152,6 +151,9 @@
         return;
     }
     this->direct.onGranted(flow.request.service, *result.verdict);
+    if (this->holdBack(flow, *result.verdict, now)) {
+        return;
+    }
     flow.isDirect = false;
     this->send(flow, *result.verdict, now);
 }
@@ -162,6 +164,11 @@
     const auto verdict = flow.attempts > 0
                              ? std::nullopt
                              : this->direct.choose(this->permitRequest(flow, false, now), now);
+    if (verdict && verdict->kind == PermitVerdict::Kind::Refused) {
+        ++this->heldByPause;
+        this->failRequest(flow, verdict->reason, verdict->retryAfter, now);
+        return;
+    }
     if (verdict) {
         flow.isDirect = true;
         ++this->directSends;
@@ -209,7 +216,9 @@
     flow.isSent = true;
     flow.sentAt = now;
     flow.upstream = verdict.upstream;
+    flow.incarnation = verdict.incarnation;
     this->direct.onSent(verdict.upstream, now);
+    this->statements.onSent(verdict.upstream, verdict.incarnation, now);
     if (auto line = this->logLine(flow, "request_sent", flow.isDirect, now)) {
         this->records.log.write(line->with("upstream", verdict.upstream.value)
                                     .with("way", flow.isDirect ? "direct" : "permit")
@@ -254,6 +263,7 @@
     if (end.requestLimit) {
         this->direct.onLimitStated(flow.upstream, *end.requestLimit, flow.sentAt, now);
     }
+    this->noteStatements(flow, end, now);
     this->recordStage(flow, RequestStage::Upstream, now - flow.sentAt);
     if (flow.permit) {
         PermitReport report;
@@ -297,6 +307,11 @@
         this->failRequest(flow, reason, this->settings.defaultRetryAfter / 2, now);
         return;
     }
+    if (const auto pause =
+            end == AttemptEnd::NotRun ? this->pauseOfOwner(flow, now) : std::nullopt) {
+        this->failRequest(flow, Reason::UpstreamPaused, pause, now);
+        return;
+    }
     this->records.counters.countRetry(flow.request.service, CallerId{flow.request.route.name},
                                       retryReason(end));
     this->askPermit(flow, flow.attempts > 0, now);
@@ -377,6 +392,8 @@
         this->failRequest(flow, Reason::DeadlinePassed, std::nullopt, now);
     }
     this->retryPermits(now);
+    this->statements.advance(now);
+    this->logStatements();
 }
 
 auto RequestFlow::refuseWaiting(Instant now) -> void
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -3,6 +3,7 @@
 #include "entry/directchoice.h"
 #include "entry/permitclient.h"
 #include "entry/types/flowmessages.h"
+#include "entry/upstreamstatements.h"
 #include "insight/counters.h"
 #include "insight/stagehistograms.h"
 #include "logging/requestlog.h"
@@ -29,6 +30,8 @@
     Duration grantorRetryEvery = std::chrono::milliseconds{40};
     /// After such a wait has failed, no other request starts to wait for this time.
     Duration grantorWaitPause = std::chrono::seconds{2};
+    /// Permits for upstreams that want no requests are returned this often for one request.
+    int heldPermitLimit = 5;
     auto operator==(const RequestFlowSettings &) const -> bool = default;
 };
 
@@ -47,7 +50,7 @@
 {
 public:
     RequestFlow(RequestFlowSettings settings, PermitClient &permits, DirectChoice &direct,
-                FlowRecords records);
+                UpstreamStatements &statements, FlowRecords records);
 
     /// Starts a request by asking for a permit; refuses it where its deadline has passed.
     auto begin(FlowRequest request, Instant now) -> void;
@@ -73,6 +76,10 @@
     [[nodiscard]] auto openCount() const -> std::size_t { return this->flows.size(); }
     /// @returns how many times a request was sent without a grantor's permit
     [[nodiscard]] auto directSendCount() const -> std::uint64_t { return this->directSends; }
+    /// @returns how many times a request was held back from an upstream that leaves
+    [[nodiscard]] auto heldByLeavingCount() const -> std::uint64_t { return this->heldByLeaving; }
+    /// @returns how many times a request was held back from an upstream that wants a pause
+    [[nodiscard]] auto heldByPauseCount() const -> std::uint64_t { return this->heldByPause; }
 
 private:
     struct Flow
@@ -85,8 +92,12 @@
         /// When the route's target latency has passed since the caller's first try.
         Instant targetAt;
         std::vector<UpstreamId> avoid;
+        /// Upstreams whose permits were returned, because they want no requests.
+        std::vector<UpstreamId> held;
+        int heldPermits = 0;
         std::optional<PermitId> permit;
         UpstreamId upstream;
+        Incarnation incarnation;
         Instant askedAt;
         Instant sentAt;
         /// Since when the request has been waiting for a grantor.
@@ -113,6 +124,21 @@
     [[nodiscard]] auto mayWaitForGrantor(const Flow &flow, Instant now) const -> bool;
     auto retryPermits(Instant now) -> void;
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
+    /// Returns a permit for an upstream that wants no requests, and asks for another one or refuses
+    /// the request.
+    /// @returns false where the request may be sent with the permit
+    auto holdBack(Flow &flow, const PermitVerdict &verdict, Instant now) -> bool;
+    auto countHeld(const Flow &flow, const UpstreamId &upstream, Reason reason, Instant now)
+        -> void;
+    /// Returns a permit that wasn't used, with what its upstream is known to have stated.
+    auto returnUnused(const PermitId &permit, const PermitVerdict &verdict,
+                      const std::optional<SendHold> &hold) -> void;
+    /// Takes in what an answer states on further requests.
+    auto noteStatements(const Flow &flow, const FlowAttemptEnd &end, Instant now) -> void;
+    auto logStatements() -> void;
+    /// @returns the time for which the only upstream that may run the request wants none; empty
+    ///          where another one may run it
+    [[nodiscard]] auto pauseOfOwner(const Flow &flow, Instant now) -> std::optional<Duration>;
     /// Returns the attempt's permit and records how the attempt ended; the request stays open.
     auto endAttempt(Flow &flow, const FlowAttemptEnd &end, Instant now) -> void;
     /// Aborts the attempt in progress, and ends the request with an unknown outcome.
@@ -134,6 +160,7 @@
     RequestFlowSettings settings;
     PermitClient &permits;
     DirectChoice &direct;
+    UpstreamStatements &statements;
     FlowRecords records;
     /// The longest timeout that a route's callers have given, and when.
     struct CallerTimeout
@@ -147,6 +174,8 @@
     std::map<std::string, CallerTimeout> callerTimeouts;
     std::vector<FlowCommand> commands;
     std::uint64_t directSends = 0;
+    std::uint64_t heldByLeaving = 0;
+    std::uint64_t heldByPause = 0;
     /// When a wait for a grantor last failed.
     std::optional<Instant> waitFailedAt;
 };
--- a/src/entry/tests/directlimit_tests.cpp
+++ b/src/entry/tests/directlimit_tests.cpp
@@ -27,7 +27,7 @@
         entry.id = limited;
         entry.service = service;
         for (std::size_t index = 0; index < daemonCount; ++index) {
-            auto &daemon = this->daemons.emplace_back(index);
+            auto &daemon = this->daemons.emplace_back(index, this->statements);
             daemon.setUpstreams({entry});
             daemon.setOwners(service, {DirectOwner{KeyRange{0, 65535}, limited, Address{}}});
             daemon.setTrusted(true);
@@ -86,6 +86,7 @@
     }
 
     RequestLimit limit;
+    UpstreamStatements statements{UpstreamStatementSettings{}};
     std::vector<DirectChoice> daemons;
     std::mt19937_64 random{5};
     Instant now = start;
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -228,7 +228,8 @@
 
 SCENARIO("DirectChoice replaces ranges whose owner has changed", "[entry]")
 {
-    DirectChoice direct(1);
+    UpstreamStatements statements{UpstreamStatementSettings{}};
+    DirectChoice direct(1, statements);
     const auto owned = [](KeyPosition first, KeyPosition last, const std::string &upstream) {
         PermitVerdict verdict;
         verdict.kind = PermitVerdict::Kind::Granted;
--- a/src/entry/tests/requestflowfixture.h
+++ b/src/entry/tests/requestflowfixture.h
@@ -20,10 +20,11 @@
     Logger logger{"error", 1};
     RequestLog log{logger, 0};
     PermitClient permits{self, 1, PermitClientSettings{}};
-    DirectChoice direct{1};
+    UpstreamStatements statements{UpstreamStatementSettings{}};
+    DirectChoice direct{1, statements};
     Counters counters;
     StageHistograms stages;
-    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}}, permits, direct,
+    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}}, permits, direct, statements,
                      FlowRecords{log, counters, stages}};
     Instant now = Instant{std::chrono::seconds{10}};
     std::vector<PermitDatagram> sent;
@@ -38,10 +39,17 @@
     }
 
     auto begin(bool isRepeatable, int attempts = 2) -> void
+    {
+        this->begin(ExchangeId{1}, std::nullopt, isRepeatable, attempts);
+    }
+
+    auto begin(ExchangeId exchange, std::optional<KeyPosition> key, bool isRepeatable = false,
+               int attempts = 2) -> void
     {
         FlowRequest request;
-        request.exchange = ExchangeId{1};
-        request.id = RequestId{"r-1"};
+        request.exchange = exchange;
+        request.key = key;
+        request.id = RequestId{"r-" + std::to_string(exchange.value)};
         request.service = service;
         request.route.name = "route";
         request.route.isIdempotent = isRepeatable;
@@ -84,19 +92,24 @@
         this->processPending();
     }
 
-    auto grant(const std::string &upstream = "u") -> void
+    auto grant(const std::string &upstream = "u", Incarnation incarnation = {}) -> void
     {
         PermitVerdict verdict;
         verdict.kind = PermitVerdict::Kind::Granted;
         verdict.upstream = UpstreamId{upstream};
+        verdict.incarnation = incarnation;
         verdict.address = Address{"10.1.0.1:80"};
         this->answer(verdict);
     }
 
     auto end(AttemptEnd end) -> void
     {
-        this->flow.onAttemptEnd(FlowAttemptEnd{ExchangeId{1}, end, std::nullopt, std::nullopt},
-                                this->now);
+        this->end(FlowAttemptEnd{ExchangeId{1}, end, std::nullopt, std::nullopt});
+    }
+
+    auto end(const FlowAttemptEnd &end) -> void
+    {
+        this->flow.onAttemptEnd(end, this->now);
         this->processPending();
     }
 
@@ -111,6 +124,17 @@
         return last;
     }
 
+    [[nodiscard]] auto lastReport() const -> const PermitReport *
+    {
+        const PermitReport *last = nullptr;
+        for (const auto &datagram : this->sent) {
+            if (const auto *report = std::get_if<PermitReport>(&datagram.message)) {
+                last = report;
+            }
+        }
+        return last;
+    }
+
     template<typename Command>
     [[nodiscard]] auto count() const -> int
     {
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -69,6 +69,16 @@
               "Longest grant that upstreams accept; bridges an outage of the store."}}};
 }
 
+auto upstreamsSection() -> SectionDescription
+{
+    return {"upstreams",
+            SectionCount::Optional,
+            "Requests to upstreams.",
+            {{"drain_time_s", ValueKind::Seconds, "s", 500, 600'000, "2", takesEffectAtStart,
+              "From an upstream's first statement that it is about to stop until no request may "
+              "reach it; only requests that no other can serve use this time."}}};
+}
+
 auto logSection() -> SectionDescription
 {
     return {
@@ -88,7 +98,8 @@
 
 auto edgeSettingsDescription() -> std::vector<SectionDescription>
 {
-    return {daemonSection(), storeSection(), retriesSection(), grantsSection(), logSection()};
+    return {daemonSection(), storeSection(),     retriesSection(),
+            grantsSection(), upstreamsSection(), logSection()};
 }
 
 auto EdgeSettingsLoader::load(std::string_view text, const std::string &fileName)
@@ -145,6 +156,7 @@
     settings.retryExtra = static_cast<double>(retries.integer("extra"));
     settings.retryWindow = retries.duration("window_s");
     settings.longestHold = values->find("grants")->duration("longest_hold_s");
+    settings.drainTime = values->find("upstreams")->duration("drain_time_s");
     settings.logLevel = log.text("level");
     settings.logLinesPerSecond = log.integer("lines_per_second");
     settings.logSampleOneIn = static_cast<std::uint64_t>(log.integer("sample_one_in"));
--- a/src/settings/types/edgesettings.h
+++ b/src/settings/types/edgesettings.h
@@ -25,6 +25,8 @@
     Duration retryWindow{0};
     /// Longest grant that upstreams accept.
     Duration longestHold{0};
+    /// Time from an upstream's first statement that it leaves until requests may not reach it.
+    Duration drainTime{0};
     /// Time from SIGTERM to the end of the process.
     Duration shutdownTimeout{0};
     std::string logLevel;
