--- a/src/settings/tests/edgesettingsloader_tests.cpp
+++ b/src/settings/tests/edgesettingsloader_tests.cpp
@@ -21,6 +21,15 @@
         CHECK(settings->shutdownTimeout == Duration{std::chrono::seconds{6}});
         CHECK(settings->processorCores == Approx(0.14));
         CHECK(settings->logSampleOneIn == 50);
+        CHECK(settings->drainTime == Duration{std::chrono::seconds{2}});
+    }
+    GIVEN("a file with another drain time")
+    {
+        const auto settings = loader.load(
+            validEdgeSettings("[store]\n", "[upstreams]\ndrain_time_s = 2.5\n[store]\n"),
+            "edge.ini");
+        REQUIRE(settings.has_value());
+        CHECK(settings->drainTime == Duration{std::chrono::milliseconds{2500}});
     }
     GIVEN("files with one error each")
     {
@@ -31,6 +40,7 @@
                  {"ratio = 0.25", "ratio = 0.2512"},
                  {"window_s = 2.5", "window = 2.5"},
                  {"id = d1\n", ""},
+                 {"[store]\n", "[upstreams]\ndrain_time_s = 0.1\n[store]\n"},
                  {"[store]\n", "[log]\nlevel = loud\n[store]\n"}}) {
             THEN("they are rejected as a whole, with a remedy: " + to)
             {
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -175,6 +175,7 @@
     head.headers.push_back(HttpHeader{"Server-Signature", "sig-" + this->settings.id});
     head.headers.push_back(HttpHeader{"Instance-Load", std::to_string(this->running.size()) + ",0,"
                                                            + std::to_string(this->settings.slots)});
+    head.headers.insert(head.headers.end(), this->extraHeaders.begin(), this->extraHeaders.end());
     this->listener.reply(run.exchange, head,
                          "answer of " + this->settings.id + " to " + run.request.head.target);
 }
@@ -184,6 +185,7 @@
     MessageHead head;
     head.status = status;
     head.headers = {HttpHeader{"Not-Executed", "1"}};
+    head.headers.insert(head.headers.end(), this->extraHeaders.begin(), this->extraHeaders.end());
     this->listener.reply(exchange, head, "");
 }
 
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gooseberrywall {
@@ -61,6 +62,11 @@
 
     auto start() -> void { this->listener.start(); }
     auto setMode(KeyedUpstreamMode mode) -> void { this->mode = mode; }
+    /// Adds headers to all answers and rejections of requests.
+    auto setExtraHeaders(std::vector<HttpHeader> headers) -> void
+    {
+        this->extraHeaders = std::move(headers);
+    }
     auto setServiceTime(Duration time) -> void { this->settings.serviceTime = time; }
     /// @returns the JSON with which the upstream registers in the store
     [[nodiscard]] auto entry(bool isDraining) const -> std::string;
@@ -95,6 +101,7 @@
     std::function<Instant()> now;
     std::vector<KeyedRun> &runs;
     KeyedUpstreamMode mode = KeyedUpstreamMode::Normal;
+    std::vector<HttpHeader> extraHeaders;
     std::vector<KeyGrant> grants;
     std::list<Running> running;
     int peakRunning = 0;
