Keep requests from upstreams that state leaving or a pause

Cause: grantors got reports in which an upstream leaves or wants no requests from a VM for a time, and went on to grant permits for it.

Change: SlotBroker takes in both. An upstream that leaves drains from the first report on, for the incarnation that the permit names. A pause holds for the entry daemon that got it: its requests go to other upstreams, wait, or are refused at once as upstream_paused with the remaining time. Of several pauses the one that ends last counts; no answer ends one. Afterwards the daemon gets one permit, then two, then as many as there are slots. An upstream that pauses a third of the daemons that use it (two at least) is used with half of its slots; a tenth is added each second. Permits for a pausing upstream aren't repeated. A report of an earlier incarnation teaches nothing about the present one: before, its failures, load and limit did, and its end freed a slot of the new process.

Reports on permits that expired up to 10 s before are taken in. Ruled out: reports on unknown permits, as they name only the upstream's id, which another process may have by now.

--- a/src/common/types/reason.cpp
+++ b/src/common/types/reason.cpp
@@ -46,6 +46,7 @@
     {"retry_budget_empty", "Retry later; too many requests are being retried."},
     {"request_limit_reached",
      "Retry later; the upstream has named a limit of requests per second."},
+    {"upstream_paused", "Retry later; the upstream has asked for a pause."},
 }};
 
 } // namespace
--- a/src/common/types/reason.h
+++ b/src/common/types/reason.h
@@ -42,11 +42,12 @@
     UpstreamDraining,
     OwnerChanged,
     RetryBudgetEmpty,
-    // A refusal; at the end, as daemons send each other reasons by their numbers.
+    // Refusals; at the end, as daemons send each other reasons by their numbers.
     RequestLimitReached,
+    UpstreamPaused,
 };
 
-inline constexpr int reasonCount = static_cast<int>(Reason::RequestLimitReached) + 1;
+inline constexpr int reasonCount = static_cast<int>(Reason::UpstreamPaused) + 1;
 
 /// @returns the name of the reason in headers, counters and logs, such as "queue_full"
 [[nodiscard]] auto toString(Reason reason) -> std::string_view;
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -95,12 +95,14 @@
 auto SlotBroker::ask(const PermitRequest &request, Instant now) -> void
 {
     if (const auto known = this->permits.find(request.id); known != this->permits.end()) {
-        if (this->isInService(known->second.upstream)) {
+        if (this->isRepeatable(known->first, known->second, now)) {
             this->issue(request, known->second.verdict, VerdictBasis{});
             return;
         }
-        // The verdict was lost, and its upstream leaves meanwhile: another one is chosen. An entry
-        // daemon uses only the first verdict that reaches it.
+        // The verdict was lost, and its upstream leaves or pauses meanwhile: another one is chosen.
+        // An entry daemon uses only the first verdict that reaches it.
+        this->rememberExpired(known->first, known->second, now);
+        this->release(known->first, known->second, now);
         this->permits.erase(known);
     }
     if (this->backlog.contains(request.id)) {
@@ -149,13 +151,18 @@
 {
     const auto permit = this->permits.find(report.id);
     if (permit == this->permits.end() || permit->second.upstream != report.upstream) {
+        this->reportExpired(report, now);
         return;
     }
     const auto found = this->upstreams.find(report.upstream);
     if (found != this->upstreams.end()) {
         this->learn(report, found->second, now);
     }
-    this->release(permit->second, now);
+    this->release(permit->first, permit->second, now);
+    this->takeIn(UpstreamStatement{report.upstream, permit->second.verdict.incarnation,
+                                   report.id.entry, permit->second.request, report.isLeaving,
+                                   report.pause},
+                 permit->second.grantedAt, now);
     this->permits.erase(permit);
     if (found != this->upstreams.end()) {
         this->grantFreeSlotsOf(found->second, now);
@@ -164,7 +171,14 @@
 
 auto SlotBroker::learn(const PermitReport &report, Upstream &upstream, Instant now) -> void
 {
+    const auto &permit = this->permits.at(report.id);
     this->updateQuarantine(report, upstream, now);
+    if (report.end == AttemptEnd::Answered) {
+        this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
+    }
+    if (permit.verdict.incarnation != upstream.entry.incarnation) {
+        return;
+    }
     upstream.health.onAttemptEnd(report.end, report.latency, now);
     upstream.noReportSince = now;
     if (report.load) {
@@ -173,13 +187,13 @@
         upstream.otherRequestsValidUntil = now + otherRequestsValidity;
     }
     if (report.requestLimit) {
-        upstream.limiter.onStated(*report.requestLimit, this->permits.at(report.id).grantedAt, now);
+        upstream.limiter.onStated(*report.requestLimit, permit.grantedAt, now);
     }
     if (report.end == AttemptEnd::NotSent) {
         upstream.limiter.onNotSent(now);
     }
     if (report.end == AttemptEnd::Answered) {
-        this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
+        upstream.pauses.onServed(report.id.entry, permit.grantedAt);
     }
 }
 
@@ -215,7 +229,7 @@
     if (permit == this->permits.end()) {
         return;
     }
-    this->release(permit->second, now);
+    this->release(permit->first, permit->second, now);
     const auto upstream = this->upstreams.find(permit->second.upstream);
     this->permits.erase(permit);
     if (upstream != this->upstreams.end()) {
@@ -227,6 +241,7 @@
 auto SlotBroker::advance(Instant now) -> void
 {
     this->checkPermits(now);
+    this->endPauses(now);
     this->sharedQueue.updateLateness(this->meanLatency, now);
     this->ownerlessQueue.updateLateness(this->meanLatency, now);
     for (auto &[id, upstream] : this->upstreams) {
@@ -240,8 +255,9 @@
 {
     for (auto &[id, permit] : this->permits) {
         if (permit.expiresAt <= now) {
-            this->release(permit, now);
-        } else if (permit.repeatAt <= now && this->isInService(permit.upstream)) {
+            this->release(id, permit, now);
+            this->rememberExpired(id, permit, now);
+        } else if (permit.repeatAt <= now && this->isRepeatable(id, permit, now)) {
             permit.repeatAfter *= 2;
             permit.repeatAt = now + permit.repeatAfter;
             this->verdicts.push_back(
@@ -276,12 +292,12 @@
 {
     std::vector<UpstreamStatus> result;
     for (const auto &[id, upstream] : this->upstreams) {
-        result.push_back(UpstreamStatus{id, upstream.entry.slots, this->latencyOf(upstream, now),
-                                        upstream.health.failureShare(now),
-                                        !upstream.entry.isDraining
-                                            && !upstream.health.isLimitedToTrials()
-                                            && !this->isSilent(upstream, now),
-                                        upstream.limiter.limit(), upstream.grants.perSecond(now)});
+        result.push_back(
+            UpstreamStatus{id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
+                           this->latencyOf(upstream, now), upstream.health.failureShare(now),
+                           !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
+                               && !this->isSilent(upstream, now),
+                           upstream.limiter.limit(), upstream.grants.perSecond(now)});
     }
     return result;
 }
@@ -318,12 +334,6 @@
     return this->isSharded && request.key.has_value();
 }
 
-auto SlotBroker::isInService(const UpstreamId &id) const -> bool
-{
-    const auto found = this->upstreams.find(id);
-    return found != this->upstreams.end() && !found->second.entry.isDraining;
-}
-
 auto SlotBroker::grant(const WaitingRequest &waiting, Upstream &upstream, Instant now) -> void
 {
     PermitVerdict verdict;
@@ -340,6 +350,7 @@
     ++upstream.inFlight;
     upstream.grants.record(now);
     upstream.limiter.onSent(now);
+    upstream.pauses.onGranted(waiting.request.id.entry);
     upstream.lastUse[waiting.request.id.entry] = now;
     const Forecast forecast{Duration{0}, this->latencyOf(upstream, now)};
     const auto repeatAfter = std::max(this->settings.minRepeatAfter,
@@ -361,7 +372,10 @@
     PermitVerdict verdict;
     verdict.kind = PermitVerdict::Kind::Refused;
     verdict.reason = reason;
-    verdict.retryAfter = std::clamp(retryAfter, minRetryAfter, maxRetryAfter);
+    const auto pause = this->hinderingPause(waiting, now);
+    verdict.retryAfter = pause && reason == Reason::UpstreamPaused
+                             ? *pause
+                             : std::clamp(retryAfter, minRetryAfter, maxRetryAfter);
     this->issue(waiting.request, std::move(verdict),
                 this->verdictBasis(waiting, this->forecast(waiting, now), now));
 }
@@ -389,15 +403,16 @@
         IssuedVerdict{request.id, request.request, std::move(verdict), std::move(basis)});
 }
 
-auto SlotBroker::release(const Permit &permit, Instant now) -> void
+auto SlotBroker::release(const PermitId &id, const Permit &permit, Instant now) -> void
 {
-    const auto found = this->upstreams.find(permit.upstream);
-    if (found == this->upstreams.end()) {
+    auto *upstream = this->findUpstream(permit.upstream, permit.verdict.incarnation);
+    if (upstream == nullptr) {
         return;
     }
-    found->second.inFlight = std::max(0, found->second.inFlight - 1);
-    if (found->second.inFlight == 0) {
-        found->second.noReportSince = now;
+    upstream->pauses.onReturned(id.entry, permit.grantedAt);
+    upstream->inFlight = std::max(0, upstream->inFlight - 1);
+    if (upstream->inFlight == 0) {
+        upstream->noReportSince = now;
     }
 }
 
@@ -428,12 +443,14 @@
     const auto &request = waiting.request;
     if (this->isKeyed(request)) {
         auto *owner = this->ownerOf(request);
-        return owner != nullptr && this->hasRoom(*owner, now) ? owner : nullptr;
+        const auto isFree = owner != nullptr && this->hasRoom(*owner, now)
+                            && owner->pauses.allows(request.id.entry, now);
+        return isFree ? owner : nullptr;
     }
     Upstream *best = nullptr;
     double lowestCost = 0;
     for (auto &[id, upstream] : this->upstreams) {
-        if (!this->hasRoom(upstream, now)) {
+        if (!this->hasRoom(upstream, now) || !upstream.pauses.allows(request.id.entry, now)) {
             continue;
         }
         const auto cost = this->costOf(upstream, request, now);
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -34,7 +34,8 @@
         return upstream.inFlight == 0;
     }
     const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
-    return upstream.inFlight + otherRequests < upstream.entry.slots;
+    return upstream.inFlight + otherRequests
+           < upstream.slotReduction.slotsOf(upstream.entry.slots, now);
 }
 
 auto SlotBroker::isSilent(const Upstream &upstream, Instant now) const -> bool
@@ -90,7 +91,8 @@
         const auto &upstream = *owner;
         const auto latency = this->latencyOf(upstream, now);
         const auto ahead = upstream.waiting.countBefore(waiting.rank);
-        const auto blocked = std::max(Duration{0}, Duration{upstream.health.blockedUntil() - now});
+        const auto blocked = std::max({Duration{0}, Duration{upstream.health.blockedUntil() - now},
+                                       upstream.pauses.remaining(waiting.request.id.entry, now)});
         if (this->isHeldByLimit(upstream, now)) {
             return Forecast{std::max(blocked, this->limitedWait(waiting, upstream, ahead, now)),
                             latency};
@@ -103,11 +105,14 @@
             isFree ? Duration{0} : this->queueTime(ahead, servedPerSecond, overtakingPerSecond);
         return Forecast{std::max(blocked, queue), latency};
     }
-    const auto &shared = this->sharedCapacity(now);
+    const auto shared = this->capacityFor(waiting.request.id.entry, now);
     const auto ahead = this->countBefore(waiting.rank);
     if (shared.hasRoom && ahead == 0) {
         return Forecast{Duration{0}, this->meanLatency};
     }
+    if (shared.requestsPerSecond <= 0 && shared.pauseLeft) {
+        return Forecast{*shared.pauseLeft, this->meanLatency};
+    }
     if (shared.requestsPerSecond <= 0) {
         // There is no usable upstream; one may join or recover while the request waits.
         return Forecast{waiting.request.remaining / 2, this->meanLatency};
@@ -137,21 +142,48 @@
     }
     this->capacity = SharedCapacity{0, false, now + capacityInterval};
     for (const auto &[id, upstream] : this->upstreams) {
-        if (upstream.entry.isDraining || upstream.health.isLimitedToTrials()
-            || this->isSilent(upstream, now)) {
-            continue;
-        }
-        this->capacity.hasRoom = this->capacity.hasRoom || this->hasRoom(upstream, now);
-        this->capacity.requestsPerSecond += this->servedPerSecond(upstream, now);
+        this->addCapacity(upstream, this->capacity, now);
     }
     return this->capacity;
 }
 
+auto SlotBroker::capacityFor(const Address &entry, Instant now) -> SharedCapacity
+{
+    const auto isPaused = [&](const auto &row) {
+        return row.second.pauses.remaining(entry, now) > Duration{0};
+    };
+    if (this->pausingCount == 0
+        || std::none_of(this->upstreams.begin(), this->upstreams.end(), isPaused)) {
+        return this->sharedCapacity(now);
+    }
+    SharedCapacity result;
+    for (const auto &[id, upstream] : this->upstreams) {
+        const auto left = upstream.pauses.remaining(entry, now);
+        if (left == Duration{0}) {
+            this->addCapacity(upstream, result, now);
+        } else if (!upstream.entry.isDraining) {
+            result.pauseLeft = std::min(result.pauseLeft.value_or(left), left);
+        }
+    }
+    return result;
+}
+
+auto SlotBroker::addCapacity(const Upstream &upstream, SharedCapacity &sum, Instant now) const
+    -> void
+{
+    if (upstream.entry.isDraining || upstream.health.isLimitedToTrials()
+        || this->isSilent(upstream, now)) {
+        return;
+    }
+    sum.hasRoom = sum.hasRoom || this->hasRoom(upstream, now);
+    sum.requestsPerSecond += this->servedPerSecond(upstream, now);
+}
+
 auto SlotBroker::servedPerSecond(const Upstream &upstream, Instant now) const -> double
 {
     const auto seconds = std::chrono::duration<double>(this->latencyOf(upstream, now)).count();
-    return std::min(upstream.entry.slots / std::max(minLatencySeconds, seconds),
-                    upstream.limiter.ratePerSecond());
+    const auto slots = upstream.slotReduction.slotsOf(upstream.entry.slots, now);
+    return std::min(slots / std::max(minLatencySeconds, seconds), upstream.limiter.ratePerSecond());
 }
 
 auto SlotBroker::isHeldByLimit(const Upstream &upstream, Instant now) const -> bool
@@ -182,6 +214,9 @@
     if (this->hasNoOwnerInTime(waiting, now)) {
         return Reason::NoOwner;
     }
+    if (this->hinderingPause(waiting, now)) {
+        return Reason::UpstreamPaused;
+    }
     const auto *owner = this->ownerOf(waiting.request);
     return owner != nullptr && this->isHeldByLimit(*owner, now) ? Reason::RequestLimitReached
                                                                 : otherwise;
--- a/src/dispatch/internal/slotbrokerqueues.cpp
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -19,8 +19,11 @@
 
 auto SlotBroker::firstFor(const Upstream &upstream, Instant now) const -> WaitingRequest *
 {
-    auto *own = upstream.waiting.first(now);
-    auto *shared = this->sharedQueue.first(now);
+    const auto isEligible = [&](const PermitRequest &request) {
+        return upstream.pauses.allows(request.id.entry, now);
+    };
+    auto *own = upstream.waiting.first(now, isEligible);
+    auto *shared = this->sharedQueue.first(now, isEligible);
     if (own == nullptr || shared == nullptr) {
         return own != nullptr ? own : shared;
     }
@@ -65,8 +68,8 @@
     }
     std::vector<PermitId> refused;
     for (const auto &[id, waiting] : this->backlog) {
-        if (this->hasNoOwnerInTime(waiting, now)
-            || this->isUnservable(waiting, isLateCheckDue, now)) {
+        if (this->hasNoOwnerInTime(waiting, now) || this->isUnservable(waiting, isLateCheckDue, now)
+            || (isLateCheckDue && this->hinderingPause(waiting, now))) {
             this->refuse(waiting, this->refusalReason(waiting, Reason::DeadlineTooShort, now),
                          this->jittered(this->meanLatency / 2), now);
             refused.push_back(id);
--- a/src/dispatch/internal/waitingqueue.cpp
+++ b/src/dispatch/internal/waitingqueue.cpp
@@ -34,14 +34,6 @@
     }
 }
 
-auto WaitingQueue::first(Instant now) const -> WaitingRequest *
-{
-    const auto found =
-        std::find_if(this->entries.begin(), this->entries.end(),
-                     [&](const Entry &entry) { return entry.waiting->deadline > now; });
-    return found == this->entries.end() ? nullptr : found->waiting;
-}
-
 auto WaitingQueue::countBefore(const WaitingRank &rank) const -> std::size_t
 {
     return static_cast<std::size_t>(this->position(rank) - this->entries.begin());
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -3,9 +3,12 @@
 #include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
+#include "dispatch/slotreduction.h"
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
+#include "dispatch/types/upstreamstatement.h"
 #include "dispatch/upstreamhealth.h"
+#include "dispatch/upstreampauses.h"
 #include "dispatch/waitingqueue.h"
 
 #include <cstddef>
@@ -97,6 +100,7 @@
 struct UpstreamStatus
 {
     UpstreamId id;
+    /// As many as are used; fewer than stated where the upstream rejects requests with pauses.
     int slots = 0;
     Duration expectedLatency{0};
     /// Recent share of failed attempts, 0 to 1.
@@ -138,9 +142,12 @@
     /// Grants, queues or refuses a permit; a repeated request for a granted permit gets the same
     /// verdict. takeVerdicts() returns the result.
     auto ask(const PermitRequest &request, Instant now) -> void;
-    /// Takes the permit back and learns from the attempt. Reports without a permit that this broker
-    /// has issued and not taken back are ignored.
+    /// Takes the permit back and learns from the attempt. Of a report on a permit that has expired,
+    /// only what the upstream states is taken in. Other reports are ignored: they name the
+    /// upstream's id, which another process may have by now.
     auto report(const PermitReport &report, Instant now) -> void;
+    /// Takes in what an upstream has stated in an answer to another call than a request.
+    auto onStatement(const UpstreamStatement &statement, Instant now) -> void;
     /// Removes a request that ended before it used a permit; a granted permit is taken back.
     auto cancel(const PermitId &id, Instant now) -> void;
     /// Refuses waiting requests that can't meet their deadline any more and takes back expired
@@ -152,9 +159,13 @@
 
     /// @returns the verdicts since the last call
     [[nodiscard]] auto takeVerdicts() -> std::vector<IssuedVerdict>;
+    /// @returns what has changed in the upstreams' statements since the last call
+    [[nodiscard]] auto takeChanges() -> std::vector<UpstreamChange>;
     /// @returns the number of requests per key since the last call
     [[nodiscard]] auto takeKeyCounts() -> std::map<KeyPosition, std::uint32_t>;
     [[nodiscard]] auto upstreamStatuses(Instant now) const -> std::vector<UpstreamStatus>;
+    /// @returns how many upstreams want no requests from some entry daemon
+    [[nodiscard]] auto pausedUpstreamCount(Instant now) const -> std::size_t;
     [[nodiscard]] auto backlogSize() const -> std::size_t { return this->backlog.size(); }
     [[nodiscard]] auto permitCount() const -> std::size_t { return this->permits.size(); }
 
@@ -174,6 +185,10 @@
         ArrivalRate onTimeArrivals;
         ArrivalRate grants;
         RequestLimiter limiter;
+        UpstreamPauses pauses;
+        SlotReduction slotReduction;
+        /// The last statement with a pause; empty where no pause has begun since all had ended.
+        std::optional<UpstreamStatement> lastPause;
         /// Start of the time with permits out and no report: the last report, or the first permit
         /// after a time without any.
         Instant noReportSince{};
@@ -187,6 +202,9 @@
         /// An upstream has a free slot.
         bool hasRoom = false;
         Instant recalculateAt{};
+        /// The shortest time until one of the upstreams takes requests that pause; empty where none
+        /// pauses.
+        std::optional<Duration> pauseLeft = std::nullopt;
     };
     struct Permit
     {
@@ -201,6 +219,16 @@
         Duration repeatAfter;
         Instant grantedAt;
     };
+    /// A permit that has expired; its report may still come.
+    struct ExpiredPermit
+    {
+        UpstreamId upstream;
+        Incarnation incarnation;
+        RequestId request;
+        Instant grantedAt;
+        /// When it is forgotten.
+        Instant dropAt;
+    };
     struct IdHash
     {
         auto operator()(const PermitId &id) const noexcept -> std::size_t;
@@ -227,6 +255,10 @@
     /// @returns the waiting request that gets the upstream's next slot; nullptr where there is none
     [[nodiscard]] auto firstFor(const Upstream &upstream, Instant now) const -> WaitingRequest *;
     [[nodiscard]] auto sharedCapacity(Instant now) -> const SharedCapacity &;
+    /// @returns what the upstreams can serve that don't pause for the entry daemon
+    [[nodiscard]] auto capacityFor(const Address &entry, Instant now) -> SharedCapacity;
+    /// Adds what one upstream can serve.
+    auto addCapacity(const Upstream &upstream, SharedCapacity &sum, Instant now) const -> void;
     /// @returns how many waiting requests rank before one that any upstream may run
     [[nodiscard]] auto countBefore(const WaitingRank &rank) const -> std::size_t;
     auto grant(const WaitingRequest &waiting, Upstream &upstream, Instant now) -> void;
@@ -239,17 +271,32 @@
     /// @param isLateCheckDue whether to forecast the waits of late requests
     [[nodiscard]] auto isUnservable(const WaitingRequest &waiting, bool isLateCheckDue, Instant now)
         -> bool;
-    auto release(const Permit &permit, Instant now) -> void;
+    auto release(const PermitId &id, const Permit &permit, Instant now) -> void;
+    /// Takes in what an upstream states in a report on an expired permit.
+    auto reportExpired(const PermitReport &report, Instant now) -> void;
+    /// Keeps what the report on a permit needs that is taken back without one.
+    auto rememberExpired(const PermitId &id, const Permit &permit, Instant now) -> void;
+    /// @param grantedAt when the permit was granted of the request whose answer states it
+    auto takeIn(const UpstreamStatement &statement, Instant grantedAt, Instant now) -> void;
+    auto takeInPause(Upstream &upstream, const UpstreamStatement &statement, Instant grantedAt,
+                     Instant now) -> void;
+    /// @returns the upstream if it is still the process that is meant; nullptr otherwise
+    [[nodiscard]] auto findUpstream(const UpstreamId &id, Incarnation incarnation) -> Upstream *;
+    /// @returns how many entry daemons have used the upstream lately
+    [[nodiscard]] auto userCount(const Upstream &upstream, Instant now) const -> std::size_t;
+    auto endPauses(Instant now) -> void;
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
-    /// @returns whether the upstream is known and doesn't drain
-    [[nodiscard]] auto isInService(const UpstreamId &id) const -> bool;
+    /// @returns whether the permit may still be used: its upstream is known, and neither drains nor
+    /// pauses for the entry daemon
+    [[nodiscard]] auto isRepeatable(const PermitId &id, const Permit &permit, Instant now) const
+        -> bool;
     /// @returns whether only the owner of the request's key may run it
     [[nodiscard]] auto isKeyed(const PermitRequest &request) const -> bool;
     [[nodiscard]] auto rangeOf(KeyPosition key) const -> const OwnedRange *;
     [[nodiscard]] auto ownerOf(const PermitRequest &request) -> Upstream *;
     [[nodiscard]] auto pickUpstream(const WaitingRequest &waiting, Instant now) -> Upstream *;
-    /// @returns whether the upstream can take a request now
+    /// @returns whether the upstream can take a request now, unless it pauses for the entry daemon
     [[nodiscard]] auto hasRoom(const Upstream &upstream, Instant now) const -> bool;
     /// @returns whether the upstream has permits out and neither answer nor report came for too
     /// long
@@ -280,6 +327,10 @@
     /// @returns why a request is refused that would wait for too long
     [[nodiscard]] auto refusalReason(const WaitingRequest &waiting, Reason otherwise, Instant now)
         -> Reason;
+    /// @returns the time until an upstream takes the request whose pause keeps it from being served
+    /// in time; empty where no pause does
+    [[nodiscard]] auto hinderingPause(const WaitingRequest &waiting, Instant now)
+        -> std::optional<Duration>;
     /// @returns whether the request's key has no owner and gets none in time for the deadline
     [[nodiscard]] auto hasNoOwnerInTime(const WaitingRequest &waiting, Instant now) const -> bool;
 
@@ -299,7 +350,11 @@
     std::uint64_t nextArrival = 1;
     SharedCapacity capacity;
     std::unordered_map<PermitId, Permit, IdHash> permits;
+    std::unordered_map<PermitId, ExpiredPermit, IdHash> expiredPermits;
     std::vector<IssuedVerdict> verdicts;
+    std::vector<UpstreamChange> changes;
+    /// Upstreams with a pause; may be too high between two calls of advance().
+    std::size_t pausingCount = 0;
     std::map<KeyPosition, std::uint32_t> keyCounts;
     Duration meanLatency;
     /// Requests without an owner that could still meet their target when they arrived.
--- a/src/dispatch/waitingqueue.h
+++ b/src/dispatch/waitingqueue.h
@@ -2,7 +2,9 @@
 
 #include "dispatch/types/permits.h"
 
+#include <algorithm>
 #include <compare>
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -45,8 +47,18 @@
     /// @param latency expected latency of a request
     auto updateLateness(Duration latency, Instant now) -> void;
 
-    /// @returns the first request whose deadline hasn't passed; nullptr where there is none
-    [[nodiscard]] auto first(Instant now) const -> WaitingRequest *;
+    /// @param isEligible tells whether a request may run at the upstream in question
+    /// @returns the first eligible request whose deadline hasn't passed; nullptr where there is
+    /// none
+    template<std::predicate<const PermitRequest &> Predicate>
+    [[nodiscard]] auto first(Instant now, const Predicate &isEligible) const -> WaitingRequest *
+    {
+        const auto found =
+            std::find_if(this->entries.begin(), this->entries.end(), [&](const Entry &entry) {
+                return entry.waiting->deadline > now && isEligible(entry.waiting->request);
+            });
+        return found == this->entries.end() ? nullptr : found->waiting;
+    }
     /// @returns how many requests rank before
     [[nodiscard]] auto countBefore(const WaitingRank &rank) const -> std::size_t;
     [[nodiscard]] auto isEmpty() const -> bool { return this->entries.empty(); }
