Drain upstreams for the whole fleet that state that they leave

Cause: an upstream that leaves says so in its answers, but the grantor drained it only when the store showed it, so its keys stayed with it and permits were granted for it.

Change: grantor roles pass on which incarnations leave; UpstreamDirectory keeps them as draining, with the incarnations that have drained by the store, and shows that to all roles of the daemon, to RangeGrantor and to sends without a grantor. Processes are kept by id and incarnation, so a late statement of an earlier one changes nothing, and for 60 s after they were last known: before, the time counted from the last change in the store, which would have ended a stated leaving in a quiet store. Answers to orders tell the grantor, too; an order names its upstream, so they need no signature.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -155,8 +155,9 @@
     {
     }
 
-    /// @param done receives the order's end once
-    auto send(const RangeOrder &order, std::function<void(RangeOrderEnd)> done) -> void
+    /// @param done receives the order's end once, and what the upstream stated with it
+    auto send(const RangeOrder &order, std::function<void(RangeOrderEnd, OrderStatement)> done)
+        -> void
     {
         const auto isGrant = order.kind == RangeOrder::Kind::Grant;
         OutboundRequest request;
@@ -164,10 +165,12 @@
         request.timeout = isGrant ? grantTimeout : releaseTimeout;
         request.text = StoreClient<Wire>::callText(this->wire.order(order), order.address,
                                                    this->wire.targetHeaders(order.upstream));
-        this->pool.send(std::move(request),
-                        [this, order, done = std::move(done)](const OutboundResult &result) {
-                            done(this->endOf(order, result));
-                        });
+        this->pool.send(std::move(request), [this, order,
+                                             done = std::move(done)](const OutboundResult &result) {
+            const auto isAnswered = result.end == OutboundResult::End::Answered;
+            done(this->endOf(order, result),
+                 isAnswered ? this->wire.orderStatement(result.answer.head) : OrderStatement{});
+        });
     }
 
 private:
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -172,7 +172,15 @@
     [[nodiscard]] auto orderSender() -> SendRangeOrder
     {
         return [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
-            this->orders.send(order, [this, done = std::move(done)](const RangeOrderEnd &end) {
+            const auto incarnation =
+                this->upstreamWatch.incarnationOf(order.upstream, order.address);
+            this->orders.send(order, [this, order, incarnation, done = std::move(done)](
+                                         const RangeOrderEnd &end, const OrderStatement &stated) {
+                if (incarnation) {
+                    this->roles.onStatement(
+                        UpstreamStatement{order.upstream, *incarnation, this->settings.peerListen,
+                                          RequestId{}, stated.isLeaving, stated.pause});
+                }
                 done(end);
                 this->processPending();
             });
@@ -308,6 +316,9 @@
                 this->flow.onPermit(result, this->now());
                 this->hasPending = true;
             }
+            for (const auto &each : this->roles.takeLeaving()) {
+                this->upstreamWatch.onLeaving(each.upstream, each.incarnation);
+            }
             for (const auto &datagram : this->roles.takeDatagrams()) {
                 this->sendDatagram(datagram);
             }
@@ -431,6 +442,8 @@
         metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
         metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
+        metrics.leavingUpstreams = this->roles.leavingUpstreamCount();
+        metrics.pausedUpstreams = this->roles.pausedUpstreamCount();
         metrics.storeEra = this->store.currentEra();
         MessageHead head;
         head.status = 200;
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -86,6 +86,8 @@
     /// @param entries upstreams of all services
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
+    /// Takes in what an upstream has stated in an answer to an order.
+    auto onStatement(const UpstreamStatement &statement) -> void;
     /// Carries on with the election and, as grantor, with verdicts, ranges and announcements.
     auto advance() -> void;
     /// @param ratio retries allowed for each request in the retry window
@@ -107,6 +109,8 @@
 
     [[nodiscard]] auto nextDue() const -> Instant;
     [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
+    /// @returns the statements since the last call by which upstreams leave
+    [[nodiscard]] auto takeLeaving() -> std::vector<UpstreamStatement>;
     [[nodiscard]] auto isLeading() const -> bool
     {
         return this->election.state() == GrantorElection::State::Leading;
@@ -117,6 +121,13 @@
     [[nodiscard]] auto isSharded() const -> bool { return this->spec.isSharded; }
     /// @returns how many upstreams name a request limit; zero while this daemon isn't grantor
     [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
+    /// @returns how many upstreams have stated in their answers that they leave, and still exist
+    [[nodiscard]] auto leavingUpstreamCount() const -> std::uint64_t
+    {
+        return this->leavingUpstreams.size();
+    }
+    /// @returns how many upstreams want no requests from some entry daemon for a time
+    [[nodiscard]] auto pausedUpstreamCount() const -> std::uint64_t;
     /// @returns how many keys have changed owner in this term; zero where there are no ranges
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
 
@@ -155,6 +166,10 @@
     auto issueOrders() -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
+    /// Logs what upstreams have stated, and keeps who leaves for takeLeaving().
+    auto takeInChanges() -> void;
+    /// Forgets upstreams that have stated that they leave, once they have ended.
+    auto endLeaving() -> void;
     /// @returns whether this daemon leads, and its lease surely lasts
     [[nodiscard]] auto hasAuthority(Instant moment) const -> bool;
     auto flushVerdicts() -> void;
@@ -214,6 +229,9 @@
     KnownDaemons daemons{KnownDaemonsSettings{}};
     bool areDaemonsKnown = false;
     bool isReadingDaemons = false;
+    /// Processes that have stated that they leave, by upstream.
+    std::map<UpstreamId, Incarnation> leavingUpstreams;
+    std::vector<UpstreamStatement> leavingStatements;
     /// The owners last passed to the broker.
     std::vector<OwnedRange> brokerOwners;
     std::vector<PermitDatagram> datagrams;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -31,6 +31,8 @@
     /// Passes a message to its service's role; a permit request for a service without one is
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
+    /// Takes in what an upstream has stated in an answer to an order.
+    auto onStatement(const UpstreamStatement &statement) -> void;
     auto setRetryAllowance(double ratio, double extra) -> void;
     /// Sets what grantors announce about the operators' configuration.
     auto setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void;
@@ -41,6 +43,8 @@
     auto resign() -> void;
 
     [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
+    /// @returns the statements since the last call by which upstreams leave
+    [[nodiscard]] auto takeLeaving() -> std::vector<UpstreamStatement>;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     /// @returns sharded services that this daemon doesn't grant
     [[nodiscard]] auto shardedNotServed() const -> std::vector<ServiceName>;
@@ -49,6 +53,10 @@
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
     /// @returns how many upstreams of the services that this daemon grants name a request limit
     [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
+    /// @returns how many upstreams have stated in their answers that they leave, and still exist
+    [[nodiscard]] auto leavingUpstreamCount() const -> std::uint64_t;
+    /// @returns how many upstreams want no requests from some entry daemon for a time
+    [[nodiscard]] auto pausedUpstreamCount() const -> std::uint64_t;
     [[nodiscard]] auto settings() const -> const GrantorRoleSettings &
     {
         return this->roleSettings;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -81,6 +81,7 @@
         return;
     }
     this->upstreams = std::move(own);
+    this->endLeaving();
     if (!this->serving) {
         return;
     }
@@ -105,6 +106,7 @@
         this->broker->ask(*request, moment);
     } else if (const auto *report = std::get_if<PermitReport>(&message)) {
         this->broker->report(*report, moment);
+        this->takeInChanges();
     } else if (const auto *cancel = std::get_if<PermitCancel>(&message)) {
         this->broker->cancel(cancel->id, moment);
     } else if (std::holds_alternative<DaemonHello>(message)) {
@@ -134,6 +136,7 @@
         return;
     }
     this->broker->advance(moment);
+    this->takeInChanges();
     this->flushVerdicts();
     this->logHealth(moment);
     // Without authority, this daemon falls silent, so that the others look for a grantor: one of
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -97,6 +97,13 @@
     }
 }
 
+auto GrantorRoles::onStatement(const UpstreamStatement &statement) -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->onStatement(statement);
+    }
+}
+
 auto GrantorRoles::setRetryAllowance(double ratio, double extra) -> void
 {
     this->roleSettings.retries.ratio = ratio;
@@ -154,6 +161,17 @@
     return result;
 }
 
+auto GrantorRoles::takeLeaving() -> std::vector<UpstreamStatement>
+{
+    std::vector<UpstreamStatement> result;
+    for (auto &[name, role] : this->roles) {
+        for (auto &statement : role->takeLeaving()) {
+            result.push_back(std::move(statement));
+        }
+    }
+    return result;
+}
+
 auto GrantorRoles::nextDue() const -> std::optional<Instant>
 {
     std::optional<Instant> due;
@@ -191,6 +209,24 @@
     return count;
 }
 
+auto GrantorRoles::leavingUpstreamCount() const -> std::uint64_t
+{
+    std::uint64_t count = 0;
+    for (const auto &[name, role] : this->roles) {
+        count += role->leavingUpstreamCount();
+    }
+    return count;
+}
+
+auto GrantorRoles::pausedUpstreamCount() const -> std::uint64_t
+{
+    std::uint64_t count = 0;
+    for (const auto &[name, role] : this->roles) {
+        count += role->pausedUpstreamCount();
+    }
+    return count;
+}
+
 auto GrantorRoles::movedKeys() const -> std::uint64_t
 {
     std::uint64_t moved = 0;
--- a/src/edge/internal/upstreamdirectory.cpp
+++ b/src/edge/internal/upstreamdirectory.cpp
@@ -13,8 +13,11 @@
 auto UpstreamDirectory::update(const std::vector<UpstreamEntry> &present, Instant storeFailedAt,
                                Instant now) -> void
 {
+    for (auto &[id, each] : this->known) {
+        this->markDrained(each.entry, now);
+    }
     std::erase_if(this->drained, [&](const auto &row) {
-        return now - row.second.seenAt > this->settings.drainedRetention;
+        return now - row.second > this->settings.drainedRetention;
     });
     std::map<UpstreamId, Known> next;
     std::set<Address> addresses;
@@ -48,13 +51,33 @@
 
 auto UpstreamDirectory::markDrained(UpstreamEntry &entry, Instant now) -> void
 {
-    const auto found = this->drained.find(entry.id);
-    const auto isKnown =
-        found != this->drained.end() && found->second.incarnation == entry.incarnation;
-    entry.isDraining = entry.isDraining || isKnown;
+    const Process process{entry.id, entry.incarnation};
+    entry.isDraining = entry.isDraining || this->drained.contains(process);
     if (entry.isDraining) {
-        this->drained[entry.id] = Drained{entry.incarnation, now};
+        this->drained[process] = now;
+    }
+}
+
+auto UpstreamDirectory::setLeaving(const UpstreamId &upstream, Incarnation incarnation, Instant now)
+    -> bool
+{
+    this->drained[Process{upstream, incarnation}] = now;
+    const auto found = this->known.find(upstream);
+    if (found == this->known.end() || found->second.entry.incarnation != incarnation
+        || found->second.entry.isDraining) {
+        return false;
     }
+    found->second.entry.isDraining = true;
+    return true;
+}
+
+auto UpstreamDirectory::incarnationOf(const UpstreamId &upstream, const Address &address) const
+    -> std::optional<Incarnation>
+{
+    const auto found = this->known.find(upstream);
+    return found != this->known.end() && found->second.entry.address == address
+               ? std::optional(found->second.entry.incarnation)
+               : std::nullopt;
 }
 
 auto UpstreamDirectory::advance(Instant now) -> void
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -25,6 +25,8 @@
     std::uint64_t movedKeys = 0;
     std::uint64_t configurationFetches = 0;
     std::uint64_t limitedUpstreams = 0;
+    std::uint64_t leavingUpstreams = 0;
+    std::uint64_t pausedUpstreams = 0;
     std::uint64_t storeEra = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -117,11 +117,63 @@
     }
 }
 
+// Guards against requests to upstreams that have stated that they leave, while the store shows them
+// as ready.
+SCENARIO("UpstreamDirectory: given an upstream that has stated that it leaves, it drains until it "
+         "has another incarnation",
+         "[edge][leaving]")
+{
+    const Instant start{seconds{100}};
+    const Instant longAgo{};
+    UpstreamDirectory directory(UpstreamDirectorySettings{});
+    directory.update(entries({1, 2, 3}), longAgo, start);
+    const auto id = entries({1})[0].id;
+    CHECK(directory.setLeaving(id, Incarnation{0}, start));
+    CHECK(directory.entries()[0].isDraining);
+    CHECK_FALSE(directory.setLeaving(id, Incarnation{0}, start));
+    GIVEN("a store that shows it as ready, also after a long time without changes")
+    {
+        directory.update(entries({1, 2, 3}), longAgo, start + seconds{300});
+        CHECK(directory.entries()[0].isDraining);
+    }
+    GIVEN("a store that shows it as ready after its entry had gone for a while")
+    {
+        directory.update(entries({2, 3}), longAgo, start + seconds{1});
+        directory.update(entries({1, 2, 3}), longAgo, start + seconds{50});
+        CHECK(directory.entries()[0].isDraining);
+    }
+    GIVEN("its next incarnation")
+    {
+        auto restarted = entries({1, 2, 3});
+        restarted[0].incarnation = Incarnation{7};
+        directory.update(restarted, longAgo, start + seconds{1});
+        CHECK_FALSE(directory.entries()[0].isDraining);
+        THEN("a late statement of the earlier one changes nothing")
+        {
+            CHECK_FALSE(directory.setLeaving(id, Incarnation{0}, start + seconds{2}));
+            CHECK_FALSE(directory.entries()[0].isDraining);
+        }
+        THEN("a store that shows the earlier one once more shows it as draining")
+        {
+            directory.update(entries({1, 2, 3}), longAgo, start + seconds{2});
+            CHECK(directory.entries()[0].isDraining);
+        }
+    }
+    GIVEN("an address")
+    {
+        const auto address = entries({1})[0].address;
+        CHECK(directory.incarnationOf(id, address) == Incarnation{0});
+        CHECK(!directory.incarnationOf(id, entries({2})[0].address));
+    }
+}
+
 SCENARIO("metricsText shows the daemon's own metrics", "[edge]")
 {
     EdgeMetrics metrics;
     metrics.grantedServices = 2;
     const auto text = metricsText(CounterSnapshot{}, {}, metrics);
     CHECK(text.find("gooseberrywall_limited_upstreams 0\n") != std::string::npos);
+    CHECK(text.find("gooseberrywall_leaving_upstreams 0\n") != std::string::npos);
+    CHECK(text.find("gooseberrywall_paused_upstreams 0\n") != std::string::npos);
     CHECK(text.find("gooseberrywall_granted_services 2\n") != std::string::npos);
 }
--- a/src/edge/types/wiretypes.h
+++ b/src/edge/types/wiretypes.h
@@ -36,6 +36,16 @@
     auto operator==(const AnswerFields &) const -> bool = default;
 };
 
+/// What an upstream states in its answer to an order about keys.
+struct OrderStatement
+{
+    /// The upstream is about to stop.
+    bool isLeaving = false;
+    /// For this time the upstream wants no requests from this daemon.
+    std::optional<Duration> pause = std::nullopt;
+    auto operator==(const OrderStatement &) const -> bool = default;
+};
+
 /// A call to the store or to an upstream, as an HTTP request.
 struct WireCall
 {
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace gooseberrywall {
@@ -19,7 +20,7 @@
     /// A larger share than this of entries missing at once indicates an outage that this daemon
     /// didn't notice.
     double outageMissingShare = 0.35;
-    /// An upstream that has drained is remembered for this long after it was last seen, as a
+    /// An upstream that has drained is remembered for this long after it was last known, as a
     /// restored store may show it as ready once more.
     Duration drainedRetention = std::chrono::seconds{60};
     auto operator==(const UpstreamDirectorySettings &) const -> bool = default;
@@ -36,10 +37,17 @@
     /// @param storeFailedAt when a call to the store last failed
     auto update(const std::vector<UpstreamEntry> &present, Instant storeFailedAt, Instant now)
         -> void;
+    /// Takes in that an upstream has stated that it is about to stop. This process is draining from
+    /// now on, whatever the store shows.
+    /// @returns whether entries() has changed
+    auto setLeaving(const UpstreamId &upstream, Incarnation incarnation, Instant now) -> bool;
     /// Drops entries whose upstreams haven't registered again in time.
     auto advance(Instant now) -> void;
 
     [[nodiscard]] auto entries() const -> std::vector<UpstreamEntry>;
+    /// @returns which process has the address as this upstream; empty where that isn't known
+    [[nodiscard]] auto incarnationOf(const UpstreamId &upstream, const Address &address) const
+        -> std::optional<Incarnation>;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
 
 private:
@@ -50,19 +58,17 @@
         std::optional<Instant> dropAt;
     };
 
-    /// An incarnation that has started to drain; it is never ready again.
-    struct Drained
-    {
-        Incarnation incarnation;
-        Instant seenAt;
-    };
+    /// One of the successive processes with an upstream's id.
+    using Process = std::pair<UpstreamId, Incarnation>;
 
-    /// Marks the entry as draining if its upstream has started to drain before.
+    /// Marks the entry as draining if its process has started to drain before.
     auto markDrained(UpstreamEntry &entry, Instant now) -> void;
 
     UpstreamDirectorySettings settings;
     std::map<UpstreamId, Known> known;
-    std::map<UpstreamId, Drained> drained;
+    /// Processes that have started to drain, and when they were last known; they are never ready
+    /// again.
+    std::map<Process, Instant> drained;
 };
 
 } // namespace gooseberrywall
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -49,6 +49,21 @@
         }
     }
 
+    /// Takes in that an upstream has stated that it is about to stop.
+    auto onLeaving(const UpstreamId &upstream, Incarnation incarnation) -> void
+    {
+        if (this->directory.setLeaving(upstream, incarnation, this->now())) {
+            this->publish();
+        }
+    }
+
+    /// @returns which process has the address as this upstream; empty where that isn't known
+    [[nodiscard]] auto incarnationOf(const UpstreamId &upstream, const Address &address) const
+        -> std::optional<Incarnation>
+    {
+        return this->directory.incarnationOf(upstream, address);
+    }
+
     /// Starts or stops watching as needed, and publishes what has changed.
     /// @param isGrantor this daemon grants a service: changes are needed at once
     /// @param isDirect requests are sent without a grantor: changes are needed, but may be batched
--- a/src/edge/wireadapter.h
+++ b/src/edge/wireadapter.h
@@ -47,6 +47,9 @@
     {
         wire.orderEnd(order, message)
         } -> std::same_as<RangeOrderEnd>;
+    {
+        wire.orderStatement(head)
+        } -> std::same_as<OrderStatement>;
     {
         wire.callerFields(head)
         } -> std::same_as<CallerFields>;
