--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 18> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 20> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -28,6 +28,8 @@
          {"store_era", metrics.storeEra},
          {"leaving_upstreams", metrics.leavingUpstreams},
          {"paused_upstreams", metrics.pausedUpstreams},
+         {"granted_leaving_upstreams", metrics.grantedLeavingUpstreams},
+         {"granted_paused_upstreams", metrics.grantedPausedUpstreams},
          {"held_by_leaving_total", metrics.heldByLeaving},
          {"held_by_pause_total", metrics.heldByPause}}};
     for (const auto &[name, value] : rows) {
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -25,6 +25,10 @@
     std::uint64_t movedKeys = 0;
     std::uint64_t configurationFetches = 0;
     std::uint64_t limitedUpstreams = 0;
+    /// Upstreams of the granted services that have stated that they are about to stop.
+    std::uint64_t grantedLeavingUpstreams = 0;
+    /// Upstreams of the granted services that want no requests from some daemon at present.
+    std::uint64_t grantedPausedUpstreams = 0;
     std::uint64_t storeEra = 0;
     /// Upstreams that have stated to this daemon that they are about to stop.
     std::uint64_t leavingUpstreams = 0;
