Don't take any other incarnation of an upstream for its end

Cause: RangeGrantor took each entry with another start time for a restart, and granted the keys to another upstream at once. A store that comes back from a copy shows earlier start times for a while. And an upstream that has restarted under its id and address takes renewals meant for its earlier incarnation until the store shows the restart (in an outage: until it is over); it counted as holding nothing when its entry came.

Change: an earlier or missing start time proves nothing, so the holder's grant has to run out. A later one at the same address keeps the range: it is granted a higher fence, and releases the keys before they move. Only a later one at another address, which no order has reached, ends the hold at once.

RangeSimulation reported an order without an answer only once it was carried out, up to 12 s later; a daemon gives up after 600 ms.

Ruled out: SlotBroker and the quarantine compare incarnations only to forget what they measured; no key depends on it.

--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -16,6 +16,12 @@
 /// Largest share of the renewal interval by which a renewal is sent earlier.
 constexpr double renewalJitterShare = 0.35;
 
+/// @returns whether the first incarnation surely started after the second; an unknown one doesn't
+auto isLater(Incarnation first, Incarnation second) -> bool
+{
+    return first > second && second.value != 0;
+}
+
 } // namespace
 
 RangeGrantor::RangeGrantor(RangeGrantorSettings settings, std::uint64_t term)
@@ -200,13 +206,14 @@
     if (state.call.value != 0) {
         return;
     }
+    this->followRestart(state, now);
     switch (state.phase) {
     case Phase::Unowned:
         this->grantToTarget(state, now);
         return;
     case Phase::Granting:
         // The first grant was not accepted: the same upstream is tried again, with a higher fence.
-        if (this->hasRestarted(*state.holder)) {
+        if (this->hasEnded(*state.holder)) {
             this->markUnowned(state, now);
         } else if (state.failures >= failuresUntilLost || !this->isUsable(*state.holder)) {
             state.phase = Phase::Expiring;
@@ -216,7 +223,7 @@
         }
         return;
     case Phase::Held:
-        if (this->hasRestarted(*state.holder)) {
+        if (this->hasEnded(*state.holder)) {
             this->markUnowned(state, now);
             return;
         }
@@ -225,7 +232,8 @@
             this->startMove(state, now);
             return;
         }
-        if (state.failures >= failuresUntilLost && now >= state.confirmedUntil) {
+        if ((state.failures >= failuresUntilLost || this->isContradicted(*state.holder))
+            && now >= state.confirmedUntil) {
             state.phase = Phase::Expiring;
             return;
         }
@@ -236,7 +244,7 @@
         }
         return;
     case Phase::Expiring:
-        if (now >= state.latestHoldEnd || this->hasRestarted(*state.holder)) {
+        if (now >= state.latestHoldEnd || this->hasEnded(*state.holder)) {
             this->markUnowned(state, now);
         }
         return;
@@ -253,6 +261,26 @@
     }
 }
 
+auto RangeGrantor::followRestart(RangeState &state, Instant now) -> void
+{
+    const auto mayHold = state.phase == Phase::Granting || state.phase == Phase::Held
+                         || state.phase == Phase::Expiring;
+    const auto *entry = mayHold ? this->entryOf(state.holder->id) : nullptr;
+    if (entry == nullptr || !isLater(entry->incarnation, state.holder->incarnation)
+        || entry->address != state.holder->address) {
+        return;
+    }
+    // A higher fence rules out that an earlier grant is carried out after a release.
+    state.holder->incarnation = entry->incarnation;
+    state.needsNewFence = true;
+    state.phase = state.phase == Phase::Expiring ? Phase::Held : state.phase;
+    state.confirmedUntil = Instant{};
+    state.handover.clear();
+    state.failures = 0;
+    state.nextOrderAt = now;
+    this->markRecordChanged();
+}
+
 auto RangeGrantor::grantToTarget(RangeState &state, Instant now) -> void
 {
     const auto *target = state.target ? this->entryOf(*state.target) : nullptr;
@@ -376,10 +404,18 @@
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
-auto RangeGrantor::hasRestarted(const RangeHolder &holder) const -> bool
+auto RangeGrantor::hasEnded(const RangeHolder &holder) const -> bool
+{
+    const auto *entry = this->entryOf(holder.id);
+    return entry != nullptr && isLater(entry->incarnation, holder.incarnation)
+           && entry->address != holder.address;
+}
+
+auto RangeGrantor::isContradicted(const RangeHolder &holder) const -> bool
 {
     const auto *entry = this->entryOf(holder.id);
-    return entry != nullptr && entry->incarnation != holder.incarnation;
+    return entry != nullptr && entry->incarnation != holder.incarnation
+           && !isLater(entry->incarnation, holder.incarnation);
 }
 
 auto RangeGrantor::isUsable(const RangeHolder &holder) const -> bool
--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -100,7 +100,7 @@
 {
     const auto countBefore = state.earlierOwners.size();
     std::erase_if(state.earlierOwners,
-                  [&](const RangeHolder &holder) { return this->hasRestarted(holder); });
+                  [&](const RangeHolder &holder) { return this->hasEnded(holder); });
     const auto haveGrantsEnded = now >= state.latestHoldEnd;
     if (haveGrantsEnded) {
         state.earlierOwners.clear();
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -48,7 +48,7 @@
 /// results are reported to it.
 ///
 /// A range changes its owner only after the record that names both owners has been stored, and
-/// after the earlier owner has released the range, has restarted, or can hold no grant that still
+/// after the earlier owner has released the range, has ended, or can hold no grant that still
 /// lasts. Fencing tokens are above those of all earlier grantors, whose terms are lower.
 class RangeGrantor
 {
@@ -171,6 +171,9 @@
     auto renew(RangeState &state, Duration holdTime, Instant now) -> void;
     auto advanceRange(RangeState &state, Instant now) -> void;
     auto grantToTarget(RangeState &state, Instant now) -> void;
+    /// Keeps a range with its holder that has restarted at the same address, where it may have
+    /// taken grants meant for its earlier incarnation.
+    auto followRestart(RangeState &state, Instant now) -> void;
     auto releaseEarlierOwners(RangeState &state, Instant now) -> void;
     auto onGrantEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
     auto onReleaseEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
@@ -185,8 +188,12 @@
     [[nodiscard]] auto plannedOwner(const RangeState &state) const -> const UpstreamId *;
     [[nodiscard]] auto stateOf(CallId call) -> RangeState *;
     [[nodiscard]] auto entryOf(const UpstreamId &id) const -> const UpstreamEntry *;
-    /// @returns whether the upstream runs as another incarnation, which holds none of its grants
-    [[nodiscard]] auto hasRestarted(const RangeHolder &holder) const -> bool;
+    /// @returns whether the upstream runs as a later incarnation at another address, which no grant
+    /// of the holder has reached
+    [[nodiscard]] auto hasEnded(const RangeHolder &holder) const -> bool;
+    /// @returns whether the store shows an earlier incarnation, or none, as a restored one does for
+    /// a while: neither proves that the holder has ended
+    [[nodiscard]] auto isContradicted(const RangeHolder &holder) const -> bool;
     /// @returns whether the upstream still runs as this incarnation and isn't draining
     [[nodiscard]] auto isUsable(const RangeHolder &holder) const -> bool;
     /// @returns when a grant that has arrived by `now` ends at the latest
--- a/src/keyranges/tests/rangesimulation.cpp
+++ b/src/keyranges/tests/rangesimulation.cpp
@@ -36,6 +36,7 @@
 
 auto RangeSimulation::startGrantor() -> void
 {
+    this->orderEnds.clear();
     this->grantor = std::make_unique<RangeGrantor>(this->settings, this->term);
     this->grantor->setUpstreams(this->entries(), this->moment);
     this->grantor->adopt(this->storedRecord, this->moment);
@@ -58,10 +59,12 @@
     this->grantorStartsAt = this->moment + pause;
 }
 
-auto RangeSimulation::crash(int index, std::optional<Duration> restartAfter) -> void
+auto RangeSimulation::crash(int index, std::optional<Duration> restartAfter,
+                            Duration registrationDelay) -> void
 {
     auto &upstream = this->upstreams.at(static_cast<std::size_t>(index));
     upstream.isUp = false;
+    upstream.registrationDelay = registrationDelay;
     upstream.holds.clear();
     upstream.takenFences.clear();
     if (restartAfter) {
@@ -89,6 +92,11 @@
             upstream.restartsAt.reset();
             upstream.isUp = true;
             upstream.entry.incarnation = upstream.entry.incarnation.next();
+            upstream.registersAt = this->moment + upstream.registrationDelay;
+        }
+        if (upstream.registersAt && *upstream.registersAt <= this->moment) {
+            upstream.registersAt.reset();
+            upstream.registered = upstream.entry.incarnation;
             this->grantor->setUpstreams(this->entries(), this->moment);
         }
     }
@@ -152,6 +160,8 @@
             const auto isLate = this->random() % 2 == 0;
             delivery.executedAt +=
                 std::chrono::milliseconds{isLate ? 2000 + this->random() % 10'000 : 0};
+            this->reportEnd({order.call, RangeOrderEnd::Kind::NoAnswer, ""},
+                            delivery.arrivedAt + orderTimeout);
         }
         this->deliveries.push_back(delivery);
     }
@@ -161,25 +171,22 @@
 auto RangeSimulation::deliver(const Delivery &delivery) -> void
 {
     auto *upstream = this->find(delivery.order.upstream);
-    const auto isCurrent = delivery.grantorTerm == this->term;
     RangeOrderEnd end;
     end.call = delivery.order.call;
     const auto isSameIncarnation =
         upstream->isUp && upstream->entry.incarnation == delivery.incarnation;
     end.kind = isSameIncarnation ? this->apply(*upstream, delivery) : RangeOrderEnd::Kind::NotSent;
     end.handover = delivery.order.kind == RangeOrder::Kind::Release ? "warm" : "";
-    if (!isCurrent) {
-        return;
-    }
-    if (delivery.isAnswered) {
-        this->orderEnds.emplace_back(this->moment, end);
-        return;
+    if (delivery.isAnswered && delivery.grantorTerm == this->term) {
+        this->reportEnd(end, this->moment);
     }
-    end.kind = RangeOrderEnd::Kind::NoAnswer;
-    const auto endAt = std::max(this->moment, delivery.arrivedAt + orderTimeout);
+}
+
+auto RangeSimulation::reportEnd(const RangeOrderEnd &end, Instant at) -> void
+{
     const auto position = std::find_if(this->orderEnds.begin(), this->orderEnds.end(),
-                                       [&](const auto &each) { return each.first > endAt; });
-    this->orderEnds.insert(position, {endAt, end});
+                                       [&](const auto &each) { return each.first > at; });
+    this->orderEnds.insert(position, {at, end});
 }
 
 auto RangeSimulation::apply(Upstream &upstream, const Delivery &delivery) -> RangeOrderEnd::Kind
@@ -313,6 +320,7 @@
     std::vector<UpstreamEntry> result;
     for (const auto &upstream : this->upstreams) {
         result.push_back(upstream.entry);
+        result.back().incarnation = upstream.registered;
     }
     return result;
 }
--- a/src/keyranges/tests/rangesimulation.h
+++ b/src/keyranges/tests/rangesimulation.h
@@ -35,7 +35,9 @@
     /// after `pause`.
     auto replaceGrantor(Duration pause) -> void;
     /// Stops an upstream, which restarts as a new incarnation after `restartAfter`, or never.
-    auto crash(int index, std::optional<Duration> restartAfter) -> void;
+    /// @param registrationDelay time after the restart until the grantor hears of it
+    auto crash(int index, std::optional<Duration> restartAfter, Duration registrationDelay = {})
+        -> void;
     auto drain(int index) -> void;
     /// While set, the store doesn't answer. The grantor keeps its lease, since the store pauses
     /// leases meanwhile.
@@ -66,6 +68,10 @@
         UpstreamEntry entry;
         bool isUp = true;
         std::optional<Instant> restartsAt;
+        Duration registrationDelay{0};
+        /// Until then the store shows the incarnation before.
+        std::optional<Instant> registersAt;
+        Incarnation registered{1};
         std::vector<Hold> holds;
         /// Ranges granted so far, with their fences.
         std::vector<Hold> takenFences;
@@ -85,6 +91,8 @@
     auto step() -> void;
     auto startGrantor() -> void;
     auto deliver(const Delivery &delivery) -> void;
+    /// Reports the end of an order to the grantor at `at`.
+    auto reportEnd(const RangeOrderEnd &end, Instant at) -> void;
     [[nodiscard]] auto apply(Upstream &upstream, const Delivery &delivery) -> RangeOrderEnd::Kind;
     auto writeRecord() -> void;
     auto checkOwners() -> void;
