Keep ranges refused whose owner another grantor may have changed

Cause: a grantor that led when the store was restored goes on with what it knew if its last renewal is less than 8 s old. Its lease lasts 1.6 s, so another one may have led and moved keys in between, in a part of the store's history that is lost. Only ranges in phase Held were asked for; the others went on (a released one was granted 0 s after the claim, a grant 0.2 s after it), and one that was asked for was granted to another upstream as soon as its owner had restarted, had been replaced at its address or was silent.

Change: where its lease had lapsed before it heard of the restoration, such ranges count as outdated and wait for the longest grants; `grantor_reclaimed` says so (others_may_have_led). Where the lease surely lasted, nothing changes.

--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -101,14 +101,16 @@
     this->recordDue = moment;
     this->daemons.retryText(moment);
     LogLine line("grantor_reclaimed");
-    line.with("service", this->spec.name.value).with("term", static_cast<std::int64_t>(term.value));
+    line.with("service", this->spec.name.value)
+        .with("term", static_cast<std::int64_t>(term.value))
+        .with("others_may_have_led", this->election.hasLedThroughout() ? "no" : "yes");
     this->log(LogLevel::Info, line);
     this->announce();
     if (!this->ranges) {
         return;
     }
     if (this->isRecordAdopted) {
-        this->ranges->raiseTerm(term.value, moment);
+        this->ranges->raiseTerm(term.value, !this->election.hasLedThroughout(), moment);
     } else {
         this->ranges = std::make_shared<RangeGrantor>(this->settings.ranges, term.value);
     }
--- a/src/election/grantorelection.h
+++ b/src/election/grantorelection.h
@@ -92,6 +92,9 @@
     /// @returns whether this daemon led in the era before this one until the store was restored, so
     /// that no other daemon can have led in between for long
     [[nodiscard]] auto hasReclaimed() const -> bool { return this->reclaimed; }
+    /// @returns whether this daemon's lease surely lasted until the store was restored, so that no
+    /// other daemon led before; tells nothing unless hasReclaimed()
+    [[nodiscard]] auto hasLedThroughout() const -> bool { return this->ledThroughout; }
     /// @returns the store's era as far as it is known
     [[nodiscard]] auto storeEra() const -> std::uint64_t { return this->era; }
     /// @returns until when this daemon may issue orders; may have passed even while it leads
@@ -141,6 +144,7 @@
     bool isEraSettled = true;
     bool reclaiming = false;
     bool reclaimed = false;
+    bool ledThroughout = false;
     /// When the last successful renewal, or the request of the lease, was sent.
     Instant renewedAt{};
     /// Failed renewals in a row.
--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -72,6 +72,9 @@
     const auto wasLeading = this->currentState == State::Leading;
     // The owners are known only to a daemon that led in the era just before.
     this->reclaiming = wasLeading && !this->hasResigned && newEra == this->era + 1;
+    // The store counts the time to live from the arrival of the renewal, so its lease ends later.
+    this->ledThroughout =
+        this->reclaiming && this->now() - this->renewedAt < this->settings.timeToLive;
     this->era = newEra;
     this->eraKnownSince = this->now();
     this->isEraSettled = false;
--- a/src/election/tests/election_tests.cpp
+++ b/src/election/tests/election_tests.cpp
@@ -165,3 +165,26 @@
         }
     }
 }
+
+// Guards against a grantor that relies on what it knew although another one has led meanwhile.
+SCENARIO("GrantorElection: given a store that comes back from a copy, it tells whether its lease "
+         "lasted until then",
+         "[election][restored]")
+{
+    Trial trial(1);
+    trial.run(seconds{2});
+    trial.store.keepCopy();
+    const auto outage = GENERATE(milliseconds{300}, milliseconds{2500});
+    trial.store.mode = FakeStore::Mode::Silent;
+    trial.store.areLeasesPaused = true;
+    trial.run(outage);
+    trial.store.areLeasesPaused = false;
+    trial.store.restoreCopy();
+    trial.store.mode = FakeStore::Mode::Normal;
+    trial.daemons[0]->onStoreEra(1);
+    trial.run(seconds{4});
+    CAPTURE(outage);
+    REQUIRE(trial.leader() == std::size_t{0});
+    CHECK(trial.daemons[0]->hasReclaimed());
+    CHECK(trial.daemons[0]->hasLedThroughout() == (outage < ElectionSettings{}.timeToLive));
+}
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -123,7 +123,7 @@
         }
         return;
     case Kind::OtherUpstream:
-        this->markUnowned(state, now);
+        this->endHold(state, now);
         return;
     case Kind::FenceTooLow:
         if (state.isUnconfirmedInTerm) {
@@ -168,12 +168,23 @@
     state.phase = Phase::Expiring;
 }
 
+auto RangeGrantor::endHold(RangeState &state, Instant now) -> void
+{
+    if (!this->isOwnerUncertain(state)) {
+        this->markUnowned(state, now);
+        return;
+    }
+    this->markOutdated(state, now);
+    this->markRecordChanged();
+}
+
 auto RangeGrantor::markUnowned(RangeState &state, Instant now) -> void
 {
     state.phase = Phase::Unowned;
     state.holder.reset();
     state.earlierOwners.clear();
     state.needsNewFence = false;
+    state.isUnconfirmedInTerm = false;
     state.failures = 0;
     state.nextOrderAt = now;
     state.confirmedUntil = Instant{};
@@ -224,7 +235,7 @@
         return;
     case Phase::Held:
         if (this->hasEnded(*state.holder)) {
-            this->markUnowned(state, now);
+            this->endHold(state, now);
             return;
         }
         if (state.target && !state.needsNewFence && !state.isUnconfirmedInTerm
@@ -234,6 +245,10 @@
         }
         if ((state.failures >= failuresUntilLost || this->isContradicted(*state.holder))
             && now >= state.confirmedUntil) {
+            if (this->isOwnerUncertain(state)) {
+                this->endHold(state, now);
+                return;
+            }
             state.phase = Phase::Expiring;
             return;
         }
@@ -270,6 +285,11 @@
         || entry->address != state.holder->address) {
         return;
     }
+    if (this->isOwnerUncertain(state)) {
+        // Started anew, the holder doesn't refuse the present fence where others have moved keys.
+        this->endHold(state, now);
+        return;
+    }
     // A higher fence rules out that an earlier grant is carried out after a release.
     state.holder->incarnation = entry->incarnation;
     state.needsNewFence = true;
--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -59,25 +59,38 @@
     this->markRecordChanged();
 }
 
-auto RangeGrantor::raiseTerm(std::uint64_t newTerm, Instant now) -> void
+auto RangeGrantor::raiseTerm(std::uint64_t newTerm, bool mayOthersHaveLed, Instant now) -> void
 {
     this->term = newTerm;
     this->sequence = 0;
+    this->mayOthersHaveLed = mayOthersHaveLed;
     this->isFirstRecordDue = true;
     const auto required = this->markRecordChanged();
     for (auto &state : this->rangeStates) {
         state.isUnconfirmedInTerm = state.phase == Phase::Held;
         state.nextOrderAt = now;
-        if (state.phase != Phase::Held) {
-            state.requiredRecordVersion = required;
+        if (state.phase == Phase::Held) {
+            continue;
+        }
+        state.requiredRecordVersion = required;
+        if (mayOthersHaveLed) {
+            // The end of an order that is still open says nothing of other grantors' orders.
+            state.call = CallId{};
+            this->markOutdated(state, now);
         }
     }
 }
 
+auto RangeGrantor::isOwnerUncertain(const RangeState &state) const -> bool
+{
+    return state.isUnconfirmedInTerm && this->mayOthersHaveLed;
+}
+
 auto RangeGrantor::markOutdated(RangeState &state, Instant now) -> void
 {
     state.phase = Phase::Outdated;
     state.isUnconfirmedInTerm = false;
+    state.isReleased = false;
     state.target.reset();
     state.earlierOwners.clear();
     state.failures = 0;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -66,7 +66,9 @@
     /// Goes on under a higher term, after the store has lost this grantor's claim and its last
     /// records. Each owner is first asked with its present fence: it refuses where another grantor
     /// has granted its keys since.
-    auto raiseTerm(std::uint64_t newTerm, Instant now) -> void;
+    /// @param mayOthersHaveLed another grantor may have led meanwhile, so that ranges whose owner
+    /// can't be asked may belong to any upstream
+    auto raiseTerm(std::uint64_t newTerm, bool mayOthersHaveLed, Instant now) -> void;
     /// @param entries all upstreams of the service
     auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
     /// @param end no order is issued from then on
@@ -177,6 +179,8 @@
     auto releaseEarlierOwners(RangeState &state, Instant now) -> void;
     auto onGrantEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
     auto onReleaseEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
+    /// Takes in that the holder has released the range, or has ended.
+    auto endHold(RangeState &state, Instant now) -> void;
     auto markUnowned(RangeState &state, Instant now) -> void;
     auto markOutdated(RangeState &state, Instant now) -> void;
     /// Gives an outdated range to its likely owner, as all earlier grants have run out.
@@ -188,6 +192,8 @@
     [[nodiscard]] auto plannedOwner(const RangeState &state) const -> const UpstreamId *;
     [[nodiscard]] auto stateOf(CallId call) -> RangeState *;
     [[nodiscard]] auto entryOf(const UpstreamId &id) const -> const UpstreamEntry *;
+    /// @returns whether another grantor may have given the range to an upstream that isn't known
+    [[nodiscard]] auto isOwnerUncertain(const RangeState &state) const -> bool;
     /// @returns whether the upstream runs as a later incarnation at another address, which no grant
     /// of the holder has reached
     [[nodiscard]] auto hasEnded(const RangeHolder &holder) const -> bool;
@@ -218,6 +224,8 @@
     std::uint64_t takenRecordVersion = 0;
     std::uint64_t storedRecordVersion = 0;
     bool areGrantsProlonged = false;
+    /// As raiseTerm() was told.
+    bool mayOthersHaveLed = false;
     /// The store has no record of this term yet.
     bool isFirstRecordDue = false;
     std::uint64_t movedKeyCount = 0;
