Take a missing record of owners for a first start only on a first start

Cause: a grantor took a store without any record of owners for new unless it had seen an earlier era.

Change: `[daemon] starts_with_system`, from the platform's settings, says whether the whole system starts for the first time. A daemon that is started later waits for the longest grants, also where the store names no era. `ranges_adopted` names the first start.

The price: a new sharded service whose first grantor was started later has its keys granted some 10 s after its election.

--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -50,6 +50,8 @@
     /// become grantors.
     Duration claimDelay = std::chrono::milliseconds{40};
     double processorCores = 1;
+    /// The whole system starts for the first time. Otherwise, a missing record of owners is lost.
+    bool startsWithSystem = true;
     auto operator==(const GrantorRoleSettings &) const -> bool = default;
 };
 
@@ -139,6 +141,8 @@
     auto readEarlierRecord(std::uint64_t era) -> void;
     /// @returns the store key of the range record in the present era
     [[nodiscard]] auto recordKey() const -> std::string;
+    /// @returns whether a store without any record of owners has never had one
+    [[nodiscard]] auto isFirstStart() const -> bool;
     auto writeRecord() -> void;
     auto onRecordRead(const StoreAnswer &answer) -> void;
     /// @param isOutdated later changes of the record may be lost
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -30,6 +30,7 @@
     result.peerAddress = settings.peerListen;
     result.incarnation = incarnation;
     result.processorCores = settings.processorCores;
+    result.startsWithSystem = settings.startsWithSystem;
     result.retries.ratio = settings.retryRatio;
     result.retries.extra = settings.retryExtra;
     result.retries.window = settings.retryWindow;
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -82,7 +82,14 @@
         this->readEarlierRecord(era - 1);
         return;
     }
-    this->adoptRecord(answer, false);
+    this->adoptRecord(answer, !isFound && !this->isFirstStart());
+}
+
+auto GrantorRole::isFirstStart() const -> bool
+{
+    // A daemon that started in this era, with the whole system, knows that there was no grantor of
+    // an earlier one.
+    return this->settings.startsWithSystem && this->firstEra == this->election.storeEra();
 }
 
 auto GrantorRole::readEarlierRecord(std::uint64_t era) -> void
@@ -103,11 +110,7 @@
             this->recordDue = this->now() + this->settings.retryPause;
             return;
         }
-        // Without a record of any era, a daemon that started in this era sees the first start of
-        // all, and one that started before the restoration a record that is lost.
-        const auto isFirstStart =
-            answer.items.empty() && this->firstEra == this->election.storeEra();
-        this->adoptRecord(answer, !isFirstStart);
+        this->adoptRecord(answer, !answer.items.empty() || !this->isFirstStart());
         this->advance();
     });
 }
@@ -149,6 +152,7 @@
     line.with("service", this->spec.name.value)
         .with("rows", static_cast<std::int64_t>(record.rows.size()))
         .with("outdated", isOutdated ? "yes" : "no")
+        .with("first_start", isFirst ? "yes" : "no")
         .with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
     this->log(LogLevel::Info, line);
 }
--- a/src/edge/tests/restoredstore_tests.cpp
+++ b/src/edge/tests/restoredstore_tests.cpp
@@ -117,3 +117,23 @@
         checkOwners(*cell);
     }
 }
+
+// Guards against two owners of a key after the loss of all daemons, where a copy from before the
+// first record of owners was taken for the first start of the system.
+SCENARIO(
+    "GrantorRole: given a copy without any record, a daemon that was started later waits until "
+    "grants have run out",
+    "[edge][restored]")
+{
+    RestoredStoreCell cell(4);
+    cell.store.keepCopy();
+    cell.setLoad(hotKeys, 90);
+    cell.run(seconds{8});
+    restore(cell, milliseconds{GENERATE(200, 2000)});
+    cell.killAll();
+    cell.run(seconds{25});
+    checkOwners(cell);
+    cell.resetCounts();
+    cell.run(seconds{5});
+    CHECK(cell.grantedCount() >= cell.askedCount() * 9 / 10);
+}
--- a/src/edge/tests/restoredstorecell.cpp
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -77,6 +77,7 @@
     settings.peerAddress = daemonAddress(index);
     settings.incarnation = this->nextIncarnation++;
     settings.processorCores = 0.5;
+    settings.startsWithSystem = this->store.now() == this->startedAt;
     const auto send = [this, index, sender = this->store.sender()](
                           StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
         if (this->cutOff[index]) {
--- a/src/edge/tests/restoredstorecell.h
+++ b/src/edge/tests/restoredstorecell.h
@@ -86,6 +86,7 @@
     double requestsPerSecond = 0;
     std::uint64_t nextRequest = 1;
     std::uint64_t nextIncarnation = 1;
+    Instant startedAt = this->store.now();
     int ownerConflicts = 0;
     int lowFences = 0;
     int grantedRequests = 0;
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -34,6 +34,10 @@
               "Share of each core that this VM may use. VMs with more become grantors first."},
              {"processor_cores", ValueKind::Decimal, "", 1, 1'000'000, "1", takesEffectAtStart,
               "Cores of this VM."},
+             {"starts_with_system", ValueKind::Boolean, "", 0, 0, "yes", takesEffectAtStart,
+              "Whether the whole system starts for the first time. If not, a store without a "
+              "record of owners has lost it, and keys are granted once earlier grants have run "
+              "out."},
              {"connection_limit", ValueKind::Integer, "", 10, 100'000, "2000", takesEffectAtOnce,
               "Maximum number of open connections from callers; further ones are closed."}}};
 }
@@ -139,6 +143,7 @@
     settings.shutdownTimeout = daemon.duration("shutdown_timeout_s");
     settings.processorCores = static_cast<double>(daemon.integer("processor_share")) * thousandth
                               * static_cast<double>(daemon.integer("processor_cores")) * thousandth;
+    settings.startsWithSystem = daemon.boolean("starts_with_system");
     settings.connectionLimit = static_cast<std::size_t>(daemon.integer("connection_limit"));
     settings.store = Address{store.text("address")};
     settings.retryRatio = static_cast<double>(retries.integer("ratio")) * thousandth;
--- a/src/settings/types/edgesettings.h
+++ b/src/settings/types/edgesettings.h
@@ -23,6 +23,8 @@
     /// Retries allowed within the window in addition, independent of the number of requests.
     double retryExtra = 0;
     Duration retryWindow{0};
+    /// The whole system starts for the first time.
+    bool startsWithSystem = true;
     /// Longest grant that upstreams accept.
     Duration longestHold{0};
     /// Time from SIGTERM to the end of the process.
