Give out no fence that a later grantor's could be below

Cause: a fence is (era, term, sequence) in 8, 35 and 20 bits without a check. From an era of 256 on, fences would leave the 63 bits of a signed integer, and start again from zero at 512; more than 2^20 fences of one term run on into the next term; a revision of 2^35 or more would count as one of a later era, and a daemon that read it would take the store for restored.

Change: the grantor gives out a fence only if it fits into 63 bits and is below those of any later term, as far as the store's revision is known (it grows with each record, so the sequence may run on into terms that nobody can get any more). Otherwise no key gets a new owner, and fences_exhausted names the limits.

--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -156,6 +156,7 @@
     [[nodiscard]] auto announcement() const -> GrantorAnnouncement;
     auto plan(Instant moment) -> void;
     auto advanceRanges(Instant moment) -> void;
+    auto logMissingFence() -> void;
     auto issueOrders() -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
@@ -215,6 +216,7 @@
     Instant planDue{};
     Instant planUnownedDue{};
     bool isProlonging = false;
+    bool isFenceMissing = false;
     KnownDaemons daemons{KnownDaemonsSettings{}};
     bool areDaemonsKnown = false;
     bool isReadingDaemons = false;
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -44,6 +44,7 @@
         this->ranges->setGrantsProlonged(isFailing);
     }
     this->ranges->advance(moment);
+    this->logMissingFence();
     if (this->isLeading()) {
         this->plan(moment);
         this->writeRecord();
@@ -52,6 +53,21 @@
     this->refreshOwners(moment);
 }
 
+auto GrantorRole::logMissingFence() -> void
+{
+    const auto isMissing = !this->ranges->hasFence();
+    if (isMissing && !this->isFenceMissing) {
+        LogLine line("fences_exhausted");
+        line.with("service", this->spec.name.value)
+            .with("term", static_cast<std::int64_t>(this->term ? this->term->value : 0))
+            .with("era", static_cast<std::int64_t>(this->election.storeEra()))
+            .with("effect", "no key gets a new owner")
+            .with("remedy", "an era below 256 and revisions below 2^35 fit into a fence");
+        this->log(LogLevel::Error, line);
+    }
+    this->isFenceMissing = isMissing;
+}
+
 auto GrantorRole::readRecord() -> void
 {
     this->isRecordCallPending = true;
@@ -205,6 +221,7 @@
     switch (answer.kind) {
     case StoreAnswer::Kind::Ok:
         this->recordRevision = answer.revision;
+        this->ranges->setStoreRevision(answer.revision.value);
         this->recordBatchUntil = moment + recordBatchTime;
         this->unwrittenRecord.reset();
         this->ranges->onRecordStored(version, moment);
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr KeyPosition lastKey = std::numeric_limits<KeyPosition>::max();
-/// Low bits of a fence, which count the fences of one term; the higher bits are the term.
-constexpr unsigned sequenceBits = 20;
 /// Failed grants in a row after which a holder counts as lost.
 constexpr int failuresUntilLost = 2;
 /// Largest share of the renewal interval by which a renewal is sent earlier.
@@ -309,7 +307,7 @@
         return;
     }
     if (this->storedRecordVersion < state.requiredRecordVersion || now < state.nextOrderAt
-        || now >= this->authorityEnd) {
+        || now >= this->authorityEnd || !this->hasFence()) {
         return;
     }
     state.phase = Phase::Granting;
@@ -327,6 +325,9 @@
         return;
     }
     if (state.needsNewFence && !state.isUnconfirmedInTerm) {
+        if (!this->hasFence()) {
+            return;
+        }
         state.fence = this->nextFence();
     }
     state.sentHoldTime = holdTime;
@@ -475,10 +476,4 @@
         static_cast<double>(this->settings.renewalInterval.count()) * factor)};
 }
 
-auto RangeGrantor::nextFence() -> std::uint64_t
-{
-    ++this->sequence;
-    return (this->term << sequenceBits) + this->sequence;
-}
-
 } // namespace gooseberrywall
--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -129,7 +129,8 @@
         this->markRecordChanged();
         return;
     }
-    if (!state.isReleased && now >= state.nextOrderAt && now < this->authorityEnd) {
+    if (!state.isReleased && now >= state.nextOrderAt && now < this->authorityEnd
+        && this->hasFence()) {
         state.fence = this->nextFence();
         this->issueOrder(state, RangeOrder::Kind::Release, state.earlierOwners.front(), now);
     }
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -83,6 +83,8 @@
     /// Takes in that a record has been stored.
     /// @param version as takeRecord() gave it
     auto onRecordStored(std::uint64_t version, Instant now) -> void;
+    /// Takes in that the store has reached a revision; later grantors have higher terms.
+    auto setStoreRevision(std::uint64_t revision) -> void;
     /// Issues the orders that are due.
     auto advance(Instant now) -> void;
 
@@ -96,6 +98,9 @@
     [[nodiscard]] auto isRecordUrgent() const -> bool;
     /// @returns for all keys, which upstream may be sent requests
     [[nodiscard]] auto owners(Instant now) const -> std::vector<OwnedRange>;
+    /// @returns whether a higher fence is left that is below those of all later grantors; without
+    /// one, no key gets a new owner
+    [[nodiscard]] auto hasFence() const -> bool;
     /// @returns whether an owner has to be chosen for a range
     [[nodiscard]] auto hasUnowned() const -> bool;
     /// @returns all ranges in the order of their keys
@@ -211,6 +216,8 @@
 
     RangeGrantorSettings settings;
     std::uint64_t term;
+    /// The highest that is known.
+    std::uint64_t storeRevision = 0;
     /// Counts the fences given out.
     std::uint64_t sequence = 0;
     std::uint64_t nextCallId = 1;
--- a/src/storelink/types/storecalls.h
+++ b/src/storelink/types/storecalls.h
@@ -20,6 +20,12 @@
 /// Bits of a revision that hold the store's own number; those above hold the era.
 inline constexpr unsigned revisionNumberBits = 35;
 
+/// @returns whether a revision of the store fits beside its era
+[[nodiscard]] constexpr auto fitsRevision(std::uint64_t era, std::uint64_t number) -> bool
+{
+    return era >> (64 - revisionNumberBits) == 0 && number >> revisionNumberBits == 0;
+}
+
 /// @param number the revision as the store numbers it
 [[nodiscard]] constexpr auto storeRevision(std::uint64_t era, std::uint64_t number) -> StoreRevision
 {
