--- a/src/edge/tests/restoredstore_tests.cpp
+++ b/src/edge/tests/restoredstore_tests.cpp
@@ -1,4 +1,5 @@
 #include "edge/tests/restoredstorecell.h"
+#include "keyranges/rangerecordcodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -137,3 +138,36 @@
     cell.run(seconds{5});
     CHECK(cell.grantedCount() >= cell.askedCount() * 9 / 10);
 }
+
+// Guards against two owners of a key in a large fleet (issue 29): the record of the copy was taken
+// for the truth after keys of many upstreams had moved and the grantor was lost or had changed.
+SCENARIO("GrantorRole: given a large fleet whose store comes back from an older copy, no key gets "
+         "two owners",
+         "[edge][restored][large]")
+{
+    RestoredStoreCell cell(24, 210);
+    cell.setLoad(KeyRange{0, 65535}, 900);
+    cell.run(seconds{8});
+    cell.store.keepCopy();
+    cell.setLoad(laterHotKeys, 900);
+    cell.run(seconds{5});
+    const auto *record = cell.store.find("gw/ranges/fitment");
+    REQUIRE(record != nullptr);
+    REQUIRE(decodeRangeRecord(record->value).value_or(RangeRecord{}).rows.size() >= 200);
+    GIVEN("a grantor that is lost as the store comes back")
+    {
+        restore(cell, milliseconds{1000});
+        cell.run(milliseconds{300});
+        cell.killGrantor(std::nullopt);
+        cell.run(seconds{13});
+        checkOwners(cell);
+    }
+    GIVEN("a grantor that was elected after the copy was taken")
+    {
+        cell.killGrantor(seconds{1});
+        cell.run(seconds{4});
+        restore(cell, milliseconds{1000});
+        cell.run(seconds{13});
+        checkOwners(cell);
+    }
+}
--- a/src/edge/tests/restoredstorecell.cpp
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr Duration stepTime = std::chrono::milliseconds{10};
-constexpr int upstreamCount = 6;
 /// Keys whose owners are checked, at equal distances.
 constexpr std::uint32_t sampleDistance = 256;
 const ServiceName service{"fitment"};
@@ -51,7 +50,7 @@
     }
 };
 
-RestoredStoreCell::RestoredStoreCell(int daemonCount)
+RestoredStoreCell::RestoredStoreCell(int daemonCount, int upstreamCount)
 {
     this->store.pageSize = 500;
     for (auto index = 0; index < upstreamCount; ++index) {
--- a/src/edge/tests/restoredstorecell.h
+++ b/src/edge/tests/restoredstorecell.h
@@ -18,7 +18,7 @@
 class RestoredStoreCell
 {
 public:
-    explicit RestoredStoreCell(int daemonCount);
+    explicit RestoredStoreCell(int daemonCount, int upstreamCount = 6);
     ~RestoredStoreCell();
     RestoredStoreCell(const RestoredStoreCell &) = delete;
     auto operator=(const RestoredStoreCell &) -> RestoredStoreCell & = delete;
