--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -50,6 +50,8 @@
     /// become grantors.
     Duration claimDelay = std::chrono::milliseconds{40};
     double processorCores = 1;
+    /// The whole system starts for the first time. Otherwise, a missing record of owners is lost.
+    bool startsWithSystem = true;
     auto operator==(const GrantorRoleSettings &) const -> bool = default;
 };
 
@@ -150,6 +152,8 @@
     auto readEarlierRecord(std::uint64_t era) -> void;
     /// @returns the store key of the range record in the present era
     [[nodiscard]] auto recordKey() const -> std::string;
+    /// @returns whether a store without any record of owners has never had one
+    [[nodiscard]] auto isFirstStart() const -> bool;
     auto writeRecord() -> void;
     auto onRecordRead(const StoreAnswer &answer) -> void;
     /// @param isOutdated later changes of the record may be lost
@@ -163,6 +167,7 @@
     [[nodiscard]] auto announcement() const -> GrantorAnnouncement;
     auto plan(Instant moment) -> void;
     auto advanceRanges(Instant moment) -> void;
+    auto logMissingFence() -> void;
     auto issueOrders() -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
@@ -226,6 +231,7 @@
     Instant planDue{};
     Instant planUnownedDue{};
     bool isProlonging = false;
+    bool isFenceMissing = false;
     KnownDaemons daemons{KnownDaemonsSettings{}};
     bool areDaemonsKnown = false;
     bool isReadingDaemons = false;
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -44,6 +44,7 @@
         this->ranges->setGrantsProlonged(isFailing);
     }
     this->ranges->advance(moment);
+    this->logMissingFence();
     if (this->isLeading()) {
         this->plan(moment);
         this->writeRecord();
@@ -52,6 +53,21 @@
     this->refreshOwners(moment);
 }
 
+auto GrantorRole::logMissingFence() -> void
+{
+    const auto isMissing = !this->ranges->hasFence();
+    if (isMissing && !this->isFenceMissing) {
+        LogLine line("fences_exhausted");
+        line.with("service", this->spec.name.value)
+            .with("term", static_cast<std::int64_t>(this->term ? this->term->value : 0))
+            .with("era", static_cast<std::int64_t>(this->election.storeEra()))
+            .with("effect", "no key gets a new owner")
+            .with("remedy", "an era below 256 and revisions below 2^35 fit into a fence");
+        this->log(LogLevel::Error, line);
+    }
+    this->isFenceMissing = isMissing;
+}
+
 auto GrantorRole::readRecord() -> void
 {
     this->isRecordCallPending = true;
@@ -82,7 +98,14 @@
         this->readEarlierRecord(era - 1);
         return;
     }
-    this->adoptRecord(answer, false);
+    this->adoptRecord(answer, !isFound && !this->isFirstStart());
+}
+
+auto GrantorRole::isFirstStart() const -> bool
+{
+    // A daemon that started in this era, with the whole system, knows that there was no grantor of
+    // an earlier one.
+    return this->settings.startsWithSystem && this->firstEra == this->election.storeEra();
 }
 
 auto GrantorRole::readEarlierRecord(std::uint64_t era) -> void
@@ -103,11 +126,7 @@
             this->recordDue = this->now() + this->settings.retryPause;
             return;
         }
-        // Without a record of any era, a daemon that started in this era sees the first start of
-        // all, and one that started before the restoration a record that is lost.
-        const auto isFirstStart =
-            answer.items.empty() && this->firstEra == this->election.storeEra();
-        this->adoptRecord(answer, !isFirstStart);
+        this->adoptRecord(answer, !answer.items.empty() || !this->isFirstStart());
         this->advance();
     });
 }
@@ -149,6 +168,7 @@
     line.with("service", this->spec.name.value)
         .with("rows", static_cast<std::int64_t>(record.rows.size()))
         .with("outdated", isOutdated ? "yes" : "no")
+        .with("first_start", isFirst ? "yes" : "no")
         .with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
     this->log(LogLevel::Info, line);
 }
@@ -201,6 +221,7 @@
     switch (answer.kind) {
     case StoreAnswer::Kind::Ok:
         this->recordRevision = answer.revision;
+        this->ranges->setStoreRevision(answer.revision.value);
         this->recordBatchUntil = moment + recordBatchTime;
         this->unwrittenRecord.reset();
         this->ranges->onRecordStored(version, moment);
--- a/src/edge/tests/restoredstorecell.h
+++ b/src/edge/tests/restoredstorecell.h
@@ -18,7 +18,7 @@
 class RestoredStoreCell
 {
 public:
-    explicit RestoredStoreCell(int daemonCount);
+    explicit RestoredStoreCell(int daemonCount, int upstreamCount = 6);
     ~RestoredStoreCell();
     RestoredStoreCell(const RestoredStoreCell &) = delete;
     auto operator=(const RestoredStoreCell &) -> RestoredStoreCell & = delete;
@@ -86,6 +86,7 @@
     double requestsPerSecond = 0;
     std::uint64_t nextRequest = 1;
     std::uint64_t nextIncarnation = 1;
+    Instant startedAt = this->store.now();
     int ownerConflicts = 0;
     int lowFences = 0;
     int grantedRequests = 0;
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -9,13 +9,17 @@
 namespace {
 
 constexpr KeyPosition lastKey = std::numeric_limits<KeyPosition>::max();
-/// Low bits of a fence, which count the fences of one term; the higher bits are the term.
-constexpr unsigned sequenceBits = 20;
 /// Failed grants in a row after which a holder counts as lost.
 constexpr int failuresUntilLost = 2;
 /// Largest share of the renewal interval by which a renewal is sent earlier.
 constexpr double renewalJitterShare = 0.35;
 
+/// @returns whether the first incarnation surely started after the second; an unknown one doesn't
+auto isLater(Incarnation first, Incarnation second) -> bool
+{
+    return first > second && second.value != 0;
+}
+
 } // namespace
 
 RangeGrantor::RangeGrantor(RangeGrantorSettings settings, std::uint64_t term)
@@ -117,7 +121,7 @@
         }
         return;
     case Kind::OtherUpstream:
-        this->markUnowned(state, now);
+        this->endHold(state, now);
         return;
     case Kind::FenceTooLow:
         if (state.isUnconfirmedInTerm) {
@@ -162,12 +166,23 @@
     state.phase = Phase::Expiring;
 }
 
+auto RangeGrantor::endHold(RangeState &state, Instant now) -> void
+{
+    if (!this->isOwnerUncertain(state)) {
+        this->markUnowned(state, now);
+        return;
+    }
+    this->markOutdated(state, now);
+    this->markRecordChanged();
+}
+
 auto RangeGrantor::markUnowned(RangeState &state, Instant now) -> void
 {
     state.phase = Phase::Unowned;
     state.holder.reset();
     state.earlierOwners.clear();
     state.needsNewFence = false;
+    state.isUnconfirmedInTerm = false;
     state.failures = 0;
     state.nextOrderAt = now;
     state.confirmedUntil = Instant{};
@@ -200,13 +215,14 @@
     if (state.call.value != 0) {
         return;
     }
+    this->followRestart(state, now);
     switch (state.phase) {
     case Phase::Unowned:
         this->grantToTarget(state, now);
         return;
     case Phase::Granting:
         // The first grant was not accepted: the same upstream is tried again, with a higher fence.
-        if (this->hasRestarted(*state.holder)) {
+        if (this->hasEnded(*state.holder)) {
             this->markUnowned(state, now);
         } else if (state.failures >= failuresUntilLost || !this->isUsable(*state.holder)) {
             state.phase = Phase::Expiring;
@@ -216,8 +232,8 @@
         }
         return;
     case Phase::Held:
-        if (this->hasRestarted(*state.holder)) {
-            this->markUnowned(state, now);
+        if (this->hasEnded(*state.holder)) {
+            this->endHold(state, now);
             return;
         }
         if (state.target && !state.needsNewFence && !state.isUnconfirmedInTerm
@@ -225,7 +241,12 @@
             this->startMove(state, now);
             return;
         }
-        if (state.failures >= failuresUntilLost && now >= state.confirmedUntil) {
+        if ((state.failures >= failuresUntilLost || this->isContradicted(*state.holder))
+            && now >= state.confirmedUntil) {
+            if (this->isOwnerUncertain(state)) {
+                this->endHold(state, now);
+                return;
+            }
             state.phase = Phase::Expiring;
             return;
         }
@@ -236,7 +257,7 @@
         }
         return;
     case Phase::Expiring:
-        if (now >= state.latestHoldEnd || this->hasRestarted(*state.holder)) {
+        if (now >= state.latestHoldEnd || this->hasEnded(*state.holder)) {
             this->markUnowned(state, now);
         }
         return;
@@ -253,6 +274,31 @@
     }
 }
 
+auto RangeGrantor::followRestart(RangeState &state, Instant now) -> void
+{
+    const auto mayHold = state.phase == Phase::Granting || state.phase == Phase::Held
+                         || state.phase == Phase::Expiring;
+    const auto *entry = mayHold ? this->entryOf(state.holder->id) : nullptr;
+    if (entry == nullptr || !isLater(entry->incarnation, state.holder->incarnation)
+        || entry->address != state.holder->address) {
+        return;
+    }
+    if (this->isOwnerUncertain(state)) {
+        // Started anew, the holder doesn't refuse the present fence where others have moved keys.
+        this->endHold(state, now);
+        return;
+    }
+    // A higher fence rules out that an earlier grant is carried out after a release.
+    state.holder->incarnation = entry->incarnation;
+    state.needsNewFence = true;
+    state.phase = state.phase == Phase::Expiring ? Phase::Held : state.phase;
+    state.confirmedUntil = Instant{};
+    state.handover.clear();
+    state.failures = 0;
+    state.nextOrderAt = now;
+    this->markRecordChanged();
+}
+
 auto RangeGrantor::grantToTarget(RangeState &state, Instant now) -> void
 {
     const auto *target = state.target ? this->entryOf(*state.target) : nullptr;
@@ -261,7 +307,7 @@
         return;
     }
     if (this->storedRecordVersion < state.requiredRecordVersion || now < state.nextOrderAt
-        || now >= this->authorityEnd) {
+        || now >= this->authorityEnd || !this->hasFence()) {
         return;
     }
     state.phase = Phase::Granting;
@@ -279,6 +325,9 @@
         return;
     }
     if (state.needsNewFence && !state.isUnconfirmedInTerm) {
+        if (!this->hasFence()) {
+            return;
+        }
         state.fence = this->nextFence();
     }
     state.sentHoldTime = holdTime;
@@ -378,10 +427,18 @@
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
-auto RangeGrantor::hasRestarted(const RangeHolder &holder) const -> bool
+auto RangeGrantor::hasEnded(const RangeHolder &holder) const -> bool
 {
     const auto *entry = this->entryOf(holder.id);
-    return entry != nullptr && entry->incarnation != holder.incarnation;
+    return entry != nullptr && isLater(entry->incarnation, holder.incarnation)
+           && entry->address != holder.address;
+}
+
+auto RangeGrantor::isContradicted(const RangeHolder &holder) const -> bool
+{
+    const auto *entry = this->entryOf(holder.id);
+    return entry != nullptr && entry->incarnation != holder.incarnation
+           && !isLater(entry->incarnation, holder.incarnation);
 }
 
 auto RangeGrantor::isUsable(const RangeHolder &holder) const -> bool
@@ -421,10 +478,4 @@
         static_cast<double>(this->settings.renewalInterval.count()) * factor)};
 }
 
-auto RangeGrantor::nextFence() -> std::uint64_t
-{
-    ++this->sequence;
-    return (this->term << sequenceBits) + this->sequence;
-}
-
 } // namespace gooseberrywall
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -48,7 +48,7 @@
 /// results are reported to it.
 ///
 /// A range changes its owner only after the record that names both owners has been stored, and
-/// after the earlier owner has released the range, has restarted, or can hold no grant that still
+/// after the earlier owner has released the range, has ended, or can hold no grant that still
 /// lasts. Fencing tokens are above those of all earlier grantors, whose terms are lower.
 class RangeGrantor
 {
@@ -66,7 +66,9 @@
     /// Goes on under a higher term, after the store has lost this grantor's claim and its last
     /// records. Each owner is first asked with its present fence: it refuses where another grantor
     /// has granted its keys since.
-    auto raiseTerm(std::uint64_t newTerm, Instant now) -> void;
+    /// @param mayOthersHaveLed another grantor may have led meanwhile, so that ranges whose owner
+    /// can't be asked may belong to any upstream
+    auto raiseTerm(std::uint64_t newTerm, bool mayOthersHaveLed, Instant now) -> void;
     /// @param entries all upstreams of the service
     auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
     /// @param end no order is issued from then on
@@ -81,6 +83,8 @@
     /// Takes in that a record has been stored.
     /// @param version as takeRecord() gave it
     auto onRecordStored(std::uint64_t version, Instant now) -> void;
+    /// Takes in that the store has reached a revision; later grantors have higher terms.
+    auto setStoreRevision(std::uint64_t revision) -> void;
     /// Issues the orders that are due.
     auto advance(Instant now) -> void;
 
@@ -94,6 +98,9 @@
     [[nodiscard]] auto isRecordUrgent() const -> bool;
     /// @returns for all keys, which upstream may be sent requests
     [[nodiscard]] auto owners(Instant now) const -> std::vector<OwnedRange>;
+    /// @returns whether a higher fence is left that is below those of all later grantors; without
+    /// one, no key gets a new owner
+    [[nodiscard]] auto hasFence() const -> bool;
     /// @returns whether an owner has to be chosen for a range
     [[nodiscard]] auto hasUnowned() const -> bool;
     /// @returns all ranges in the order of their keys
@@ -171,9 +178,14 @@
     auto renew(RangeState &state, Duration holdTime, Instant now) -> void;
     auto advanceRange(RangeState &state, Instant now) -> void;
     auto grantToTarget(RangeState &state, Instant now) -> void;
+    /// Keeps a range with its holder that has restarted at the same address, where it may have
+    /// taken grants meant for its earlier incarnation.
+    auto followRestart(RangeState &state, Instant now) -> void;
     auto releaseEarlierOwners(RangeState &state, Instant now) -> void;
     auto onGrantEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
     auto onReleaseEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
+    /// Takes in that the holder has released the range, or has ended.
+    auto endHold(RangeState &state, Instant now) -> void;
     auto markUnowned(RangeState &state, Instant now) -> void;
     auto markOutdated(RangeState &state, Instant now) -> void;
     /// Gives an outdated range to its likely owner, as all earlier grants have run out.
@@ -185,8 +197,14 @@
     [[nodiscard]] auto plannedOwner(const RangeState &state) const -> const UpstreamId *;
     [[nodiscard]] auto stateOf(CallId call) -> RangeState *;
     [[nodiscard]] auto entryOf(const UpstreamId &id) const -> const UpstreamEntry *;
-    /// @returns whether the upstream runs as another incarnation, which holds none of its grants
-    [[nodiscard]] auto hasRestarted(const RangeHolder &holder) const -> bool;
+    /// @returns whether another grantor may have given the range to an upstream that isn't known
+    [[nodiscard]] auto isOwnerUncertain(const RangeState &state) const -> bool;
+    /// @returns whether the upstream runs as a later incarnation at another address, which no grant
+    /// of the holder has reached
+    [[nodiscard]] auto hasEnded(const RangeHolder &holder) const -> bool;
+    /// @returns whether the store shows an earlier incarnation, or none, as a restored one does for
+    /// a while: neither proves that the holder has ended
+    [[nodiscard]] auto isContradicted(const RangeHolder &holder) const -> bool;
     /// @returns whether the upstream still runs as this incarnation and isn't draining
     [[nodiscard]] auto isUsable(const RangeHolder &holder) const -> bool;
     /// @returns when a grant that has arrived by `now` ends at the latest
@@ -198,6 +216,8 @@
 
     RangeGrantorSettings settings;
     std::uint64_t term;
+    /// The highest that is known.
+    std::uint64_t storeRevision = 0;
     /// Counts the fences given out.
     std::uint64_t sequence = 0;
     std::uint64_t nextCallId = 1;
@@ -211,6 +231,8 @@
     std::uint64_t takenRecordVersion = 0;
     std::uint64_t storedRecordVersion = 0;
     bool areGrantsProlonged = false;
+    /// As raiseTerm() was told.
+    bool mayOthersHaveLed = false;
     /// The store has no record of this term yet.
     bool isFirstRecordDue = false;
     std::uint64_t movedKeyCount = 0;
