Let upstreams release keys after a restoration instead of waiting

Cause: a grantor elected after a restoration of the store, whose predecessor is lost, doesn't know the last moves of keys. It waited until the longest hold (10 s) had run out: moved keys were refused or turned away meanwhile, and all keys once the prolonged grants had ended.

Change: a release round (ReleaseRound). All upstreams are ordered to release the outdated ranges that they aren't the likely owners of, with a fence of the new term, 64 orders at once at most. A range that all others have released is granted to its likely owner with a higher fence; likely owners serve meanwhile. All others are: the upstreams listed by a read of the store that began 2.3 s or more after the restoration was known, and those that the record names; later incarnations replace earlier ones. An upstream that doesn't answer makes its ranges wait as before. A successor in the same era, and a raised term, begin the round anew.

It is sound only where a release raises the highest fence that an upstream has seen, as an unanswered grant of the earlier grantor may be carried out after the release. The adapter states it (doReleasesRaiseFences); where it is false, the grantor waits as before. Ruled out: a grant of a few milliseconds that takes a higher fence, as it makes a second owner; what entry daemons know of owners, as it isn't complete.

Tests: RangeSimulation and RestoredStoreCell model upstreams of both kinds, late orders, entries that the copy lacks, suspended upstreams and a successor that is lost in its round. The bounds of existing tests are unchanged.

--- a/src/edge/componentsettings.h
+++ b/src/edge/componentsettings.h
@@ -17,8 +17,9 @@
 [[nodiscard]] auto storePoolSettings() -> OutboundPoolSettings;
 /// @param listen address of the readiness or the metrics page
 [[nodiscard]] auto pageSettings(const Address &listen) -> FrontSettings;
-[[nodiscard]] auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation)
-    -> GrantorRoleSettings;
+/// @param doReleasesRaiseFences as in RangeGrantorSettings
+[[nodiscard]] auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation,
+                                bool doReleasesRaiseFences) -> GrantorRoleSettings;
 [[nodiscard]] auto grantorWatchSettings(const EdgeSettings &settings) -> GrantorWatchSettings;
 /// @param key the store key of the operators' configuration
 [[nodiscard]] auto configurationSettings(const EdgeSettings &settings, const std::string &key,
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -78,8 +78,8 @@
                   return this->onConfiguration(text, revision);
               },
               [this] { this->processPending(); })
-        , roles(roleSettings(this->settings, incarnation), this->storeSender(), this->orderSender(),
-                now, logger, this->requestLog)
+        , roles(roleSettings(this->settings, incarnation, wire.doReleasesRaiseFences()),
+                this->storeSender(), this->orderSender(), now, logger, this->requestLog)
         , grantorWatch(grantorWatchSettings(this->settings), this->storeSender(), now,
                        this->permits, this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
@@ -241,7 +241,11 @@
         };
         const auto isServing = this->roles.servingCount() > 0;
         const auto isGrantorMissing = isRecent(this->permits.lastNoGrantorAt());
+        if (const auto due = this->roles.listingDue()) {
+            this->upstreamWatch.listAnewAfter(*due);
+        }
         this->upstreamWatch.advance(isServing, isGrantorMissing || isRecent(this->directSentAt));
+        this->roles.onUpstreamsListed(this->upstreamWatch.listedAt());
         if (isGrantorMissing && moment >= this->ownersReadDue) {
             this->ownersReadDue = moment + ownersReadEvery;
             for (const auto &service : this->roles.shardedNotServed()) {
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -44,6 +44,8 @@
     /// Pause after a failed store call.
     Duration retryPause = std::chrono::milliseconds{200};
     Duration storeTimeout = std::chrono::milliseconds{800};
+    /// Live upstreams whose entries a restored store has lost register again within this time.
+    Duration upstreamRegistrationTime = std::chrono::milliseconds{2300};
     /// The daemons' claims of a vacant grantor's place are spread over this time.
     Duration claimSpread = std::chrono::milliseconds{200};
     /// Delay before a claim on a VM with one core; VMs with less wait longer, so that the strongest
@@ -85,6 +87,8 @@
     auto onEraSettled(std::uint64_t era) -> void { this->election.onEraSettled(era); }
     /// @param entries upstreams of all services
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    /// @param listedAt a time at which no upstream of the store was missing from onUpstreams()
+    auto onUpstreamsListed(Instant listedAt) -> void { this->upstreamsListedAt = listedAt; }
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
     /// Carries on with the election and, as grantor, with verdicts, ranges and announcements.
     auto advance() -> void;
@@ -117,6 +121,9 @@
     [[nodiscard]] auto isSharded() const -> bool { return this->spec.isSharded; }
     /// @returns how many upstreams name a request limit; zero while this daemon isn't grantor
     [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
+    /// @returns the time after which this grantor needs a list of all upstreams; nothing where it
+    /// has one, or needs none
+    [[nodiscard]] auto listingDue() const -> std::optional<Instant>;
     /// @returns how many keys have changed owner in this term; zero where there are no ranges
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
 
@@ -153,6 +160,9 @@
     auto plan(Instant moment) -> void;
     auto advanceRanges(Instant moment) -> void;
     auto issueOrders() -> void;
+    /// @returns from when on the store lists all upstreams that may hold keys
+    [[nodiscard]] auto upstreamsCompleteAt() const -> Instant;
+    auto logReleaseRound() -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
     /// @returns whether this daemon leads, and its lease surely lasts
@@ -182,6 +192,9 @@
     RangePlanner planner;
     std::vector<UpstreamEntry> upstreams;
     bool hasUpstreams = false;
+    Instant upstreamsListedAt{};
+    ReleaseRoundStatus loggedRound;
+    Instant roundStartedAt{};
     bool serving = false;
     bool isCutOff = false;
     /// The grantor as last passed to onGrantor().
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -28,6 +28,8 @@
     /// Takes in that a grantor of the service was elected in this era.
     auto onEraSettled(const ServiceName &service, std::uint64_t era) -> void;
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    /// @param listedAt a time at which no upstream of the store was missing from onUpstreams()
+    auto onUpstreamsListed(Instant listedAt) -> void;
     /// Passes a message to its service's role; a permit request for a service without one is
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
@@ -42,6 +44,9 @@
 
     [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
+    /// @returns the time after which a grantor needs a list of all upstreams; nothing where it has
+    /// one, or needs none
+    [[nodiscard]] auto listingDue() const -> std::optional<Instant>;
     /// @returns sharded services that this daemon doesn't grant
     [[nodiscard]] auto shardedNotServed() const -> std::vector<ServiceName>;
     /// @returns how many services this daemon grants
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -23,7 +23,8 @@
     return result;
 }
 
-auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation) -> GrantorRoleSettings
+auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation,
+                  bool doReleasesRaiseFences) -> GrantorRoleSettings
 {
     GrantorRoleSettings result;
     result.daemon = settings.id;
@@ -34,6 +35,7 @@
     result.retries.extra = settings.retryExtra;
     result.retries.window = settings.retryWindow;
     result.ranges.longestHoldTime = settings.longestHold;
+    result.ranges.doReleasesRaiseFences = doReleasesRaiseFences;
     return result;
 }
 
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -43,7 +43,9 @@
         this->log(LogLevel::Warning, line);
         this->ranges->setGrantsProlonged(isFailing);
     }
+    this->ranges->setAreAllUpstreamsListed(this->upstreamsListedAt >= this->upstreamsCompleteAt());
     this->ranges->advance(moment);
+    this->logReleaseRound();
     if (this->isLeading()) {
         this->plan(moment);
         this->writeRecord();
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -70,6 +70,23 @@
     }
 }
 
+auto GrantorRoles::onUpstreamsListed(Instant listedAt) -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->onUpstreamsListed(listedAt);
+    }
+}
+
+auto GrantorRoles::listingDue() const -> std::optional<Instant>
+{
+    std::optional<Instant> due;
+    for (const auto &[name, role] : this->roles) {
+        const auto each = role->listingDue();
+        due = each && due ? std::max(*each, *due) : each ? each : due;
+    }
+    return due;
+}
+
 auto GrantorRoles::deliver(const Address &from, const PermitMessage &message) -> void
 {
     if (std::holds_alternative<DaemonHello>(message)) {
--- a/src/edge/tests/restoredstore_tests.cpp
+++ b/src/edge/tests/restoredstore_tests.cpp
@@ -32,6 +32,15 @@
     return cell;
 }
 
+/// Ends grantors and lets a part of the orders be carried out late around a restoration.
+auto loseGrantorAndEntries(RestoredStoreCell &cell, Duration killAfter) -> void
+{
+    cell.loseEntry(2, milliseconds{1900});
+    cell.loseEntry(4, milliseconds{2200});
+    cell.run(killAfter);
+    cell.killGrantor(std::nullopt);
+}
+
 auto checkOwners(const RestoredStoreCell &cell) -> void
 {
     CHECK(cell.doubleOwnerCount() == 0);
@@ -117,3 +126,73 @@
         checkOwners(*cell);
     }
 }
+
+// A grantor whose predecessor is lost doesn't know the last moves of keys.
+SCENARIO("GrantorRole: given a lost grantor, all keys are served within 5 s of a restoration",
+         "[edge][restored]")
+{
+    auto cell = movedSinceCopy(5);
+    restore(*cell, milliseconds{GENERATE(1000, 2000)});
+    cell->setLoad(KeyRange{0, 65535}, 200);
+    GIVEN("a grantor that is lost as the store comes back, and upstreams that the copy lacks")
+    {
+        const auto killAfter = milliseconds{GENERATE(0, 300)};
+        loseGrantorAndEntries(*cell, killAfter);
+        cell->run(seconds{5} - killAfter);
+        cell->resetCounts();
+        cell->run(seconds{6});
+        THEN("requests are served from then on, and no key has two owners")
+        {
+            CHECK(cell->servedCount() >= cell->askedCount() * 9 / 10);
+            checkOwners(*cell);
+        }
+    }
+}
+
+// Guards against two owners of a key by orders that are carried out late around the release of
+// keys.
+SCENARIO("GrantorRole: given late orders and lost grantors after a restoration, no key has two "
+         "owners",
+         "[edge][restored]")
+{
+    const auto doReleasesRaiseFences = GENERATE(true, false);
+    RestoredStoreCell cell(7, doReleasesRaiseFences);
+    cell.setLoad(hotKeys, 90);
+    cell.run(seconds{12});
+    cell.store.keepCopy();
+    cell.setLoad(laterHotKeys, 90);
+    cell.run(seconds{4});
+    cell.setLateOrderShare(0.15);
+    cell.run(seconds{2});
+    restore(cell, milliseconds{1000});
+    loseGrantorAndEntries(cell, milliseconds{GENERATE(0, 300)});
+    GIVEN("a successor that is lost after a part of its round")
+    {
+        const auto leads = milliseconds{GENERATE(100, 600, 1400, 2600)};
+        for (auto passed = 0; passed < 300 && !cell.grantorIndex(); ++passed) {
+            cell.run(milliseconds{10});
+        }
+        cell.run(leads);
+        cell.killGrantor(std::nullopt);
+        cell.run(seconds{5});
+        cell.setLateOrderShare(0);
+        cell.run(seconds{20});
+        checkOwners(cell);
+        THEN("requests are served again")
+        {
+            cell.resetCounts();
+            cell.run(seconds{5});
+            CHECK(cell.servedCount() >= cell.askedCount() * 9 / 10);
+        }
+    }
+    GIVEN("a second restoration in the successor's round")
+    {
+        cell.run(milliseconds{GENERATE(2200, 3600)});
+        restore(cell, milliseconds{500});
+        if (GENERATE(true, false)) {
+            cell.killGrantor(std::nullopt);
+        }
+        cell.run(seconds{25});
+        checkOwners(cell);
+    }
+}
--- a/src/edge/tests/restoredstorecell.cpp
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -51,7 +51,8 @@
     }
 };
 
-RestoredStoreCell::RestoredStoreCell(int daemonCount)
+RestoredStoreCell::RestoredStoreCell(int daemonCount, bool doReleasesRaiseFences)
+    : doReleasesRaiseFences(doReleasesRaiseFences)
 {
     this->store.pageSize = 500;
     for (auto index = 0; index < upstreamCount; ++index) {
@@ -77,6 +78,7 @@
     settings.peerAddress = daemonAddress(index);
     settings.incarnation = this->nextIncarnation++;
     settings.processorCores = 0.5;
+    settings.ranges.doReleasesRaiseFences = this->doReleasesRaiseFences;
     const auto send = [this, index, sender = this->store.sender()](
                           StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
         if (this->cutOff[index]) {
@@ -97,10 +99,38 @@
     daemon = std::make_unique<Daemon>(
         settings, send,
         [this](const RangeOrder &order, std::function<void(RangeOrderEnd)> done) {
-            this->orders.push_back(SentOrder{order, std::move(done), std::nullopt});
+            this->orders.push_back(SentOrder{order, std::move(done), std::nullopt, Instant{},
+                                             std::nullopt, this->store.now()});
         },
         [this] { return this->store.now(); });
-    daemon->roles.onUpstreams(this->entries);
+    this->publishEntries();
+}
+
+auto RestoredStoreCell::publishEntries() -> void
+{
+    std::vector<UpstreamEntry> listed;
+    for (std::size_t index = 0; index < this->entries.size(); ++index) {
+        if (!this->lostEntries.contains(index)) {
+            listed.push_back(this->entries[index]);
+        }
+    }
+    for (const auto &[index, daemon] : this->daemons) {
+        daemon->roles.onUpstreams(listed);
+        daemon->roles.onUpstreamsListed(this->store.now());
+    }
+}
+
+auto RestoredStoreCell::loseEntry(std::size_t upstream, Duration time) -> void
+{
+    this->lostEntries[upstream] = this->store.now() + time;
+}
+
+auto RestoredStoreCell::holds(const UpstreamId &id, KeyPosition key) const -> bool
+{
+    const auto &holds = this->upstreams.at(id).holds;
+    return std::any_of(holds.begin(), holds.end(), [&](const Hold &hold) {
+        return hold.range.contains(key) && hold.endsAt > this->store.now();
+    });
 }
 
 auto RestoredStoreCell::setLoad(KeyRange keys, double perSecond) -> void
@@ -147,6 +177,7 @@
 auto RestoredStoreCell::resetCounts() -> void
 {
     this->grantedRequests = 0;
+    this->servedRequests = 0;
     this->askedRequests = 0;
 }
 
@@ -167,6 +198,9 @@
         this->startDaemon(restart->first);
         restart = this->restarts.erase(restart);
     }
+    std::erase_if(this->lostEntries,
+                  [&](const auto &lost) { return lost.second <= this->store.now(); });
+    this->publishEntries();
     this->sendRequests();
     this->deliverDatagrams();
     for (const auto &[index, daemon] : this->daemons) {
@@ -195,6 +229,7 @@
                                                + this->random() % this->loadedKeys.size());
         request.remaining = std::chrono::milliseconds{800};
         request.untilTarget = std::chrono::milliseconds{300};
+        this->requestedKeys[request.id.sequence] = *request.key;
         this->datagrams.emplace_back(entryDaemon, PermitDatagram{daemonAddress(*grantor), request});
     }
 }
@@ -213,6 +248,8 @@
         if (const auto *answer = std::get_if<PermitAnswer>(&datagram.message)) {
             if (answer->verdict.kind == PermitVerdict::Kind::Granted) {
                 ++this->grantedRequests;
+                const auto key = this->requestedKeys.at(answer->id.sequence);
+                this->servedRequests += this->holds(answer->verdict.upstream, key) ? 1 : 0;
                 PermitReport report;
                 report.id = answer->id;
                 report.service = service;
@@ -241,24 +278,40 @@
     constexpr Duration grantAnswerTime = std::chrono::milliseconds{10};
     // A release is answered when the requests on its keys have ended.
     constexpr Duration releaseAnswerTime = std::chrono::milliseconds{1400};
+    constexpr Duration orderTimeout = std::chrono::milliseconds{1500};
+    std::uniform_real_distribution<double> chance(0, 1);
     for (auto &sent : std::exchange(this->orders, {})) {
+        auto &upstream = this->upstreams.at(sent.order.upstream);
         if (!sent.end) {
             RangeOrderEnd end;
             end.call = sent.order.call;
-            end.kind = this->apply(this->upstreams.at(sent.order.upstream), sent.order);
+            if (chance(this->random) < this->lateOrderShare) {
+                constexpr int spreadMs = 7000;
+                sent.lateAt = this->store.now() + std::chrono::seconds{1}
+                              + std::chrono::milliseconds{this->random() % spreadMs};
+                sent.answerAt = this->store.now() + orderTimeout;
+            } else {
+                end.kind = this->apply(upstream, sent.order, sent.sentAt);
+                const auto isGrant = sent.order.kind == RangeOrder::Kind::Grant;
+                sent.answerAt = this->store.now() + (isGrant ? grantAnswerTime : releaseAnswerTime);
+            }
             sent.end = end;
-            const auto isGrant = sent.order.kind == RangeOrder::Kind::Grant;
-            sent.answerAt = this->store.now() + (isGrant ? grantAnswerTime : releaseAnswerTime);
         }
-        if (sent.answerAt <= this->store.now()) {
-            sent.done(*sent.end);
-        } else {
+        if (sent.lateAt && *sent.lateAt <= this->store.now()) {
+            (void) this->apply(upstream, sent.order, sent.sentAt);
+            sent.lateAt.reset();
+        }
+        if (sent.done && sent.answerAt <= this->store.now()) {
+            std::exchange(sent.done, nullptr)(*sent.end);
+        }
+        if (sent.done || sent.lateAt) {
             this->orders.push_back(std::move(sent));
         }
     }
 }
 
-auto RestoredStoreCell::apply(Upstream &upstream, const RangeOrder &order) -> RangeOrderEnd::Kind
+auto RestoredStoreCell::apply(Upstream &upstream, const RangeOrder &order, Instant sentAt)
+    -> RangeOrderEnd::Kind
 {
     const auto overlaps = [&](const Hold &hold) {
         return hold.range.first <= order.range.last && hold.range.last >= order.range.first;
@@ -290,7 +343,9 @@
         }
     }
     if (isGrant) {
-        next.push_back({order.range, order.fence, this->store.now() + order.holdTime});
+        next.push_back({order.range, order.fence, sentAt + order.holdTime});
+    }
+    if (isGrant || this->doReleasesRaiseFences) {
         upstream.takenFences.push_back({order.range, order.fence, Instant{}});
     }
     upstream.holds = std::move(next);
--- a/src/edge/tests/restoredstorecell.h
+++ b/src/edge/tests/restoredstorecell.h
@@ -18,7 +18,8 @@
 class RestoredStoreCell
 {
 public:
-    explicit RestoredStoreCell(int daemonCount);
+    /// @param doReleasesRaiseFences as in RangeGrantorSettings; the upstreams behave accordingly
+    explicit RestoredStoreCell(int daemonCount, bool doReleasesRaiseFences = true);
     ~RestoredStoreCell();
     RestoredStoreCell(const RestoredStoreCell &) = delete;
     auto operator=(const RestoredStoreCell &) -> RestoredStoreCell & = delete;
@@ -31,6 +32,10 @@
     auto killAll() -> void;
     /// Keeps a daemon from the store, but not from the other daemons.
     auto setCutOff(std::size_t daemon, bool isCutOff) -> void;
+    /// Keeps an upstream out of the store's list for a time, as if the copy lacked it.
+    auto loseEntry(std::size_t upstream, Duration time) -> void;
+    /// @param share of the orders that are not answered, and carried out 1 s to 8 s later
+    auto setLateOrderShare(double share) -> void { this->lateOrderShare = share; }
     [[nodiscard]] auto grantorIndex() const -> std::optional<std::size_t>;
 
     /// @returns how often a sampled key was held by two upstreams after a step
@@ -40,6 +45,8 @@
     [[nodiscard]] auto lowFenceCount() const -> int { return this->lowFences; }
     [[nodiscard]] auto grantedCount() const -> int { return this->grantedRequests; }
     [[nodiscard]] auto askedCount() const -> int { return this->askedRequests; }
+    /// @returns how many requests were granted to an upstream that held their key
+    [[nodiscard]] auto servedCount() const -> int { return this->servedRequests; }
     auto resetCounts() -> void;
 
     FakeStore store;
@@ -64,6 +71,10 @@
         /// Set once the order has been carried out; it is answered some time later.
         std::optional<RangeOrderEnd> end;
         Instant answerAt{};
+        /// The order is carried out then, after it has ended without an answer.
+        std::optional<Instant> lateAt;
+        /// From its arrival on, the hold time of a grant counts.
+        Instant sentAt{};
     };
 
     auto startDaemon(std::size_t index) -> void;
@@ -72,12 +83,22 @@
     auto carryOutOrders() -> void;
     auto deliverDatagrams() -> void;
     auto checkOwners() -> void;
-    [[nodiscard]] auto apply(Upstream &upstream, const RangeOrder &order) -> RangeOrderEnd::Kind;
+    [[nodiscard]] auto apply(Upstream &upstream, const RangeOrder &order, Instant sentAt)
+        -> RangeOrderEnd::Kind;
+    /// Tells all daemons which upstreams the store lists.
+    auto publishEntries() -> void;
+    [[nodiscard]] auto holds(const UpstreamId &id, KeyPosition key) const -> bool;
 
     std::map<std::size_t, std::unique_ptr<Daemon>> daemons;
     std::map<std::size_t, Instant> restarts;
     std::map<std::size_t, bool> cutOff;
+    bool doReleasesRaiseFences;
     std::vector<UpstreamEntry> entries;
+    /// Entries that the store lacks, and until when.
+    std::map<std::size_t, Instant> lostEntries;
+    double lateOrderShare = 0;
+    std::map<std::uint64_t, KeyPosition> requestedKeys;
+    int servedRequests = 0;
     std::map<UpstreamId, Upstream> upstreams;
     std::deque<SentOrder> orders;
     std::vector<std::pair<Address, PermitDatagram>> datagrams;
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -82,6 +82,18 @@
         }
     }
 
+    /// Reads all entries anew once it is `moment`, unless they have been read since.
+    auto listAnewAfter(Instant moment) -> void
+    {
+        if (this->view && this->viewStartedAt < moment && this->now() >= moment) {
+            this->view.reset();
+        }
+    }
+
+    /// @returns a time at which no entry was missing from those published; Instant{} before all
+    /// have been read
+    [[nodiscard]] auto listedAt() const -> Instant { return this->allListedAt; }
+
     /// Reads the owners of a service's keys, at most some seconds old. An upstream that doesn't own
     /// a key rejects its requests without running them.
     /// @param recordKey store key of the service's range record
@@ -123,6 +135,7 @@
         }
         this->directory.update(entries, this->storeFailedAt, this->now());
         this->publish();
+        this->allListedAt = this->viewStartedAt;
     }
 
     auto publish() -> void
@@ -155,6 +168,7 @@
     std::unique_ptr<PrefixView> view;
     bool isForGrantor = false;
     Instant viewStartedAt{};
+    Instant allListedAt{};
     Instant storeFailedAt{};
 };
 
--- a/src/edge/wireadapter.h
+++ b/src/edge/wireadapter.h
@@ -47,6 +47,10 @@
     {
         wire.orderEnd(order, message)
         } -> std::same_as<RangeOrderEnd>;
+    {
+        // An upstream that has answered a release refuses grants with lower fences from then on.
+        wire.doReleasesRaiseFences()
+        } -> std::same_as<bool>;
     {
         wire.callerFields(head)
         } -> std::same_as<CallerFields>;
--- a/src/election/grantorelection.h
+++ b/src/election/grantorelection.h
@@ -94,6 +94,8 @@
     [[nodiscard]] auto hasReclaimed() const -> bool { return this->reclaimed; }
     /// @returns the store's era as far as it is known
     [[nodiscard]] auto storeEra() const -> std::uint64_t { return this->era; }
+    /// @returns when this daemon has heard of that era
+    [[nodiscard]] auto storeEraKnownSince() const -> Instant { return this->eraKnownSince; }
     /// @returns until when this daemon may issue orders; may have passed even while it leads
     [[nodiscard]] auto authorityEnd() const -> Instant { return this->authorityEndsAt; }
     /// @returns whether the lease's renewal has failed since it last succeeded
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -21,6 +21,7 @@
 RangeGrantor::RangeGrantor(RangeGrantorSettings settings, std::uint64_t term)
     : settings(settings)
     , term(term)
+    , releaseRound(settings.releaseRound)
 {
     this->rangeStates.emplace_back().range = KeyRange{0, lastKey};
 }
@@ -76,6 +77,7 @@
 {
     auto *state = this->stateOf(end.call);
     if (state == nullptr) {
+        this->releaseRound.onOrderEnd(end, now);
         return;
     }
     state->call = CallId{};
@@ -190,6 +192,7 @@
     if (isAnyDue) {
         this->coalesce();
     }
+    this->advanceReleaseRound(now);
     for (auto &state : this->rangeStates) {
         this->advanceRange(state, now);
     }
--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -17,6 +17,11 @@
 auto RangeGrantor::adopt(const RangeRecord &record, Instant now) -> void
 {
     for (const auto &row : record.rows) {
+        this->recordedHolders.insert(this->recordedHolders.end(), row.earlierOwners.begin(),
+                                     row.earlierOwners.end());
+        if (!row.owner.id.empty()) {
+            this->recordedHolders.push_back(row.owner);
+        }
         this->splitAt(row.range.first);
         if (row.range.last != lastKey) {
             this->splitAt(static_cast<KeyPosition>(row.range.last + 1));
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/slotbroker.h"
 #include "dispatch/types/upstreamentry.h"
+#include "keyranges/releaseround.h"
 #include "keyranges/types/rangeorders.h"
 
 #include <cstdint>
@@ -27,9 +28,26 @@
     Duration deliveryMargin = std::chrono::milliseconds{150};
     /// Pause after a failed order.
     Duration retryPause = std::chrono::milliseconds{150};
+    /// An upstream that has answered a release refuses grants with lower fences from then on, also
+    /// those that were sent before. Where upstreams don't, outdated ranges have to wait until all
+    /// earlier grants have run out.
+    bool doReleasesRaiseFences = false;
+    ReleaseRoundSettings releaseRound;
     auto operator==(const RangeGrantorSettings &) const -> bool = default;
 };
 
+/// Progress of a release round, for logs.
+struct ReleaseRoundStatus
+{
+    /// Some ranges are outdated, and upstreams are asked to release them.
+    bool isActive = false;
+    std::uint32_t outdatedKeys = 0;
+    std::size_t upstreams = 0;
+    std::uint64_t orders = 0;
+    std::vector<UpstreamId> silent;
+    auto operator==(const ReleaseRoundStatus &) const -> bool = default;
+};
+
 /// A range of keys as the planner sees it.
 struct RangeView
 {
@@ -58,9 +76,9 @@
 
     /// Takes over the owners that earlier grantors have recorded. Called once, before any move.
     auto adopt(const RangeRecord &record, Instant now) -> void;
-    /// Takes over from earlier grantors whose last changes of owners the store has lost. Until
-    /// their longest grants have run out, any upstream may hold any key: no key is granted, and
-    /// nothing is recorded. Called once, before any move.
+    /// Takes over from earlier grantors whose last changes of owners the store has lost: any
+    /// upstream may hold any key. A key is granted once all upstreams but its likely owner have
+    /// released it, or once the longest grants have run out. Called once, before any move.
     /// @param record owners as they were some time ago; most of them still own their keys
     auto adoptOutdated(const RangeRecord &record, Instant now) -> void;
     /// Goes on under a higher term, after the store has lost this grantor's claim and its last
@@ -69,6 +87,9 @@
     auto raiseTerm(std::uint64_t newTerm, Instant now) -> void;
     /// @param entries all upstreams of the service
     auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
+    /// @param areAll no upstream that may hold keys is missing from the entries, apart from those
+    /// that the adopted record names
+    auto setAreAllUpstreamsListed(bool areAll) -> void { this->areAllUpstreamsListed = areAll; }
     /// @param end no order is issued from then on
     auto setAuthorityEnd(Instant end) -> void { this->authorityEnd = end; }
     /// Starts moves. A move is left out where an order about its range is open, where the range is
@@ -98,6 +119,7 @@
     [[nodiscard]] auto hasUnowned() const -> bool;
     /// @returns all ranges in the order of their keys
     [[nodiscard]] auto views() const -> std::vector<RangeView>;
+    [[nodiscard]] auto releaseRoundStatus() const -> ReleaseRoundStatus;
     /// @returns when to call advance() next
     [[nodiscard]] auto nextDue(Instant now) const -> Instant;
     /// @returns how many keys have been granted again after their first owner; a key counts each
@@ -178,6 +200,12 @@
     auto markOutdated(RangeState &state, Instant now) -> void;
     /// Gives an outdated range to its likely owner, as all earlier grants have run out.
     auto endOutdated(RangeState &state, Instant now) -> void;
+    /// Has upstreams release outdated ranges, apart from those that they are likely to own.
+    auto advanceReleaseRound(Instant now) -> void;
+    auto startReleaseRound() -> void;
+    /// Gives outdated ranges that all others have released to their likely owners.
+    auto endReleasedRanges(Instant now) -> void;
+    [[nodiscard]] auto uncertainRanges() const -> std::vector<UncertainRange>;
     /// @returns the version of the next record, which has the change
     auto markRecordChanged() -> std::uint64_t;
     /// @returns the upstream that owns the range or is to own it; nullptr where one has to be
@@ -214,6 +242,12 @@
     /// The store has no record of this term yet.
     bool isFirstRecordDue = false;
     std::uint64_t movedKeyCount = 0;
+    ReleaseRound releaseRound;
+    /// The term in which the release round was started; zero where there is none.
+    std::uint64_t releaseRoundTerm = 0;
+    /// Upstreams named in the adopted record.
+    std::vector<RangeHolder> recordedHolders;
+    bool areAllUpstreamsListed = false;
 };
 
 } // namespace gooseberrywall
--- a/src/keyranges/tests/rangesimulation.cpp
+++ b/src/keyranges/tests/rangesimulation.cpp
@@ -11,6 +11,8 @@
 constexpr Duration planInterval = std::chrono::milliseconds{300};
 /// An upstream answers a release after the requests that it runs, which last up to this long.
 constexpr int longestReleaseDelayMs = 300;
+/// Upstreams that a restored store has lost register again within this time.
+constexpr Duration registrationTime = std::chrono::milliseconds{2300};
 constexpr double clockSlowdown = 1.02;
 /// Keys whose owners are checked, at equal distances.
 constexpr int sampledKeyCount = 64;
@@ -38,7 +40,11 @@
 {
     this->grantor = std::make_unique<RangeGrantor>(this->settings, this->term);
     this->grantor->setUpstreams(this->entries(), this->moment);
-    this->grantor->adopt(this->storedRecord, this->moment);
+    if (this->isRecordOutdated) {
+        this->grantor->adoptOutdated(this->storedRecord, this->moment);
+    } else {
+        this->grantor->adopt(this->storedRecord, this->moment);
+    }
     this->unwrittenRecord.reset();
     this->grantorStartsAt.reset();
 }
@@ -58,6 +64,25 @@
     this->grantorStartsAt = this->moment + pause;
 }
 
+auto RangeSimulation::restoreCopy(Duration pause) -> void
+{
+    this->storedRecord = this->recordCopy;
+    this->isRecordOutdated = true;
+    this->restoredAt = this->moment;
+    for (auto &upstream : this->upstreams) {
+        constexpr int lostOneOf = 4;
+        const auto isLost = this->random() % lostOneOf == 0;
+        const auto delay = this->random() % static_cast<std::uint64_t>(registrationTime.count());
+        upstream.listedFrom = this->moment + Duration{isLost ? static_cast<int>(delay) : 0};
+    }
+    this->replaceGrantor(pause);
+}
+
+auto RangeSimulation::freeze(int index, Duration time) -> void
+{
+    this->upstreams.at(static_cast<std::size_t>(index)).frozenUntil = this->moment + time;
+}
+
 auto RangeSimulation::crash(int index, std::optional<Duration> restartAfter) -> void
 {
     auto &upstream = this->upstreams.at(static_cast<std::size_t>(index));
@@ -95,6 +120,14 @@
     if (this->grantorStartsAt && *this->grantorStartsAt <= this->moment) {
         this->startGrantor();
     }
+    for (const auto &upstream : this->upstreams) {
+        const auto isListedNow = upstream.listedFrom <= this->moment
+                                 && upstream.listedFrom > this->moment - stepDuration;
+        if (isListedNow) {
+            this->grantor->setUpstreams(this->entries(), this->moment);
+        }
+    }
+    this->grantor->setAreAllUpstreamsListed(this->moment >= this->restoredAt + registrationTime);
     std::vector<Delivery> due;
     std::copy_if(this->deliveries.begin(), this->deliveries.end(), std::back_inserter(due),
                  [&](const Delivery &each) { return each.executedAt <= this->moment; });
@@ -103,10 +136,13 @@
     for (const auto &delivery : due) {
         this->deliver(delivery);
     }
-    while (!this->orderEnds.empty() && this->orderEnds.front().first <= this->moment) {
-        const auto end = this->orderEnds.front().second;
+    while (!this->orderEnds.empty() && this->orderEnds.front().at <= this->moment) {
+        const auto end = this->orderEnds.front();
         this->orderEnds.pop_front();
-        this->grantor->onOrderEnd(end, this->moment);
+        // A later grantor doesn't learn how the orders of earlier ones end.
+        if (end.grantorTerm == this->term) {
+            this->grantor->onOrderEnd(end.end, this->moment);
+        }
     }
     if (!this->grantorStartsAt) {
         const auto authority =
@@ -153,6 +189,11 @@
             delivery.executedAt +=
                 std::chrono::milliseconds{isLate ? 2000 + this->random() % 10'000 : 0};
         }
+        const auto thawsAt = this->find(order.upstream)->frozenUntil;
+        if (thawsAt > this->moment) {
+            delivery.isAnswered = false;
+            delivery.executedAt = std::max(delivery.executedAt, thawsAt);
+        }
         this->deliveries.push_back(delivery);
     }
     this->checkOwners();
@@ -171,15 +212,14 @@
     if (!isCurrent) {
         return;
     }
-    if (delivery.isAnswered) {
-        this->orderEnds.emplace_back(this->moment, end);
-        return;
+    auto endAt = this->moment;
+    if (!delivery.isAnswered) {
+        end.kind = RangeOrderEnd::Kind::NoAnswer;
+        endAt = std::max(this->moment, delivery.arrivedAt + orderTimeout);
     }
-    end.kind = RangeOrderEnd::Kind::NoAnswer;
-    const auto endAt = std::max(this->moment, delivery.arrivedAt + orderTimeout);
     const auto position = std::find_if(this->orderEnds.begin(), this->orderEnds.end(),
-                                       [&](const auto &each) { return each.first > endAt; });
-    this->orderEnds.insert(position, {endAt, end});
+                                       [&](const auto &each) { return each.at > endAt; });
+    this->orderEnds.insert(position, OrderEnd{endAt, delivery.grantorTerm, end});
 }
 
 auto RangeSimulation::apply(Upstream &upstream, const Delivery &delivery) -> RangeOrderEnd::Kind
@@ -217,6 +257,8 @@
         const auto holdTime = Duration{
             static_cast<std::int64_t>(static_cast<double>(order.holdTime.count()) * clockSlowdown)};
         next.push_back({order.range, order.fence, delivery.arrivedAt + holdTime});
+    }
+    if (order.kind == RangeOrder::Kind::Grant || this->settings.doReleasesRaiseFences) {
         upstream.takenFences.push_back({order.range, order.fence, Instant{}});
     }
     upstream.holds = std::move(next);
@@ -237,6 +279,7 @@
         return;
     }
     this->storedRecord = *this->unwrittenRecord;
+    this->isRecordOutdated = false;
     if (this->chance(this->faults.unansweredWriteShare)) {
         return;
     }
@@ -290,6 +333,16 @@
     return served;
 }
 
+auto RangeSimulation::timeUntilServed(Duration limit) -> Duration
+{
+    constexpr std::uint32_t keyCount = 65536;
+    const auto start = this->moment;
+    while (this->moment < start + limit && this->servedKeyCount() < keyCount) {
+        this->step();
+    }
+    return this->moment - start;
+}
+
 auto RangeSimulation::ownerCountOf(KeyRange range) const -> std::size_t
 {
     std::vector<UpstreamId> owners;
@@ -312,7 +365,9 @@
 {
     std::vector<UpstreamEntry> result;
     for (const auto &upstream : this->upstreams) {
-        result.push_back(upstream.entry);
+        if (upstream.listedFrom <= this->moment) {
+            result.push_back(upstream.entry);
+        }
     }
     return result;
 }
--- a/src/keyranges/tests/rangesimulation.h
+++ b/src/keyranges/tests/rangesimulation.h
@@ -37,6 +37,23 @@
     /// Stops an upstream, which restarts as a new incarnation after `restartAfter`, or never.
     auto crash(int index, std::optional<Duration> restartAfter) -> void;
     auto drain(int index) -> void;
+    /// Suspends an upstream: it carries out orders only afterwards, while its grants run on.
+    auto freeze(int index, Duration time) -> void;
+    /// Upstreams that have answered a release refuse grants with lower fences, or don't; the
+    /// grantor knows which. Set before the grantor whom it concerns starts.
+    auto setDoReleasesRaiseFences(bool doRaise) -> void
+    {
+        this->settings.doReleasesRaiseFences = doRaise;
+    }
+    /// Keeps a copy of the record, for restoreCopy().
+    auto keepCopy() -> void { this->recordCopy = this->storedRecord; }
+    /// Lets the store come back from the copy, and the grantor be lost; another one takes over
+    /// after `pause`. Some upstreams are missing from the store's list until they register again.
+    auto restoreCopy(Duration pause) -> void;
+    auto setGrantsProlonged(bool areProlonged) -> void
+    {
+        this->grantor->setGrantsProlonged(areProlonged);
+    }
     /// While set, the store doesn't answer. The grantor keeps its lease, since the store pauses
     /// leases meanwhile.
     auto setStoreDown(bool isDown) -> void { this->isStoreDown = isDown; }
@@ -46,6 +63,8 @@
     [[nodiscard]] auto now() const -> Instant { return this->moment; }
     /// @returns how many keys have an owner that holds them and that the grantor names
     [[nodiscard]] auto servedKeyCount() const -> std::uint32_t;
+    /// @returns time from now until all keys are served, or `limit`
+    [[nodiscard]] auto timeUntilServed(Duration limit) -> Duration;
     /// @returns how many upstreams own keys of a range, as the grantor names them
     [[nodiscard]] auto ownerCountOf(KeyRange range) const -> std::size_t;
     /// @returns how often a sampled key had more than one owner after a step
@@ -66,8 +85,11 @@
         UpstreamEntry entry;
         bool isUp = true;
         std::optional<Instant> restartsAt;
+        Instant frozenUntil{};
+        /// When it appears in the store's list.
+        Instant listedFrom{};
         std::vector<Hold> holds;
-        /// Ranges granted so far, with their fences.
+        /// The fences seen so far, by range.
         std::vector<Hold> takenFences;
     };
     struct Delivery
@@ -82,6 +104,13 @@
         Incarnation incarnation;
     };
 
+    struct OrderEnd
+    {
+        Instant at;
+        std::uint64_t grantorTerm = 0;
+        RangeOrderEnd end;
+    };
+
     auto step() -> void;
     auto startGrantor() -> void;
     auto deliver(const Delivery &delivery) -> void;
@@ -102,8 +131,13 @@
     std::optional<Instant> grantorStartsAt;
     std::vector<Upstream> upstreams;
     std::deque<Delivery> deliveries;
-    std::deque<std::pair<Instant, RangeOrderEnd>> orderEnds;
+    /// In the order of their times.
+    std::deque<OrderEnd> orderEnds;
     RangeRecord storedRecord;
+    RangeRecord recordCopy;
+    /// The stored record is that of the copy, and later ones are lost.
+    bool isRecordOutdated = false;
+    Instant restoredAt{};
     std::optional<RangeRecord> unwrittenRecord;
     std::uint64_t unwrittenRecordVersion = 0;
     bool isStoreDown = false;
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -95,10 +95,11 @@
     grant.expiresAt = this->now()
                       + std::chrono::duration_cast<Duration>(
                           std::chrono::duration<double>(body.at("hold_s").get<double>()));
-    const auto isTooLow =
-        std::any_of(this->grants.begin(), this->grants.end(), [&](const KeyGrant &old) {
-            return old.first <= grant.last && old.last >= grant.first && old.fence > grant.fence;
-        });
+    const auto isAbove = [&](const KeyGrant &old) {
+        return old.first <= grant.last && old.last >= grant.first && old.fence > grant.fence;
+    };
+    const auto isTooLow = std::any_of(this->grants.begin(), this->grants.end(), isAbove)
+                          || std::any_of(this->releases.begin(), this->releases.end(), isAbove);
     MessageHead head;
     head.status = isTooLow ? 409 : 200;
     if (!isTooLow) {
@@ -115,6 +116,10 @@
     const auto body = json::parse(request.body);
     const auto first = body.at("from").get<int>();
     const auto last = body.at("target").get<int>();
+    if (this->settings.doReleasesRaiseFences) {
+        this->releases.push_back(
+            KeyGrant{first, last, body.at("fence").get<std::uint64_t>(), Instant{}});
+    }
     std::vector<KeyGrant> kept;
     for (const auto &grant : this->grants) {
         auto lower = grant;
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -52,6 +52,8 @@
         int slots = 3;
         Duration serviceTime = std::chrono::milliseconds{20};
         std::int64_t incarnation = 1;
+        /// After a release, grants of its keys with lower fences are refused.
+        bool doReleasesRaiseFences = true;
     };
 
     /// @param now the time of the test
@@ -96,6 +98,8 @@
     std::vector<KeyedRun> &runs;
     KeyedUpstreamMode mode = KeyedUpstreamMode::Normal;
     std::vector<KeyGrant> grants;
+    /// The fences of releases; they hold no keys.
+    std::vector<KeyGrant> releases;
     std::list<Running> running;
     int peakRunning = 0;
     FrontListener listener;
