Send no further requests to likely owners that turned their key away

Cause: while a range is outdated, requests go to its likely owner. Where the key has moved since the copy, it turns each of them away (421), and each costs an attempt, until the owner is known; with an upstream that doesn't answer the release round, that is up to 10 s.

Change: OwnedRange says that an owner is only likely. After a report of WrongOwner, the broker takes the key for one without an owner until the range has a certain one: its requests wait where the release round is expected to end soon, and are refused at once, with the time that is left, where an upstream is silent. Ruled out: to conclude from a key to its neighbours, as a range may have moved in parts.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -88,6 +88,10 @@
 auto SlotBroker::setOwners(std::vector<OwnedRange> ranges, Instant now) -> void
 {
     this->ownedRanges = std::move(ranges);
+    std::erase_if(this->turnedAwayKeys, [&](KeyPosition key) {
+        const auto *range = this->rangeOf(key);
+        return range == nullptr || !range->isLikely;
+    });
     this->fillQueues();
     this->grantFreeSlots(now);
 }
@@ -156,6 +160,9 @@
         this->learn(report, found->second, now);
     }
     this->release(permit->second, now);
+    if (report.end == AttemptEnd::WrongOwner) {
+        this->onTurnedAway(permit->second);
+    }
     this->permits.erase(permit);
     if (found != this->upstreams.end()) {
         this->grantFreeSlotsOf(found->second, now);
@@ -346,6 +353,7 @@
                                       scaled(forecast.latency, this->settings.repeatLatencyFactor));
     this->permits[waiting.request.id] = Permit{waiting.request.request,
                                                upstream.entry.id,
+                                               waiting.request.key,
                                                waiting.deadline + this->settings.permitGrace,
                                                verdict,
                                                RequestFingerprint{waiting.request.fingerprint},
@@ -416,7 +424,7 @@
 auto SlotBroker::ownerOf(const PermitRequest &request) -> Upstream *
 {
     const auto *owned = this->isKeyed(request) ? this->rangeOf(*request.key) : nullptr;
-    if (owned == nullptr || !owned->owner) {
+    if (owned == nullptr || !this->hasOwner(*owned, *request.key)) {
         return nullptr;
     }
     const auto found = this->upstreams.find(*owned->owner);
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -207,7 +207,7 @@
         return false;
     }
     const auto *owned = this->rangeOf(*waiting.request.key);
-    return owned != nullptr && !owned->owner
+    return owned != nullptr && !this->hasOwner(*owned, *waiting.request.key)
            && std::max(now, owned->readyAt) + this->meanLatency > waiting.deadline;
 }
 
--- a/src/dispatch/internal/slotbrokerqueues.cpp
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -48,6 +48,21 @@
     return owner != nullptr ? owner->waiting : this->ownerlessQueue;
 }
 
+auto SlotBroker::hasOwner(const OwnedRange &range, KeyPosition key) const -> bool
+{
+    return range.owner && !(range.isLikely && this->turnedAwayKeys.contains(key));
+}
+
+auto SlotBroker::onTurnedAway(const Permit &permit) -> void
+{
+    const auto *range = permit.key ? this->rangeOf(*permit.key) : nullptr;
+    const auto isOfLikelyOwner =
+        range != nullptr && range->isLikely && range->owner == permit.upstream;
+    if (isOfLikelyOwner && this->turnedAwayKeys.insert(*permit.key).second) {
+        this->fillQueues();
+    }
+}
+
 auto SlotBroker::removeWaiting(const PermitId &id) -> void
 {
     const auto found = this->backlog.find(id);
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -60,8 +61,11 @@
 {
     KeyRange keys;
     std::optional<UpstreamId> owner;
-    /// Without an owner: when the range is expected to get one.
+    /// Without an owner: when the range is expected to get one. With one that is only likely: when
+    /// the keys that it turns away are expected to get one.
     Instant readyAt{};
+    /// The owner isn't known for certain: it may turn requests away.
+    bool isLikely = false;
     auto operator==(const OwnedRange &) const -> bool = default;
 };
 
@@ -193,6 +197,7 @@
         /// The caller's id of the request, for logs.
         RequestId request;
         UpstreamId upstream;
+        std::optional<KeyPosition> key;
         Instant expiresAt;
         PermitVerdict verdict;
         RequestFingerprint fingerprint;
@@ -248,6 +253,10 @@
     [[nodiscard]] auto isKeyed(const PermitRequest &request) const -> bool;
     [[nodiscard]] auto rangeOf(KeyPosition key) const -> const OwnedRange *;
     [[nodiscard]] auto ownerOf(const PermitRequest &request) -> Upstream *;
+    /// @returns whether the range has an owner, and it hasn't turned this key away
+    [[nodiscard]] auto hasOwner(const OwnedRange &range, KeyPosition key) const -> bool;
+    /// Takes in that an upstream has turned a request away, as it doesn't own the key.
+    auto onTurnedAway(const Permit &permit) -> void;
     [[nodiscard]] auto pickUpstream(const WaitingRequest &waiting, Instant now) -> Upstream *;
     /// @returns whether the upstream can take a request now
     [[nodiscard]] auto hasRoom(const Upstream &upstream, Instant now) const -> bool;
@@ -291,6 +300,8 @@
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
     std::vector<OwnedRange> ownedRanges;
+    /// Keys that their likely owners have turned away: requests for them aren't sent there again.
+    std::set<KeyPosition> turnedAwayKeys;
     std::unordered_map<PermitId, WaitingRequest, IdHash> backlog;
     /// Waiting requests that any upstream may run.
     WaitingQueue sharedQueue;
--- a/src/keyranges/internal/rangegrantorviews.cpp
+++ b/src/keyranges/internal/rangegrantorviews.cpp
@@ -70,6 +70,12 @@
 auto RangeGrantor::owners(Instant now) const -> std::vector<OwnedRange>
 {
     std::vector<OwnedRange> ownedRanges;
+    // Upstreams that answer release their keys within the time of a request.
+    const auto isReleaseExpected =
+        this->releaseRoundTerm == this->term && !this->releaseRound.isAnySilent();
+    const auto outdatedReadyAt = [&](const RangeState &state) {
+        return isReleaseExpected ? Instant{} : state.latestHoldEnd;
+    };
     for (const auto &state : this->rangeStates) {
         OwnedRange owned{state.range, std::nullopt, Instant{}};
         const auto isConfirmed = state.phase == Phase::Held && now < state.confirmedUntil;
@@ -78,13 +84,18 @@
         const auto isLikely = state.phase == Phase::Outdated && state.holder.has_value();
         if ((isConfirmed || isLikely) && this->isUsable(*state.holder)) {
             owned.owner = state.holder->id;
-        } else if (state.phase == Phase::Expiring || state.phase == Phase::Outdated) {
+            owned.isLikely = isLikely;
+            owned.readyAt = isLikely ? outdatedReadyAt(state) : Instant{};
+        } else if (state.phase == Phase::Outdated) {
+            owned.readyAt = outdatedReadyAt(state);
+        } else if (state.phase == Phase::Expiring) {
             owned.readyAt = state.latestHoldEnd;
         } else if (now >= this->authorityEnd) {
             owned.readyAt = this->authorityEnd + assumedOutage;
         }
         const auto isContinuation = !ownedRanges.empty() && ownedRanges.back().owner == owned.owner
                                     && ownedRanges.back().readyAt == owned.readyAt
+                                    && ownedRanges.back().isLikely == owned.isLikely
                                     && ownedRanges.back().keys.last + 1 == owned.keys.first;
         if (isContinuation) {
             ownedRanges.back().keys.last = owned.keys.last;
--- a/src/keyranges/internal/releaseround.cpp
+++ b/src/keyranges/internal/releaseround.cpp
@@ -136,6 +136,13 @@
     return joined(std::move(result));
 }
 
+auto ReleaseRound::isAnySilent() const -> bool
+{
+    return std::any_of(this->upstreams.begin(), this->upstreams.end(), [](const Upstream &each) {
+        return each.failures > 0 && !each.missing.empty();
+    });
+}
+
 auto ReleaseRound::silentUpstreams() const -> std::vector<UpstreamId>
 {
     std::vector<UpstreamId> result;
--- a/src/keyranges/releaseround.h
+++ b/src/keyranges/releaseround.h
@@ -55,6 +55,7 @@
     /// @returns the ranges that another upstream than their likely owner may hold, sorted and
     /// without overlaps
     [[nodiscard]] auto unreleased() const -> std::vector<KeyRange>;
+    [[nodiscard]] auto isAnySilent() const -> bool;
     /// @returns the upstreams that left their last order unanswered
     [[nodiscard]] auto silentUpstreams() const -> std::vector<UpstreamId>;
     [[nodiscard]] auto upstreamCount() const -> std::size_t { return this->upstreams.size(); }
