Serve moving keys after a takeover once they are released

Cause: a grantor that takes over while keys are moving waits until the longest hold (10 s) has run out although the earlier owners have released them, as a late grant of the grantor before might come after the release. These are mostly busy keys.

Change: where releases raise fences, an earlier owner is done with when it has answered: the release bears a fence of the new term, so late grants are refused. Elsewhere the wait stays.

Test: "serves moving keys after a takeover as soon as they are released" failed before (no second order, 0 == 1).

--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -150,6 +150,10 @@
     using Kind = RangeOrderEnd::Kind;
     const auto hasReleased = end.kind == Kind::Accepted || end.kind == Kind::OtherUpstream;
     if (state.phase == Phase::ReleasingEarlier) {
+        if (hasReleased && this->settings.doReleasesRaiseFences) {
+            state.earlierOwners.erase(state.earlierOwners.begin());
+            return;
+        }
         // Grants of the earlier grantor may still be carried out, also prolonged ones, so the
         // release doesn't shorten the wait for `latestHoldEnd`.
         state.isReleased = state.isReleased || hasReleased;
--- a/src/keyranges/tests/keyranges_tests.cpp
+++ b/src/keyranges/tests/keyranges_tests.cpp
@@ -171,6 +171,60 @@
     }
 }
 
+SCENARIO("RangeGrantor serves moving keys after a takeover as soon as they are released, where "
+         "releases raise fences",
+         "[keyranges]")
+{
+    GIVEN("a takeover while keys move from two upstreams, one after the other, to a third")
+    {
+        RangeGrantorSettings settings;
+        settings.doReleasesRaiseFences = true;
+        Instant now{seconds{100}};
+        std::vector<UpstreamEntry> entries(3);
+        std::vector<RangeHolder> holders;
+        for (std::size_t index = 0; index < entries.size(); ++index) {
+            entries[index].id = UpstreamId{std::string(1, static_cast<char>('a' + index))};
+            holders.push_back(RangeHolder{entries[index].id, {}, {}});
+        }
+        RangeRecord record;
+        record.rows = {RangeRow{KeyRange{0, 65535}, holders[2], {holders[0], holders[1]}}};
+        RangeGrantor grantor(settings, 2);
+        grantor.setAuthorityEnd(now + seconds{60});
+        grantor.setUpstreams(entries, now);
+        grantor.adopt(record, now);
+        grantor.advance(now);
+        const auto first = grantor.takeOrders();
+        REQUIRE(first.size() == 1);
+        REQUIRE(first[0].upstream == holders[0].id);
+        WHEN("the first has released them, and the second doesn't answer")
+        {
+            grantor.onOrderEnd({first[0].call, RangeOrderEnd::Kind::Accepted, ""}, now);
+            const auto second = grantor.takeOrders();
+            REQUIRE(second.size() == 1);
+            REQUIRE(second[0].upstream == holders[1].id);
+            grantor.onOrderEnd({second[0].call, RangeOrderEnd::Kind::NoAnswer, ""}, now);
+            THEN("it is asked again, and nobody is granted the keys")
+            {
+                now += settings.retryPause;
+                grantor.advance(now);
+                const auto next = grantor.takeOrders();
+                REQUIRE(next.size() == 1);
+                CHECK(next[0].kind == RangeOrder::Kind::Release);
+                AND_THEN("the third is granted them once the second has answered")
+                {
+                    grantor.onOrderEnd({next[0].call, RangeOrderEnd::Kind::Accepted, ""}, now);
+                    grantor.advance(now);
+                    const auto granted = grantor.takeOrders();
+                    REQUIRE(granted.size() == 1);
+                    CHECK(granted[0].kind == RangeOrder::Kind::Grant);
+                    CHECK(granted[0].upstream == holders[2].id);
+                    CHECK(granted[0].fence > next[0].fence);
+                }
+            }
+        }
+    }
+}
+
 SCENARIO("RangeGrantor changes no owner without the store", "[keyranges]")
 {
     RangeSimulation simulation(5, 5, {});
