Let unanswered orders time out in RangeSimulation while they are late

A late order's end was reported only once it was carried out, up to 12 s later, so the grantor waited far longer than OrderClient's timeout and never sent the next order before the late one. Now the end is reported at the timeout, and late orders may be carried out after later ones, which is stricter.

--- a/src/keyranges/tests/rangesimulation.cpp
+++ b/src/keyranges/tests/rangesimulation.cpp
@@ -194,6 +194,11 @@
             delivery.isAnswered = false;
             delivery.executedAt = std::max(delivery.executedAt, thawsAt);
         }
+        if (!delivery.isAnswered) {
+            // Also where the order is carried out only later.
+            this->endOrder(this->moment + orderTimeout,
+                           RangeOrderEnd{order.call, RangeOrderEnd::Kind::NoAnswer, ""});
+        }
         this->deliveries.push_back(delivery);
     }
     this->checkOwners();
@@ -209,17 +214,16 @@
         upstream->isUp && upstream->entry.incarnation == delivery.incarnation;
     end.kind = isSameIncarnation ? this->apply(*upstream, delivery) : RangeOrderEnd::Kind::NotSent;
     end.handover = delivery.order.kind == RangeOrder::Kind::Release ? "warm" : "";
-    if (!isCurrent) {
-        return;
-    }
-    auto endAt = this->moment;
-    if (!delivery.isAnswered) {
-        end.kind = RangeOrderEnd::Kind::NoAnswer;
-        endAt = std::max(this->moment, delivery.arrivedAt + orderTimeout);
+    if (isCurrent && delivery.isAnswered) {
+        this->endOrder(this->moment, end);
     }
+}
+
+auto RangeSimulation::endOrder(Instant endAt, const RangeOrderEnd &end) -> void
+{
     const auto position = std::find_if(this->orderEnds.begin(), this->orderEnds.end(),
                                        [&](const auto &each) { return each.at > endAt; });
-    this->orderEnds.insert(position, OrderEnd{endAt, delivery.grantorTerm, end});
+    this->orderEnds.insert(position, OrderEnd{endAt, this->term, end});
 }
 
 auto RangeSimulation::apply(Upstream &upstream, const Delivery &delivery) -> RangeOrderEnd::Kind
--- a/src/keyranges/tests/rangesimulation.h
+++ b/src/keyranges/tests/rangesimulation.h
@@ -114,6 +114,8 @@
     auto step() -> void;
     auto startGrantor() -> void;
     auto deliver(const Delivery &delivery) -> void;
+    /// Lets an order of the present grantor end at a time.
+    auto endOrder(Instant endAt, const RangeOrderEnd &end) -> void;
     [[nodiscard]] auto apply(Upstream &upstream, const Delivery &delivery) -> RangeOrderEnd::Kind;
     auto writeRecord() -> void;
     auto checkOwners() -> void;
