--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -28,6 +28,8 @@
     /// Takes in that a grantor of the service was elected in this era.
     auto onEraSettled(const ServiceName &service, std::uint64_t era) -> void;
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    /// @param listedAt a time at which no upstream of the store was missing from onUpstreams()
+    auto onUpstreamsListed(Instant listedAt) -> void;
     /// Passes a message to its service's role; a permit request for a service without one is
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
@@ -46,6 +48,9 @@
     /// @returns the statements since the last call by which upstreams leave
     [[nodiscard]] auto takeLeaving() -> std::vector<UpstreamStatement>;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
+    /// @returns the time after which a grantor needs a list of all upstreams; nothing where it has
+    /// one, or needs none
+    [[nodiscard]] auto listingDue() const -> std::optional<Instant>;
     /// @returns sharded services that this daemon doesn't grant
     [[nodiscard]] auto shardedNotServed() const -> std::vector<ServiceName>;
     /// @returns how many services this daemon grants
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -30,7 +30,8 @@
     return result;
 }
 
-auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation) -> GrantorRoleSettings
+auto roleSettings(const EdgeSettings &settings, std::uint64_t incarnation,
+                  bool doReleasesRaiseFences) -> GrantorRoleSettings
 {
     GrantorRoleSettings result;
     result.daemon = settings.id;
@@ -42,6 +43,7 @@
     result.retries.extra = settings.retryExtra;
     result.retries.window = settings.retryWindow;
     result.ranges.longestHoldTime = settings.longestHold;
+    result.ranges.doReleasesRaiseFences = doReleasesRaiseFences;
     return result;
 }
 
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -43,8 +43,10 @@
         this->log(LogLevel::Warning, line);
         this->ranges->setGrantsProlonged(isFailing);
     }
+    this->ranges->setAreAllUpstreamsListed(this->upstreamsListedAt >= this->upstreamsCompleteAt());
     this->ranges->advance(moment);
     this->logMissingFence();
+    this->logReleaseRound();
     if (this->isLeading()) {
         this->plan(moment);
         this->writeRecord();
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -25,6 +25,7 @@
 RangeGrantor::RangeGrantor(RangeGrantorSettings settings, std::uint64_t term)
     : settings(settings)
     , term(term)
+    , releaseRound(settings.releaseRound)
 {
     this->rangeStates.emplace_back().range = KeyRange{0, lastKey};
 }
@@ -80,6 +81,7 @@
 {
     auto *state = this->stateOf(end.call);
     if (state == nullptr) {
+        this->releaseRound.onOrderEnd(end, now);
         return;
     }
     state->call = CallId{};
@@ -152,6 +154,10 @@
     using Kind = RangeOrderEnd::Kind;
     const auto hasReleased = end.kind == Kind::Accepted || end.kind == Kind::OtherUpstream;
     if (state.phase == Phase::ReleasingEarlier) {
+        if (hasReleased && this->settings.doReleasesRaiseFences) {
+            state.earlierOwners.erase(state.earlierOwners.begin());
+            return;
+        }
         // Grants of the earlier grantor may still be carried out, also prolonged ones, so the
         // release doesn't shorten the wait for `latestHoldEnd`.
         state.isReleased = state.isReleased || hasReleased;
@@ -205,6 +211,7 @@
     if (isAnyDue) {
         this->coalesce();
     }
+    this->advanceReleaseRound(now);
     for (auto &state : this->rangeStates) {
         this->advanceRange(state, now);
     }
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -53,6 +53,8 @@
         int slots = 3;
         Duration serviceTime = std::chrono::milliseconds{20};
         std::int64_t incarnation = 1;
+        /// After a release, grants of its keys with lower fences are refused.
+        bool doReleasesRaiseFences = true;
     };
 
     /// @param now the time of the test
@@ -103,6 +105,8 @@
     KeyedUpstreamMode mode = KeyedUpstreamMode::Normal;
     std::vector<HttpHeader> extraHeaders;
     std::vector<KeyGrant> grants;
+    /// The fences of releases; they hold no keys.
+    std::vector<KeyGrant> releases;
     std::list<Running> running;
     int peakRunning = 0;
     FrontListener listener;
