Look up each holder's entry once per advance

followRestart() takes in all that a later incarnation tells, so the phases needn't look the entry up again.

--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -222,9 +222,7 @@
         return;
     case Phase::Granting:
         // The first grant was not accepted: the same upstream is tried again, with a higher fence.
-        if (this->hasEnded(*state.holder)) {
-            this->markUnowned(state, now);
-        } else if (state.failures >= failuresUntilLost || !this->isUsable(*state.holder)) {
+        if (state.failures >= failuresUntilLost || !this->isUsable(*state.holder)) {
             state.phase = Phase::Expiring;
             state.target.reset();
         } else if (now >= state.nextOrderAt) {
@@ -232,17 +230,13 @@
         }
         return;
     case Phase::Held:
-        if (this->hasEnded(*state.holder)) {
-            this->endHold(state, now);
-            return;
-        }
         if (state.target && !state.needsNewFence && !state.isUnconfirmedInTerm
             && state.confirmedUntil != Instant{}) {
             this->startMove(state, now);
             return;
         }
-        if ((state.failures >= failuresUntilLost || this->isContradicted(*state.holder))
-            && now >= state.confirmedUntil) {
+        if (now >= state.confirmedUntil
+            && (state.failures >= failuresUntilLost || this->isContradicted(*state.holder))) {
             if (this->isOwnerUncertain(state)) {
                 this->endHold(state, now);
                 return;
@@ -257,7 +251,7 @@
         }
         return;
     case Phase::Expiring:
-        if (now >= state.latestHoldEnd || this->hasEnded(*state.holder)) {
+        if (now >= state.latestHoldEnd) {
             this->markUnowned(state, now);
         }
         return;
@@ -279,12 +273,11 @@
     const auto mayHold = state.phase == Phase::Granting || state.phase == Phase::Held
                          || state.phase == Phase::Expiring;
     const auto *entry = mayHold ? this->entryOf(state.holder->id) : nullptr;
-    if (entry == nullptr || !isLater(entry->incarnation, state.holder->incarnation)
-        || entry->address != state.holder->address) {
+    if (entry == nullptr || !isLater(entry->incarnation, state.holder->incarnation)) {
         return;
     }
-    if (this->isOwnerUncertain(state)) {
-        // Started anew, the holder doesn't refuse the present fence where others have moved keys.
+    // Started anew, the holder doesn't refuse the present fence where others have moved keys.
+    if (entry->address != state.holder->address || this->isOwnerUncertain(state)) {
         this->endHold(state, now);
         return;
     }
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -178,8 +178,8 @@
     auto renew(RangeState &state, Duration holdTime, Instant now) -> void;
     auto advanceRange(RangeState &state, Instant now) -> void;
     auto grantToTarget(RangeState &state, Instant now) -> void;
-    /// Keeps a range with its holder that has restarted at the same address, where it may have
-    /// taken grants meant for its earlier incarnation.
+    /// Takes in that the holder has restarted. At the same address it keeps the range, as it may
+    /// have taken grants meant for its earlier incarnation.
     auto followRestart(RangeState &state, Instant now) -> void;
     auto releaseEarlierOwners(RangeState &state, Instant now) -> void;
     auto onGrantEnd(RangeState &state, const RangeOrderEnd &end, Instant now) -> void;
