--- a/src/soak/faultproxy.h
+++ b/src/soak/faultproxy.h
@@ -23,7 +23,15 @@
         OneWay,
         /// No bytes are delivered and connections stay open; they are reset when the mode ends.
         Silent,
+        /// What the target sends is delivered twice, the second time behind the next request.
+        Twice,
+        /// Only the first part of what the target sends is delivered, then the connection ends.
+        CutOff,
+        /// What the target sends is followed by more bytes than any answer has.
+        Endless,
     };
+    static constexpr std::size_t linkModes = 4;
+    static constexpr std::size_t allModes = 7;
 
     FaultProxy(event_base *base, Address target);
     ~FaultProxy() = default;
@@ -41,6 +49,8 @@
         std::unique_ptr<SocketStream> acceptedStream;
         std::unique_ptr<SocketStream> targetStream;
         bool isEnded = false;
+        /// Mode Twice: what the target sent last.
+        std::string copy;
     };
     struct DelayedBytes
     {
@@ -52,6 +62,8 @@
 
     auto accept(int descriptor) -> void;
     auto forward(const std::shared_ptr<Pair> &pair, bool isTowardsTarget) -> void;
+    /// Passes on what the target sends, as the modes Twice, CutOff and Endless say.
+    auto corrupt(const std::shared_ptr<Pair> &pair, const std::string &bytes) -> void;
     auto end(const std::shared_ptr<Pair> &pair) -> void;
     auto sendDelayed() -> void;
 
--- a/src/soak/internal/faultproxy.cpp
+++ b/src/soak/internal/faultproxy.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration delay = std::chrono::milliseconds{120};
+/// Part of an answer that is delivered in mode CutOff; ends within most heads.
+constexpr std::size_t cutOffBytes = 40;
+constexpr std::size_t endlessBytes = std::size_t{20} * 1024 * 1024;
 
 } // namespace
 
@@ -84,13 +87,37 @@
     auto &to = isTowardsTarget ? *pair->targetStream : *pair->acceptedStream;
     std::string bytes(from.input());
     from.consume(bytes.size());
-    if (this->mode == Mode::Delay || !this->delayed.empty()) {
+    const auto isCorrupted =
+        this->mode == Mode::Twice || this->mode == Mode::CutOff || this->mode == Mode::Endless;
+    if (isCorrupted && !isTowardsTarget) {
+        this->corrupt(pair, bytes);
+        return;
+    }
+    if (this->mode == Mode::Delay || (!isCorrupted && !this->delayed.empty())) {
         this->delayed.push_back(
             DelayedBytes{monotonicNow() + delay, pair, isTowardsTarget, std::move(bytes)});
         this->timer.set(this->delayed.front().at);
         return;
     }
     to.write(bytes);
+    if (isTowardsTarget && this->mode == Mode::Twice) {
+        pair->acceptedStream->write(std::exchange(pair->copy, {}));
+    }
+}
+
+auto FaultProxy::corrupt(const std::shared_ptr<Pair> &pair, const std::string &bytes) -> void
+{
+    if (this->mode == Mode::CutOff) {
+        pair->acceptedStream->write(bytes.substr(0, cutOffBytes));
+        this->end(pair);
+        return;
+    }
+    pair->acceptedStream->write(bytes);
+    if (this->mode == Mode::Endless) {
+        pair->acceptedStream->write(std::string(endlessBytes, 'x'));
+        return;
+    }
+    pair->copy = bytes;
 }
 
 auto FaultProxy::end(const std::shared_ptr<Pair> &pair) -> void
--- a/src/soak/internal/soakcell.cpp
+++ b/src/soak/internal/soakcell.cpp
@@ -23,6 +23,10 @@
 constexpr int consecutiveServedForRecovery = 40;
 constexpr std::size_t daemonFaultKinds = 4;
 constexpr std::size_t faultKinds = 10;
+/// Requests that end earlier than this didn't end by their deadline of one second.
+constexpr Duration shortestDeadline = milliseconds{900};
+/// In runs with planned stops only, some requests are long.
+constexpr Duration longServiceTime = milliseconds{250};
 
 } // namespace
 
@@ -42,7 +46,8 @@
         upstream.isSharded = index < shardedUpstreamCount;
         upstream.service = upstream.isSharded ? "keyed" : "plain";
         upstream.listen = freeAddress();
-        upstream.serviceTime = milliseconds{15};
+        const auto isSlow = this->settings.hasOnlyStops && index % 2 == 1;
+        upstream.serviceTime = isSlow ? longServiceTime : Duration{milliseconds{15}};
         this->upstreamProxies.push_back(
             std::make_unique<FaultProxy>(this->loop.base(), upstream.listen));
         upstream.advertisedAddress = this->upstreamProxies.back()->address();
@@ -139,9 +144,14 @@
 
 auto SoakCell::injectFault() -> void
 {
-    const auto kind = this->pick(faultKinds);
-    auto &proxy = *this->upstreamProxies[this->pick(this->upstreamProxies.size())];
-    const auto mode = static_cast<FaultProxy::Mode>(this->pick(4));
+    const auto kind = this->settings.hasOnlyStops ? daemonFaultKinds - 1 : this->pick(faultKinds);
+    const auto upstream = this->pick(this->upstreamProxies.size());
+    auto &proxy = *this->upstreamProxies[upstream];
+    const auto mode = static_cast<FaultProxy::Mode>(this->pick(FaultProxy::linkModes));
+    if (kind >= daemonFaultKinds && this->settings.hasAnswerFaults && this->pick(2) == 0) {
+        this->injectAnswerFault(upstream);
+        return;
+    }
     if (kind < daemonFaultKinds) {
         this->injectDaemonFault(static_cast<int>(kind));
         return;
@@ -170,6 +180,19 @@
     }
 }
 
+auto SoakCell::injectAnswerFault(std::size_t upstream) -> void
+{
+    const auto mode = static_cast<FaultProxy::Mode>(
+        FaultProxy::linkModes + this->pick(FaultProxy::allModes - FaultProxy::linkModes));
+    this->report.faults.push_back("answer fault " + std::to_string(static_cast<int>(mode)));
+    for (std::size_t index = 0; index < this->upstreams.size(); ++index) {
+        if (mode == FaultProxy::Mode::Twice || index == upstream) {
+            this->upstreamProxies[index]->setMode(mode);
+            this->upstreams[index]->setMode(KeyedUpstreamMode::OftenFull);
+        }
+    }
+}
+
 auto SoakCell::injectDaemonFault(int kind) -> void
 {
     auto &daemon = *this->daemons[this->pick(this->daemons.size())];
@@ -199,6 +222,9 @@
     for (const auto &proxy : this->upstreamProxies) {
         proxy->setMode(FaultProxy::Mode::Pass);
     }
+    for (const auto &upstream : this->upstreams) {
+        upstream->setMode(KeyedUpstreamMode::Normal);
+    }
     for (const auto &daemon : this->daemons) {
         daemon->signal(SIGCONT);
     }
@@ -226,6 +252,7 @@
     const auto id = "s" + std::to_string(this->nextRequest++);
     const auto isKeyed = this->pick(2) == 0;
     SentRequest entry;
+    entry.sentAt = monotonicNow();
     entry.isIdempotent = isKeyed;
     entry.path = std::string(isKeyed ? "/keyed/" : "/plain/") + id;
     MessageHead head;
@@ -263,6 +290,7 @@
         entry.isRefused = true;
     } else {
         ++this->report.unknown;
+        entry.isCut = monotonicNow() - entry.sentAt < shortestDeadline;
     }
 }
 
@@ -290,6 +318,9 @@
             this->addViolation(id + " is not idempotent and ran " + std::to_string(runCount)
                                + " times");
         }
+        if (this->settings.hasOnlyStops && entry.isCut && runCount > 0) {
+            this->addViolation(id + " ran and was cut off by a planned stop");
+        }
         if (!entry.isIdempotent && entry.isRefused && runCount > 0) {
             this->addViolation(id + " was refused as not run, but ran");
         }
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -38,6 +38,8 @@
     settings.program = values["program"].as<std::string>();
     settings.seed = seed;
     settings.daemons = values["daemons"].as<int>();
+    settings.hasAnswerFaults = values.count("answer-faults") > 0;
+    settings.hasOnlyStops = values.count("only-stops") > 0;
     settings.faultTime = std::chrono::seconds{values["seconds"].as<int>()};
     settings.folder = std::filesystem::path(values["folder"].as<std::string>())
                       / ("seed-" + std::to_string(seed));
@@ -71,6 +73,8 @@
         "file with a seed at the start of each line; replaces the numbered seeds");
     add("seconds", options::value<int>()->default_value(10),
         "duration of fault injection in seconds");
+    add("answer-faults", "upstreams also write answers twice, cut off or without end");
+    add("only-stops", "inject planned stops only, and check that they cut off no request");
     add("daemons", options::value<int>()->default_value(3), "number of daemons");
     options::variables_map values;
     try {
--- a/src/soak/soakcell.h
+++ b/src/soak/soakcell.h
@@ -28,6 +28,10 @@
     /// Three times the design's bound of 5 s until a key is served again, as faults come in series.
     Duration recoveryTime = std::chrono::seconds{15};
     double requestsPerSecond = 80;
+    /// Upstreams also write answers twice, cut them off, or send bytes without end.
+    bool hasAnswerFaults = false;
+    /// The only faults are planned stops, after which each request that ran must have its answer.
+    bool hasOnlyStops = false;
 };
 
 /// Results of a run. It has passed if there are no violations.
@@ -57,6 +61,9 @@
         std::string path;
         bool isIdempotent = false;
         bool isRefused = false;
+        Instant sentAt{};
+        /// It ended without the upstream's answer, before its deadline.
+        bool isCut = false;
     };
 
     auto runFor(Duration time) -> void;
@@ -65,6 +72,8 @@
     auto putConfiguration(int version) -> void;
     auto injectFault() -> void;
     auto injectDaemonFault(int kind) -> void;
+    /// Makes an upstream send faulty answers, or all of them where the answers come twice.
+    auto injectAnswerFault(std::size_t upstream) -> void;
     auto clearFaults() -> void;
     auto onTick() -> void;
     auto sendRequest() -> void;
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -78,7 +78,8 @@
         this->onGrant(exchange, request);
     } else if (request.head.target == "/release") {
         this->onRelease(exchange, request);
-    } else if (this->mode == KeyedUpstreamMode::Full) {
+    } else if (this->mode == KeyedUpstreamMode::Full
+               || (this->mode == KeyedUpstreamMode::OftenFull && ++this->requestCount % 3 == 0)) {
         this->reject(exchange, 503);
     } else {
         this->runRequest(exchange, request);
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -20,6 +20,8 @@
     Full,
     /// Runs requests and answers them with 500.
     Failing,
+    /// Rejects every third request with 503 and doesn't run it.
+    OftenFull,
 };
 
 /// A run of one request by a KeyedUpstreamStub.
@@ -98,6 +100,7 @@
     std::vector<KeyGrant> grants;
     std::list<Running> running;
     int peakRunning = 0;
+    int requestCount = 0;
     FrontListener listener;
     ClockTimer timer;
 };
