First daemon: end all requests before a planned stop ends

Cause: in a planned stop the router went on taking and forwarding requests, and when shutdown_timeout_ms was over those that were open were cut without an answer.

Change: the router learns when the last answers go out (0.3 s before the timeout). A request whose deadline is later is refused at once, and one that is open then ends as unknown. RequestRouter::beginShutdown() existed, but nothing called it.

--- a/src/daemon/internal/coretask.cpp
+++ b/src/daemon/internal/coretask.cpp
@@ -16,6 +16,9 @@
 /// answer tells them to connect to another daemon.
 constexpr Duration connectionLinger = std::chrono::milliseconds{1000};
 
+/// Open requests are answered this long before the shutdown timeout.
+constexpr Duration lastAnswerTime = std::chrono::milliseconds{300};
+
 auto waitForMessages(int descriptor, Duration timeout) -> void
 {
     pollfd entry{descriptor, POLLIN, 0};
@@ -103,7 +106,8 @@
     }
     this->shutdownSince = now;
     this->ports.logger.write(LogLevel::Info, LogLine("shutdown_began").text());
-    this->node.beginShutdown(now);
+    this->node.beginShutdown(now, now + this->shutdownTimeout
+                                      - std::min(lastAnswerTime, this->shutdownTimeout / 4));
     this->reportReadiness();
     this->ports.callers.post(StopAccepting{});
 }
--- a/src/faultmatrix/internal/worldfaults.cpp
+++ b/src/faultmatrix/internal/worldfaults.cpp
@@ -12,6 +12,8 @@
 constexpr Duration reorderDelay = std::chrono::milliseconds{20};
 constexpr Duration slowStoreDelay = std::chrono::seconds{1};
 constexpr Duration upstreamRestartTime = std::chrono::milliseconds{300};
+/// As the daemon's default.
+constexpr Duration shutdownTimeout = std::chrono::seconds{20};
 
 } // namespace
 
@@ -54,7 +56,7 @@
         return;
     }
     vm.isStopping = true;
-    vm.node->beginShutdown(this->processTime(vm));
+    vm.node->beginShutdown(this->processTime(vm), this->processTime(vm) + shutdownTimeout);
     this->flush(index);
 }
 
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -70,12 +70,14 @@
     this->deliverToSelf(now);
 }
 
-auto Node::beginShutdown(Instant now) -> void
+auto Node::beginShutdown(Instant now, Instant lastEnd) -> void
 {
     if (std::exchange(this->shuttingDown, true)) {
         return;
     }
-    // The router stays active: requests on connections that are still open must not be refused.
+    // The router stays active: requests on connections that are still open must not be refused
+    // where they end before this daemon does.
+    this->router.beginShutdown(lastEnd);
     this->dispatcher.beginShutdown(now, this->out);
     this->coordinator.resign(now, this->out);
     this->leaveAt = now + maxWaitForRuns;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,8 +45,9 @@
     auto tick(Instant now, UnixMillis wallClock) -> void;
 
     /// Begins a graceful shutdown: the daemon stops being ready, hands over its roles and leaves
-    /// the cell. Requests that still arrive are routed.
-    auto beginShutdown(Instant now) -> void;
+    /// the cell. Requests that still arrive are routed where they end before `lastEnd`.
+    /// @param lastEnd when all open requests are answered
+    auto beginShutdown(Instant now, Instant lastEnd) -> void;
     /// @returns whether a graceful shutdown was begun and is complete
     [[nodiscard]] auto isDrained(Instant now) const -> bool;
     /// @returns whether the daemon can route requests
--- a/src/requests/internal/requestrouter.cpp
+++ b/src/requests/internal/requestrouter.cpp
@@ -69,9 +69,9 @@
     this->core->tick(now, out);
 }
 
-auto RequestRouter::beginShutdown() -> void
+auto RequestRouter::beginShutdown(Instant lastEnd) -> void
 {
-    this->core->beginShutdown();
+    this->core->beginShutdown(lastEnd);
 }
 
 auto RequestRouter::isIdle() const -> bool
--- a/src/requests/internal/routercore.cpp
+++ b/src/requests/internal/routercore.cpp
@@ -64,7 +64,7 @@
 
 auto RouterCore::refusalReason(Instant now, const Request &request) const -> Reason
 {
-    if (this->shuttingDown) {
+    if (this->lastDeadline && request.deadline > *this->lastDeadline) {
         return Reason::ShuttingDown;
     }
     // Until the operators' document has arrived, an unlisted service can't be called unknown.
@@ -265,6 +265,17 @@
     }
 }
 
+auto RouterCore::beginShutdown(Instant lastEnd) -> void
+{
+    this->lastDeadline = lastEnd - this->settings.endMargin;
+    for (auto &[id, exchange] : this->exchanges) {
+        if (exchange.request.deadline > *this->lastDeadline) {
+            exchange.request.deadline = *this->lastDeadline;
+            this->setTimer(exchange, std::min(exchange.timerAt, *this->lastDeadline));
+        }
+    }
+}
+
 auto RouterCore::onTimer(Instant now, Exchange &exchange, Outbox &out) -> void
 {
     const auto deadline = exchange.request.deadline;
--- a/src/requests/internal/routercore.h
+++ b/src/requests/internal/routercore.h
@@ -46,7 +46,7 @@
     auto onForwardEnd(Instant now, const DaemonId &from, const ForwardEnd &message, Outbox &out)
         -> void;
     auto tick(Instant now, Outbox &out) -> void;
-    auto beginShutdown() -> void { this->shuttingDown = true; }
+    auto beginShutdown(Instant lastEnd) -> void;
     [[nodiscard]] auto isIdle() const -> bool { return this->exchanges.empty(); }
 
 private:
@@ -96,7 +96,8 @@
     std::map<ShardId, TransferQueue> transferQueues;
     std::set<std::pair<Instant, ExchangeId>> timers;
     std::uint64_t lastOrder = 0;
-    bool shuttingDown = false;
+    /// Once a shutdown has begun: the latest deadline of a request.
+    std::optional<Instant> lastDeadline;
 };
 
 } // namespace gooseberrywall
--- a/src/requests/requestrouter.h
+++ b/src/requests/requestrouter.h
@@ -58,8 +58,8 @@
     /// Ends exchanges whose time is up and retries waiting ones; to be called every 5 to 10 ms.
     auto tick(Instant now, Outbox &out) -> void;
 
-    /// Refuses new requests from now on; open exchanges go on.
-    auto beginShutdown() -> void;
+    /// Refuses new requests that might end later than `lastEnd`, and ends open exchanges by then.
+    auto beginShutdown(Instant lastEnd) -> void;
 
     /// @returns whether no exchange is open
     [[nodiscard]] auto isIdle() const -> bool;
--- a/src/requests/tests/shutdown_tests.cpp
+++ b/src/requests/tests/shutdown_tests.cpp
@@ -39,6 +39,46 @@
 
 } // namespace
 
+SCENARIO("RequestRouter: given a shutdown, no request is open when the daemon ends", "[shutdown]")
+{
+    // Guards against requests that are forwarded during a planned stop and cut off at its end.
+    TestCell cell(1, 3, servicePolicy());
+    UpstreamModelSettings model;
+    model.serviceTime = milliseconds{1500};
+    cell.addUpstream("u0", 0, 1, model);
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
+        cell.assign(shard, "u0");
+    }
+    cell.publish();
+    const auto submit = [&cell](const std::string &id, Duration timeout) {
+        Request request;
+        request.id = {id};
+        request.caller = {"shop"};
+        request.key = {"key " + id};
+        request.operation = "confirm";
+        cell.submit(2, std::move(request), timeout);
+    };
+    cell.at(milliseconds{2000}, [&] { submit("earlier", seconds{4}); });
+    cell.at(milliseconds{2500}, [&] { cell.stopRouter(2, milliseconds{3000}); });
+    cell.at(milliseconds{2600}, [&] { submit("too long", seconds{2}); });
+    cell.at(milliseconds{2600}, [&] { submit("short", milliseconds{200}); });
+    auto wasIdle = false;
+    cell.at(milliseconds{3010}, [&] { wasIdle = cell.isIdle(2); });
+    cell.runUntil(seconds{5});
+
+    CHECK(wasIdle);
+    for (const auto &view : cell.callers()) {
+        CAPTURE(view.request.id.value);
+        REQUIRE(view.ends.size() == 1);
+        CHECK(view.endedAt.time_since_epoch() <= milliseconds{3010});
+        const auto isTooLong = view.request.id.value == "too long";
+        const auto isRefusedAtOnce =
+            view.ends[0].reason == Reason::ShuttingDown && view.endedAt == view.sentAt;
+        CHECK(isRefusedAtOnce == isTooLong);
+        CHECK((view.ends[0].kind == EndKind::Refused) == isTooLong);
+    }
+}
+
 SCENARIO("Dispatcher shuts down without losing a request", "[shutdown]")
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
--- a/src/requests/tests/testcell.cpp
+++ b/src/requests/tests/testcell.cpp
@@ -205,6 +205,12 @@
     this->flush(daemon);
 }
 
+auto TestCell::stopRouter(int daemon, Duration lastEnd) -> void
+{
+    this->daemons.at(static_cast<std::size_t>(daemon))->router.beginShutdown(Instant{lastEnd});
+    this->flush(daemon);
+}
+
 auto TestCell::isIdle(int daemon) const -> bool
 {
     const auto &target = *this->daemons.at(static_cast<std::size_t>(daemon));
--- a/src/requests/tests/testcell.h
+++ b/src/requests/tests/testcell.h
@@ -95,6 +95,8 @@
     auto killDaemon(int daemon) -> void;
     /// Begins the daemon's shutdown; the test makes another daemon grantor.
     auto beginShutdown(int daemon) -> void;
+    /// The daemon's router ends all requests by then.
+    auto stopRouter(int daemon, Duration lastEnd) -> void;
     [[nodiscard]] auto isIdle(int daemon) const -> bool;
     [[nodiscard]] auto isAlive(int daemon) const -> bool;
     auto publishMembership() -> void;
