--- a/src/entry/tests/requestflowfixture.h
+++ b/src/entry/tests/requestflowfixture.h
@@ -17,7 +17,7 @@
 /// A RequestFlow with its collaborators; the test answers in the grantor's place.
 struct RequestFlowFixture
 {
-    Logger logger{"error", 1};
+    Logger logger;
     RequestLog log{logger, 0};
     PermitClient permits{self, 1, PermitClientSettings{}};
     UpstreamStatements statements{UpstreamStatementSettings{}};
@@ -31,6 +31,13 @@
     std::vector<FlowCommand> commands;
 
     explicit RequestFlowFixture(bool hasGrantor = true)
+        : RequestFlowFixture(hasGrantor, "error", 1)
+    {
+    }
+
+    /// @param logDescriptor where log lines are written
+    RequestFlowFixture(bool hasGrantor, const std::string &logLevel, int logDescriptor)
+        : logger(logLevel, 1000, logDescriptor)
     {
         this->direct.setTrusted(true);
         if (hasGrantor) {
--- a/src/entry/tests/requestflowstatements_tests.cpp
+++ b/src/entry/tests/requestflowstatements_tests.cpp
@@ -1,6 +1,8 @@
 #include "entry/tests/requestflowfixture.h"
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
 using namespace gooseberrywall;
 using std::chrono::milliseconds;
@@ -377,3 +379,43 @@
     fixture.end(leavingEnd(ExchangeId{1}));
     CHECK(fixture.statements.leavingCount() == 1);
 }
+
+SCENARIO("RequestFlow logs when an upstream is known to leave or to pause, and when that ends",
+         "[entry]")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(pipe(ends.data()) == 0);
+    {
+        RequestFlowFixture fixture(true, "info", ends[1]);
+        for (const auto exchange : {ExchangeId{100}, ExchangeId{101}, ExchangeId{102}}) {
+            fixture.begin(exchange, std::nullopt, false, 1);
+            fixture.grant("u", first);
+        }
+        fixture.end(leavingEnd(ExchangeId{100}));
+        fixture.end(leavingEnd(ExchangeId{101}));
+        fixture.end(pausingEnd(ExchangeId{102}, seconds{1}));
+        fixture.advance(milliseconds{1500});
+        fixture.begin(ExchangeId{1}, std::nullopt);
+        fixture.grant("u", second);
+        fixture.advance(milliseconds{5});
+        fixture.logger.flush();
+    }
+    close(ends[1]);
+    std::array<char, 4096> bytes{};
+    const auto length = read(ends[0], bytes.data(), bytes.size());
+    close(ends[0]);
+    REQUIRE(length > 0);
+    const std::string text(bytes.data(), static_cast<std::size_t>(length));
+    const auto countOf = [&](const std::string &part) {
+        auto count = 0;
+        for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+            ++count;
+        }
+        return count;
+    };
+    CHECK(countOf("event=upstream_leaving_stated upstream=u life=1000 request=r-100") == 1);
+    CHECK(countOf("event=upstream_leaving_ended upstream=u life=1000 request=r-100") == 1);
+    CHECK(countOf("event=upstream_pause_stated upstream=u life=1000 request=r-102 pause_ms=1000")
+          == 1);
+    CHECK(countOf("event=upstream_pause_ended upstream=u life=1000 request=r-102") == 1);
+}
