Read the record of owners again where the store comes back while it is read

Cause: the answer was checked against the term only, which doesn't change until the place is claimed again. Change: an answer of a later era than that of the question is dropped; the record is read anew, as outdated.

Test: "while the record is read" (edge_tests) fails before: a grant is sent.

--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -74,9 +74,13 @@
 {
     this->isRecordCallPending = true;
     this->call(StoreGet{this->recordKey(), false},
-               [this, askedTerm = this->term](const StoreAnswer &answer) {
+               [this, askedTerm = this->term,
+                askedEra = this->election.storeEra()](const StoreAnswer &answer) {
                    this->isRecordCallPending = false;
-                   if (this->term == askedTerm) {
+                   // What a later era has under the key of this one may be older than what is lost.
+                   const auto isSameEra = this->election.storeEra() == askedEra
+                                          && answer.era.value_or(askedEra) == askedEra;
+                   if (this->term == askedTerm && isSameEra) {
                        this->onRecordRead(answer);
                        this->advance();
                    }
