Keep in mind over several restorations that others may have led

Cause: the second raise of the term overwrote what the first one knew. Change: it counts until each owner was asked.

Test: "gone after the term was raised twice" (keyranges_tests) fails before (110 ms instead of 10 s), passes now.

--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -68,7 +68,11 @@
 {
     this->term = newTerm;
     this->sequence = 0;
-    this->mayOthersHaveLed = mayOthersHaveLed;
+    // What others did before an earlier raise counts until each owner has been asked.
+    const auto isAnyUnconfirmed =
+        std::any_of(this->rangeStates.begin(), this->rangeStates.end(),
+                    [](const RangeState &state) { return state.isUnconfirmedInTerm; });
+    this->mayOthersHaveLed = mayOthersHaveLed || (this->mayOthersHaveLed && isAnyUnconfirmed);
     this->isFirstRecordDue = true;
     const auto required = this->markRecordChanged();
     for (auto &state : this->rangeStates) {
@@ -78,7 +82,7 @@
             continue;
         }
         state.requiredRecordVersion = required;
-        if (mayOthersHaveLed) {
+        if (this->mayOthersHaveLed) {
             // The end of an order that is still open says nothing of other grantors' orders.
             state.call = CallId{};
             this->markOutdated(state, now);
--- a/src/keyranges/tests/raisedterm_tests.cpp
+++ b/src/keyranges/tests/raisedterm_tests.cpp
@@ -19,7 +19,8 @@
     std::vector<UpstreamEntry> entries;
     RangeGrantor grantor{this->settings, 1};
 
-    GrantorBeforeRestoration()
+    explicit GrantorBeforeRestoration(bool doReleasesRaiseFences = false)
+        : settings(settingsOf(doReleasesRaiseFences))
     {
         for (const auto *id : {"a", "b", "c"}) {
             UpstreamEntry entry;
@@ -36,6 +37,13 @@
         this->answer(this->grantor.takeOrders(), RangeOrderEnd::Kind::Accepted);
     }
 
+    static auto settingsOf(bool doReleasesRaiseFences) -> RangeGrantorSettings
+    {
+        RangeGrantorSettings result;
+        result.doReleasesRaiseFences = doReleasesRaiseFences;
+        return result;
+    }
+
     auto storeRecord() -> void
     {
         std::uint64_t version = 0;
@@ -52,9 +60,9 @@
     }
 
     /// Runs until keys of `movedKeys` are granted to an upstream other than `knownOwner`; orders
-    /// before are answered with `answers`.
-    auto grantTime(const std::string &knownOwner, RangeOrderEnd::Kind answers)
-        -> std::optional<Instant>
+    /// before are answered with `answers`, and those to `silentUpstream` not at all.
+    auto grantTime(const std::string &knownOwner, RangeOrderEnd::Kind answers,
+                   const std::string &silentUpstream = "") -> std::optional<Instant>
     {
         const auto end = this->now + seconds{20};
         while (this->now < end) {
@@ -72,7 +80,10 @@
                     return this->now;
                 }
             }
-            this->answer(orders, answers);
+            for (const auto &order : orders) {
+                const auto isSilent = order.upstream == UpstreamId{silentUpstream};
+                this->answer({order}, isSilent ? RangeOrderEnd::Kind::NoAnswer : answers);
+            }
             this->now += milliseconds{10};
         }
         return std::nullopt;
@@ -133,6 +144,26 @@
         before.answer(grants, RangeOrderEnd::Kind::Accepted);
         checkWaits(before.grantTime("", RangeOrderEnd::Kind::Accepted));
     }
+    GIVEN("an unconfirmed owner that is gone after the term was raised twice")
+    {
+        before.now = raisedAt;
+        before.grantor.raiseTerm(2, true, before.now);
+        before.now += milliseconds{100};
+        before.grantor.raiseTerm(3, false, before.now);
+        WHEN("it has restarted at another address")
+        {
+            before.entries[0].incarnation = Incarnation{300};
+            before.entries[0].address = Address{"10.0.0.9:80"};
+            before.grantor.setUpstreams(before.entries, before.now);
+            checkWaits(before.grantTime("a", RangeOrderEnd::Kind::NoAnswer));
+        }
+        WHEN("another upstream answers at its address")
+        {
+            before.entries[0].isDraining = true;
+            before.grantor.setUpstreams(before.entries, before.now);
+            checkWaits(before.grantTime("a", RangeOrderEnd::Kind::OtherUpstream));
+        }
+    }
     GIVEN("an unconfirmed owner that is gone")
     {
         before.now = raisedAt;
