Give each range a fence of the new term where it has none yet

Cause: owners are asked with the fence of their last grant after a raise; an adopted range had none. Change: such a range isn't asked for; it gets a new fence, or counts as outdated where others may have led.

--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -76,9 +76,11 @@
     this->isFirstRecordDue = true;
     const auto required = this->markRecordChanged();
     for (auto &state : this->rangeStates) {
-        state.isUnconfirmedInTerm = state.phase == Phase::Held;
+        // A holder that this grantor hasn't granted the range to can't be asked with its fence.
+        const auto canAskHolder = state.phase == Phase::Held && state.fence != 0;
+        state.isUnconfirmedInTerm = canAskHolder;
         state.nextOrderAt = now;
-        if (state.phase == Phase::Held) {
+        if (canAskHolder) {
             continue;
         }
         state.requiredRecordVersion = required;
--- a/src/keyranges/tests/raisedterm_tests.cpp
+++ b/src/keyranges/tests/raisedterm_tests.cpp
@@ -197,3 +197,35 @@
         }
     }
 }
+
+// Guards against orders whose fence isn't above those of earlier grantors: a range had been adopted
+// and not granted yet when the term was raised.
+SCENARIO("RangeGrantor: given a raised term before its first grant, no order has a lower fence",
+         "[keyranges][restored]")
+{
+    GrantorBeforeRestoration before;
+    const auto mayOthersHaveLed = GENERATE(true, false);
+    const auto &owner = before.entries[0];
+    const RangeHolder holder{owner.id, owner.incarnation, owner.address};
+    RangeGrantor grantor(before.settings, 2);
+    grantor.setUpstreams(before.entries, before.now);
+    grantor.adopt(RangeRecord{{RangeRow{allKeys, holder, {}}}}, before.now);
+    REQUIRE(grantor.takeOrders().empty());
+    before.now += seconds{3};
+    grantor.raiseTerm(3, mayOthersHaveLed, before.now);
+    const auto lowestFence = std::uint64_t{3} << 20U;
+    for (auto step = 0; step < 1500; ++step) {
+        grantor.setAuthorityEnd(before.now + seconds{1});
+        std::uint64_t version = 0;
+        if (grantor.takeRecord(version)) {
+            grantor.onRecordStored(version, before.now);
+        }
+        grantor.advance(before.now);
+        for (const auto &order : grantor.takeOrders()) {
+            CHECK(order.fence > lowestFence);
+            grantor.onOrderEnd({order.call, RangeOrderEnd::Kind::Accepted, ""}, before.now);
+        }
+        before.now += milliseconds{10};
+    }
+    CHECK(grantor.owners(before.now).front().owner == owner.id);
+}
