Have all holders that a grantor knows release their keys, listed or not

One that the store didn't list any more was passed over, and its keys were granted elsewhere after 20 ms to 2.4 s.

Change: a range that becomes outdated adds its holder and its earlier owners to the round.

--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -97,8 +97,28 @@
     return state.isUnconfirmedInTerm && this->mayOthersHaveLed;
 }
 
+auto RangeGrantor::recordHolders(const RangeState &state) -> void
+{
+    auto holders = state.earlierOwners;
+    if (state.holder) {
+        holders.push_back(*state.holder);
+    }
+    for (const auto &holder : holders) {
+        const auto isKnown =
+            std::find(this->recordedHolders.begin(), this->recordedHolders.end(), holder)
+            != this->recordedHolders.end();
+        if (!isKnown) {
+            this->recordedHolders.push_back(holder);
+        }
+        if (this->releaseRoundTerm == this->term) {
+            this->releaseRound.addUpstream(holder);
+        }
+    }
+}
+
 auto RangeGrantor::markOutdated(RangeState &state, Instant now) -> void
 {
+    this->recordHolders(state);
     state.phase = Phase::Outdated;
     state.isUnconfirmedInTerm = false;
     state.isReleased = false;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -210,6 +210,8 @@
     auto endHold(RangeState &state, Instant now) -> void;
     auto markUnowned(RangeState &state, Instant now) -> void;
     auto markOutdated(RangeState &state, Instant now) -> void;
+    /// Keeps the upstreams that may hold the range for the release round.
+    auto recordHolders(const RangeState &state) -> void;
     /// Gives an outdated range to its likely owner, as all earlier grants have run out.
     auto endOutdated(RangeState &state, Instant now) -> void;
     /// Has upstreams release outdated ranges, apart from those that they are likely to own.
--- a/src/keyranges/tests/raisedterm_tests.cpp
+++ b/src/keyranges/tests/raisedterm_tests.cpp
@@ -229,3 +229,26 @@
     }
     CHECK(grantor.owners(before.now).front().owner == owner.id);
 }
+
+// Guards against two owners of a key: a holder that this grantor knew wasn't asked to release it,
+// as the store didn't list it any more.
+SCENARIO("RangeGrantor: given a raised term after others may have led, a holder that isn't listed "
+         "any more has to release its keys, too",
+         "[keyranges][restored]")
+{
+    GrantorBeforeRestoration before(true);
+    const auto raisedAt = before.now + seconds{1};
+    const auto isMoving = GENERATE(true, false);
+    if (isMoving) {
+        before.grantor.move({RangeMove{allKeys, UpstreamId{"b"}}}, before.now);
+        static_cast<void>(before.grantor.takeOrders());
+    }
+    before.entries.erase(before.entries.begin());
+    before.now = raisedAt;
+    before.grantor.setUpstreams(before.entries, before.now);
+    before.grantor.raiseTerm(2, true, before.now);
+    before.grantor.setAreAllUpstreamsListed(true);
+    const auto grantedAt = before.grantTime("a", RangeOrderEnd::Kind::Accepted, "a");
+    REQUIRE(grantedAt.has_value());
+    CHECK(*grantedAt - raisedAt >= before.settings.longestHoldTime);
+}
