--- a/src/keyranges/internal/rangegrantorrelease.cpp
+++ b/src/keyranges/internal/rangegrantorrelease.cpp
@@ -16,6 +16,9 @@
         return;
     }
     if (this->releaseRoundTerm != this->term) {
+        if (!this->hasFence()) {
+            return;
+        }
         this->startReleaseRound();
     }
     for (const auto &[id, entry] : this->upstreams) {
--- a/src/keyranges/tests/fences_tests.cpp
+++ b/src/keyranges/tests/fences_tests.cpp
@@ -80,3 +80,21 @@
     OneUpstream tooHigh(storeRevision(256, 9).value);
     CHECK(tooHigh.highestFence(4) == 0);
 }
+
+// Guards against releases whose fence is negative as a signed integer.
+SCENARIO("RangeGrantor: given a term that doesn't fit into a fence, no release round starts",
+         "[keyranges][fences]")
+{
+    const Instant now{seconds{100}};
+    RangeGrantorSettings settings;
+    settings.doReleasesRaiseFences = true;
+    RangeGrantor grantor(settings, std::uint64_t{1} << 43U);
+    std::vector<UpstreamEntry> entries(2);
+    entries[0].id = UpstreamId{"a"};
+    entries[1].id = UpstreamId{"b"};
+    grantor.setUpstreams(entries, now);
+    grantor.setAuthorityEnd(now + seconds{10});
+    grantor.adoptOutdated(RangeRecord{}, now);
+    grantor.advance(now);
+    CHECK(grantor.takeOrders().empty());
+}
