Take in that another grantor was elected before a daemon claims its place again

Cause: whether its lease lasted was decided when the era became known. Change: the notice that a grantor was elected in this era, which comes with the watch, says that another has led.

Test: "a daemon that claims its place again doesn't count as having led throughout" (election_tests) fails before, passes now.

--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -92,6 +92,12 @@
         return;
     }
     this->isEraSettled = true;
+    // Before this daemon's claim is sent, the one that was elected is another.
+    const auto isClaimSent =
+        this->currentState == State::Claiming || this->currentState == State::Verifying;
+    if (this->reclaiming && !isClaimSent) {
+        this->ledThroughout = false;
+    }
     if (this->currentState == State::Waiting && !this->reclaiming) {
         this->due = std::min(this->due, this->now() + this->waitingDelay);
     }
--- a/src/election/tests/election_tests.cpp
+++ b/src/election/tests/election_tests.cpp
@@ -188,3 +188,25 @@
     CHECK(trial.daemons[0]->hasReclaimed());
     CHECK(trial.daemons[0]->hasLedThroughout() == (outage < ElectionSettings{}.timeToLive));
 }
+
+// Guards against a grantor that relies on what it knew although another one has led since the
+// restoration.
+SCENARIO(
+    "GrantorElection: given another grantor elected after the restoration, a daemon that claims "
+    "its place again doesn't count as having led throughout",
+    "[election][restored]")
+{
+    Trial trial(1);
+    trial.run(seconds{2});
+    trial.store.keepCopy();
+    trial.store.restoreCopy();
+    trial.daemons[0]->onStoreEra(1);
+    trial.store.mode = FakeStore::Mode::Silent;
+    trial.run(milliseconds{4500});
+    trial.daemons[0]->onEraSettled(1);
+    trial.store.mode = FakeStore::Mode::Normal;
+    trial.run(seconds{2});
+    REQUIRE(trial.leader() == std::size_t{0});
+    REQUIRE(trial.daemons[0]->hasReclaimed());
+    CHECK_FALSE(trial.daemons[0]->hasLedThroughout());
+}
