Let the mutation of older tables act on changes, too

Cause: tables are sent as changes now, and an older table's changes are refused because of their base before the mutated check matters. Change: with the mutation, changes are applied to the earlier version that they are based on, so that the older table replaces the newer one again. Nothing changes without the mutation.

Test: unchanged; failed twice, passes now (21 assertions).

--- a/src/ownership/internal/tablekeeper.cpp
+++ b/src/ownership/internal/tablekeeper.cpp
@@ -79,11 +79,18 @@
 auto TableKeeper::onChanges(Instant now, const DaemonId &from, const TableUpdate &update,
                             const CellRecord &changes, Outbox &out) -> bool
 {
-    if (update.base != this->version()) {
+    auto base = this->newestTable;
+    if (isMutated(Mutation::ApplyOlderTable)) {
+        const auto found = std::find_if(
+            this->earlierTables.begin(), this->earlierTables.end(),
+            [&](const TablePointer &table) { return table->version() == update.base; });
+        base = found == this->earlierTables.end() ? base : *found;
+    }
+    if (base == nullptr || base->version() != update.base) {
         this->request(now, from, this->version(), out);
         return false;
     }
-    auto record = applyDelta(this->newestTable->record(), changes);
+    auto record = applyDelta(base->record(), changes);
     if (stableHash(encodeRecord(record)) != update.digest) {
         out.log(LogLine("table_changes_rejected")
                     .with("from", from.value)
