Add the forwarding daemon to the permit messages

An entry daemon that has lost its links to the upstreams can only refuse today. This adds the messages by which a grantor names another daemon that forwards the request: PermitRequest::isCutOff, PermitVerdict::forwarder, PermitReport::forwarder, and the reason upstream_unreachable. Nothing sets or reads them yet, so no behaviour changes. Test: PermitCodec restores the new fields.

--- a/src/common/types/reason.cpp
+++ b/src/common/types/reason.cpp
@@ -47,6 +47,8 @@
     {"request_limit_reached",
      "Retry later; the upstream has named a limit of requests per second."},
     {"upstream_paused", "Retry after the stated time; the upstream takes no requests until then."},
+    {"upstream_unreachable",
+     "Retry; look at the VM's network if it lasts: no daemon that reaches the upstream has room."},
 }};
 
 } // namespace
--- a/src/common/types/reason.h
+++ b/src/common/types/reason.h
@@ -45,9 +45,10 @@
     // Refusals; at the end, as daemons send each other reasons by their numbers.
     RequestLimitReached,
     UpstreamPaused,
+    UpstreamUnreachable,
 };
 
-inline constexpr int reasonCount = static_cast<int>(Reason::UpstreamPaused) + 1;
+inline constexpr int reasonCount = static_cast<int>(Reason::UpstreamUnreachable) + 1;
 
 /// @returns the name of the reason in headers, counters and logs, such as "queue_full"
 [[nodiscard]] auto toString(Reason reason) -> std::string_view;
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -68,6 +68,8 @@
     std::uint64_t fingerprint = 0;
     /// Upstreams that failed or rejected this request; used only where no other has a free slot.
     std::vector<UpstreamId> avoid;
+    /// The entry daemon reaches no upstream itself, so another daemon has to forward the request.
+    bool isCutOff = false;
     auto operator==(const PermitRequest &) const -> bool = default;
 };
 
@@ -93,6 +95,9 @@
     Reason reason = Reason::None;
     /// Refused only: time after which the caller should try again.
     Duration retryAfter{0};
+    /// Granted only: the daemon, by the address at which it receives datagrams, that forwards the
+    /// request to the upstream; empty where the entry daemon sends it there itself.
+    Address forwarder = {};
     auto operator==(const PermitVerdict &) const -> bool = default;
 };
 
@@ -159,6 +164,9 @@
     bool isLeaving = false;
     /// Rejections only: for this time the upstream wants no requests from the reporting daemon.
     std::optional<Duration> pause = std::nullopt;
+    /// The daemon that forwarded the request; empty where the entry daemon sent it itself. With
+    /// AttemptEnd::NotSent, that daemon couldn't be reached, or didn't forward the request.
+    Address forwarder = {};
     auto operator==(const PermitReport &) const -> bool = default;
 };
 
--- a/src/entry/types/flowmessages.h
+++ b/src/entry/types/flowmessages.h
@@ -34,6 +34,11 @@
     Address address;
     /// Time left until the answer is due.
     Duration remaining{0};
+    /// Which of the successive processes with the upstream's id is meant; zero where that isn't
+    /// known.
+    Incarnation incarnation = {};
+    /// The daemon that forwards the request to the upstream; empty where this one sends it itself.
+    Address forwarder = {};
     auto operator==(const FlowSend &) const -> bool = default;
 };
 
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -49,6 +49,7 @@
     out.setHasKey(request.key.has_value());
     out.setKey(request.key.value_or(0));
     out.setIsRetry(request.isRetry);
+    out.setCutOff(request.isCutOff);
     const auto count = std::min(request.avoid.size(), maxAvoidedUpstreams);
     auto avoid = out.initAvoid(static_cast<unsigned>(count));
     for (unsigned index = 0; index < count; ++index) {
@@ -71,6 +72,7 @@
     out.setRetryAfter(verdict.retryAfter.count());
     out.setGrantorTerm(verdict.grantorTerm);
     out.setUpstreamLife(verdict.incarnation.value);
+    out.setForwarder(verdict.forwarder.value);
 }
 
 auto write(permitwire::Message::Builder builder, const PermitReport &report) -> void
@@ -91,6 +93,7 @@
     out.setLeaving(report.isLeaving);
     out.setHasPause(report.pause.has_value());
     out.setPause(report.pause.value_or(Duration{0}).count());
+    out.setForwarder(report.forwarder.value);
 }
 
 auto write(permitwire::Message::Builder builder, const PermitCancel &cancel) -> void
@@ -130,6 +133,7 @@
         request.key = in.getKey();
     }
     request.isRetry = in.getIsRetry();
+    request.isCutOff = in.getCutOff();
     const auto avoid = in.getAvoid();
     for (unsigned index = 0; index < avoid.size() && index < maxAvoidedUpstreams; ++index) {
         request.avoid.push_back(UpstreamId{textOf(avoid[index])});
@@ -156,6 +160,7 @@
     verdict.retryAfter = Duration{in.getRetryAfter()};
     verdict.grantorTerm = in.getGrantorTerm();
     verdict.incarnation.value = in.getUpstreamLife();
+    verdict.forwarder.value = textOf(in.getForwarder());
     return answer;
 }
 
@@ -182,6 +187,7 @@
     if (in.getHasPause() && in.getPause() >= 0) {
         report.pause = Duration{in.getPause()};
     }
+    report.forwarder.value = textOf(in.getForwarder());
     return report;
 }
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -21,6 +21,7 @@
   avoid @9 :List(Text);
   request @10 :Text;
   print @11 :UInt64;
+  cutOff @12 :Bool;
 }
 
 struct Verdict {
@@ -35,6 +36,7 @@
   retryAfter @8 :Int64;
   grantorTerm @9 :UInt64;
   upstreamLife @10 :UInt64;
+  forwarder @11 :Text;
 }
 
 struct Report {
@@ -52,6 +54,7 @@
   leaving @11 :Bool;
   hasPause @12 :Bool;
   pause @13 :Int64;
+  forwarder @14 :Text;
 }
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e8c4d82946d5715, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9e8c4d82946d5715, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -288,6 +288,8 @@
 
   inline  ::uint64_t getPrint() const;
 
+  inline bool getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -373,6 +375,9 @@
   inline  ::uint64_t getPrint();
   inline void setPrint( ::uint64_t value);
 
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -442,6 +447,9 @@
 
   inline  ::uint64_t getUpstreamLife() const;
 
+  inline bool hasForwarder() const;
+  inline  ::capnp::Text::Reader getForwarder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -515,6 +523,13 @@
   inline  ::uint64_t getUpstreamLife();
   inline void setUpstreamLife( ::uint64_t value);
 
+  inline bool hasForwarder();
+  inline  ::capnp::Text::Builder getForwarder();
+  inline void setForwarder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initForwarder(unsigned int size);
+  inline void adoptForwarder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownForwarder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -590,6 +605,9 @@
 
   inline  ::int64_t getPause() const;
 
+  inline bool hasForwarder() const;
+  inline  ::capnp::Text::Reader getForwarder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -672,6 +690,13 @@
   inline  ::int64_t getPause();
   inline void setPause( ::int64_t value);
 
+  inline bool hasForwarder();
+  inline  ::capnp::Text::Builder getForwarder();
+  inline void setForwarder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initForwarder(unsigned int size);
+  inline void adoptForwarder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownForwarder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1415,6 +1440,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Request::Reader::getCutOff() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline bool Request::Builder::getCutOff() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setCutOff(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Verdict::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1634,6 +1673,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Verdict::Reader::hasForwarder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Verdict::Builder::hasForwarder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Verdict::Reader::getForwarder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Verdict::Builder::getForwarder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Verdict::Builder::setForwarder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Verdict::Builder::initForwarder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Verdict::Builder::adoptForwarder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Verdict::Builder::disownForwarder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Report::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1895,6 +1968,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::hasForwarder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasForwarder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Report::Reader::getForwarder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Report::Builder::getForwarder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setForwarder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Report::Builder::initForwarder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptForwarder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Report::Builder::disownForwarder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Cancel::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -33,6 +33,7 @@
     request.isRetry = true;
     request.fingerprint = 99;
     request.avoid = {UpstreamId{"a"}, UpstreamId{"b"}};
+    request.isCutOff = true;
     CHECK(roundTrip(request, sender, self) == PermitMessage{request});
 
     PermitAnswer answer;
@@ -45,6 +46,7 @@
     answer.verdict.reason = Reason::QueueFull;
     answer.verdict.retryAfter = std::chrono::milliseconds{40};
     answer.verdict.grantorTerm = 77;
+    answer.verdict.forwarder = Address{"10.0.0.3:7000"};
     CHECK(roundTrip(answer, sender, self) == PermitMessage{answer});
 
     PermitReport report;
@@ -57,6 +59,7 @@
     report.requestLimit = RequestLimit{6.5};
     report.isLeaving = true;
     report.pause = std::chrono::milliseconds{700};
+    report.forwarder = Address{"10.0.0.3:7000"};
     CHECK(roundTrip(report, sender, self) == PermitMessage{report});
 
     report.requestLimit = RequestLimit{};
