Let a grantor give up its place without leaving the election

A grantor that has lost its links to the upstreams reaches the store, so it keeps its place; resign() would bar it from the place for ever. stepDown() ends lease and authority as resign() does, and the daemon may claim again once the key is free and its claim delay has passed. Test: GrantorElection, "the grantor steps down" (new; no step has two daemons with authority).

--- a/src/election/grantorelection.h
+++ b/src/election/grantorelection.h
@@ -83,6 +83,9 @@
     auto advance() -> void;
     /// Ends the lease if this daemon leads, and never claims the key again.
     auto resign() -> void;
+    /// Ends the lease if this daemon leads. Once the watch shows that the key is free, it may claim
+    /// the key again, after its claim delay.
+    auto stepDown() -> void;
 
     [[nodiscard]] auto state() const -> State { return this->currentState; }
     /// @returns this daemon's term while it leads; nothing otherwise
@@ -112,6 +115,8 @@
     auto verify() -> void;
     auto renew() -> void;
     auto startLeading(StoreRevision term) -> void;
+    /// Ends the lease and the authority if this daemon leads.
+    auto endLease() -> void;
     auto enterState(State next, Instant at) -> void;
     /// @returns when a claim is allowed in this era
     [[nodiscard]] auto claimAllowedAt() const -> Instant;
--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -146,11 +146,23 @@
 auto GrantorElection::resign() -> void
 {
     this->hasResigned = true;
+    this->reclaiming = false;
+    this->endLease();
+}
+
+auto GrantorElection::stepDown() -> void
+{
+    if (this->currentState == State::Leading) {
+        this->endLease();
+    }
+}
+
+auto GrantorElection::endLease() -> void
+{
     if (this->currentState == State::Leading) {
         this->call(StoreLeaseEnd{this->lease}, [](const StoreAnswer &) {});
     }
     this->authorityEndsAt = Instant{};
-    this->reclaiming = false;
     this->enterState(State::Following, this->now());
 }
 
--- a/src/election/tests/election_tests.cpp
+++ b/src/election/tests/election_tests.cpp
@@ -18,6 +18,8 @@
     std::vector<std::unique_ptr<GrantorElection>> daemons;
     /// For each daemon: whether it is stopped.
     std::vector<bool> isFrozen;
+    /// Added to the claim delay of the first daemon.
+    Duration firstClaimDelay{0};
     /// Steps in which more than one daemon had authority.
     int doubleAuthorityCount = 0;
 
@@ -44,8 +46,9 @@
                 if (this->isFrozen[index]) {
                     continue;
                 }
-                this->daemons[index]->onElectedGrantor(grantor,
-                                                       milliseconds{50} * static_cast<int>(index));
+                const auto delay =
+                    index == 0 ? this->firstClaimDelay : milliseconds{50} * static_cast<int>(index);
+                this->daemons[index]->onElectedGrantor(grantor, delay);
                 this->daemons[index]->advance();
             }
             for (const auto &daemon : this->daemons) {
@@ -121,6 +124,26 @@
             CHECK(*trial.leader() != 0);
         }
     }
+    WHEN("the grantor steps down")
+    {
+        trial.firstClaimDelay = milliseconds{500};
+        trial.daemons[0]->stepDown();
+        CHECK(trial.daemons[0]->authorityEnd() == Instant{});
+        trial.run(milliseconds{300});
+        THEN("another daemon leads within 300 ms, and it may lead again after that one")
+        {
+            REQUIRE(trial.leader().has_value());
+            const auto successor = *trial.leader();
+            CHECK(successor != 0);
+            CHECK(trial.doubleAuthorityCount == 0);
+            for (std::size_t index = 1; index < trial.daemons.size(); ++index) {
+                trial.daemons[index]->resign();
+            }
+            trial.run(seconds{1});
+            CHECK(trial.leader() == std::size_t{0});
+            CHECK(trial.doubleAuthorityCount == 0);
+        }
+    }
     WHEN("the store doesn't answer and pauses its leases")
     {
         trial.store.mode = FakeStore::Mode::Silent;
