Give up the grantor's place of a sharded service while no upstream is reached

What callers see: keys of the whole service without an owner for as long as the grantor's VM has lost its links. Cause: the grantor reaches the store and so keeps its lease, but none of its orders arrives. Now it steps down, other daemons claim first (1.5 s), and where none does (all VMs cut off) it claims again and keeps the place for 4 s. Services without keys keep their grantor, as permits need no upstream. Weighed: orders through another daemon; not taken, as a grant that the forwarding daemon holds up would arrive after the grantor counts it as lost, and extend a hold that it reckons as over. Test: GrantorRole "gives up its place while its VM reaches no upstream".

--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -48,6 +48,11 @@
     Duration upstreamRegistrationTime = std::chrono::milliseconds{2300};
     /// The daemons' claims of a vacant grantor's place are spread over this time.
     Duration claimSpread = std::chrono::milliseconds{200};
+    /// Added to the delay of a claim of a sharded service while this VM reaches no upstream: its
+    /// grantor sends orders to upstreams, so others go first. Longer than they take to claim.
+    Duration cutOffClaimDelay = std::chrono::milliseconds{1500};
+    /// A grantor that reaches no upstream gives up its place at most this often.
+    Duration stepDownInterval = std::chrono::seconds{4};
     /// Delay before a claim on a VM with one core; VMs with less wait longer, so that the strongest
     /// become grantors.
     Duration claimDelay = std::chrono::milliseconds{40};
@@ -108,6 +113,9 @@
     /// upstreams may have started to drain without its knowledge. Has no effect while this daemon
     /// isn't grantor.
     auto setCutOff(bool cutOff) -> void;
+    /// While this VM reaches no upstream, the grantor of a sharded service gives up its place, as
+    /// it can't renew the grants of its keys; other daemons are to claim the place first.
+    auto setUpstreamsReached(bool areReached) -> void { this->areUpstreamsReached = areReached; }
     /// Announces this daemon to all others with the next advance().
     auto announceSoon() -> void { this->announceDue = Instant{}; }
     /// Gives up the grantor's place, and doesn't claim it again.
@@ -152,6 +160,8 @@
     auto removeFormerClaim(const ElectedGrantor &grantor) -> void;
     auto onElected(StoreRevision term) -> void;
     auto onReplaced() -> void;
+    /// Gives up the grantor's place if another daemon can fill it better.
+    auto stepDownIfCutOff(Instant moment) -> void;
     /// Goes on as grantor after this daemon has claimed its place again in a restored store.
     auto onReclaimed(StoreRevision term) -> void;
     auto readRecord() -> void;
@@ -217,6 +227,9 @@
     Instant roundStartedAt{};
     bool serving = false;
     bool isCutOff = false;
+    bool areUpstreamsReached = true;
+    /// The place isn't given up before.
+    Instant stepDownDue{};
     /// The grantor as last passed to onGrantor().
     std::optional<ElectedGrantor> knownGrantor;
     /// The last term for which this daemon was elected.
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -39,6 +39,8 @@
     /// Sets what grantors announce about the operators' configuration.
     auto setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void;
     auto setCutOff(bool cutOff) -> void;
+    /// @param areReached whether this VM reaches upstreams
+    auto setUpstreamsReached(bool areReached) -> void;
     /// Lets all grantors announce themselves with the next advance().
     auto announceSoon() -> void;
     auto advance() -> void;
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -145,6 +145,13 @@
     }
 }
 
+auto GrantorRoles::setUpstreamsReached(bool areReached) -> void
+{
+    for (auto &[name, role] : this->roles) {
+        role->setUpstreamsReached(areReached);
+    }
+}
+
 auto GrantorRoles::announceSoon() -> void
 {
     for (auto &[name, role] : this->roles) {
--- a/src/edge/tests/grantorrole_tests.cpp
+++ b/src/edge/tests/grantorrole_tests.cpp
@@ -182,3 +182,45 @@
         }
     }
 }
+
+// Keys of the whole service had no owner while their grantor's VM had lost its links.
+SCENARIO("GrantorRole gives up its place while its VM reaches no upstream", "[grantorrole][cutoff]")
+{
+    GIVEN("a grantor whose keys all have owners")
+    {
+        GrantorRoleFixture fixture;
+        fixture.run(seconds{5});
+        REQUIRE(fixture.role.isLeading());
+        WHEN("its VM reaches no upstream any more")
+        {
+            fixture.role.setUpstreamsReached(false);
+            fixture.run(milliseconds{100});
+            THEN("the place is free at once, and permits are issued until there is a successor")
+            {
+                CHECK_FALSE(fixture.grantor());
+                CHECK(fixture.isServed(100));
+            }
+            THEN("other daemons have the time to claim the place")
+            {
+                fixture.run(milliseconds{1300});
+                CHECK_FALSE(fixture.grantor());
+            }
+            THEN("it claims the place again where nobody else does, and keeps it for a while")
+            {
+                fixture.run(seconds{2});
+                CHECK(fixture.role.isLeading());
+                fixture.run(seconds{1});
+                CHECK(fixture.role.isLeading());
+            }
+            THEN("it claims the place as usual once upstreams are reached again")
+            {
+                fixture.role.setUpstreamsReached(true);
+                fixture.run(seconds{3});
+                CHECK(fixture.role.isLeading());
+                fixture.run(seconds{10});
+                CHECK(fixture.role.isLeading());
+                CHECK(fixture.isServed(100));
+            }
+        }
+    }
+}
