Send requests through another daemon while the VM reaches no upstream

What callers see: a VM that has lost its links to the upstreams refuses each request, although the others reach them. A cut-off VM says so in its permit requests, sends through the forwarder that the permit names, exchanges permits without one, and sends repeatable requests anew whose attempts hang; without a grantor it uses forwarders named lately, or refuses at once (upstream_unreachable). Ruled out: deciding by failed attempts alone, as two lost upstreams look the same. Not wired into the daemon yet.

--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -54,11 +54,12 @@
 } // namespace
 
 RequestFlow::RequestFlow(RequestFlowSettings settings, PermitClient &permits, DirectChoice &direct,
-                         UpstreamStatements &statements, FlowRecords records)
+                         UpstreamStatements &statements, UpstreamReach &reach, FlowRecords records)
     : settings(std::move(settings))
     , permits(permits)
     , direct(direct)
     , statements(statements)
+    , reach(reach)
     , records(records)
 {
 }
@@ -125,6 +126,7 @@
     request.isRetry = isRetry;
     request.avoid = flow.avoid;
     request.avoid.insert(request.avoid.end(), flow.held.begin(), flow.held.end());
+    request.isCutOff = this->reach.isCutOff();
     return request;
 }
 
@@ -161,7 +163,8 @@
         this->failRequest(flow, Reason::ShuttingDown, this->settings.defaultRetryAfter, now);
         return;
     }
-    if (this->holdBack(flow, *result.verdict, now)) {
+    if (this->holdBack(flow, *result.verdict, now)
+        || this->exchangeForForwarder(flow, *result.verdict, now)) {
         return;
     }
     flow.isDirect = false;
@@ -180,9 +183,7 @@
         return;
     }
     if (verdict) {
-        flow.isDirect = true;
-        ++this->directSends;
-        this->send(flow, *verdict, now);
+        this->sendWithoutGrantor(flow, *verdict, now);
         return;
     }
     if (this->mayWaitForGrantor(flow, now)) {
@@ -226,16 +227,26 @@
     flow.isSent = true;
     flow.sentAt = now;
     flow.upstream = verdict.upstream;
+    flow.address = verdict.address;
     flow.incarnation = verdict.incarnation;
+    flow.forwarder = verdict.forwarder;
+    if (flow.forwarder.empty()) {
+        this->reach.onSent(flow.address, now);
+    } else {
+        ++this->forwardedSends;
+        this->forwarders.onNamed(flow.forwarder, now);
+    }
     this->direct.onSent(verdict.upstream, now);
     this->statements.onSent(verdict.upstream, verdict.incarnation, now);
     if (auto line = this->logLine(flow, "request_sent", flow.isDirect, now)) {
         this->records.log.write(line->with("upstream", verdict.upstream.value)
                                     .with("way", flow.isDirect ? "direct" : "permit")
+                                    .with("forwarder", flow.forwarder.value)
                                     .with("attempt", flow.attempts + 1));
     }
     this->commands.emplace_back(FlowSend{flow.request.exchange, verdict.upstream, verdict.address,
-                                         std::max(Duration{1000}, flow.answerDue - now)});
+                                         std::max(Duration{1000}, flow.answerDue - now),
+                                         verdict.incarnation, verdict.forwarder});
 }
 
 auto RequestFlow::onAttemptEnd(const FlowAttemptEnd &end, Instant now) -> void
@@ -269,7 +280,7 @@
 auto RequestFlow::endAttempt(Flow &flow, const FlowAttemptEnd &end, Instant now) -> void
 {
     flow.isSent = false;
-    this->direct.onEnd(flow.upstream, end.end, now);
+    this->noteWay(flow, end.end, now);
     if (end.requestLimit) {
         this->direct.onLimitStated(flow.upstream, *end.requestLimit, flow.sentAt, now);
     }
@@ -286,6 +297,7 @@
         report.requestLimit = end.requestLimit;
         report.isLeaving = end.isLeaving;
         report.pause = end.pause;
+        report.forwarder = flow.forwarder;
         this->permits.report(report);
         flow.permit.reset();
     }
@@ -301,7 +313,11 @@
 {
     const auto isSurelyNotRun =
         end == AttemptEnd::NotRun || end == AttemptEnd::WrongOwner || end == AttemptEnd::NotSent;
-    flow.avoid.push_back(flow.upstream);
+    if (end == AttemptEnd::NotSent && !flow.forwarder.empty()) {
+        ++flow.failedForwards;
+    } else {
+        flow.avoid.push_back(flow.upstream);
+    }
     if (end != AttemptEnd::NotSent) {
         ++flow.attempts;
     }
@@ -310,8 +326,8 @@
     const auto mayRepeat = flow.request.route.isIdempotent || isSurelyNotRun;
     const auto hasAttemptsLeft = flow.attempts < flow.request.route.maximalAttempts;
     // Failed connections aren't counted as attempts, but each costs time.
-    const auto hasTriesLeft =
-        flow.avoid.size() < static_cast<std::size_t>(flow.request.route.maximalAttempts) + 2;
+    const auto hasTriesLeft = flow.avoid.size() + flow.failedForwards
+                              < static_cast<std::size_t>(flow.request.route.maximalAttempts) + 2;
     if (!mayRepeat || !hasAttemptsLeft || !hasTriesLeft || now >= flow.answerDue) {
         const auto reason = isSurelyNotRun ? Reason::UpstreamShed : Reason::AnswerLost;
         this->failRequest(flow, reason, this->settings.defaultRetryAfter / 2, now);
@@ -385,6 +401,7 @@
 
 auto RequestFlow::advance(Instant now) -> void
 {
+    this->leaveLostLinks(now);
     std::vector<ExchangeId> due;
     for (const auto &[exchange, flow] : this->flows) {
         const auto grace = flow.isSent ? this->settings.answerGrace : Duration{0};
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -2,7 +2,9 @@
 
 #include "entry/directchoice.h"
 #include "entry/permitclient.h"
+#include "entry/recentforwarders.h"
 #include "entry/types/flowmessages.h"
+#include "entry/upstreamreach.h"
 #include "entry/upstreamstatements.h"
 #include "insight/counters.h"
 #include "insight/stagehistograms.h"
@@ -36,7 +38,7 @@
     /// The same for requests that aren't repeatable, whose callers can't try again where they are
     /// cut off.
     int expectedTargetsOnce = 8;
-    /// Permits for upstreams that want no requests are returned this often for one request.
+    /// Permits that can't be used are returned this often for one request.
     int heldPermitLimit = 5;
     auto operator==(const RequestFlowSettings &) const -> bool = default;
 };
@@ -65,8 +67,9 @@
 class RequestFlow
 {
 public:
+    /// @param reach tells whether this VM reaches the upstreams itself
     RequestFlow(RequestFlowSettings settings, PermitClient &permits, DirectChoice &direct,
-                UpstreamStatements &statements, FlowRecords records);
+                UpstreamStatements &statements, UpstreamReach &reach, FlowRecords records);
 
     /// Starts a request by asking for a permit; refuses it where its deadline has passed.
     auto begin(FlowRequest request, Instant now) -> void;
@@ -95,6 +98,8 @@
     [[nodiscard]] auto openCount() const -> std::size_t { return this->flows.size(); }
     /// @returns how many times a request was sent without a grantor's permit
     [[nodiscard]] auto directSendCount() const -> std::uint64_t { return this->directSends; }
+    /// @returns how many times a request was sent through another daemon
+    [[nodiscard]] auto forwardedCount() const -> std::uint64_t { return this->forwardedSends; }
     /// @returns how many times a request was held back from an upstream that leaves
     [[nodiscard]] auto heldByLeavingCount() const -> std::uint64_t { return this->heldByLeaving; }
     /// @returns how many times a request was held back from an upstream that wants a pause
@@ -116,7 +121,12 @@
         int heldPermits = 0;
         std::optional<PermitId> permit;
         UpstreamId upstream;
+        Address address;
         Incarnation incarnation;
+        /// The daemon that forwards the attempt; empty where this one sends it itself.
+        Address forwarder;
+        /// Attempts that a forwarder didn't send on.
+        std::size_t failedForwards = 0;
         Instant askedAt;
         Instant sentAt;
         /// Since when the request has been waiting for a grantor.
@@ -150,6 +160,16 @@
     [[nodiscard]] auto mayWaitForGrantor(const Flow &flow, Instant now) const -> bool;
     auto retryPermits(Instant now) -> void;
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
+    /// Returns a permit by which this VM would have to reach the upstream itself although it is
+    /// cut off, and asks for another one or refuses the request.
+    /// @returns false where the request may be sent with the permit
+    auto exchangeForForwarder(Flow &flow, const PermitVerdict &verdict, Instant now) -> bool;
+    /// Sends a request without a permit, through a forwarder where this VM is cut off.
+    auto sendWithoutGrantor(Flow &flow, PermitVerdict verdict, Instant now) -> void;
+    /// After the VM's links were lost, sends repeatable requests anew whose attempts hang.
+    auto leaveLostLinks(Instant now) -> void;
+    /// Takes in how an attempt ended on the way that it was sent.
+    auto noteWay(const Flow &flow, AttemptEnd end, Instant now) -> void;
     /// Returns a permit for an upstream that wants no requests, and asks for another one or refuses
     /// the request.
     /// @returns false where the request may be sent with the permit
@@ -187,6 +207,7 @@
     PermitClient &permits;
     DirectChoice &direct;
     UpstreamStatements &statements;
+    UpstreamReach &reach;
     FlowRecords records;
     /// The longest timeout that a route's callers have given, and when.
     struct CallerTimeout
@@ -200,6 +221,10 @@
     std::map<std::string, CallerTimeout> callerTimeouts;
     std::vector<FlowCommand> commands;
     std::uint64_t directSends = 0;
+    std::uint64_t forwardedSends = 0;
+    RecentForwarders forwarders;
+    /// UpstreamReach::cutOffCount() as of the last loss of links that was handled.
+    std::uint64_t handledCutOffs = 0;
     std::optional<FlowStop> stop;
     std::uint64_t heldByLeaving = 0;
     std::uint64_t heldByPause = 0;
--- a/src/entry/tests/requestflowfixture.h
+++ b/src/entry/tests/requestflowfixture.h
@@ -24,7 +24,12 @@
     DirectChoice direct{1, statements};
     Counters counters;
     StageHistograms stages;
-    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}}, permits, direct, statements,
+    UpstreamReach reach{UpstreamReachSettings{}};
+    RequestFlow flow{RequestFlowSettings{FailureDomain{"north-1"}},
+                     permits,
+                     direct,
+                     statements,
+                     reach,
                      FlowRecords{log, counters, stages}};
     Instant now = Instant{std::chrono::seconds{10}};
     std::vector<PermitDatagram> sent;
