Probe the upstreams where the VM's links are in doubt

UpstreamLinks feeds UpstreamReach with requests and grants, opens the connections that decide, and logs upstreams_unreachable and upstreams_reachable; a grantor of a sharded service that reaches no upstream steps down.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -3,11 +3,13 @@
 #include "edge/callclients.h"
 #include "edge/componentsettings.h"
 #include "edge/configurationsource.h"
+#include "edge/edgepages.h"
 #include "edge/entryservice.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
 #include "edge/metricstext.h"
 #include "edge/shutdownplan.h"
+#include "edge/upstreamlinks.h"
 #include "edge/upstreamwatch.h"
 #include "http/clocktimer.h"
 #include "permitlink/permitcodec.h"
@@ -49,20 +51,17 @@
         , permits(this->settings.peerListen, incarnation, PermitClientSettings{})
         , statements(UpstreamStatementSettings{this->settings.drainTime})
         , direct(incarnation, this->statements)
+        , links(loop.base(), now, logger, [this] { this->onTimer(); })
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
-               this->statements, FlowRecords{this->requestLog, this->counters, this->stages})
+               this->statements, this->links.reach(),
+               FlowRecords{this->requestLog, this->counters, this->stages})
         , entry(
               loop.base(), wire, this->settings, this->upstreamPool, this->flow, this->counters,
               now, [this] { this->processPending(); },
               static_cast<double>(incarnation % 1000) / 1000)
-        , readyListener(
-              loop.base(), pageSettings(this->settings.readyListen), now,
-              [this](ExchangeId exchange, const WholeMessage &) { this->onReadyAsked(exchange); },
-              [](ExchangeId) {})
-        , metricsListener(
-              loop.base(), pageSettings(this->settings.metricsListen), now,
-              [this](ExchangeId exchange, const WholeMessage &) { this->onMetricsAsked(exchange); },
-              [](ExchangeId) {})
+        , pages(
+              loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
+              [this] { return this->isReady(); }, [this] { return this->metricsPage(); })
         , peerSocket(
               loop.base(), this->settings.peerListen,
               [this](const Address &from, std::string_view bytes) {
@@ -82,7 +81,8 @@
               },
               [this] { this->processPending(); })
         , roles(roleSettings(this->settings, incarnation, wire.doReleasesRaiseFences()),
-                this->storeSender(), this->orderSender(), now, logger, this->requestLog)
+                this->storeSender(), this->links.observed(this->orderSender()), now, logger,
+                this->requestLog)
         , grantorWatch(grantorWatchSettings(this->settings), this->storeSender(), now,
                        this->permits, this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
@@ -98,9 +98,9 @@
         this->logger.setBuffering(true);
         this->entry.start();
         this->configurationSource.start();
-        this->readyListener.start();
+        this->pages.startReadiness();
         try {
-            this->metricsListener.start();
+            this->pages.startMetrics();
         } catch (const std::runtime_error &failure) {
             this->logger.write(LogLevel::Warning,
                                LogLine("metrics_unavailable").with("why", failure.what()).text());
@@ -337,6 +337,8 @@
         this->configurationSource.advance(this->roles.servingCount() > 0);
         this->grantorWatch.advance();
         this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
+        this->links.advance();
+        this->roles.setUpstreamsReached(!this->links.isCutOff());
         this->roles.advance();
         this->watchUpstreams(moment);
         this->permits.advance(moment);
@@ -344,8 +346,7 @@
         if (moment >= this->housekeepingDue) {
             this->housekeepingDue = moment + housekeepingEvery;
             this->entry.listener().sweep();
-            this->readyListener.sweep();
-            this->metricsListener.sweep();
+            this->pages.sweep();
             this->configurationSource.sweep();
         }
         if (this->stoppingSince) {
@@ -394,6 +395,7 @@
         consider(this->upstreamWatch.nextDue());
         consider(this->permits.nextDue());
         consider(this->flow.nextDue());
+        consider(this->links.nextDue());
         consider(this->roles.nextDue());
         if (this->stoppingSince) {
             consider(this->shutdownDue);
@@ -415,14 +417,7 @@
         return areGrantorsKnown || this->now() - this->startedAt > grantorWaitLimit;
     }
 
-    auto onReadyAsked(ExchangeId exchange) -> void
-    {
-        MessageHead head;
-        head.status = this->isReady() ? 200 : 503;
-        this->readyListener.reply(exchange, head, "");
-    }
-
-    auto onMetricsAsked(ExchangeId exchange) -> void
+    [[nodiscard]] auto metricsPage() const -> std::string
     {
         EdgeMetrics metrics;
         metrics.openRequests = this->flow.openCount();
@@ -446,12 +441,9 @@
         metrics.grantedLeavingUpstreams = this->roles.leavingUpstreamCount();
         metrics.grantedPausedUpstreams = this->roles.pausedUpstreamCount();
         metrics.storeEra = this->store.currentEra();
-        MessageHead head;
-        head.status = 200;
-        head.headers = {HttpHeader{"Content-Type", "text/plain; version=0.0.4"}};
-        this->metricsListener.reply(
-            exchange, head,
-            metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics));
+        metrics.isCutOff = this->links.isCutOff() ? 1 : 0;
+        metrics.forwardedRequests = this->flow.forwardedCount();
+        return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
     }
 
     EventLoop &loop;
@@ -471,10 +463,10 @@
     PermitClient permits;
     UpstreamStatements statements;
     DirectChoice direct;
+    UpstreamLinks links;
     RequestFlow flow;
     EntryService<Wire> entry;
-    FrontListener readyListener;
-    FrontListener metricsListener;
+    EdgePages pages;
     DatagramSocket peerSocket;
     UpstreamWatch<Wire> upstreamWatch;
     ConfigurationSource configurationSource;
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 20> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 23> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -31,7 +31,10 @@
          {"granted_leaving_upstreams", metrics.grantedLeavingUpstreams},
          {"granted_paused_upstreams", metrics.grantedPausedUpstreams},
          {"held_by_leaving_total", metrics.heldByLeaving},
-         {"held_by_pause_total", metrics.heldByPause}}};
+         {"held_by_pause_total", metrics.heldByPause},
+         {"upstreams_unreachable", metrics.isCutOff},
+         {"forwarded_requests_total", metrics.forwardedRequests},
+         {"served_forwards_total", metrics.servedForwards}}};
     for (const auto &[name, value] : rows) {
         page += "gooseberrywall_" + std::string(name) + " " + std::to_string(value) + "\n";
     }
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -36,6 +36,12 @@
     std::uint64_t pausedUpstreams = 0;
     std::uint64_t heldByLeaving = 0;
     std::uint64_t heldByPause = 0;
+    /// 1 while this VM reaches no upstream.
+    std::uint64_t isCutOff = 0;
+    /// Requests that this daemon has sent through another daemon.
+    std::uint64_t forwardedRequests = 0;
+    /// Requests that this daemon has forwarded for other daemons.
+    std::uint64_t servedForwards = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
--- a/src/entry/internal/upstreamreach.cpp
+++ b/src/entry/internal/upstreamreach.cpp
@@ -86,15 +86,19 @@
     return known.hasFailed || isSilent;
 }
 
-auto UpstreamReach::areLinksInDoubt(Instant now) const -> bool
+auto UpstreamReach::areEnough(std::size_t doubtful) const -> bool
 {
-    const auto doubtful = static_cast<std::size_t>(
-        std::count_if(this->upstreams.begin(), this->upstreams.end(),
-                      [&](const auto &row) { return this->isDoubtful(row.second, now); }));
     const auto needed = std::min(this->settings.failedUpstreams, this->upstreams.size());
     return doubtful > 0 && doubtful >= needed;
 }
 
+auto UpstreamReach::areLinksInDoubt(Instant now) const -> bool
+{
+    return this->areEnough(static_cast<std::size_t>(
+        std::count_if(this->upstreams.begin(), this->upstreams.end(),
+                      [&](const auto &row) { return this->isDoubtful(row.second, now); })));
+}
+
 auto UpstreamReach::startProbes(Instant now) -> void
 {
     const auto count = std::min(this->settings.probesAtOnce, this->upstreams.size());
@@ -135,7 +139,9 @@
         return this->probeDue;
     }
     std::optional<Instant> due;
+    std::size_t failed = 0;
     for (const auto &[address, known] : this->upstreams) {
+        failed += known.hasFailed ? 1 : 0;
         if (known.openSince.empty()) {
             continue;
         }
@@ -143,6 +149,9 @@
             std::max(*known.openSince.begin(), this->contactAt) + this->settings.silence;
         due = due ? std::min(*due, silentAt) : silentAt;
     }
+    if (this->areEnough(failed)) {
+        return this->probeDue;
+    }
     return due ? std::optional(std::max(*due, this->probeDue)) : std::nullopt;
 }
 
--- a/src/entry/tests/upstreamreach_tests.cpp
+++ b/src/entry/tests/upstreamreach_tests.cpp
@@ -57,6 +57,7 @@
         CHECK(fixture.reach.takeProbes().empty());
         fixture.attempt(2, AttemptEnd::NotSent);
         CHECK_FALSE(fixture.reach.isCutOff());
+        CHECK_FALSE(fixture.reach.nextDue());
         CHECK(fixture.endProbes(false) == 3);
         THEN("it is cut off, and probes again until a connection is established")
         {
@@ -71,6 +72,17 @@
             CHECK_FALSE(fixture.reach.isCutOff());
         }
     }
+    WHEN("two upstreams fail in a row, and nothing is open any more")
+    {
+        for (int index = 1; index <= 2; ++index) {
+            fixture.reach.onSent(upstream(index), fixture.now);
+            fixture.reach.onEnd(upstream(index), AttemptEnd::NotSent, fixture.now, fixture.now);
+        }
+        THEN("the probes are due at once")
+        {
+            CHECK(fixture.reach.nextDue() <= fixture.now);
+        }
+    }
     WHEN("two upstreams fail in a row and one probe succeeds")
     {
         fixture.attempt(1, AttemptEnd::NotSent);
--- a/src/entry/upstreamreach.h
+++ b/src/entry/upstreamreach.h
@@ -71,6 +71,8 @@
     /// An upstream has answered.
     auto onContact(Instant now) -> void;
     [[nodiscard]] auto isDoubtful(const Known &known, Instant now) const -> bool;
+    /// @returns whether so many doubtful upstreams put the links in doubt
+    [[nodiscard]] auto areEnough(std::size_t doubtful) const -> bool;
     [[nodiscard]] auto areLinksInDoubt(Instant now) const -> bool;
     auto startProbes(Instant now) -> void;
     auto forgetUnused(Instant now) -> void;
