Move the server for peers out of ConfigurationSource

ConfigurationSource owned the only listener there and knew only its own path.

Change: PeerServer owns the listener (same limit of connections, same warning in the log) and passes each request to the handler of its path; ConfigurationSource registers /configuration. A handler states how long connections may be idle after its requests (FrontListener::setIdleTimeout): 2 s for fetches as before, longer where connections are to be kept. A request for another path gets 404 as before.

Ruled out: a second listener on another port, which deployments would have to open.

--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "edge/configurationrelay.h"
+#include "edge/peerserver.h"
 #include "logging/logger.h"
 #include "storelink/prefixview.h"
-#include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
 
 #include <functional>
@@ -18,7 +18,7 @@
 {
     /// The store key that holds the configuration.
     std::string key;
-    /// Where other daemons fetch the configuration from this one.
+    /// Where other daemons fetch the configuration from this one; isn't fetched from there itself.
     Address listen;
     /// Differs between daemons; spreads their calls.
     std::uint64_t seed = 0;
@@ -42,22 +42,20 @@
     /// @returns whether the text is the newest configuration known; others aren't passed on
     using OnText = std::function<bool(const std::string &text, StoreRevision revision)>;
 
+    /// @param server serves the configuration to other daemons; must outlive the source
     /// @param now reads the clock
     /// @param onText receives each configuration of a newer revision
     /// @param onWork called after each event for which advance() may be due earlier
-    ConfigurationSource(event_base *base, ConfigurationSourceSettings settings, SendStoreCall store,
-                        const std::function<Instant()> &now, Logger &logger, OnText onText,
-                        std::function<void()> onWork);
+    ConfigurationSource(event_base *base, PeerServer &server, ConfigurationSourceSettings settings,
+                        SendStoreCall store, const std::function<Instant()> &now, Logger &logger,
+                        OnText onText, std::function<void()> onWork);
 
-    /// Starts to serve other daemons; they use the store where that fails.
-    auto start() -> void;
     auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
     /// Starts the call or fetch that is due.
     /// @param isGrantor grantors follow the store
     auto advance(bool isGrantor) -> void;
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void { this->view.onStoreEra(era); }
-    auto sweep() -> void { this->listener.sweep(); }
     /// @returns when to call advance() next
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
 
@@ -82,10 +80,11 @@
     auto poll() -> void;
     auto fetch(const Address &from) -> void;
     auto onFetched(const Address &from, const OutboundResult &result) -> void;
-    auto onAsked(ExchangeId exchange, const WholeMessage &request) -> void;
+    auto onAsked(ExchangeId exchange, const MessageHead &request) -> void;
     /// Logs once that this daemon follows the store itself, and once that it doesn't any more.
     auto logMode(bool isFollowing, bool isGrantor) -> void;
 
+    PeerServer &server;
     ConfigurationSourceSettings settings;
     SendStoreCall store;
     std::function<Instant()> now;
@@ -94,7 +93,6 @@
     std::function<void()> onWork;
     ConfigurationRelay relay;
     PrefixView view;
-    FrontListener listener;
     OutboundPool pool;
     std::string text;
     StoreRevision textRevision;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -2,7 +2,6 @@
 
 #include "edge/callclients.h"
 #include "edge/componentsettings.h"
-#include "edge/configurationsource.h"
 #include "edge/entryservice.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
@@ -73,8 +72,9 @@
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
+        , peerServer(loop.base(), this->settings.peerListen, now, logger)
         , configurationSource(
-              loop.base(),
+              loop.base(), this->peerServer,
               configurationSettings(this->settings, wire.configurationKey(), incarnation),
               this->storeSender(), now, logger,
               [this](const std::string &text, StoreRevision revision) {
@@ -97,7 +97,7 @@
         this->startedAt = this->now();
         this->logger.setBuffering(true);
         this->entry.start();
-        this->configurationSource.start();
+        this->peerServer.start();
         this->readyListener.start();
         try {
             this->metricsListener.start();
@@ -346,7 +346,7 @@
             this->entry.listener().sweep();
             this->readyListener.sweep();
             this->metricsListener.sweep();
-            this->configurationSource.sweep();
+            this->peerServer.sweep();
         }
         if (this->stoppingSince) {
             this->advanceShutdown(moment);
@@ -398,8 +398,7 @@
         if (this->stoppingSince) {
             consider(this->shutdownDue);
         }
-        const auto wait = std::max(Duration{200}, Duration{due - moment});
-        this->timer.set(monotonicNow() + wait);
+        this->timer.set(monotonicNow() + std::max(Duration{200}, Duration{due - moment}));
     }
 
     [[nodiscard]] auto isReady() const -> bool
@@ -477,6 +476,7 @@
     FrontListener metricsListener;
     DatagramSocket peerSocket;
     UpstreamWatch<Wire> upstreamWatch;
+    PeerServer peerServer;
     ConfigurationSource configurationSource;
     GrantorRoles roles;
     GrantorWatch grantorWatch;
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <stdexcept>
 #include <utility>
 
 namespace gooseberrywall {
@@ -16,22 +15,11 @@
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-/// Connections of other daemons; further ones get the configuration from another grantor.
-constexpr std::size_t peerConnectionLimit = 600;
 /// Other daemons fetch one version at a time, so their connections needn't stay open.
-constexpr Duration peerIdleTimeout = std::chrono::seconds{2};
+constexpr Duration fetchIdleTimeout = std::chrono::seconds{2};
 /// Age of a configuration that was never known to be the newest.
 constexpr Duration unknownAge = std::chrono::hours{1};
 
-auto listenerSettings(const Address &listen) -> FrontSettings
-{
-    FrontSettings result;
-    result.listen = listen;
-    result.connectionLimit = peerConnectionLimit;
-    result.idleTimeout = peerIdleTimeout;
-    return result;
-}
-
 auto viewSettings(const ConfigurationSourceSettings &settings) -> PrefixViewSettings
 {
     PrefixViewSettings result;
@@ -60,11 +48,12 @@
 
 } // namespace
 
-ConfigurationSource::ConfigurationSource(event_base *base, ConfigurationSourceSettings settings,
-                                         SendStoreCall store, const std::function<Instant()> &now,
-                                         Logger &logger, OnText onText,
-                                         std::function<void()> onWork)
-    : settings(std::move(settings))
+ConfigurationSource::ConfigurationSource(event_base *base, PeerServer &server,
+                                         ConfigurationSourceSettings settings, SendStoreCall store,
+                                         const std::function<Instant()> &now, Logger &logger,
+                                         OnText onText, std::function<void()> onWork)
+    : server(server)
+    , settings(std::move(settings))
     , store(std::move(store))
     , now(now)
     , logger(logger)
@@ -78,25 +67,14 @@
                    this->adopt(found->second.value, found->second.revision, false);
                }
            })
-    , listener(
-          base, listenerSettings(this->settings.listen), now,
-          [this](ExchangeId exchange, const WholeMessage &request) {
-              this->onAsked(exchange, request);
-          },
-          [](ExchangeId) {})
     , pool(base, OutboundPoolSettings{}, now)
     , startedAt(now())
 {
-}
-
-auto ConfigurationSource::start() -> void
-{
-    try {
-        this->listener.start();
-    } catch (const std::runtime_error &failure) {
-        this->logger.write(LogLevel::Warning,
-                           LogLine("configuration_not_served").with("why", failure.what()).text());
-    }
+    this->server.serve(configurationPath,
+                       PeerHandler{[this](ExchangeId exchange, const WholeMessage &request) {
+                                       this->onAsked(exchange, request.head);
+                                   },
+                                   [](ExchangeId) {}, fetchIdleTimeout});
 }
 
 auto ConfigurationSource::onAnnouncement(const Address &from,
@@ -228,22 +206,22 @@
     this->adopt(result.answer.body, revision, false);
 }
 
-auto ConfigurationSource::onAsked(ExchangeId exchange, const WholeMessage &request) -> void
+auto ConfigurationSource::onAsked(ExchangeId exchange, const MessageHead &request) -> void
 {
     MessageHead head;
-    if (request.head.method != "GET" || request.head.target != configurationPath) {
+    if (request.method != "GET") {
         head.status = statusNotFound;
-        this->listener.reply(exchange, head, "");
+        this->server.reply(exchange, head, "");
         return;
     }
     if (this->textRevision.value == 0) {
         head.status = statusUnavailable;
-        this->listener.reply(exchange, head, "");
+        this->server.reply(exchange, head, "");
         return;
     }
     head.status = statusOk;
     head.headers = {HttpHeader{revisionHeader, std::to_string(this->textRevision.value)}};
-    this->listener.reply(exchange, head, this->text);
+    this->server.reply(exchange, head, this->text);
 }
 
 auto ConfigurationSource::logMode(bool isFollowing, bool isGrantor) -> void
--- /dev/null
+++ b/src/edge/peerserver.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "logging/logger.h"
+#include "streams/frontlistener.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+struct event_base;
+
+namespace gooseberrywall {
+
+/// Serves one path to other daemons.
+struct PeerHandler
+{
+    /// Answers with PeerServer::reply(), at once or later.
+    FrontListener::OnRequest onRequest;
+    /// Called if the connection ends before the answer was sent.
+    FrontListener::OnDisconnect onDisconnect;
+    /// A connection is closed that was idle for this long after a request for this path.
+    Duration idleTimeout = std::chrono::seconds{2};
+};
+
+/// The HTTP server on the address at which this daemon's peers reach it; each path has one handler.
+class PeerServer
+{
+public:
+    /// @param now reads the clock
+    PeerServer(event_base *base, const Address &listen, const std::function<Instant()> &now,
+               Logger &logger);
+
+    /// Registers the handler of a path; requests for other paths are answered with 404.
+    auto serve(const std::string &path, PeerHandler handler) -> void;
+    /// Starts to listen. An address that can't be bound is logged; the daemon works without.
+    auto start() -> void;
+    /// Answers an exchange; has no effect if the peer has disconnected.
+    auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
+    /// Closes connections that exceed a timeout; to be called about twice a second.
+    auto sweep() -> void { this->listener.sweep(); }
+
+    [[nodiscard]] auto connectionCount() const -> std::size_t
+    {
+        return this->listener.connectionCount();
+    }
+    /// @returns the bytes of answers that peers haven't taken yet
+    [[nodiscard]] auto unsentBytes() const -> std::size_t { return this->listener.unsentBytes(); }
+
+private:
+    auto onRequest(ExchangeId exchange, WholeMessage request) -> void;
+    auto onDisconnect(ExchangeId exchange) -> void;
+
+    Logger &logger;
+    std::map<std::string, PeerHandler> handlers;
+    /// The paths of open exchanges.
+    std::map<ExchangeId, std::string> open;
+    FrontListener listener;
+};
+
+} // namespace gooseberrywall
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -62,6 +62,9 @@
     /// @throws std::runtime_error if the address can't be bound
     auto start() -> void;
     auto setLimits(MessageLimits limits, Duration headerTimeout, Duration idleTimeout) -> void;
+    /// Sets how long the connection of an open exchange may be idle from now on, in place of the
+    /// listener's idle timeout.
+    auto setIdleTimeout(ExchangeId exchange, Duration idleTimeout) -> void;
     auto setConnectionLimit(std::size_t limit) -> void { this->settings.connectionLimit = limit; }
     /// Answers an exchange; has no effect if the caller has disconnected.
     auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
--- a/src/streams/internal/frontlistener.cpp
+++ b/src/streams/internal/frontlistener.cpp
@@ -67,7 +67,7 @@
         }
         const auto age = moment - this->lastUsedAt;
         if (!this->reader.isMidMessage()) {
-            if (age > this->front.settings.idleTimeout) {
+            if (age > this->idleTimeout.value_or(this->front.settings.idleTimeout)) {
                 this->end();
             }
             return;
@@ -95,6 +95,7 @@
         }
     }
 
+    auto setIdleTimeout(Duration timeout) -> void { this->idleTimeout = timeout; }
     [[nodiscard]] auto unsentBytes() const -> std::size_t { return this->stream.unsentBytes(); }
 
 private:
@@ -248,6 +249,7 @@
     std::deque<PendingReply> pendingReplies;
     Instant lastUsedAt;
     Instant requestStartedAt{};
+    std::optional<Duration> idleTimeout;
     bool isReading = false;
     bool hasSentContinue = false;
     bool isLastRequestRead = false;
@@ -288,6 +290,14 @@
     this->settings.idleTimeout = idleTimeout;
 }
 
+auto FrontListener::setIdleTimeout(ExchangeId exchange, Duration idleTimeout) -> void
+{
+    const auto found = this->exchanges.find(exchange);
+    if (found != this->exchanges.end()) {
+        found->second->setIdleTimeout(idleTimeout);
+    }
+}
+
 auto FrontListener::reply(ExchangeId exchange, const MessageHead &head, std::string_view body)
     -> void
 {
