Wire the forwarding of requests into the daemon

EntryService sends an attempt through the forwarder that its permit names, with the same certainty as on its own connections: not sent, answered, or unknown. ForwardRole serves other daemons on the peers' address; a daemon that is told to stop forwards nothing new and ends what it has. What a forwarder is held back by (an upstream that leaves or pauses) comes back with the refusal and binds both. A request that an upstream that leaves serves as a last resort is marked so.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -2,9 +2,9 @@
 
 #include "edge/callclients.h"
 #include "edge/componentsettings.h"
-#include "edge/configurationsource.h"
 #include "edge/edgepages.h"
 #include "edge/entryservice.h"
+#include "edge/forwardrole.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
 #include "edge/metricstext.h"
@@ -55,9 +55,10 @@
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
                this->statements, this->links.reach(),
                FlowRecords{this->requestLog, this->counters, this->stages})
+        , forwardClient(loop.base(), now)
         , entry(
-              loop.base(), wire, this->settings, this->upstreamPool, this->flow, this->counters,
-              now, [this] { this->processPending(); },
+              loop.base(), wire, this->settings, this->upstreamPool, this->forwardClient,
+              this->flow, this->counters, now, [this] { this->processPending(); },
               static_cast<double>(incarnation % 1000) / 1000)
         , pages(
               loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
@@ -72,8 +73,11 @@
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
+        , peerServer(loop.base(), this->settings.peerListen, now, logger)
+        , forwarder(loop.base(), wire, this->peerServer, this->upstreamPool, this->statements, now,
+                    [this] { this->processPending(); })
         , configurationSource(
-              loop.base(),
+              loop.base(), this->peerServer,
               configurationSettings(this->settings, wire.configurationKey(), incarnation),
               this->storeSender(), now, logger,
               [this](const std::string &text, StoreRevision revision) {
@@ -87,7 +91,11 @@
                        this->permits, this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
-        this->roles.setAnnouncedConfiguration([this] { return this->announcedConfiguration(); });
+        this->roles.setAnnouncedConfiguration([this] {
+            return AnnouncedConfiguration{
+                this->configurationSource.revision(),
+                this->configurationSource.age(this->store.lastContactAt())};
+        });
     }
 
     /// Starts listening and reading the store.
@@ -97,7 +105,7 @@
         this->startedAt = this->now();
         this->logger.setBuffering(true);
         this->entry.start();
-        this->configurationSource.start();
+        this->peerServer.start();
         this->pages.startReadiness();
         try {
             this->pages.startMetrics();
@@ -136,6 +144,7 @@
                                .with("open", static_cast<std::int64_t>(this->entry.openCount()))
                                .text());
         this->roles.resign();
+        this->forwarder.refuseNew();
         this->entry.listener().closeAfterReplies();
         this->advanceShutdown(*this->stoppingSince);
         this->processPending();
@@ -183,12 +192,6 @@
         };
     }
 
-    [[nodiscard]] auto announcedConfiguration() const -> AnnouncedConfiguration
-    {
-        return AnnouncedConfiguration{this->configurationSource.revision(),
-                                      this->configurationSource.age(this->store.lastContactAt())};
-    }
-
     /// @returns whether it is the newest configuration known
     auto onConfiguration(const std::string &text, StoreRevision revision) -> bool
     {
@@ -347,7 +350,7 @@
             this->housekeepingDue = moment + housekeepingEvery;
             this->entry.listener().sweep();
             this->pages.sweep();
-            this->configurationSource.sweep();
+            this->peerServer.sweep();
         }
         if (this->stoppingSince) {
             this->advanceShutdown(moment);
@@ -370,8 +373,10 @@
             this->entry.listener().closeIdle();
         }
         const auto isIdle = this->entry.openCount() == 0 && isBalancerDrained
+                            && this->forwarder.openCount() == 0
                             && this->entry.listener().connectionCount() == 0;
-        const auto isFlushed = moment >= plan.exitAt() && this->entry.listener().unsentBytes() == 0;
+        const auto unsent = this->entry.listener().unsentBytes() + this->peerServer.unsentBytes();
+        const auto isFlushed = moment >= plan.exitAt() && unsent == 0;
         if (isIdle || isFlushed || moment >= plan.lastExitAt()) {
             this->logger.write(LogLevel::Info,
                                LogLine("daemon_stopped")
@@ -400,8 +405,7 @@
         if (this->stoppingSince) {
             consider(this->shutdownDue);
         }
-        const auto wait = std::max(Duration{200}, Duration{due - moment});
-        this->timer.set(monotonicNow() + wait);
+        this->timer.set(monotonicNow() + std::max(Duration{200}, Duration{due - moment}));
     }
 
     [[nodiscard]] auto isReady() const -> bool
@@ -443,6 +447,7 @@
         metrics.storeEra = this->store.currentEra();
         metrics.isCutOff = this->links.isCutOff() ? 1 : 0;
         metrics.forwardedRequests = this->flow.forwardedCount();
+        metrics.servedForwards = this->forwarder.sentCount();
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
     }
 
@@ -465,10 +470,13 @@
     DirectChoice direct;
     UpstreamLinks links;
     RequestFlow flow;
+    ForwardClient forwardClient;
     EntryService<Wire> entry;
     EdgePages pages;
     DatagramSocket peerSocket;
     UpstreamWatch<Wire> upstreamWatch;
+    PeerServer peerServer;
+    ForwardRole<Wire> forwarder;
     ConfigurationSource configurationSource;
     GrantorRoles roles;
     GrantorWatch grantorWatch;
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "edge/wireadapter.h"
 #include "entry/requestflow.h"
+#include "forwarding/forwardclient.h"
 #include "http1/messagewriter.h"
 #include "insight/counters.h"
 #include "routing/routetable.h"
@@ -25,14 +26,17 @@
 class EntryService
 {
 public:
+    /// @param forwards sends to upstreams that this VM doesn't reach
     /// @param now reads the clock
     /// @param onWork called after each event for which commands may have to be executed
     /// @param spreadStart first point of each route's EvenSpread, 0 to 1; differs between daemons
     EntryService(event_base *base, const Wire &wire, const EdgeSettings &settings,
-                 OutboundPool &upstreams, RequestFlow &flow, Counters &counters,
-                 std::function<Instant()> now, std::function<void()> onWork, double spreadStart)
+                 OutboundPool &upstreams, ForwardClient &forwards, RequestFlow &flow,
+                 Counters &counters, std::function<Instant()> now, std::function<void()> onWork,
+                 double spreadStart)
         : wire(wire)
         , upstreams(upstreams)
+        , forwards(forwards)
         , flow(flow)
         , counters(counters)
         , now(now)
@@ -102,6 +106,8 @@
         CallerFields fields;
         bool isRepeatable = false;
         std::optional<OutboundId> attempt;
+        /// The attempt is made by another daemon.
+        bool isForwarded = false;
         /// Where the request was sent to.
         std::vector<Address> sentTo;
         WholeMessage answer;
@@ -196,9 +202,35 @@
             != entry.sentTo.end();
         request.needsNewConnection = !request.echoedId || wasSentThere;
         entry.sentTo.push_back(command.address);
+        entry.isForwarded = !command.forwarder.empty();
+        if (entry.isForwarded) {
+            entry.attempt = this->forward(command, std::move(request), entry.isRepeatable);
+            return;
+        }
         entry.attempt = this->upstreams.send(
             std::move(request), [this, exchange = command.exchange](OutboundResult result) {
-                this->onAttemptEnd(exchange, std::move(result));
+                this->onAttemptEnd(exchange, std::move(result), std::nullopt);
+            });
+    }
+
+    auto forward(const FlowSend &command, OutboundRequest request, bool isRepeatable) -> OutboundId
+    {
+        ForwardRequest forwarded;
+        forwarded.address = command.address;
+        forwarded.upstream = command.upstream;
+        forwarded.incarnation = command.incarnation;
+        forwarded.remaining = command.remaining;
+        forwarded.echoedId = std::move(request.echoedId);
+        forwarded.isHead = request.isHead;
+        forwarded.isRepeatable = isRepeatable;
+        forwarded.needsNewConnection = request.needsNewConnection;
+        forwarded.isLastResort = command.isLastResort;
+        forwarded.text = std::move(request.text);
+        return this->forwards.send(
+            command.forwarder, forwarded,
+            [this, exchange = command.exchange](ForwardAnswer answer) {
+                this->onAttemptEnd(exchange, OutboundResult{answer.end, std::move(answer.answer)},
+                                   answer.hold);
             });
     }
 
@@ -208,9 +240,13 @@
         if (found == this->exchanges.end()) {
             return;
         }
-        if (found->second.attempt) {
-            this->upstreams.abort(*found->second.attempt);
-            found->second.attempt.reset();
+        if (auto &attempt = found->second.attempt) {
+            if (found->second.isForwarded) {
+                this->forwards.abort(*attempt);
+            } else {
+                this->upstreams.abort(*attempt);
+            }
+            attempt.reset();
         }
         if (found->second.isCallerGone) {
             this->exchanges.erase(found);
@@ -240,7 +276,9 @@
                      command.retryAfter);
     }
 
-    auto onAttemptEnd(ExchangeId exchange, OutboundResult result) -> void
+    /// @param hold why a forwarder hasn't sent the request, if the upstream wants none
+    auto onAttemptEnd(ExchangeId exchange, OutboundResult result,
+                      const std::optional<SendHold> &hold) -> void
     {
         const auto found = this->exchanges.find(exchange);
         if (found == this->exchanges.end()) {
@@ -263,6 +301,8 @@
         }
         case OutboundResult::End::NotSent:
             end.end = AttemptEnd::NotSent;
+            end.isLeaving = hold && hold->isLeaving;
+            end.pause = hold ? hold->pause : std::nullopt;
             break;
         case OutboundResult::End::NoAnswer:
         case OutboundResult::End::BadAnswer:
@@ -295,6 +335,7 @@
 
     const Wire &wire;
     OutboundPool &upstreams;
+    ForwardClient &forwards;
     RequestFlow &flow;
     Counters &counters;
     std::function<Instant()> now;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -244,9 +244,11 @@
                                     .with("forwarder", flow.forwarder.value)
                                     .with("attempt", flow.attempts + 1));
     }
+    const auto wasHeld =
+        std::find(flow.held.begin(), flow.held.end(), verdict.upstream) != flow.held.end();
     this->commands.emplace_back(FlowSend{flow.request.exchange, verdict.upstream, verdict.address,
                                          std::max(Duration{1000}, flow.answerDue - now),
-                                         verdict.incarnation, verdict.forwarder});
+                                         verdict.incarnation, verdict.forwarder, wasHeld});
 }
 
 auto RequestFlow::onAttemptEnd(const FlowAttemptEnd &end, Instant now) -> void
--- a/src/entry/types/flowmessages.h
+++ b/src/entry/types/flowmessages.h
@@ -39,6 +39,8 @@
     Incarnation incarnation = {};
     /// The daemon that forwards the request to the upstream; empty where this one sends it itself.
     Address forwarder = {};
+    /// The upstream leaves, and no other one can serve the request.
+    bool isLastResort = false;
     auto operator==(const FlowSend &) const -> bool = default;
 };
 
