Judge an upstream's failures by the daemon that reports them

Callers saw: with 8 of 27 VMs cut off from all upstreams, the other VMs served 185 of 1564 first tries.

Cause: one health per upstream for all VMs. A single NotSent of any VM blocked the upstream for everybody, and again with each further one; it counted as the loss of the upstream in the quarantine; permits that hang at a VM without links made the upstream count as silent, so that it got one request at a time. A VM that has lost its own links and a dead upstream looked the same.

Change: EntryPaths keeps for each daemon its failed paths, its failures since its last answer, and whether its requests state that it is cut off. UpstreamAnswers keeps an upstream's last answers to two different daemons. A failure tells nothing about the upstream where the daemon is cut off, or another upstream at which it failed since its last answer has answered another daemon. A failed connection to an upstream that answered others within 500 ms makes it suspected: one trial at a time, by a daemon without failures; the next failed connection of such a daemon confirms it, an answer ends it. Permits of a daemon that states later that it is cut off don't count for silence and trials; they keep their slots, as the upstream may still run the requests: the cost ends with the requests' deadlines, while a slot given twice ends in a rejected or queued request at an upstream.

Ruled out: counting distinct failing daemons only. While 24 of 27 VMs are cut off, most reporters are the VMs at fault.

--- /dev/null
+++ b/src/dispatch/entrypaths.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "dispatch/types/permits.h"
+#include "dispatch/types/upstreamprocess.h"
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace gooseberrywall {
+
+struct EntryPathsSettings
+{
+    /// A path to an upstream isn't used for this time after a failure on it; doubles with each
+    /// further failure.
+    Duration failureMemory = std::chrono::seconds{1};
+    /// Upper limit of that time. Other failures of a daemon are forgotten after it.
+    Duration maxFailureMemory = std::chrono::seconds{4};
+    /// A daemon may forward requests for this long after an upstream has answered it.
+    Duration answerValidity = std::chrono::seconds{10};
+    /// Requests that one daemon forwards at once for others.
+    int forwarderLimit = 24;
+    /// A daemon that couldn't be reached as a forwarder, or didn't forward, isn't asked to for this
+    /// time.
+    Duration forwarderRest = std::chrono::milliseconds{500};
+    auto operator==(const EntryPathsSettings &) const -> bool = default;
+};
+
+/// Knows from permit requests and reports which daemons reach which upstreams of one service, and
+/// which daemons may forward requests of others. Does no input or output; time is passed in.
+class EntryPaths
+{
+public:
+    /// A failure on the path from one daemon to one upstream.
+    struct Failure
+    {
+        /// When the permit of the failed request was granted.
+        Instant grantedAt;
+        Instant reportedAt;
+        auto operator==(const Failure &) const -> bool = default;
+    };
+
+    enum class FailureKind : std::uint8_t {
+        /// The request wasn't sent, as no connection could be opened.
+        NotSent,
+        /// The request may have reached the upstream, which answered no other daemon meanwhile.
+        Unanswered,
+        /// The request may have reached the upstream, which answered another daemon meanwhile. Two
+        /// such failures in a row end the use of the path.
+        UnansweredAlone,
+    };
+
+    explicit EntryPaths(EntryPathsSettings settings);
+
+    /// Takes in what a permit request tells about its entry daemon.
+    /// @returns whether it is the first to state that the daemon is cut off
+    auto onRequest(const PermitRequest &request, Instant now) -> bool;
+    /// Takes in that an upstream answered a request which this daemon sent to it.
+    /// @param grantedAt when the permit was granted
+    auto onAnswered(const Address &daemon, const UpstreamProcess &upstream, Instant grantedAt,
+                    Instant now) -> void;
+    /// Takes in that a request which this daemon should have sent to the upstream got no answer.
+    auto onFailed(const Address &daemon, const UpstreamProcess &upstream, FailureKind kind,
+                  Failure failure) -> void;
+    /// Takes in that a daemon couldn't be reached as a forwarder, or didn't forward. It may forward
+    /// again after a time, if an upstream answers it meanwhile.
+    auto onForwarderFailed(const Address &forwarder, Instant now) -> void;
+    /// Counts a permit that names the forwarder; `onForwardingEnd` ends it.
+    auto onForwardingStart(const Address &forwarder, Instant now) -> void;
+    auto onForwardingEnd(const Address &forwarder, Instant now) -> void;
+    /// Updates what depends on time; does nothing if it was called a few milliseconds ago.
+    auto advance(Instant now) -> void;
+
+    /// @returns whether the daemon's last request stated that it reaches no upstream
+    [[nodiscard]] auto isCutOff(const Address &daemon) const -> bool;
+    /// @returns whether the daemon may send requests to the upstream itself: it isn't cut off, and
+    /// the path hasn't failed lately
+    [[nodiscard]] auto reaches(const Address &daemon, const UpstreamProcess &upstream,
+                               Instant now) const -> bool;
+    /// @returns whether an attempt of the daemon has failed, and no upstream has answered it since
+    [[nodiscard]] auto hasFailed(const Address &daemon, Instant now) const -> bool;
+    /// @param isContradicted tells of a failure whether the upstream answered another daemon then
+    /// @returns whether that is so for one of the daemon's failures since it was last answered
+    template<std::predicate<const UpstreamProcess &, const Failure &> Predicate>
+    [[nodiscard]] auto isContradicted(const Address &daemon, const Predicate &isContradicted) const
+        -> bool
+    {
+        const auto *known = this->find(daemon);
+        return known != nullptr
+               && std::any_of(known->paths.begin(), known->paths.end(), [&](const auto &row) {
+                      return row.second.failure.grantedAt > known->answeredGrant
+                             && isContradicted(row.first, row.second.failure);
+                  });
+    }
+
+    /// @param isAllowed tells whether the upstream takes requests from a daemon
+    /// @returns the daemon that should forward a request to the upstream; empty where none can now
+    template<std::predicate<const Address &> Predicate>
+    [[nodiscard]] auto chooseForwarder(const Address &entry, const UpstreamProcess &upstream,
+                                       const Predicate &isAllowed, Instant now) const -> Address
+    {
+        const auto *asking = this->find(entry);
+        const auto domain = asking == nullptr ? FailureDomain{} : asking->domain;
+        const Daemon *best = nullptr;
+        const auto rank = [&](const Daemon &daemon) {
+            return std::tuple(daemon.failuresSinceAnswer > 0, daemon.domain != domain,
+                              daemon.forwarding);
+        };
+        for (const auto *daemon : this->forwarders) {
+            if ((best == nullptr || rank(*daemon) < rank(*best))
+                && this->canForward(*daemon, entry, upstream, now) && isAllowed(daemon->address)) {
+                best = daemon;
+            }
+        }
+        return best == nullptr ? Address{} : best->address;
+    }
+    /// @returns whether a daemon can forward a request to the upstream now
+    template<std::predicate<const Address &> Predicate>
+    [[nodiscard]] auto hasForwarder(const Address &entry, const UpstreamProcess &upstream,
+                                    const Predicate &isAllowed, Instant now) const -> bool
+    {
+        return std::any_of(this->forwarders.begin(), this->forwarders.end(),
+                           [&](const Daemon *daemon) {
+                               return this->canForward(*daemon, entry, upstream, now)
+                                      && isAllowed(daemon->address);
+                           });
+    }
+    /// @returns whether a daemon can forward requests of this one now
+    [[nodiscard]] auto hasForwarder(const Address &entry) const -> bool;
+    /// @returns whether a daemon could forward requests of this one, now or with fewer others
+    [[nodiscard]] auto mayGetForwarder(const Address &entry, Instant now) const -> bool;
+    /// @returns the number of daemons that have stated that they are cut off
+    [[nodiscard]] auto cutOffCount() const -> std::size_t;
+
+private:
+    struct Path
+    {
+        Failure failure;
+        /// Failures in a row without an answer on this path.
+        int failures = 0;
+        Duration memory{0};
+        /// The path isn't used until then.
+        Instant avoidedUntil{};
+    };
+    struct Daemon
+    {
+        Address address;
+        FailureDomain domain;
+        /// Of the latest request.
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        bool isCutOff = false;
+        Instant seenAt{};
+        std::optional<Instant> answeredAt;
+        /// When the latest permit was granted of a request that was answered.
+        Instant answeredGrant{};
+        /// Paths with failures.
+        std::map<UpstreamProcess, Path> paths;
+        int failuresSinceAnswer = 0;
+        Instant failedAt{};
+        /// Requests of others that it forwards now.
+        int forwarding = 0;
+        Instant restsUntil{};
+        bool isForwarder = false;
+        bool isImpaired = false;
+    };
+
+    [[nodiscard]] auto find(const Address &daemon) const -> const Daemon *;
+    [[nodiscard]] auto daemonAt(const Address &address, Instant now) -> Daemon &;
+    /// @returns whether the daemon may forward as far as its number of forwarded requests allows
+    [[nodiscard]] auto isCandidate(const Daemon &daemon, Instant now) const -> bool;
+    [[nodiscard]] auto canForward(const Daemon &daemon, const Address &entry,
+                                  const UpstreamProcess &upstream, Instant now) const -> bool;
+    /// Updates what is derived from the daemon's state.
+    auto update(Daemon &daemon, Instant now) -> void;
+
+    EntryPathsSettings settings;
+    Instant advanceDue{};
+    std::unordered_map<Address, Daemon> daemons;
+    /// Candidates with fewer forwarded requests than allowed.
+    std::vector<const Daemon *> forwarders;
+    /// Daemons that are cut off or have paths with failures.
+    std::size_t impairedCount = 0;
+};
+
+} // namespace gooseberrywall
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -12,14 +12,10 @@
 
 using std::chrono::milliseconds;
 
-/// Weight of one answer in the moving average of the service's latency.
-constexpr double meanLatencyWeight = 0.02;
 /// How often waiting requests are checked for those that can't meet their deadline any more.
 constexpr Duration backlogCheckInterval = milliseconds{20};
 /// How often permits are checked for expiry while no request waits.
 constexpr Duration permitCheckInterval = milliseconds{250};
-/// Time for which the load in an answer counts.
-constexpr Duration otherRequestsValidity = milliseconds{200};
 /// Shortest time after which a refused caller is asked to retry.
 constexpr Duration minRetryAfter = milliseconds{25};
 /// Longest such time; callers wait for at most a third of their remaining time.
@@ -50,6 +46,7 @@
     , isSharded(isSharded)
     , settings(settings)
     , retryWindow(retries)
+    , paths(settings.paths)
     , random(seed)
     , meanLatency(settings.initialLatency)
 {
@@ -71,6 +68,7 @@
             upstream.warmUpEnd = now + entry.remainingWarmUp;
         }
         upstream.entry = entry;
+        upstream.process = UpstreamProcess{entry.id, entry.incarnation};
         next.emplace(entry.id, std::move(upstream));
     }
     for (const auto &[id, incarnation] : former) {
@@ -98,6 +96,9 @@
 
 auto SlotBroker::ask(const PermitRequest &request, Instant now) -> void
 {
+    if (this->paths.onRequest(request, now)) {
+        this->strand(request.id.entry, now);
+    }
     if (const auto known = this->permits.find(request.id); known != this->permits.end()) {
         if (this->isRepeatable(known->first, known->second, now)) {
             this->issue(request, known->second.verdict, VerdictBasis{});
@@ -176,59 +177,6 @@
     }
 }
 
-auto SlotBroker::learn(const PermitReport &report, Upstream &upstream, Instant now) -> void
-{
-    const auto &permit = this->permits.at(report.id);
-    this->updateQuarantine(report, upstream, now);
-    if (report.end == AttemptEnd::Answered) {
-        this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
-    }
-    if (permit.verdict.incarnation != upstream.entry.incarnation) {
-        return;
-    }
-    upstream.health.onAttemptEnd(report.end, report.latency, now);
-    upstream.noReportSince = now;
-    if (report.load) {
-        const auto others = report.load->running + report.load->waiting - upstream.inFlight;
-        upstream.otherRequests = std::max(0, others);
-        upstream.otherRequestsValidUntil = now + otherRequestsValidity;
-    }
-    if (report.requestLimit) {
-        upstream.limiter.onStated(*report.requestLimit, permit.grantedAt, now);
-    }
-    if (report.end == AttemptEnd::NotSent) {
-        upstream.limiter.onNotSent(now);
-    }
-    if (report.end == AttemptEnd::Answered) {
-        upstream.pauses.onServed(report.id.entry, permit.grantedAt);
-    }
-}
-
-auto SlotBroker::updateQuarantine(const PermitReport &report, const Upstream &upstream, Instant now)
-    -> void
-{
-    const auto permit = this->permits.find(report.id);
-    const auto fingerprint =
-        permit == this->permits.end() ? RequestFingerprint{} : permit->second.fingerprint;
-    switch (report.end) {
-    case AttemptEnd::NoAnswer:
-        this->quarantine.onUnanswered(fingerprint, upstream.entry.id, upstream.entry.incarnation,
-                                      now);
-        return;
-    case AttemptEnd::NotSent:
-        this->quarantine.onUpstreamLost(upstream.entry.id, upstream.entry.incarnation, now);
-        return;
-    case AttemptEnd::Answered:
-    case AttemptEnd::Failed:
-        this->quarantine.onAnswered(fingerprint);
-        return;
-    case AttemptEnd::NotRun:
-    case AttemptEnd::WrongOwner:
-    case AttemptEnd::Unused:
-        return;
-    }
-}
-
 auto SlotBroker::cancel(const PermitId &id, Instant now) -> void
 {
     this->removeWaiting(id);
@@ -247,6 +195,7 @@
 
 auto SlotBroker::advance(Instant now) -> void
 {
+    this->paths.advance(now);
     this->checkPermits(now);
     this->endPauses(now);
     this->sharedQueue.updateLateness(this->meanLatency, now);
@@ -351,7 +300,7 @@
     if (this->isSharded && waiting.request.key) {
         verdict.ownedRange = this->rangeOf(*waiting.request.key)->keys;
     }
-    if (upstream.inFlight == 0) {
+    if (upstream.inFlight == upstream.stranded) {
         upstream.noReportSince = now;
     }
     ++upstream.inFlight;
@@ -411,19 +360,6 @@
         IssuedVerdict{request.id, request.request, std::move(verdict), std::move(basis)});
 }
 
-auto SlotBroker::release(const PermitId &id, const Permit &permit, Instant now) -> void
-{
-    auto *upstream = this->findUpstream(permit.upstream, permit.verdict.incarnation);
-    if (upstream == nullptr) {
-        return;
-    }
-    upstream->pauses.onReturned(id.entry, permit.grantedAt);
-    upstream->inFlight = std::max(0, upstream->inFlight - 1);
-    if (upstream->inFlight == 0) {
-        upstream->noReportSince = now;
-    }
-}
-
 auto SlotBroker::rangeOf(KeyPosition key) const -> const OwnedRange *
 {
     const auto after = std::upper_bound(
@@ -452,13 +388,13 @@
     if (this->isKeyed(request)) {
         auto *owner = this->ownerOf(request);
         const auto isFree = owner != nullptr && this->hasRoom(*owner, now)
-                            && owner->pauses.allows(request.id.entry, now);
+                            && this->maySend(request.id.entry, *owner, now);
         return isFree ? owner : nullptr;
     }
     Upstream *best = nullptr;
     double lowestCost = 0;
     for (auto &[id, upstream] : this->upstreams) {
-        if (!this->hasRoom(upstream, now) || !upstream.pauses.allows(request.id.entry, now)) {
+        if (!this->hasRoom(upstream, now) || !this->maySend(request.id.entry, upstream, now)) {
             continue;
         }
         const auto cost = this->costOf(upstream, request, now);
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -30,8 +30,8 @@
         || !upstream.limiter.allows(now)) {
         return false;
     }
-    if (upstream.health.isLimitedToTrials() || this->isSilent(upstream, now)) {
-        return upstream.inFlight == 0;
+    if (isOnTrial(upstream) || this->isSilent(upstream, now)) {
+        return upstream.inFlight == upstream.stranded && upstream.inFlight < upstream.entry.slots;
     }
     const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
     return upstream.inFlight + otherRequests
@@ -40,7 +40,7 @@
 
 auto SlotBroker::isSilent(const Upstream &upstream, Instant now) const -> bool
 {
-    if (upstream.inFlight == 0) {
+    if (upstream.inFlight == upstream.stranded) {
         return false;
     }
     const auto silence = now - std::max(upstream.noReportSince, upstream.health.lastAnswerAt());
--- /dev/null
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -0,0 +1,198 @@
+#include "common/durations.h"
+#include "dispatch/slotbroker.h"
+
+#include <algorithm>
+
+namespace gooseberrywall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Weight of one answer in the moving average of the service's latency.
+constexpr double meanLatencyWeight = 0.02;
+/// Time for which the load in an answer counts.
+constexpr Duration otherRequestsValidity = milliseconds{200};
+/// An upstream that has answered another daemon within this time isn't lost because one daemon
+/// can't connect.
+constexpr Duration answerRelevance = milliseconds{500};
+
+} // namespace
+
+auto SlotBroker::learn(const PermitReport &report, Upstream &upstream, Instant now) -> void
+{
+    const auto &permit = this->permits.at(report.id);
+    const auto isSameProcess = permit.verdict.incarnation == upstream.entry.incarnation;
+    const auto evidence =
+        isSameProcess ? this->learnPath(report, permit, upstream, now) : Evidence::Full;
+    this->updateQuarantine(report, upstream, evidence, now);
+    if (report.end == AttemptEnd::Answered) {
+        this->meanLatency += scaled(report.latency - this->meanLatency, meanLatencyWeight);
+    }
+    if (!isSameProcess) {
+        return;
+    }
+    if (evidence == Evidence::Full) {
+        upstream.health.onAttemptEnd(report.end, report.latency, now);
+    } else if (evidence == Evidence::Uncertain) {
+        upstream.health.onUncertainFailure(now);
+    }
+    upstream.noReportSince = now;
+    if (report.load) {
+        const auto others = report.load->running + report.load->waiting - upstream.inFlight;
+        upstream.otherRequests = std::max(0, others);
+        upstream.otherRequestsValidUntil = now + otherRequestsValidity;
+    }
+    if (report.requestLimit) {
+        upstream.limiter.onStated(*report.requestLimit, permit.grantedAt, now);
+    }
+    if (report.end == AttemptEnd::NotSent) {
+        upstream.limiter.onNotSent(now);
+    }
+    if (report.end == AttemptEnd::Answered) {
+        upstream.pauses.onServed(report.id.entry, permit.grantedAt);
+    }
+}
+
+auto SlotBroker::learnPath(const PermitReport &report, const Permit &permit, Upstream &upstream,
+                           Instant now) -> Evidence
+{
+    const auto &daemon = report.forwarder.empty() ? report.id.entry : report.forwarder;
+    switch (report.end) {
+    case AttemptEnd::Unused:
+        return this->isInDoubt(daemon) ? Evidence::None : Evidence::Full;
+    case AttemptEnd::Answered:
+    case AttemptEnd::Failed:
+    case AttemptEnd::NotRun:
+    case AttemptEnd::WrongOwner:
+        this->paths.onAnswered(daemon, upstream.process, permit.grantedAt, now);
+        upstream.answers.onAnswered(UpstreamAnswers::Answer{daemon, permit.grantedAt, now});
+        upstream.suspectedBy = Address{};
+        return Evidence::Full;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::NoAnswer:
+        return this->learnFailure(daemon, report.end, permit, upstream, now);
+    }
+    return Evidence::Full;
+}
+
+auto SlotBroker::learnFailure(const Address &daemon, AttemptEnd end, const Permit &permit,
+                              Upstream &upstream, Instant now) -> Evidence
+{
+    using FailureKind = EntryPaths::FailureKind;
+    const auto *other = upstream.answers.lastToOther(daemon);
+    const auto isAlone = other != nullptr && other->grantedAt > permit.grantedAt;
+    const auto answersOthers =
+        isAlone || (other != nullptr && now - other->reportedAt <= answerRelevance);
+    const auto hasFailed = this->paths.hasFailed(daemon, now);
+    const auto isInDoubt = this->isInDoubt(daemon) || (hasFailed && isAlone);
+    const auto isSent = end == AttemptEnd::NoAnswer;
+    const auto sentKind = isAlone ? FailureKind::UnansweredAlone : FailureKind::Unanswered;
+    this->paths.onFailed(daemon, upstream.process, isSent ? sentKind : FailureKind::NotSent,
+                         EntryPaths::Failure{permit.grantedAt, now});
+    if (isInDoubt) {
+        return Evidence::None;
+    }
+    if (!answersOthers) {
+        return Evidence::Full;
+    }
+    if (isSent) {
+        return hasFailed ? Evidence::Uncertain : Evidence::Full;
+    }
+    const auto isConfirmed =
+        !isAlone && !hasFailed && !upstream.suspectedBy.empty() && upstream.suspectedBy != daemon;
+    if (isConfirmed) {
+        return Evidence::Full;
+    }
+    if (!isAlone && upstream.suspectedBy.empty()) {
+        upstream.suspectedBy = daemon;
+    }
+    return Evidence::Uncertain;
+}
+
+auto SlotBroker::maySend(const Address &entry, const Upstream &upstream, Instant now) const -> bool
+{
+    if (!upstream.pauses.allows(entry, now)) {
+        return false;
+    }
+    // A failed trial of a daemon whose attempts fail elsewhere, too, would tell nothing.
+    return !isOnTrial(upstream) || !this->paths.hasFailed(entry, now)
+           || !this->paths.hasForwarder(entry);
+}
+
+auto SlotBroker::isInDoubt(const Address &daemon) const -> bool
+{
+    const auto answeredAnother = [&](const UpstreamProcess &process,
+                                     const EntryPaths::Failure &failure) {
+        const auto found = this->upstreams.find(process.id);
+        const auto *other =
+            found == this->upstreams.end() ? nullptr : found->second.answers.lastToOther(daemon);
+        return other != nullptr
+               && (other->grantedAt > failure.grantedAt || other->reportedAt > failure.reportedAt);
+    };
+    return this->paths.isCutOff(daemon) || this->paths.isContradicted(daemon, answeredAnother);
+}
+
+auto SlotBroker::isOnTrial(const Upstream &upstream) -> bool
+{
+    return upstream.health.isLimitedToTrials() || !upstream.suspectedBy.empty();
+}
+
+auto SlotBroker::strand(const Address &entry, Instant now) -> void
+{
+    for (auto &[id, permit] : this->permits) {
+        auto *upstream = id.entry == entry && !permit.isStranded
+                             ? this->findUpstream(permit.upstream, permit.verdict.incarnation)
+                             : nullptr;
+        if (upstream != nullptr) {
+            permit.isStranded = true;
+            ++upstream->stranded;
+        }
+    }
+    this->capacity.recalculateAt = now;
+}
+
+auto SlotBroker::updateQuarantine(const PermitReport &report, const Upstream &upstream,
+                                  Evidence evidence, Instant now) -> void
+{
+    const auto permit = this->permits.find(report.id);
+    const auto fingerprint =
+        permit == this->permits.end() ? RequestFingerprint{} : permit->second.fingerprint;
+    switch (report.end) {
+    case AttemptEnd::NoAnswer:
+        if (evidence != Evidence::None) {
+            this->quarantine.onUnanswered(fingerprint, upstream.entry.id,
+                                          upstream.entry.incarnation, now);
+        }
+        return;
+    case AttemptEnd::NotSent:
+        if (evidence == Evidence::Full) {
+            this->quarantine.onUpstreamLost(upstream.entry.id, upstream.entry.incarnation, now);
+        }
+        return;
+    case AttemptEnd::Answered:
+    case AttemptEnd::Failed:
+        this->quarantine.onAnswered(fingerprint);
+        return;
+    case AttemptEnd::NotRun:
+    case AttemptEnd::WrongOwner:
+    case AttemptEnd::Unused:
+        return;
+    }
+}
+
+auto SlotBroker::release(const PermitId &id, const Permit &permit, Instant now) -> void
+{
+    auto *upstream = this->findUpstream(permit.upstream, permit.verdict.incarnation);
+    if (upstream == nullptr) {
+        return;
+    }
+    upstream->pauses.onReturned(id.entry, permit.grantedAt);
+    upstream->inFlight = std::max(0, upstream->inFlight - 1);
+    upstream->stranded -= permit.isStranded ? 1 : 0;
+    if (upstream->inFlight == upstream->stranded) {
+        upstream->noReportSince = now;
+    }
+}
+
+} // namespace gooseberrywall
--- a/src/dispatch/internal/slotbrokerqueues.cpp
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -20,7 +20,7 @@
 auto SlotBroker::firstFor(const Upstream &upstream, Instant now) const -> WaitingRequest *
 {
     const auto isEligible = [&](const PermitRequest &request) {
-        return upstream.pauses.allows(request.id.entry, now);
+        return this->maySend(request.id.entry, upstream, now);
     };
     auto *own = upstream.waiting.first(now, isEligible);
     auto *shared = this->sharedQueue.first(now, isEligible);
--- a/src/dispatch/internal/slotbrokerstatements.cpp
+++ b/src/dispatch/internal/slotbrokerstatements.cpp
@@ -44,8 +44,8 @@
         return;
     }
     this->expiredPermits[id] =
-        ExpiredPermit{permit.upstream, permit.verdict.incarnation, permit.request, permit.grantedAt,
-                      now + expiredRetention};
+        ExpiredPermit{permit.upstream,  permit.verdict.incarnation, permit.request,
+                      permit.grantedAt, permit.verdict.forwarder,   now + expiredRetention};
 }
 
 auto SlotBroker::takeIn(const UpstreamStatement &statement, Instant grantedAt, Instant now) -> void
--- a/src/dispatch/internal/upstreamhealth.cpp
+++ b/src/dispatch/internal/upstreamhealth.cpp
@@ -51,10 +51,7 @@
         this->blockEnd = std::max(this->blockEnd, now + notRunBlockTime);
         return;
     }
-    const auto isFailure = end != AttemptEnd::Answered;
-    this->lastFailureShare = this->failureShare(now);
-    this->lastFailureShare += failureWeight * ((isFailure ? 1.0 : 0.0) - this->lastFailureShare);
-    this->failureShareUpdatedAt = now;
+    this->updateFailureShare(end != AttemptEnd::Answered, now);
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         // The upstream has recovered, so its earlier failures say little about its state now.
         if (this->isLimitedToTrials()) {
@@ -75,6 +72,23 @@
     }
 }
 
+auto UpstreamHealth::onUncertainFailure(Instant now) -> void
+{
+    this->updateFailureShare(true, now);
+}
+
+auto UpstreamHealth::delayTrial(Instant now) -> void
+{
+    this->blockEnd = std::max(this->blockEnd, now + firstBlockTime);
+}
+
+auto UpstreamHealth::updateFailureShare(bool isFailure, Instant now) -> void
+{
+    this->lastFailureShare = this->failureShare(now);
+    this->lastFailureShare += failureWeight * ((isFailure ? 1.0 : 0.0) - this->lastFailureShare);
+    this->failureShareUpdatedAt = now;
+}
+
 auto UpstreamHealth::learnLatency(Duration latency, Instant now) -> void
 {
     const auto sample = static_cast<double>(latency.count());
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/entrypaths.h"
 #include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
@@ -7,6 +8,7 @@
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
 #include "dispatch/types/upstreamstatement.h"
+#include "dispatch/upstreamanswers.h"
 #include "dispatch/upstreamhealth.h"
 #include "dispatch/upstreampauses.h"
 #include "dispatch/waitingqueue.h"
@@ -44,6 +46,7 @@
     /// An upstream with a larger share of failed attempts gets requests only if no other upstream
     /// has a free slot or all others cost far more.
     double unhealthyFailureShare = 0.25;
+    EntryPathsSettings paths = {};
     auto operator==(const SlotBrokerSettings &) const -> bool = default;
 };
 
@@ -177,10 +180,19 @@
     struct Upstream
     {
         UpstreamEntry entry;
+        UpstreamProcess process;
         UpstreamHealth health;
+        UpstreamAnswers answers;
+        /// The daemon that couldn't connect while the upstream answered others; empty where there
+        /// was none since the last answer. The upstream gets one request at a time until then.
+        Address suspectedBy;
         Instant warmUpEnd{};
         int inFlight = 0;
-        /// When each entry daemon, by address, last got a permit for this upstream.
+        /// Permits out that were sent by daemons which have stated since that they are cut off.
+        /// They hold their slots, as the upstream may run the requests, but no report is expected.
+        int stranded = 0;
+        /// When each daemon, by address, last got a permit for this upstream, or was named as the
+        /// forwarder.
         std::unordered_map<Address, Instant> lastUse;
         /// Requests at the upstream beyond this broker's permits, by the load in its last answer.
         int otherRequests = 0;
@@ -223,6 +235,8 @@
         Instant repeatAt;
         Duration repeatAfter;
         Instant grantedAt;
+        /// Counted in the upstream's `stranded`.
+        bool isStranded = false;
     };
     /// A permit that has expired; its report may still come.
     struct ExpiredPermit
@@ -231,9 +245,18 @@
         Incarnation incarnation;
         RequestId request;
         Instant grantedAt;
+        Address forwarder;
         /// When it is forgotten.
         Instant dropAt;
     };
+    /// What the end of an attempt tells about the upstream.
+    enum class Evidence : std::uint8_t {
+        /// Nothing: the attempt failed because of the links of the daemon that sent it.
+        None,
+        /// It failed because of either.
+        Uncertain,
+        Full,
+    };
     struct IdHash
     {
         auto operator()(const PermitId &id) const noexcept -> std::size_t;
@@ -247,8 +270,22 @@
     /// Grants the free slots of all upstreams to waiting requests.
     auto grantFreeSlots(Instant now) -> void;
     auto learn(const PermitReport &report, Upstream &upstream, Instant now) -> void;
-    auto updateQuarantine(const PermitReport &report, const Upstream &upstream, Instant now)
-        -> void;
+    /// Learns about the path of the daemon that sent the request to the upstream.
+    /// @returns what the end of the attempt tells about the upstream
+    auto learnPath(const PermitReport &report, const Permit &permit, Upstream &upstream,
+                   Instant now) -> Evidence;
+    /// Learns from an attempt that got no answer, or that the daemon couldn't send.
+    auto learnFailure(const Address &daemon, AttemptEnd end, const Permit &permit,
+                      Upstream &upstream, Instant now) -> Evidence;
+    /// @returns whether a request of the entry daemon may be sent to the upstream now
+    [[nodiscard]] auto maySend(const Address &entry, const Upstream &upstream, Instant now) const
+        -> bool;
+    /// @returns whether the daemon's attempts fail because of its own links
+    [[nodiscard]] auto isInDoubt(const Address &daemon) const -> bool;
+    /// Counts the permits of a daemon that is cut off as stranded.
+    auto strand(const Address &entry, Instant now) -> void;
+    auto updateQuarantine(const PermitReport &report, const Upstream &upstream, Evidence evidence,
+                          Instant now) -> void;
     /// Grants waiting requests that may run at this upstream while it has a free slot.
     auto grantFreeSlotsOf(Upstream &upstream, Instant now) -> void;
     /// Sorts all waiting requests into the queues anew, after a change of upstreams or owners.
@@ -310,6 +347,8 @@
     /// @returns whether the upstream has permits out and neither answer nor report came for too
     /// long
     [[nodiscard]] auto isSilent(const Upstream &upstream, Instant now) const -> bool;
+    /// @returns whether the upstream gets one request at a time, to find out whether it answers
+    [[nodiscard]] static auto isOnTrial(const Upstream &upstream) -> bool;
     [[nodiscard]] auto latencyOf(const Upstream &upstream, Instant now) const -> Duration;
     /// @returns the requests per second that the upstream can serve: as many as its slots and its
     /// request limit allow
@@ -348,6 +387,7 @@
     SlotBrokerSettings settings;
     RetryWindow retryWindow;
     RequestQuarantine quarantine{RequestQuarantineSettings{}};
+    EntryPaths paths;
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
     std::vector<OwnedRange> ownedRanges;
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -9,6 +9,15 @@
 constexpr int slots = 3;
 constexpr std::size_t keyCount = 65536;
 constexpr Duration tick = std::chrono::milliseconds{20};
+/// A connection that can't be opened is given up after this time.
+constexpr Duration connectTimeout = std::chrono::milliseconds{250};
+constexpr Duration refusalTime = std::chrono::milliseconds{1};
+/// Time after which VMs state that they have lost their links.
+constexpr Duration lossStatementTime = std::chrono::milliseconds{500};
+/// A path is known as failed for at least this long after a failure.
+constexpr Duration failedPathTime = std::chrono::milliseconds{900};
+constexpr std::size_t domainCount = 3;
+constexpr std::size_t maxConnectFailures = 3;
 const ServiceName service{"service"};
 
 auto upstreamId(std::size_t index) -> UpstreamId
@@ -70,6 +79,53 @@
     this->setUpBroker();
 }
 
+auto BrokerSimulation::setVms(std::size_t count) -> void
+{
+    this->vms.clear();
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto domain = index * domainCount / count;
+        this->vms.push_back(Vm{Address{"10.0.0." + std::to_string(index) + ":7000"},
+                               FailureDomain{"domain-" + std::to_string(domain)}});
+    }
+}
+
+auto BrokerSimulation::loseLinks(std::size_t count, LostLinks kind) -> void
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        this->vms.at(index).lostLinks = kind;
+        this->vms.at(index).statesLossAt = this->now + lossStatementTime;
+    }
+}
+
+auto BrokerSimulation::restoreLinks() -> void
+{
+    for (auto &vm : this->vms) {
+        vm.lostLinks.reset();
+        vm.failedAt.clear();
+    }
+}
+
+auto BrokerSimulation::firstTries(bool areLinksLost) const -> FirstTries
+{
+    FirstTries sum;
+    for (const auto &vm : this->vms) {
+        if (vm.lostLinks.has_value() == areLinksLost) {
+            sum.asked += vm.firstTries.asked;
+            sum.served += vm.firstTries.served;
+            sum.unreachable += vm.firstTries.unreachable;
+            sum.longestRefusal = std::max(sum.longestRefusal, vm.firstTries.longestRefusal);
+        }
+    }
+    return sum;
+}
+
+auto BrokerSimulation::vmAt(const Address &address) const -> std::size_t
+{
+    const auto found = std::find_if(this->vms.begin(), this->vms.end(),
+                                    [&](const Vm &vm) { return vm.address == address; });
+    return static_cast<std::size_t>(found - this->vms.begin());
+}
+
 auto BrokerSimulation::setRequestLimit(std::size_t upstream, RequestLimit limit) -> void
 {
     constexpr Duration firstReactionTime = std::chrono::seconds{3};
@@ -105,7 +161,8 @@
     const auto request = this->nextRequest++;
     const auto at = this->now + Duration{static_cast<std::int64_t>(gap(this->random) * 1e6)};
     const auto key = static_cast<KeyPosition>(this->isSharded ? this->random() % keyCount : 0);
-    this->callers[request] = Caller{classIndex, at, false, key};
+    const auto vm = this->vms.size() == 1 ? 0 : this->random() % this->vms.size();
+    this->callers[request] = Caller{classIndex, at, false, key, vm};
     this->events.push(Event{at, Event::Kind::Arrive, request});
 }
 
@@ -123,6 +180,13 @@
 {
     std::fill(this->results.begin(), this->results.end(), ClassCounts{});
     std::fill(this->sentRequests.begin(), this->sentRequests.end(), 0);
+    for (auto &vm : this->vms) {
+        vm.firstTries = FirstTries{};
+    }
+    this->worstForwarded = 0;
+    this->lostPathSends = 0;
+    this->forwards = 0;
+    this->abroadForwards = 0;
 }
 
 auto BrokerSimulation::run(Duration time) -> void
@@ -141,92 +205,184 @@
             const auto caller = this->callers.at(event.request);
             if (!caller.isRetry) {
                 ++this->results[caller.classIndex].asked;
+                ++this->vms[caller.vm].firstTries.asked;
                 this->scheduleArrival(caller.classIndex);
             }
-            PermitRequest request;
-            request.id = PermitId{Address{"entry"}, 1, event.request};
-            request.service = service;
-            const auto &requestClass = this->classes[caller.classIndex];
-            if (this->isSharded) {
-                request.key = caller.key;
-            }
-            request.priority = requestClass.priority;
-            request.remaining = caller.arrivedAt + requestClass.deadline - this->now;
-            request.untilTarget = caller.arrivedAt + requestClass.target - this->now;
-            this->askedAt[event.request] = this->now;
-            this->broker->ask(request, this->now);
+            this->ask(event.request);
         }
         this->takeVerdicts();
     }
     this->now = end;
 }
 
+auto BrokerSimulation::ask(std::uint64_t id) -> void
+{
+    const auto &caller = this->callers.at(id);
+    const auto &vm = this->vms[caller.vm];
+    const auto &requestClass = this->classes[caller.classIndex];
+    PermitRequest request;
+    request.id = PermitId{vm.address, 1, id};
+    request.service = service;
+    request.domain = vm.domain;
+    if (this->isSharded) {
+        request.key = caller.key;
+    }
+    request.priority = requestClass.priority;
+    request.remaining = caller.arrivedAt + requestClass.deadline - this->now;
+    request.untilTarget = caller.arrivedAt + requestClass.target - this->now;
+    request.avoid = caller.avoid;
+    request.isCutOff = vm.lostLinks && vm.statesLossAt <= this->now;
+    this->askedAt[id] = this->now;
+    this->broker->ask(request, this->now);
+}
+
 auto BrokerSimulation::takeVerdicts() -> void
 {
     for (const auto &issued : this->broker->takeVerdicts()) {
-        const auto request = issued.id.sequence;
-        const auto caller = this->callers.at(request);
-        const auto &requestClass = this->classes[caller.classIndex];
         if (issued.verdict.kind == PermitVerdict::Kind::Granted) {
-            // An entry daemon ignores a repeated verdict while it uses the permit.
-            if (!this->granted.insert(request).second) {
-                continue;
-            }
-            const auto index =
-                static_cast<std::size_t>(std::stoi(issued.verdict.upstream.value.substr(1)));
-            this->results[caller.classIndex].grantedWait += this->now - this->askedAt.at(request);
-            ++this->sentRequests[index];
-            this->onSent(index);
-            ++this->running[index];
-            this->worstOvercommit = std::max(this->worstOvercommit, this->running[index] - slots);
-            std::lognormal_distribution<double> factor(-0.045, 0.3);
-            const auto slow = this->slowdowns[index];
-            const auto work = static_cast<double>(requestClass.work.count()) * factor(this->random)
-                              * std::max(1.0, slow) / this->speeds[index];
-            const auto at = slow == 0 ? caller.arrivedAt + requestClass.deadline
-                                      : this->now + Duration{static_cast<std::int64_t>(work)};
-            this->events.push(Event{at, Event::Kind::End, request, index});
+            this->onGranted(issued);
         } else if (issued.verdict.kind == PermitVerdict::Kind::Refused) {
-            auto &result = this->results[caller.classIndex];
-            ++result.refusals;
-            result.refusedWait += this->now - this->askedAt.at(request);
-            const auto remaining = caller.arrivedAt + requestClass.deadline - this->now;
-            const auto retryAt = this->now + std::min(issued.verdict.retryAfter, remaining / 3);
-            if (requestClass.retriesOnce && !caller.isRetry && remaining > Duration{0}) {
-                const auto retry = this->nextRequest++;
-                this->callers[retry] =
-                    Caller{caller.classIndex, caller.arrivedAt, true, caller.key};
-                this->events.push(Event{retryAt, Event::Kind::Arrive, retry});
-            } else {
-                ++result.refused;
-            }
+            this->onRefused(issued);
         }
     }
 }
 
+auto BrokerSimulation::onGranted(const IssuedVerdict &issued) -> void
+{
+    const auto request = issued.id.sequence;
+    // An entry daemon ignores a repeated verdict while it uses the permit.
+    if (!this->granted.insert(request).second) {
+        return;
+    }
+    const auto &caller = this->callers.at(request);
+    const auto index = static_cast<std::size_t>(std::stoi(issued.verdict.upstream.value.substr(1)));
+    this->results[caller.classIndex].grantedWait += this->now - this->askedAt.at(request);
+    ++this->sentRequests[index];
+    this->onSent(index);
+    ++this->running[index];
+    this->worstOvercommit = std::max(this->worstOvercommit, this->running[index] - slots);
+    auto &vm = this->vms[caller.vm];
+    if (issued.verdict.forwarder.empty()) {
+        const auto failed = vm.failedAt.find(index);
+        const auto isKnown =
+            (vm.lostLinks && vm.statesLossAt <= this->now)
+            || (failed != vm.failedAt.end() && this->now < failed->second + failedPathTime);
+        this->lostPathSends += isKnown ? 1 : 0;
+        this->events.push(this->attemptOf(vm, request, index));
+        return;
+    }
+    const auto forwarderIndex = this->vmAt(issued.verdict.forwarder);
+    auto &forwarder = this->vms.at(forwarderIndex);
+    ++this->forwards;
+    this->abroadForwards += forwarder.domain == vm.domain ? 0 : 1;
+    this->worstForwarded = std::max(this->worstForwarded, ++forwarder.forwarding);
+    auto end = this->attemptOf(forwarder, request, index);
+    end.isForwarded = true;
+    end.forwarder = forwarderIndex;
+    this->events.push(end);
+}
+
+auto BrokerSimulation::attemptOf(const Vm &sender, std::uint64_t request, std::size_t upstream)
+    -> Event
+{
+    const auto &caller = this->callers.at(request);
+    const auto &requestClass = this->classes[caller.classIndex];
+    const auto dueAt = caller.arrivedAt + requestClass.deadline;
+    Event end{this->now, Event::Kind::End, request, upstream};
+    if (this->stopped.contains(upstream)) {
+        end.at = this->now + refusalTime;
+        end.end = AttemptEnd::NotSent;
+        return end;
+    }
+    if (sender.lostLinks) {
+        const auto isHanging =
+            *sender.lostLinks == LostLinks::Hanging && this->now < sender.statesLossAt;
+        const auto time = *sender.lostLinks == LostLinks::Refused ? refusalTime : connectTimeout;
+        end.at = isHanging ? dueAt : std::min(dueAt, this->now + time);
+        end.end = isHanging ? AttemptEnd::NoAnswer : AttemptEnd::NotSent;
+        return end;
+    }
+    std::lognormal_distribution<double> factor(-0.045, 0.3);
+    const auto slow = this->slowdowns[upstream];
+    const auto work = static_cast<double>(requestClass.work.count()) * factor(this->random)
+                      * std::max(1.0, slow) / this->speeds[upstream];
+    end.at = slow == 0 ? dueAt : this->now + Duration{static_cast<std::int64_t>(work)};
+    end.end = slow == 0 || end.at >= dueAt ? AttemptEnd::NoAnswer : AttemptEnd::Answered;
+    return end;
+}
+
+auto BrokerSimulation::onRefused(const IssuedVerdict &issued) -> void
+{
+    const auto caller = this->callers.at(issued.id.sequence);
+    const auto &requestClass = this->classes[caller.classIndex];
+    const auto wait = this->now - this->askedAt.at(issued.id.sequence);
+    if (issued.verdict.reason == Reason::UpstreamUnreachable) {
+        auto &tries = this->vms[caller.vm].firstTries;
+        ++tries.unreachable;
+        tries.longestRefusal = std::max(tries.longestRefusal, wait);
+    }
+    auto &result = this->results[caller.classIndex];
+    ++result.refusals;
+    result.refusedWait += wait;
+    const auto remaining = caller.arrivedAt + requestClass.deadline - this->now;
+    const auto retryAt = this->now + std::min(issued.verdict.retryAfter, remaining / 3);
+    if (requestClass.retriesOnce && !caller.isRetry && remaining > Duration{0}) {
+        const auto retry = this->nextRequest++;
+        this->callers[retry] =
+            Caller{caller.classIndex, caller.arrivedAt, true, caller.key, caller.vm};
+        this->events.push(Event{retryAt, Event::Kind::Arrive, retry});
+    } else {
+        ++result.refused;
+    }
+}
+
+auto BrokerSimulation::askAgain(const Caller &caller, std::size_t failedUpstream) -> void
+{
+    if (caller.avoid.size() >= maxConnectFailures
+        || caller.arrivedAt + this->classes[caller.classIndex].deadline <= this->now) {
+        return;
+    }
+    const auto request = this->nextRequest++;
+    auto &next = this->callers[request] = caller;
+    next.avoid.push_back(upstreamId(failedUpstream));
+    this->ask(request);
+}
+
 auto BrokerSimulation::onEnd(const Event &event) -> void
 {
+    const auto isCutShort =
+        event.end == AttemptEnd::Answered
+        && (this->slowdowns[event.upstream] == 0 || this->stopped.contains(event.upstream));
+    const auto attemptEnd = isCutShort ? AttemptEnd::NoAnswer : event.end;
     const auto caller = this->callers.at(event.request);
     const auto &requestClass = this->classes[caller.classIndex];
     --this->running[event.upstream];
-    const auto isAnswered = this->slowdowns[event.upstream] != 0
-                            && this->now < caller.arrivedAt + requestClass.deadline;
+    auto &vm = this->vms[caller.vm];
     PermitReport report;
-    report.id = PermitId{Address{"entry"}, 1, event.request};
+    report.id = PermitId{vm.address, 1, event.request};
     report.service = service;
     report.upstream = upstreamId(event.upstream);
-    report.end = isAnswered ? AttemptEnd::Answered : AttemptEnd::NoAnswer;
+    report.end = attemptEnd;
     report.latency = this->now - this->askedAt.at(event.request);
-    if (isAnswered) {
-        report.requestLimit = this->limits[event.upstream];
+    if (event.isForwarded) {
+        auto &forwarder = this->vms[event.forwarder];
+        report.forwarder = forwarder.address;
+        --forwarder.forwarding;
+    } else if (attemptEnd == AttemptEnd::NotSent) {
+        vm.failedAt[event.upstream] = this->now;
     }
-    auto &result = this->results[caller.classIndex];
-    if (isAnswered) {
+    if (attemptEnd == AttemptEnd::Answered) {
+        report.requestLimit = this->limits[event.upstream];
+        auto &result = this->results[caller.classIndex];
         const auto isInTarget = this->now <= caller.arrivedAt + requestClass.target;
         result.inTarget += isInTarget ? 1 : 0;
         result.late += isInTarget ? 0 : 1;
+        vm.firstTries.served += caller.isRetry ? 0 : 1;
     }
     this->broker->report(report, this->now);
+    if (attemptEnd == AttemptEnd::NotSent) {
+        this->askAgain(caller, event.upstream);
+    }
 }
 
 } // namespace gooseberrywall
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/slotbroker.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -27,6 +28,16 @@
     bool retriesOnce = true;
 };
 
+/// How attempts end at VMs that have lost their links to all upstreams.
+enum class LostLinks : std::uint8_t {
+    /// Connections are refused at once.
+    Refused,
+    /// Connections can't be opened until the connect time-out.
+    ConnectTimeout,
+    /// Requests on open connections get no answer until their deadline.
+    Hanging,
+};
+
 /// Results of the requests of one class.
 struct ClassCounts
 {
@@ -46,6 +57,21 @@
     [[nodiscard]] auto served() const -> int { return this->inTarget + this->late; }
 };
 
+/// First tries of callers, without their retries.
+struct FirstTries
+{
+    int asked = 0;
+    int served = 0;
+    /// Refused because no daemon could forward the request.
+    int unreachable = 0;
+    /// The longest time until such a refusal.
+    Duration longestRefusal{0};
+    [[nodiscard]] auto share() const -> double
+    {
+        return static_cast<double>(this->served) / std::max(1, this->asked);
+    }
+};
+
 /// Simulates one broker, upstreams of given speeds and callers in virtual time. The classes and
 /// their rates determine the load.
 class BrokerSimulation
@@ -59,8 +85,18 @@
     auto setRate(std::size_t index, double perSecond) -> void;
     /// Makes the upstream's work take this many times as long; with 0 it never answers.
     auto setSlowdown(std::size_t upstream, double factor) -> void;
+    /// Makes the upstream refuse all connections.
+    auto stopUpstream(std::size_t upstream) -> void { this->stopped.insert(upstream); }
     /// Makes the upstream name this limit in its answers.
     auto setRequestLimit(std::size_t upstream, RequestLimit limit) -> void;
+    /// Replaces the single entry daemon by this number of VMs in three failure domains of equal
+    /// size; each gets an equal part of the requests.
+    auto setVms(std::size_t count) -> void;
+    /// Makes the first VMs of the list lose their links to all upstreams. Their permit requests
+    /// state it after half a second.
+    auto loseLinks(std::size_t count, LostLinks kind) -> void;
+    /// Gives all VMs their links back.
+    auto restoreLinks() -> void;
     /// Replaces the broker by one that knows the upstreams and owners only, as a new grantor does.
     auto replaceBroker() -> void;
 
@@ -69,6 +105,17 @@
         return this->results.at(index);
     }
     auto resetCounts() -> void;
+    /// @returns the first tries since the last reset at VMs with, or without, lost links
+    [[nodiscard]] auto firstTries(bool areLinksLost) const -> FirstTries;
+    /// @returns the largest number of requests that a VM has forwarded at once
+    [[nodiscard]] auto maxForwarded() const -> int { return this->worstForwarded; }
+    /// @returns the number of requests sent directly where the VM was known to reach no upstream,
+    /// or had failed to connect to this one in the last second
+    [[nodiscard]] auto directSendsOnLostPaths() const -> int { return this->lostPathSends; }
+    /// @returns the number of requests forwarded by VMs of another failure domain, and of all
+    /// forwarded ones
+    [[nodiscard]] auto forwardedAbroad() const -> int { return this->abroadForwards; }
+    [[nodiscard]] auto forwarded() const -> int { return this->forwards; }
     /// @returns the largest number of requests beyond its slots that an upstream has had at once
     [[nodiscard]] auto maxOvercommit() const -> int { return this->worstOvercommit; }
     /// @returns the largest number of requests beyond what a limit allows, that an upstream got in
@@ -88,6 +135,21 @@
         Instant arrivedAt;
         bool isRetry = false;
         KeyPosition key = 0;
+        std::size_t vm = 0;
+        /// Upstreams to which the VM couldn't connect for this request.
+        std::vector<UpstreamId> avoid = {};
+    };
+    struct Vm
+    {
+        Address address;
+        FailureDomain domain = {};
+        std::optional<LostLinks> lostLinks = std::nullopt;
+        Instant statesLossAt{};
+        FirstTries firstTries = {};
+        /// When it last couldn't connect to each upstream.
+        std::map<std::size_t, Instant> failedAt = {};
+        /// Requests that it forwards now.
+        int forwarding = 0;
     };
     struct Event
     {
@@ -95,12 +157,23 @@
         enum class Kind : std::uint8_t { Arrive, End, Tick } kind = Kind::Tick;
         std::uint64_t request = 0;
         std::size_t upstream = 0;
+        AttemptEnd end = AttemptEnd::Answered;
+        std::size_t forwarder = 0;
+        bool isForwarded = false;
         bool operator>(const Event &other) const { return this->at > other.at; }
     };
 
-    auto ask(const Caller &caller) -> void;
+    auto ask(std::uint64_t request) -> void;
     auto takeVerdicts() -> void;
+    auto onGranted(const IssuedVerdict &issued) -> void;
+    auto onRefused(const IssuedVerdict &issued) -> void;
     auto onEnd(const Event &event) -> void;
+    /// @returns how an attempt ends that is sent by this VM
+    [[nodiscard]] auto attemptOf(const Vm &sender, std::uint64_t request, std::size_t upstream)
+        -> Event;
+    /// Asks for another permit for a request that has certainly not been sent.
+    auto askAgain(const Caller &caller, std::size_t failedUpstream) -> void;
+    [[nodiscard]] auto vmAt(const Address &address) const -> std::size_t;
     auto setUpBroker() -> void;
     auto onSent(std::size_t upstream) -> void;
     auto scheduleArrival(std::size_t classIndex) -> void;
@@ -108,6 +181,7 @@
     std::mt19937_64 random;
     std::vector<double> speeds;
     std::vector<double> slowdowns;
+    std::set<std::size_t> stopped;
     std::vector<RequestLimit> limits;
     /// From when on the requests that each upstream gets are compared with its limit.
     std::vector<std::optional<Instant>> judgedSince;
@@ -127,6 +201,11 @@
     std::set<std::uint64_t> granted;
     std::uint64_t nextRequest = 1;
     int worstOvercommit = 0;
+    std::vector<Vm> vms{Vm{Address{"entry"}}};
+    int worstForwarded = 0;
+    int lostPathSends = 0;
+    int forwards = 0;
+    int abroadForwards = 0;
 };
 
 } // namespace gooseberrywall
--- a/src/dispatch/upstreamhealth.h
+++ b/src/dispatch/upstreamhealth.h
@@ -13,6 +13,12 @@
     /// @param latency from sending the request to the end of the attempt
     auto onAttemptEnd(AttemptEnd end, Duration latency, Instant now) -> void;
 
+    /// Takes in a failure that may be due to the path of the daemon that reported it: it counts in
+    /// the failure share only.
+    auto onUncertainFailure(Instant now) -> void;
+    /// Delays the next trial request after one that didn't reach the upstream for another reason.
+    auto delayTrial(Instant now) -> void;
+
     /// @param serviceMean mean latency of the whole service
     /// @returns the expected latency of a request; decays to the mean while there are no new
     /// samples
@@ -31,6 +37,8 @@
     {
         return this->consecutiveFailures >= failuresUntilTrials;
     }
+    /// @returns whether the last attempts failed that show the upstream's state
+    [[nodiscard]] auto hasFailures() const -> bool { return this->consecutiveFailures > 0; }
     /// @returns when the upstream last answered, also with a failure or a rejection
     [[nodiscard]] auto lastAnswerAt() const -> Instant { return this->answeredAt; }
 
@@ -38,6 +46,7 @@
     /// Consecutive attempts without an answer after which the upstream gets one request at a time.
     static constexpr int failuresUntilTrials = 2;
 
+    auto updateFailureShare(bool isFailure, Instant now) -> void;
     auto learnLatency(Duration latency, Instant now) -> void;
     auto block(Instant now) -> void;
 
