Name a forwarder for VMs that don't reach an upstream

Callers saw: VMs without links to the upstreams served 0 of 1753 first tries while other VMs reached all upstreams.

Cause: a permit can only be used by the entry daemon that asked for it.

Change: the grantor names the forwarder in the verdict where the entry daemon states that it is cut off, or its path to the upstream has failed within 1 s (up to 4 s with further failures), or it failed at several upstreams that answer others. A path is tried again by one request at a time; an answer ends its avoidance. A daemon may forward if an upstream answered it within 10 s, it isn't cut off, it had less than two failures since, its path to the upstream hasn't failed, the upstream doesn't pause for it, and it forwards fewer than 24 requests (of this service). The same failure domain is preferred until its daemons forward four more than others. A forwarder that didn't forward gets no requests for 500 ms, and not before another answer. Answers through a forwarder count for its path, pauses bind both daemons but count once for the slot reduction, report, cancellation and expiry end its count, and a repeated verdict keeps it. A request of a cut-off VM that nobody can forward is refused at once with upstream_unreachable, and Retry-After of about one latency if forwarders are full, of the links' probe time otherwise; a waiting one is refused when the last daemon that may forward is gone.

--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -20,12 +20,15 @@
     /// A path to an upstream isn't used for this time after a failure on it; doubles with each
     /// further failure.
     Duration failureMemory = std::chrono::seconds{1};
-    /// Upper limit of that time. Other failures of a daemon are forgotten after it.
+    /// Upper limit of that time. Failures are forgotten after twice as long.
     Duration maxFailureMemory = std::chrono::seconds{4};
     /// A daemon may forward requests for this long after an upstream has answered it.
     Duration answerValidity = std::chrono::seconds{10};
     /// Requests that one daemon forwards at once for others.
     int forwarderLimit = 24;
+    /// A daemon in another failure domain than the entry daemon is chosen where those in the same
+    /// domain forward this many more.
+    int nearForwarderLead = 4;
     /// A daemon that couldn't be reached as a forwarder, or didn't forward, isn't asked to for this
     /// time.
     Duration forwarderRest = std::chrono::milliseconds{500};
@@ -61,6 +64,10 @@
     /// Takes in what a permit request tells about its entry daemon.
     /// @returns whether it is the first to state that the daemon is cut off
     auto onRequest(const PermitRequest &request, Instant now) -> bool;
+    /// Takes in that the daemon gets a permit to send a request to the upstream itself: after a
+    /// time without use, the path gets one request at a time until one is answered.
+    auto onDirectPermit(const Address &daemon, const UpstreamProcess &upstream, Instant now)
+        -> void;
     /// Takes in that an upstream answered a request which this daemon sent to it.
     /// @param grantedAt when the permit was granted
     auto onAnswered(const Address &daemon, const UpstreamProcess &upstream, Instant grantedAt,
@@ -68,6 +75,10 @@
     /// Takes in that a request which this daemon should have sent to the upstream got no answer.
     auto onFailed(const Address &daemon, const UpstreamProcess &upstream, FailureKind kind,
                   Failure failure) -> void;
+    /// Takes in that a failure, which onFailed() knows already, is due to the daemon's own links:
+    /// if it has failed at several upstreams since it was last answered, it isn't used to reach any
+    /// for a time.
+    auto onLinksInDoubt(const Address &daemon, Failure failure) -> void;
     /// Takes in that a daemon couldn't be reached as a forwarder, or didn't forward. It may forward
     /// again after a time, if an upstream answers it meanwhile.
     auto onForwarderFailed(const Address &forwarder, Instant now) -> void;
@@ -80,7 +91,7 @@
     /// @returns whether the daemon's last request stated that it reaches no upstream
     [[nodiscard]] auto isCutOff(const Address &daemon) const -> bool;
     /// @returns whether the daemon may send requests to the upstream itself: it isn't cut off, and
-    /// the path hasn't failed lately
+    /// neither the path nor all its links have failed lately
     [[nodiscard]] auto reaches(const Address &daemon, const UpstreamProcess &upstream,
                                Instant now) const -> bool;
     /// @returns whether an attempt of the daemon has failed, and no upstream has answered it since
@@ -109,8 +120,9 @@
         const auto domain = asking == nullptr ? FailureDomain{} : asking->domain;
         const Daemon *best = nullptr;
         const auto rank = [&](const Daemon &daemon) {
-            return std::tuple(daemon.failuresSinceAnswer > 0, daemon.domain != domain,
-                              daemon.forwarding);
+            const auto isFar = daemon.domain != domain;
+            const auto lead = isFar ? this->settings.nearForwarderLead : 0;
+            return std::tuple(daemon.failuresSinceAnswer > 0, daemon.forwarding + lead, isFar);
         };
         for (const auto *daemon : this->forwarders) {
             if ((best == nullptr || rank(*daemon) < rank(*best))
@@ -139,14 +151,19 @@
     [[nodiscard]] auto cutOffCount() const -> std::size_t;
 
 private:
+    /// The time for which something isn't used after its failures.
+    struct Avoidance
+    {
+        Duration length{0};
+        Instant endsAt{};
+        Instant failedAt{};
+    };
     struct Path
     {
         Failure failure;
         /// Failures in a row without an answer on this path.
         int failures = 0;
-        Duration memory{0};
-        /// The path isn't used until then.
-        Instant avoidedUntil{};
+        Avoidance avoidance;
     };
     struct Daemon
     {
@@ -164,6 +181,8 @@
         std::map<UpstreamProcess, Path> paths;
         int failuresSinceAnswer = 0;
         Instant failedAt{};
+        /// Of all its links.
+        Avoidance avoidance;
         /// Requests of others that it forwards now.
         int forwarding = 0;
         Instant restsUntil{};
@@ -177,6 +196,10 @@
     [[nodiscard]] auto isCandidate(const Daemon &daemon, Instant now) const -> bool;
     [[nodiscard]] auto canForward(const Daemon &daemon, const Address &entry,
                                   const UpstreamProcess &upstream, Instant now) const -> bool;
+    /// Begins the avoidance, or extends it.
+    auto avoid(Avoidance &avoidance, Failure failure) const -> void;
+    /// @returns at how many upstreams the daemon has failed since it was last answered
+    [[nodiscard]] static auto failedUpstreamCount(const Daemon &daemon) -> std::ptrdiff_t;
     /// Updates what is derived from the daemon's state.
     auto update(Daemon &daemon, Instant now) -> void;
 
--- a/src/dispatch/internal/entrypaths.cpp
+++ b/src/dispatch/internal/entrypaths.cpp
@@ -12,6 +12,8 @@
 constexpr int unansweredLimit = 2;
 /// A daemon with this number of failures since an upstream answered it forwards no requests.
 constexpr int forwarderFailureLimit = 2;
+/// Where a daemon fails at this number of upstreams that answer others, all its links are lost.
+constexpr std::ptrdiff_t lostLinksCount = 2;
 constexpr Duration advanceInterval = std::chrono::milliseconds{10};
 
 } // namespace
@@ -38,6 +40,7 @@
         // The failures were those of the daemon's links, which are back.
         daemon.paths.clear();
         daemon.failuresSinceAnswer = 0;
+        daemon.avoidance = Avoidance{};
     }
     if (wasCutOff != daemon.isCutOff) {
         this->update(daemon, now);
@@ -45,6 +48,25 @@
     return daemon.isCutOff && !wasCutOff;
 }
 
+auto EntryPaths::onDirectPermit(const Address &daemon, const UpstreamProcess &upstream, Instant now)
+    -> void
+{
+    const auto found = this->impairedCount == 0 ? this->daemons.end() : this->daemons.find(daemon);
+    if (found == this->daemons.end()) {
+        return;
+    }
+    const auto delayNext = [&](Avoidance &avoidance) {
+        if (avoidance.length > Duration{0} && avoidance.endsAt <= now) {
+            avoidance.endsAt = now + avoidance.length;
+        }
+    };
+    delayNext(found->second.avoidance);
+    const auto path = found->second.paths.find(upstream);
+    if (path != found->second.paths.end()) {
+        delayNext(path->second.avoidance);
+    }
+}
+
 auto EntryPaths::onAnswered(const Address &daemon, const UpstreamProcess &upstream,
                             Instant grantedAt, Instant now) -> void
 {
@@ -57,11 +79,15 @@
     if (path != known.paths.end() && path->second.failure.grantedAt <= grantedAt) {
         known.paths.erase(path);
     }
-    const auto hasLaterFailure =
-        std::any_of(known.paths.begin(), known.paths.end(), [&](const auto &row) {
-            return row.second.failure.grantedAt > known.answeredGrant;
-        });
-    known.failuresSinceAnswer = hasLaterFailure ? known.failuresSinceAnswer : 0;
+    const auto failedUpstreams = failedUpstreamCount(known);
+    if (failedUpstreams == 0) {
+        known.failuresSinceAnswer = 0;
+    }
+    if (failedUpstreams < lostLinksCount && known.avoidance.length > Duration{0}) {
+        // The failures were those of the daemon's links, which are back.
+        known.paths.clear();
+        known.avoidance = Avoidance{};
+    }
     this->update(known, now);
 }
 
@@ -71,19 +97,12 @@
     const auto now = failure.reportedAt;
     auto &known = this->daemonAt(daemon, now);
     auto &path = known.paths[upstream];
-    // Requests that were sent at the same time fail together.
-    const auto isFurther = path.failures == 0 || failure.grantedAt >= path.failure.reportedAt;
     ++path.failures;
     const auto isLost =
         kind == FailureKind::NotSent
         || (kind == FailureKind::UnansweredAlone && path.failures >= unansweredLimit);
     if (isLost) {
-        if (path.memory == Duration{0}) {
-            path.memory = this->settings.failureMemory;
-        } else if (isFurther) {
-            path.memory = std::min(2 * path.memory, this->settings.maxFailureMemory);
-        }
-        path.avoidedUntil = now + path.memory;
+        this->avoid(path.avoidance, failure);
     }
     path.failure.grantedAt = std::max(path.failure.grantedAt, failure.grantedAt);
     path.failure.reportedAt = now;
@@ -94,6 +113,34 @@
     this->update(known, now);
 }
 
+auto EntryPaths::onLinksInDoubt(const Address &daemon, Failure failure) -> void
+{
+    auto &known = this->daemonAt(daemon, failure.reportedAt);
+    if (failedUpstreamCount(known) >= lostLinksCount) {
+        this->avoid(known.avoidance, failure);
+    }
+}
+
+auto EntryPaths::avoid(Avoidance &avoidance, Failure failure) const -> void
+{
+    // Requests that were sent at the same time fail together.
+    const auto isFurther = failure.grantedAt >= avoidance.failedAt;
+    if (avoidance.length == Duration{0}) {
+        avoidance.length = this->settings.failureMemory;
+    } else if (isFurther) {
+        avoidance.length = std::min(2 * avoidance.length, this->settings.maxFailureMemory);
+    }
+    avoidance.failedAt = failure.reportedAt;
+    avoidance.endsAt = failure.reportedAt + avoidance.length;
+}
+
+auto EntryPaths::failedUpstreamCount(const Daemon &daemon) -> std::ptrdiff_t
+{
+    return std::count_if(daemon.paths.begin(), daemon.paths.end(), [&](const auto &row) {
+        return row.second.failure.grantedAt > daemon.answeredGrant;
+    });
+}
+
 auto EntryPaths::onForwarderFailed(const Address &forwarder, Instant now) -> void
 {
     auto &daemon = this->daemonAt(forwarder, now);
@@ -125,11 +172,11 @@
     for (auto row = this->daemons.begin(); row != this->daemons.end();) {
         auto &daemon = row->second;
         std::erase_if(daemon.paths, [&](const auto &path) {
-            return std::max(path.second.avoidedUntil, path.second.failure.reportedAt)
+            return std::max(path.second.avoidance.endsAt, path.second.failure.reportedAt)
                        + this->settings.maxFailureMemory
                    <= now;
         });
-        if (daemon.failedAt + this->settings.maxFailureMemory <= now) {
+        if (daemon.failedAt + 2 * this->settings.maxFailureMemory <= now) {
             daemon.failuresSinceAnswer = 0;
         }
         const auto isForgotten = daemon.seenAt + daemonRetention <= now && daemon.forwarding == 0;
@@ -157,14 +204,15 @@
         return true;
     }
     const auto path = known->paths.find(upstream);
-    return !known->isCutOff && (path == known->paths.end() || path->second.avoidedUntil <= now);
+    return !known->isCutOff && known->avoidance.endsAt <= now
+           && (path == known->paths.end() || path->second.avoidance.endsAt <= now);
 }
 
 auto EntryPaths::hasFailed(const Address &daemon, Instant now) const -> bool
 {
     const auto *known = this->find(daemon);
     return known != nullptr && known->failuresSinceAnswer > 0
-           && now < known->failedAt + this->settings.maxFailureMemory;
+           && now < known->failedAt + 2 * this->settings.maxFailureMemory;
 }
 
 auto EntryPaths::hasForwarder(const Address &entry) const -> bool
@@ -215,7 +263,7 @@
         return false;
     }
     const auto path = daemon.paths.find(upstream);
-    return path == daemon.paths.end() || path->second.avoidedUntil <= now;
+    return path == daemon.paths.end() || path->second.avoidance.endsAt <= now;
 }
 
 auto EntryPaths::update(Daemon &daemon, Instant now) -> void
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -131,6 +131,11 @@
         this->refuse(waiting, Reason::Quarantined, maxRetryAfter, now);
         return;
     }
+    if (this->isUnreachable(request, now)) {
+        this->refuse(waiting, Reason::UpstreamUnreachable,
+                     this->unreachableRetryAfter(request.id.entry, now), now);
+        return;
+    }
     if (request.isRetry && !this->retryWindow.tryTake(now)) {
         this->refuse(waiting, Reason::RetryBudgetEmpty, this->jittered(this->meanLatency), now);
         return;
@@ -167,7 +172,7 @@
     this->takeIn(UpstreamStatement{report.upstream, permit->second.verdict.incarnation,
                                    report.id.entry, permit->second.request, report.isLeaving,
                                    report.pause},
-                 permit->second.grantedAt, now);
+                 report.forwarder, permit->second.grantedAt, now);
     if (report.end == AttemptEnd::WrongOwner) {
         this->onTurnedAway(permit->second);
     }
@@ -297,6 +302,7 @@
     verdict.upstream = upstream.entry.id;
     verdict.incarnation = upstream.entry.incarnation;
     verdict.address = upstream.entry.address;
+    verdict.forwarder = this->forwarderFor(waiting.request.id.entry, upstream, now);
     if (this->isSharded && waiting.request.key) {
         verdict.ownedRange = this->rangeOf(*waiting.request.key)->keys;
     }
@@ -307,7 +313,14 @@
     upstream.grants.record(now);
     upstream.limiter.onSent(now);
     upstream.pauses.onGranted(waiting.request.id.entry);
-    upstream.lastUse[waiting.request.id.entry] = now;
+    if (verdict.forwarder.empty()) {
+        upstream.lastUse[waiting.request.id.entry] = now;
+        this->paths.onDirectPermit(waiting.request.id.entry, upstream.process, now);
+    } else {
+        upstream.pauses.onGranted(verdict.forwarder);
+        upstream.lastUse[verdict.forwarder] = now;
+        this->paths.onForwardingStart(verdict.forwarder, now);
+    }
     const Forecast forecast{Duration{0}, this->latencyOf(upstream, now)};
     const auto repeatAfter = std::max(this->settings.minRepeatAfter,
                                       scaled(forecast.latency, this->settings.repeatLatencyFactor));
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -76,7 +76,9 @@
     cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
-    return isAvoided ? cost * 100 : cost;
+    const auto isPathLost = !this->paths.isCutOff(request.id.entry)
+                            && !this->paths.reaches(request.id.entry, upstream.process, now);
+    return isAvoided || isPathLost ? cost * 100 : cost;
 }
 
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
@@ -214,6 +216,9 @@
     if (this->hasNoOwnerInTime(waiting, now)) {
         return Reason::NoOwner;
     }
+    if (this->hasNoForwarder(waiting.request.id.entry, now)) {
+        return Reason::UpstreamUnreachable;
+    }
     if (this->hinderingPause(waiting, now)) {
         return Reason::UpstreamPaused;
     }
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -16,6 +16,8 @@
 /// An upstream that has answered another daemon within this time isn't lost because one daemon
 /// can't connect.
 constexpr Duration answerRelevance = milliseconds{500};
+/// A daemon that is cut off finds within about this time that its links are back.
+constexpr Duration linkProbeTime = milliseconds{500};
 
 } // namespace
 
@@ -51,12 +53,17 @@
     }
     if (report.end == AttemptEnd::Answered) {
         upstream.pauses.onServed(report.id.entry, permit.grantedAt);
+        upstream.pauses.onServed(report.forwarder, permit.grantedAt);
     }
 }
 
 auto SlotBroker::learnPath(const PermitReport &report, const Permit &permit, Upstream &upstream,
                            Instant now) -> Evidence
 {
+    if (report.end == AttemptEnd::NotSent && !report.forwarder.empty()) {
+        this->learnForwarderFailure(report.forwarder, permit, upstream, now);
+        return Evidence::None;
+    }
     const auto &daemon = report.forwarder.empty() ? report.id.entry : report.forwarder;
     switch (report.end) {
     case AttemptEnd::Unused:
@@ -88,9 +95,11 @@
     const auto isInDoubt = this->isInDoubt(daemon) || (hasFailed && isAlone);
     const auto isSent = end == AttemptEnd::NoAnswer;
     const auto sentKind = isAlone ? FailureKind::UnansweredAlone : FailureKind::Unanswered;
+    const EntryPaths::Failure failure{permit.grantedAt, now};
     this->paths.onFailed(daemon, upstream.process, isSent ? sentKind : FailureKind::NotSent,
-                         EntryPaths::Failure{permit.grantedAt, now});
+                         failure);
     if (isInDoubt) {
+        this->paths.onLinksInDoubt(daemon, failure);
         return Evidence::None;
     }
     if (!answersOthers) {
@@ -115,9 +124,65 @@
     if (!upstream.pauses.allows(entry, now)) {
         return false;
     }
-    // A failed trial of a daemon whose attempts fail elsewhere, too, would tell nothing.
-    return !isOnTrial(upstream) || !this->paths.hasFailed(entry, now)
-           || !this->paths.hasForwarder(entry);
+    return !this->paths.isCutOff(entry) || !this->forwarderFor(entry, upstream, now).empty();
+}
+
+auto SlotBroker::forwarderFor(const Address &entry, const Upstream &upstream, Instant now) const
+    -> Address
+{
+    // The trial of a daemon whose attempts fail elsewhere, too, would tell nothing.
+    const auto isTrial = isOnTrial(upstream) && this->paths.hasFailed(entry, now);
+    const auto isPathLost = this->paths.isCutOff(entry)
+                            || (!this->paths.reaches(entry, upstream.process, now)
+                                && !upstream.health.isLimitedToTrials());
+    if (!isTrial && !isPathLost) {
+        return {};
+    }
+    const auto isAllowed = [&](const Address &daemon) {
+        return upstream.pauses.allows(daemon, now)
+               && (isPathLost || !this->paths.hasFailed(daemon, now));
+    };
+    return this->paths.chooseForwarder(entry, upstream.process, isAllowed, now);
+}
+
+auto SlotBroker::learnForwarderFailure(const Address &forwarder, const Permit &permit,
+                                       Upstream &upstream, Instant now) -> void
+{
+    if (upstream.health.hasFailures() || !upstream.suspectedBy.empty()) {
+        this->paths.onFailed(forwarder, upstream.process, EntryPaths::FailureKind::NotSent,
+                             EntryPaths::Failure{permit.grantedAt, now});
+        upstream.health.delayTrial(now);
+        return;
+    }
+    this->paths.onForwarderFailed(forwarder, now);
+    const auto *other = upstream.answers.lastToOther(forwarder);
+    if (other == nullptr || other->grantedAt <= permit.grantedAt) {
+        upstream.suspectedBy = forwarder;
+    }
+}
+
+auto SlotBroker::isUnreachable(const PermitRequest &request, Instant now) -> bool
+{
+    const auto &entry = request.id.entry;
+    if (!this->paths.isCutOff(entry)) {
+        return false;
+    }
+    this->paths.advance(now);
+    const auto *owner = this->ownerOf(request);
+    return owner == nullptr ? !this->paths.hasForwarder(entry)
+                            : !this->paths.hasForwarder(
+                                entry, owner->process, [](const Address &) { return true; }, now);
+}
+
+auto SlotBroker::hasNoForwarder(const Address &entry, Instant now) const -> bool
+{
+    return this->paths.isCutOff(entry) && !this->paths.mayGetForwarder(entry, now);
+}
+
+auto SlotBroker::unreachableRetryAfter(const Address &entry, Instant now) -> Duration
+{
+    return this->jittered(this->paths.mayGetForwarder(entry, now) ? this->meanLatency
+                                                                  : linkProbeTime);
 }
 
 auto SlotBroker::isInDoubt(const Address &daemon) const -> bool
@@ -141,9 +206,10 @@
 auto SlotBroker::strand(const Address &entry, Instant now) -> void
 {
     for (auto &[id, permit] : this->permits) {
-        auto *upstream = id.entry == entry && !permit.isStranded
-                             ? this->findUpstream(permit.upstream, permit.verdict.incarnation)
-                             : nullptr;
+        const auto isHanging =
+            id.entry == entry && !permit.isStranded && permit.verdict.forwarder.empty();
+        auto *upstream =
+            isHanging ? this->findUpstream(permit.upstream, permit.verdict.incarnation) : nullptr;
         if (upstream != nullptr) {
             permit.isStranded = true;
             ++upstream->stranded;
@@ -183,11 +249,16 @@
 
 auto SlotBroker::release(const PermitId &id, const Permit &permit, Instant now) -> void
 {
+    const auto &forwarder = permit.verdict.forwarder;
+    if (!forwarder.empty()) {
+        this->paths.onForwardingEnd(forwarder, now);
+    }
     auto *upstream = this->findUpstream(permit.upstream, permit.verdict.incarnation);
     if (upstream == nullptr) {
         return;
     }
     upstream->pauses.onReturned(id.entry, permit.grantedAt);
+    upstream->pauses.onReturned(forwarder, permit.grantedAt);
     upstream->inFlight = std::max(0, upstream->inFlight - 1);
     upstream->stranded -= permit.isStranded ? 1 : 0;
     if (upstream->inFlight == upstream->stranded) {
--- a/src/dispatch/internal/slotbrokerqueues.cpp
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -83,10 +83,14 @@
     }
     std::vector<PermitId> refused;
     for (const auto &[id, waiting] : this->backlog) {
-        if (this->hasNoOwnerInTime(waiting, now) || this->isUnservable(waiting, isLateCheckDue, now)
+        const auto isUnreachable = isLateCheckDue && this->hasNoForwarder(id.entry, now);
+        if (isUnreachable || this->hasNoOwnerInTime(waiting, now)
+            || this->isUnservable(waiting, isLateCheckDue, now)
             || (isLateCheckDue && this->hinderingPause(waiting, now))) {
             this->refuse(waiting, this->refusalReason(waiting, Reason::DeadlineTooShort, now),
-                         this->jittered(this->meanLatency / 2), now);
+                         isUnreachable ? this->unreachableRetryAfter(id.entry, now)
+                                       : this->jittered(this->meanLatency / 2),
+                         now);
             refused.push_back(id);
         }
     }
--- a/src/dispatch/internal/slotbrokerstatements.cpp
+++ b/src/dispatch/internal/slotbrokerstatements.cpp
@@ -22,7 +22,7 @@
 
 auto SlotBroker::onStatement(const UpstreamStatement &statement, Instant now) -> void
 {
-    this->takeIn(statement, now, now);
+    this->takeIn(statement, Address{}, now, now);
 }
 
 auto SlotBroker::reportExpired(const PermitReport &report, Instant now) -> void
@@ -35,7 +35,7 @@
     this->expiredPermits.erase(found);
     this->takeIn(UpstreamStatement{permit.upstream, permit.incarnation, report.id.entry,
                                    permit.request, report.isLeaving, report.pause},
-                 permit.grantedAt, now);
+                 report.forwarder, permit.grantedAt, now);
 }
 
 auto SlotBroker::rememberExpired(const PermitId &id, const Permit &permit, Instant now) -> void
@@ -44,11 +44,12 @@
         return;
     }
     this->expiredPermits[id] =
-        ExpiredPermit{permit.upstream,  permit.verdict.incarnation, permit.request,
-                      permit.grantedAt, permit.verdict.forwarder,   now + expiredRetention};
+        ExpiredPermit{permit.upstream, permit.verdict.incarnation, permit.request, permit.grantedAt,
+                      now + expiredRetention};
 }
 
-auto SlotBroker::takeIn(const UpstreamStatement &statement, Instant grantedAt, Instant now) -> void
+auto SlotBroker::takeIn(const UpstreamStatement &statement, const Address &forwarder,
+                        Instant grantedAt, Instant now) -> void
 {
     const auto isPausing = statement.pause && *statement.pause > Duration{0};
     if (!statement.isLeaving && !isPausing) {
@@ -67,14 +68,18 @@
         this->capacity.recalculateAt = now;
     }
     if (isPausing) {
-        this->takeInPause(*upstream, statement, grantedAt, now);
+        this->takeInPause(*upstream, statement, forwarder, grantedAt, now);
     }
 }
 
 auto SlotBroker::takeInPause(Upstream &upstream, const UpstreamStatement &statement,
-                             Instant grantedAt, Instant now) -> void
+                             const Address &forwarder, Instant grantedAt, Instant now) -> void
 {
-    upstream.pauses.onStated(statement.entry, *statement.pause, now);
+    const auto isForwarded = !forwarder.empty();
+    upstream.pauses.onStated(statement.entry, *statement.pause, isForwarded, now);
+    if (isForwarded) {
+        upstream.pauses.onStated(forwarder, *statement.pause, false, now);
+    }
     if (!upstream.lastPause) {
         this->changes.push_back(UpstreamChange{UpstreamChange::Kind::Paused, statement});
         ++this->pausingCount;
@@ -101,7 +106,8 @@
 {
     const auto found = this->upstreams.find(permit.upstream);
     return found != this->upstreams.end() && !found->second.entry.isDraining
-           && found->second.pauses.remaining(id.entry, now) == Duration{0};
+           && found->second.pauses.remaining(id.entry, now) == Duration{0}
+           && found->second.pauses.remaining(permit.verdict.forwarder, now) == Duration{0};
 }
 
 auto SlotBroker::userCount(const Upstream &upstream, Instant now) const -> std::size_t
--- a/src/dispatch/internal/upstreampauses.cpp
+++ b/src/dispatch/internal/upstreampauses.cpp
@@ -13,12 +13,13 @@
 
 } // namespace
 
-auto UpstreamPauses::onStated(const Address &entry, Duration pause, Instant now) -> void
+auto UpstreamPauses::onStated(const Address &entry, Duration pause, bool isForwarded, Instant now)
+    -> void
 {
     const auto endsAt = now + pause;
     const auto known = this->pauses.find(entry);
     if (known == this->pauses.end() || known->second.endsAt < endsAt) {
-        this->pauses[entry] = Pause{endsAt};
+        this->pauses[entry] = Pause{endsAt, isForwarded};
     }
 }
 
@@ -72,8 +73,9 @@
 auto UpstreamPauses::count(Instant now) const -> std::size_t
 {
     return static_cast<std::size_t>(
-        std::count_if(this->pauses.begin(), this->pauses.end(),
-                      [&](const auto &row) { return row.second.endsAt > now; }));
+        std::count_if(this->pauses.begin(), this->pauses.end(), [&](const auto &row) {
+            return row.second.endsAt > now && !row.second.isForwarded;
+        }));
 }
 
 auto UpstreamPauses::endedBefore(const Address &entry, Instant grantedAt) -> Pause *
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -245,7 +245,6 @@
         Incarnation incarnation;
         RequestId request;
         Instant grantedAt;
-        Address forwarder;
         /// When it is forgotten.
         Instant dropAt;
     };
@@ -280,6 +279,19 @@
     /// @returns whether a request of the entry daemon may be sent to the upstream now
     [[nodiscard]] auto maySend(const Address &entry, const Upstream &upstream, Instant now) const
         -> bool;
+    /// @returns the daemon that has to forward a request of the entry daemon to the upstream; empty
+    /// where the entry daemon sends it itself
+    [[nodiscard]] auto forwarderFor(const Address &entry, const Upstream &upstream,
+                                    Instant now) const -> Address;
+    /// Learns from a report that a daemon couldn't be reached as a forwarder, or didn't forward.
+    auto learnForwarderFailure(const Address &forwarder, const Permit &permit, Upstream &upstream,
+                               Instant now) -> void;
+    /// @returns whether the entry daemon is cut off, and none can forward the request now
+    [[nodiscard]] auto isUnreachable(const PermitRequest &request, Instant now) -> bool;
+    /// @returns whether the entry daemon is cut off, and none is likely to forward soon
+    [[nodiscard]] auto hasNoForwarder(const Address &entry, Instant now) const -> bool;
+    /// @returns the time until a daemon that is cut off can expect to be served
+    [[nodiscard]] auto unreachableRetryAfter(const Address &entry, Instant now) -> Duration;
     /// @returns whether the daemon's attempts fail because of its own links
     [[nodiscard]] auto isInDoubt(const Address &daemon) const -> bool;
     /// Counts the permits of a daemon that is cut off as stranded.
@@ -318,10 +330,12 @@
     auto reportExpired(const PermitReport &report, Instant now) -> void;
     /// Keeps what the report on a permit needs that is taken back without one.
     auto rememberExpired(const PermitId &id, const Permit &permit, Instant now) -> void;
+    /// @param forwarder the daemon that forwarded the answered request; empty where none did
     /// @param grantedAt when the permit was granted of the request whose answer states it
-    auto takeIn(const UpstreamStatement &statement, Instant grantedAt, Instant now) -> void;
-    auto takeInPause(Upstream &upstream, const UpstreamStatement &statement, Instant grantedAt,
-                     Instant now) -> void;
+    auto takeIn(const UpstreamStatement &statement, const Address &forwarder, Instant grantedAt,
+                Instant now) -> void;
+    auto takeInPause(Upstream &upstream, const UpstreamStatement &statement,
+                     const Address &forwarder, Instant grantedAt, Instant now) -> void;
     /// @returns the upstream if it is still the process that is meant; nullptr otherwise
     [[nodiscard]] auto findUpstream(const UpstreamId &id, Incarnation incarnation) -> Upstream *;
     /// @returns how many entry daemons have used the upstream lately
@@ -330,7 +344,7 @@
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
     /// @returns whether the permit may still be used: its upstream is known, and neither drains nor
-    /// pauses for the entry daemon
+    /// pauses for the daemons that send the request
     [[nodiscard]] auto isRepeatable(const PermitId &id, const Permit &permit, Instant now) const
         -> bool;
     /// @returns whether only the owner of the request's key may run it
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -12,8 +12,6 @@
 /// A connection that can't be opened is given up after this time.
 constexpr Duration connectTimeout = std::chrono::milliseconds{250};
 constexpr Duration refusalTime = std::chrono::milliseconds{1};
-/// Time after which VMs state that they have lost their links.
-constexpr Duration lossStatementTime = std::chrono::milliseconds{500};
 /// A path is known as failed for at least this long after a failure.
 constexpr Duration failedPathTime = std::chrono::milliseconds{900};
 constexpr std::size_t domainCount = 3;
@@ -89,11 +87,11 @@
     }
 }
 
-auto BrokerSimulation::loseLinks(std::size_t count, LostLinks kind) -> void
+auto BrokerSimulation::loseLinks(std::size_t count, LostLinks kind, Duration statedAfter) -> void
 {
     for (std::size_t index = 0; index < count; ++index) {
         this->vms.at(index).lostLinks = kind;
-        this->vms.at(index).statesLossAt = this->now + lossStatementTime;
+        this->vms.at(index).statesLossAt = this->now + statedAfter;
     }
 }
 
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -92,9 +92,10 @@
     /// Replaces the single entry daemon by this number of VMs in three failure domains of equal
     /// size; each gets an equal part of the requests.
     auto setVms(std::size_t count) -> void;
-    /// Makes the first VMs of the list lose their links to all upstreams. Their permit requests
-    /// state it after half a second.
-    auto loseLinks(std::size_t count, LostLinks kind) -> void;
+    /// Makes the first VMs of the list lose their links to all upstreams.
+    /// @param statedAfter time after which their permit requests state it
+    auto loseLinks(std::size_t count, LostLinks kind,
+                   Duration statedAfter = std::chrono::milliseconds{500}) -> void;
     /// Gives all VMs their links back.
     auto restoreLinks() -> void;
     /// Replaces the broker by one that knows the upstreams and owners only, as a new grantor does.
--- a/src/dispatch/tests/entrypaths_tests.cpp
+++ b/src/dispatch/tests/entrypaths_tests.cpp
@@ -163,6 +163,18 @@
             CHECK(choose(first, start) == near);
         }
     }
+    GIVEN("a near daemon that forwards far more than one of another domain")
+    {
+        auto shared = knownPaths();
+        for (auto count = 0; count < EntryPathsSettings{}.nearForwarderLead; ++count) {
+            shared.onForwardingStart(near, start);
+            CHECK(shared.chooseForwarder(asking, first, everyone(), start) == near);
+        }
+        shared.onForwardingStart(near, start);
+        CHECK(shared.chooseForwarder(asking, first, everyone(), start) == far);
+        shared.onForwardingStart(far, start);
+        CHECK(shared.chooseForwarder(asking, first, everyone(), start) == near);
+    }
     GIVEN("a near daemon that doesn't reach the upstream")
     {
         paths.onFailed(near, first, FailureKind::NotSent, {start - milliseconds{1}, start});
--- a/src/dispatch/tests/lostlinks_tests.cpp
+++ b/src/dispatch/tests/lostlinks_tests.cpp
@@ -28,33 +28,115 @@
 
 } // namespace
 
-// Guards against one VM's lost links that block upstreams for all others (issue 33, second matter).
-SCENARIO("SlotBroker: given VMs that lose their links to all upstreams, the others lose little",
+// Guards against one VM's lost links that block upstreams for all others, and against callers of
+// VMs without links that are served far worse than the others (issue 33, second matter).
+SCENARIO("SlotBroker: given VMs that lose their links to all upstreams, others forward for them",
          "[dispatch][lostlinks]")
 {
     const auto isSharded = GENERATE(false, true);
-    CAPTURE(isSharded);
+    const auto kind = GENERATE(LostLinks::Refused, LostLinks::ConnectTimeout, LostLinks::Hanging);
+    const auto lost = GENERATE(8U, 24U);
+    CAPTURE(isSharded, static_cast<int>(kind), lost);
     auto simulation = simulationOf(isSharded);
     simulation.run(seconds{4});
     const auto before = simulation.firstTries(false).share();
     CHECK(before >= 0.99);
-    GIVEN("8 of 27 VMs whose connections are refused for 12 s")
+    simulation.loseLinks(lost, kind);
+    simulation.run(seconds{1});
+    simulation.resetCounts();
+    simulation.run(seconds{11});
+    const auto others = simulation.firstTries(false);
+    const auto cutOff = simulation.firstTries(true);
+    CAPTURE(others.share(), cutOff.share(), simulation.forwarded());
+    CHECK(others.share() >= 0.97 * before);
+    CHECK(cutOff.share() >= 2.0 / 3 * others.share());
+    THEN("no VM forwards more than it may, and no path is used that is known as lost")
     {
-        simulation.loseLinks(8, LostLinks::Refused);
+        CHECK(simulation.maxForwarded() <= EntryPathsSettings{}.forwarderLimit);
+        CHECK(simulation.directSendsOnLostPaths() == 0);
+        CHECK(simulation.maxOvercommit() <= 0);
+    }
+    THEN("the VMs send their requests themselves when their links are back")
+    {
+        simulation.restoreLinks();
         simulation.run(seconds{1});
         simulation.resetCounts();
-        simulation.run(seconds{11});
+        simulation.run(seconds{5});
+        CHECK(simulation.forwarded() == 0);
         CHECK(simulation.firstTries(false).share() >= 0.97 * before);
     }
 }
 
+SCENARIO("SlotBroker: given VMs without links that don't state it, failed connections suffice",
+         "[dispatch][lostlinks]")
+{
+    const auto isSharded = GENERATE(false, true);
+    const auto kind = GENERATE(LostLinks::Refused, LostLinks::ConnectTimeout);
+    const auto lost = GENERATE(8U, 24U);
+    CAPTURE(isSharded, static_cast<int>(kind), lost);
+    auto simulation = simulationOf(isSharded);
+    simulation.loseLinks(lost, kind, seconds{60});
+    simulation.run(seconds{1});
+    simulation.resetCounts();
+    simulation.run(seconds{11});
+    const auto others = simulation.firstTries(false);
+    const auto cutOff = simulation.firstTries(true);
+    CAPTURE(others.share(), cutOff.share(), simulation.forwarded());
+    CHECK(others.share() >= 0.95);
+    CHECK(cutOff.share() >= 2.0 / 3 * others.share());
+    CHECK(simulation.directSendsOnLostPaths() == 0);
+}
+
+SCENARIO("SlotBroker: given a new grantor while most VMs have no links, it finds those that have",
+         "[dispatch][lostlinks]")
+{
+    const auto isSharded = GENERATE(false, true);
+    CAPTURE(isSharded);
+    auto simulation = simulationOf(isSharded);
+    simulation.loseLinks(24, LostLinks::ConnectTimeout);
+    simulation.run(seconds{2});
+    simulation.replaceBroker();
+    simulation.run(milliseconds{500});
+    simulation.resetCounts();
+    simulation.run(seconds{5});
+    CHECK(simulation.firstTries(false).share() >= 0.95);
+    CHECK(simulation.firstTries(true).share() >= 2.0 / 3 * simulation.firstTries(false).share());
+}
+
+// Guards against requests that wait until their deadline for a daemon that could forward them.
+SCENARIO("SlotBroker: given no VM with links, requests are refused at once",
+         "[dispatch][lostlinks]")
+{
+    const auto isSharded = GENERATE(false, true);
+    CAPTURE(isSharded);
+    auto simulation = simulationOf(isSharded);
+    simulation.loseLinks(vmCount, LostLinks::Hanging);
+    simulation.run(seconds{2});
+    simulation.resetCounts();
+    simulation.run(seconds{4});
+    const auto tries = simulation.firstTries(true);
+    CHECK(tries.unreachable == tries.asked);
+    CHECK(tries.longestRefusal == Duration{0});
+    THEN("they are served again when the links are back")
+    {
+        simulation.restoreLinks();
+        simulation.run(seconds{1});
+        simulation.resetCounts();
+        simulation.run(seconds{5});
+        CHECK(simulation.firstTries(false).share() >= 0.97);
+    }
+}
+
 SCENARIO("SlotBroker: given an upstream that refuses the connections of all VMs, it gets few "
          "requests",
          "[dispatch][lostlinks]")
 {
     const auto isSharded = GENERATE(false, true);
-    CAPTURE(isSharded);
+    const auto lost = GENERATE(0U, 8U, 24U);
+    CAPTURE(isSharded, lost);
     auto simulation = simulationOf(isSharded);
+    simulation.loseLinks(lost, LostLinks::Refused);
+    simulation.run(seconds{1});
     simulation.stopUpstream(0);
     simulation.resetCounts();
     simulation.run(milliseconds{500});
--- a/src/dispatch/upstreampauses.h
+++ b/src/dispatch/upstreampauses.h
@@ -16,7 +16,8 @@
 public:
     /// Takes in a pause. Of several, the one that ends last counts: answers may overtake each
     /// other, and the upstream expects each pause to be kept.
-    auto onStated(const Address &entry, Duration pause, Instant now) -> void;
+    /// @param isForwarded another daemon, for which the pause is stated, too, forwarded the request
+    auto onStated(const Address &entry, Duration pause, bool isForwarded, Instant now) -> void;
     /// Counts a permit for the upstream.
     auto onGranted(const Address &entry) -> void;
     /// Counts a permit that has been returned or has expired.
@@ -32,13 +33,15 @@
     [[nodiscard]] auto allows(const Address &entry, Instant now) const -> bool;
     /// @returns the time until the entry daemon's pause ends; zero where it has none
     [[nodiscard]] auto remaining(const Address &entry, Instant now) const -> Duration;
-    /// @returns the number of entry daemons with a pause
+    /// @returns the number of daemons with a pause that have sent requests to the upstream
+    /// themselves
     [[nodiscard]] auto count(Instant now) const -> std::size_t;
 
 private:
     struct Pause
     {
         Instant endsAt;
+        bool isForwarded = false;
         /// Permits granted since the pause ended, and how many may be out at once.
         int inFlight = 0;
         int allowance = 1;
