--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -30,8 +30,8 @@
         || !upstream.limiter.allows(now)) {
         return false;
     }
-    if (upstream.health.isLimitedToTrials() || this->isSilent(upstream, now)) {
-        return upstream.inFlight == 0;
+    if (isOnTrial(upstream) || this->isSilent(upstream, now)) {
+        return upstream.inFlight == upstream.stranded && upstream.inFlight < upstream.entry.slots;
     }
     const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
     return upstream.inFlight + otherRequests
@@ -40,7 +40,7 @@
 
 auto SlotBroker::isSilent(const Upstream &upstream, Instant now) const -> bool
 {
-    if (upstream.inFlight == 0) {
+    if (upstream.inFlight == upstream.stranded) {
         return false;
     }
     const auto silence = now - std::max(upstream.noReportSince, upstream.health.lastAnswerAt());
@@ -76,7 +76,9 @@
     cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
-    return isAvoided ? cost * 100 : cost;
+    const auto isPathLost = !this->paths.isCutOff(request.id.entry)
+                            && !this->paths.reaches(request.id.entry, upstream.process, now);
+    return isAvoided || isPathLost ? cost * 100 : cost;
 }
 
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
@@ -214,6 +216,9 @@
     if (this->hasNoOwnerInTime(waiting, now)) {
         return Reason::NoOwner;
     }
+    if (this->hasNoForwarder(waiting.request.id.entry, now)) {
+        return Reason::UpstreamUnreachable;
+    }
     if (this->hinderingPause(waiting, now)) {
         return Reason::UpstreamPaused;
     }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/entrypaths.h"
 #include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
@@ -7,6 +8,7 @@
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
 #include "dispatch/types/upstreamstatement.h"
+#include "dispatch/upstreamanswers.h"
 #include "dispatch/upstreamhealth.h"
 #include "dispatch/upstreampauses.h"
 #include "dispatch/waitingqueue.h"
@@ -44,6 +46,7 @@
     /// An upstream with a larger share of failed attempts gets requests only if no other upstream
     /// has a free slot or all others cost far more.
     double unhealthyFailureShare = 0.25;
+    EntryPathsSettings paths = {};
     auto operator==(const SlotBrokerSettings &) const -> bool = default;
 };
 
@@ -177,10 +180,19 @@
     struct Upstream
     {
         UpstreamEntry entry;
+        UpstreamProcess process;
         UpstreamHealth health;
+        UpstreamAnswers answers;
+        /// The daemon that couldn't connect while the upstream answered others; empty where there
+        /// was none since the last answer. The upstream gets one request at a time until then.
+        Address suspectedBy;
         Instant warmUpEnd{};
         int inFlight = 0;
-        /// When each entry daemon, by address, last got a permit for this upstream.
+        /// Permits out that were sent by daemons which have stated since that they are cut off.
+        /// They hold their slots, as the upstream may run the requests, but no report is expected.
+        int stranded = 0;
+        /// When each daemon, by address, last got a permit for this upstream, or was named as the
+        /// forwarder.
         std::unordered_map<Address, Instant> lastUse;
         /// Requests at the upstream beyond this broker's permits, by the load in its last answer.
         int otherRequests = 0;
@@ -223,6 +235,8 @@
         Instant repeatAt;
         Duration repeatAfter;
         Instant grantedAt;
+        /// Counted in the upstream's `stranded`.
+        bool isStranded = false;
     };
     /// A permit that has expired; its report may still come.
     struct ExpiredPermit
@@ -234,6 +248,14 @@
         /// When it is forgotten.
         Instant dropAt;
     };
+    /// What the end of an attempt tells about the upstream.
+    enum class Evidence : std::uint8_t {
+        /// Nothing: the attempt failed because of the links of the daemon that sent it.
+        None,
+        /// It failed because of either.
+        Uncertain,
+        Full,
+    };
     struct IdHash
     {
         auto operator()(const PermitId &id) const noexcept -> std::size_t;
@@ -247,8 +269,35 @@
     /// Grants the free slots of all upstreams to waiting requests.
     auto grantFreeSlots(Instant now) -> void;
     auto learn(const PermitReport &report, Upstream &upstream, Instant now) -> void;
-    auto updateQuarantine(const PermitReport &report, const Upstream &upstream, Instant now)
-        -> void;
+    /// Learns about the path of the daemon that sent the request to the upstream.
+    /// @returns what the end of the attempt tells about the upstream
+    auto learnPath(const PermitReport &report, const Permit &permit, Upstream &upstream,
+                   Instant now) -> Evidence;
+    /// Learns from an attempt that got no answer, or that the daemon couldn't send.
+    auto learnFailure(const Address &daemon, AttemptEnd end, const Permit &permit,
+                      Upstream &upstream, Instant now) -> Evidence;
+    /// @returns whether a request of the entry daemon may be sent to the upstream now
+    [[nodiscard]] auto maySend(const Address &entry, const Upstream &upstream, Instant now) const
+        -> bool;
+    /// @returns the daemon that has to forward a request of the entry daemon to the upstream; empty
+    /// where the entry daemon sends it itself
+    [[nodiscard]] auto forwarderFor(const Address &entry, const Upstream &upstream,
+                                    Instant now) const -> Address;
+    /// Learns from a report that a daemon couldn't be reached as a forwarder, or didn't forward.
+    auto learnForwarderFailure(const Address &forwarder, const Permit &permit, Upstream &upstream,
+                               Instant now) -> void;
+    /// @returns whether the entry daemon is cut off, and none can forward the request now
+    [[nodiscard]] auto isUnreachable(const PermitRequest &request, Instant now) -> bool;
+    /// @returns whether the entry daemon is cut off, and none is likely to forward soon
+    [[nodiscard]] auto hasNoForwarder(const Address &entry, Instant now) const -> bool;
+    /// @returns the time until a daemon that is cut off can expect to be served
+    [[nodiscard]] auto unreachableRetryAfter(const Address &entry, Instant now) -> Duration;
+    /// @returns whether the daemon's attempts fail because of its own links
+    [[nodiscard]] auto isInDoubt(const Address &daemon) const -> bool;
+    /// Counts the permits of a daemon that is cut off as stranded.
+    auto strand(const Address &entry, Instant now) -> void;
+    auto updateQuarantine(const PermitReport &report, const Upstream &upstream, Evidence evidence,
+                          Instant now) -> void;
     /// Grants waiting requests that may run at this upstream while it has a free slot.
     auto grantFreeSlotsOf(Upstream &upstream, Instant now) -> void;
     /// Sorts all waiting requests into the queues anew, after a change of upstreams or owners.
@@ -281,10 +330,12 @@
     auto reportExpired(const PermitReport &report, Instant now) -> void;
     /// Keeps what the report on a permit needs that is taken back without one.
     auto rememberExpired(const PermitId &id, const Permit &permit, Instant now) -> void;
+    /// @param forwarder the daemon that forwarded the answered request; empty where none did
     /// @param grantedAt when the permit was granted of the request whose answer states it
-    auto takeIn(const UpstreamStatement &statement, Instant grantedAt, Instant now) -> void;
-    auto takeInPause(Upstream &upstream, const UpstreamStatement &statement, Instant grantedAt,
-                     Instant now) -> void;
+    auto takeIn(const UpstreamStatement &statement, const Address &forwarder, Instant grantedAt,
+                Instant now) -> void;
+    auto takeInPause(Upstream &upstream, const UpstreamStatement &statement,
+                     const Address &forwarder, Instant grantedAt, Instant now) -> void;
     /// @returns the upstream if it is still the process that is meant; nullptr otherwise
     [[nodiscard]] auto findUpstream(const UpstreamId &id, Incarnation incarnation) -> Upstream *;
     /// @returns how many entry daemons have used the upstream lately
@@ -293,7 +344,7 @@
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
     /// @returns whether the permit may still be used: its upstream is known, and neither drains nor
-    /// pauses for the entry daemon
+    /// pauses for the daemons that send the request
     [[nodiscard]] auto isRepeatable(const PermitId &id, const Permit &permit, Instant now) const
         -> bool;
     /// @returns whether only the owner of the request's key may run it
@@ -310,6 +361,8 @@
     /// @returns whether the upstream has permits out and neither answer nor report came for too
     /// long
     [[nodiscard]] auto isSilent(const Upstream &upstream, Instant now) const -> bool;
+    /// @returns whether the upstream gets one request at a time, to find out whether it answers
+    [[nodiscard]] static auto isOnTrial(const Upstream &upstream) -> bool;
     [[nodiscard]] auto latencyOf(const Upstream &upstream, Instant now) const -> Duration;
     /// @returns the requests per second that the upstream can serve: as many as its slots and its
     /// request limit allow
@@ -348,6 +401,7 @@
     SlotBrokerSettings settings;
     RetryWindow retryWindow;
     RequestQuarantine quarantine{RequestQuarantineSettings{}};
+    EntryPaths paths;
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
     std::vector<OwnedRange> ownedRanges;
