Test that a forwarder aborts attempts before their time is over

The tests of an entry daemon that leaves passed also without the abort: the attempt's own 2 s ended the upstream's connection within the 10 s that the tests wait. The requests now have 60 s left and the tests wait 5 s.

--- a/src/forwarding/tests/forwardhop_tests.cpp
+++ b/src/forwarding/tests/forwardhop_tests.cpp
@@ -256,17 +256,19 @@
 {
     // Guards against requests that run on for callers that have left.
     HopFixture fixture({});
-    const auto id = fixture.start(sampleRequest(fixture.upstream.address));
+    auto request = sampleRequest(fixture.upstream.address);
+    request.remaining = seconds{60};
+    const auto id = fixture.start(request);
     REQUIRE(fixture.loop.runUntil([&] { return !fixture.upstream.received.empty(); }));
     GIVEN("a request that the entry daemon aborts")
     {
         fixture.client->abort(id);
-        CHECK(fixture.loop.runUntil([&] { return fixture.upstream.ended == 1; }));
+        CHECK(fixture.loop.runUntil([&] { return fixture.upstream.ended == 1; }, seconds{5}));
     }
     GIVEN("an entry daemon that is lost")
     {
         fixture.client.reset();
-        CHECK(fixture.loop.runUntil([&] { return fixture.upstream.ended == 1; }));
+        CHECK(fixture.loop.runUntil([&] { return fixture.upstream.ended == 1; }, seconds{5}));
     }
     CHECK(fixture.forwarder->service.openCount() == 0);
     CHECK(fixture.ends.empty());
@@ -276,7 +278,8 @@
 SCENARIO("A request has an unknown outcome where its forwarder is lost", "[forwarding]")
 {
     HopFixture fixture({});
-    const auto request = sampleRequest(fixture.upstream.address);
+    auto request = sampleRequest(fixture.upstream.address);
+    request.remaining = seconds{60};
     fixture.start(request);
     REQUIRE(fixture.loop.runUntil([&] { return !fixture.upstream.received.empty(); }));
     fixture.forwarder.reset();
--- a/src/forwarding/tests/forwardservice_tests.cpp
+++ b/src/forwarding/tests/forwardservice_tests.cpp
@@ -317,11 +317,13 @@
 SCENARIO("ForwardService ends the attempt of an entry daemon that has left", "[forwarding]")
 {
     ServiceFixture fixture({});
-    fixture.start(1);
+    auto request = sampleRequest(fixture.upstream.address);
+    request.remaining = seconds{60};
+    fixture.start(1, request);
     fixture.loop.runUntil([&] { return !fixture.upstream.received.empty(); });
     fixture.service.onDisconnect(ExchangeId{1});
     CHECK(fixture.service.openCount() == 0);
-    CHECK(fixture.loop.runUntil([&] { return fixture.upstream.ended == 1; }));
+    CHECK(fixture.loop.runUntil([&] { return fixture.upstream.ended == 1; }, seconds{5}));
     CHECK(fixture.replies.empty());
     CHECK(fixture.service.counters().abandoned == 1);
     fixture.service.onDisconnect(ExchangeId{1});
