--- a/src/edge/peerserver.h
+++ b/src/edge/peerserver.h
@@ -37,6 +37,8 @@
     auto start() -> void;
     /// Answers an exchange; has no effect if the peer has disconnected.
     auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
+    /// From now on a connection is closed after the answer to its last open request.
+    auto closeAfterReplies() -> void { this->listener.closeAfterReplies(); }
     /// Closes connections that exceed a timeout; to be called about twice a second.
     auto sweep() -> void { this->listener.sweep(); }
 
--- a/src/forwarding/forwardclient.h
+++ b/src/forwarding/forwardclient.h
@@ -29,6 +29,9 @@
     /// the request has ended.
     auto abort(OutboundId id) -> void { this->pool.abort(id); }
 
+    /// @returns the number of connections opened since the start
+    [[nodiscard]] auto openedCount() const -> std::uint64_t { return this->pool.openedCount(); }
+
 private:
     OutboundPool pool;
     std::uint64_t nextHopId = 1;
