--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -145,6 +145,7 @@
                                .text());
         this->roles.resign();
         this->forwarder.refuseNew();
+        this->peerServer.closeAfterReplies();
         this->entry.listener().closeAfterReplies();
         this->advanceShutdown(*this->stoppingSince);
         this->processPending();
--- a/src/edge/forwardrole.h
+++ b/src/edge/forwardrole.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "edge/peerserver.h"
-#include "edge/wireadapter.h"
-#include "forwarding/forwardcodec.h"
-#include "forwarding/forwardservice.h"
+#include "edge/forwardhandler.h"
 
 #include <functional>
 #include <utility>
@@ -26,7 +23,7 @@
         : service(
             base, ForwardSettings{}, upstreams, statements,
             [&wire](const MessageHead &answer, bool isRepeatable) {
-                return statementOf(wire.answerFields(answer, isRepeatable));
+                return answerStatement(wire, answer, isRepeatable);
             },
             now,
             [&server](ExchangeId exchange, const MessageHead &head, std::string_view body) {
@@ -34,13 +31,7 @@
             },
             std::move(onWork))
     {
-        server.serve(
-            forwardPath,
-            PeerHandler{[this](ExchangeId exchange, WholeMessage message) {
-                            this->service.onRequest(exchange, std::move(message));
-                        },
-                        [this](ExchangeId exchange) { this->service.onDisconnect(exchange); },
-                        idleTimeout});
+        serveForwarding(server, this->service);
     }
 
     /// From now on refuses new requests; those in progress continue.
@@ -51,17 +42,6 @@
     [[nodiscard]] auto sentCount() const -> std::uint64_t { return this->service.counters().sent; }
 
 private:
-    /// Entry daemons that are cut off send many requests, so their connections stay open.
-    static constexpr Duration idleTimeout = std::chrono::seconds{12};
-
-    [[nodiscard]] static auto statementOf(const AnswerFields &fields) -> AnswerStatement
-    {
-        const auto isAnswered = fields.end == AttemptEnd::Answered
-                                || fields.end == AttemptEnd::Failed
-                                || fields.end == AttemptEnd::NotRun;
-        return AnswerStatement{isAnswered, fields.isLeaving, fields.pause};
-    }
-
     ForwardService service;
 };
 
