Let the keyed upstream stand-in answer releases when the work on their keys has ended

Now a release waits for the requests that were running on its keys; one of keys that the upstream doesn't hold any more is answered at once, as nothing promises otherwise. A request ends with 500 when the grant of its key does.

keysGivenOnAtWork() is the check: keys on which an upstream works within the time of its grant while another one owns them. While one request ran for seconds, others that came meanwhile postponed its end; the timer doesn't wait for the newest any more.

--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr Duration pollInterval = std::chrono::milliseconds{2};
+
 auto frontSettings(const Address &listen) -> FrontSettings
 {
     FrontSettings settings;
@@ -36,9 +38,7 @@
           [this](ExchangeId exchange, const WholeMessage &request) {
               this->onRequest(exchange, request);
           },
-          [this](ExchangeId exchange) {
-              this->running.remove_if([&](const Running &run) { return run.exchange == exchange; });
-          })
+          [this](ExchangeId exchange) { this->onDisconnect(exchange); })
     , timer(base, [this] { this->finishDue(); })
 {
 }
@@ -61,9 +61,42 @@
 
 auto KeyedUpstreamStub::ownsKey(int key) const -> bool
 {
-    return std::any_of(this->grants.begin(), this->grants.end(), [&](const KeyGrant &grant) {
-        return grant.first <= key && key <= grant.last && grant.expiresAt > this->now();
-    });
+    return this->holdEndOf(key) > this->now();
+}
+
+auto KeyedUpstreamStub::holdEndOf(int key) const -> Instant
+{
+    Instant end{};
+    for (const auto &grant : this->grants) {
+        if (grant.first <= key && key <= grant.last) {
+            end = std::max(end, grant.expiresAt);
+        }
+    }
+    return end;
+}
+
+auto KeyedUpstreamStub::keysAtWork() const -> std::set<int>
+{
+    std::set<int> keys;
+    for (const auto &run : this->running) {
+        if (this->settings.isSharded && run.endsAt > this->now() && !this->hasOutlastedHold(run)) {
+            keys.insert(run.key);
+        }
+    }
+    return keys;
+}
+
+auto KeyedUpstreamStub::hasOutlastedHold(const Running &run) const -> bool
+{
+    return this->settings.isSharded && run.holdEndsAt <= this->now();
+}
+
+auto KeyedUpstreamStub::onDisconnect(ExchangeId exchange) -> void
+{
+    this->running.remove_if([&](const Running &run) { return run.exchange == exchange; });
+    this->openReleases.remove_if(
+        [&](const OpenRelease &release) { return release.exchange == exchange; });
+    this->answerReleases();
 }
 
 auto KeyedUpstreamStub::onRequest(ExchangeId exchange, const WholeMessage &request) -> void
@@ -108,6 +141,10 @@
             return old.first >= grant.first && old.last <= grant.last;
         });
         this->grants.push_back(grant);
+        for (auto &run : this->running) {
+            const auto isInGrant = grant.first <= run.key && run.key <= grant.last;
+            run.holdEndsAt = isInGrant ? this->holdEndOf(run.key) : run.holdEndsAt;
+        }
     }
     this->listener.reply(exchange, head, "");
 }
@@ -121,6 +158,10 @@
         this->releases.push_back(
             KeyGrant{first, last, body.at("fence").get<std::uint64_t>(), Instant{}});
     }
+    const auto holdsAny =
+        std::any_of(this->grants.begin(), this->grants.end(), [&](const KeyGrant &grant) {
+            return grant.first <= last && grant.last >= first && grant.expiresAt > this->now();
+        });
     std::vector<KeyGrant> kept;
     for (const auto &grant : this->grants) {
         auto lower = grant;
@@ -134,10 +175,32 @@
         }
     }
     this->grants = std::move(kept);
+    const auto lastRequest = holdsAny ? this->startedCount : 0;
+    this->openReleases.push_back(OpenRelease{exchange, first, last, lastRequest});
+    this->answerReleases();
+}
+
+auto KeyedUpstreamStub::answerReleases() -> void
+{
+    const auto isWaiting = [this](const OpenRelease &release) {
+        return std::any_of(this->running.begin(), this->running.end(), [&](const Running &run) {
+            return run.number <= release.lastRequest && release.first <= run.key
+                   && run.key <= release.last;
+        });
+    };
     MessageHead head;
     head.status = 200;
     head.headers = {HttpHeader{"Handover", "h-" + this->settings.id}};
-    this->listener.reply(exchange, head, "");
+    std::vector<ExchangeId> answered;
+    for (const auto &release : this->openReleases) {
+        if (!isWaiting(release)) {
+            answered.push_back(release.exchange);
+        }
+    }
+    this->openReleases.remove_if([&](const OpenRelease &each) { return !isWaiting(each); });
+    for (const auto &exchange : answered) {
+        this->listener.reply(exchange, head, "");
+    }
 }
 
 auto KeyedUpstreamStub::runRequest(ExchangeId exchange, const WholeMessage &request) -> void
@@ -145,18 +208,19 @@
     const auto *id = request.head.find("Request-Id");
     this->runs.push_back(KeyedRun{id == nullptr ? "" : *id, this->settings.id, request.head.target,
                                   request.body, keyOf(request.head), this->now()});
-    this->running.push_back(Running{exchange, request, this->now() + this->settings.serviceTime});
+    const auto key = keyOf(request.head);
+    this->running.push_back(Running{exchange, request, this->now() + this->settings.serviceTime,
+                                    ++this->startedCount, key, this->holdEndOf(key)});
     this->peakRunning = std::max(this->peakRunning, static_cast<int>(this->running.size()));
-    this->timer.set(monotonicNow() + this->settings.serviceTime);
+    this->timer.set(monotonicNow() + std::min(this->settings.serviceTime, pollInterval));
 }
 
 auto KeyedUpstreamStub::finishDue() -> void
 {
-    constexpr Duration pollInterval = std::chrono::milliseconds{2};
     std::list<Running> ended;
     for (auto current = this->running.begin(); current != this->running.end();) {
         const auto next = std::next(current);
-        if (current->endsAt <= this->now()) {
+        if (current->endsAt <= this->now() || this->hasOutlastedHold(*current)) {
             ended.splice(ended.end(), this->running, current);
         }
         current = next;
@@ -166,6 +230,7 @@
             this->answer(run);
         }
     }
+    this->answerReleases();
     if (!this->running.empty()) {
         this->timer.set(monotonicNow() + pollInterval);
     }
@@ -174,7 +239,8 @@
 auto KeyedUpstreamStub::answer(const Running &run) -> void
 {
     MessageHead head;
-    head.status = this->mode == KeyedUpstreamMode::Failing ? 500 : 200;
+    const auto isComplete = run.endsAt <= this->now();
+    head.status = this->mode == KeyedUpstreamMode::Failing || !isComplete ? 500 : 200;
     if (const auto *id = run.request.head.find("Request-Id")) {
         head.headers.push_back(HttpHeader{"Request-Id", *id});
     }
@@ -195,4 +261,21 @@
     this->listener.reply(exchange, head, "");
 }
 
+auto keysGivenOnAtWork(const std::vector<std::unique_ptr<KeyedUpstreamStub>> &upstreams)
+    -> std::set<int>
+{
+    std::set<int> result;
+    for (const auto &worker : upstreams) {
+        for (const auto key : worker->keysAtWork()) {
+            const auto isOwnedByOther =
+                std::any_of(upstreams.begin(), upstreams.end(),
+                            [&](const auto &each) { return each != worker && each->ownsKey(key); });
+            if (isOwnedByOther) {
+                result.insert(key);
+            }
+        }
+    }
+    return result;
+}
+
 } // namespace gooseberrywall
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,8 +40,10 @@
 };
 
 /// Stand-in for an upstream that owns ranges of keys by grants, on the event loop of the test. Each
-/// request runs for the service time; requests for other upstreams and for keys that it doesn't own
-/// are rejected with 421.
+/// request runs for the service time, but no longer than the grant of its key lasts; then it ends
+/// with 500. Requests for other upstreams and for keys that it doesn't own are rejected with 421. A
+/// release is answered when the work that was running on its keys has ended; one of keys that the
+/// upstream doesn't hold any more is answered at once.
 class KeyedUpstreamStub
 {
 public:
@@ -76,6 +80,9 @@
     [[nodiscard]] auto entry(bool isDraining) const -> std::string;
     [[nodiscard]] auto storeKey() const -> std::string { return "servers/" + this->settings.id; }
     [[nodiscard]] auto ownsKey(int key) const -> bool;
+    /// @returns the keys of the requests that run, each within the time of the grant under which it
+    /// runs. No other upstream may be granted one of them meanwhile, also after a release.
+    [[nodiscard]] auto keysAtWork() const -> std::set<int>;
     [[nodiscard]] auto peakRunningCount() const -> int { return this->peakRunning; }
 
 private:
@@ -91,6 +98,19 @@
         ExchangeId exchange;
         WholeMessage request;
         Instant endsAt;
+        std::uint64_t number = 0;
+        int key = -1;
+        /// When the grant of its key ends; stays as it is once the key is released.
+        Instant holdEndsAt{};
+    };
+    /// A release that waits for running requests.
+    struct OpenRelease
+    {
+        ExchangeId exchange;
+        int first = 0;
+        int last = 0;
+        /// Later requests don't delay the answer.
+        std::uint64_t lastRequest = 0;
     };
 
     auto onRequest(ExchangeId exchange, const WholeMessage &request) -> void;
@@ -98,6 +118,13 @@
     auto onRelease(ExchangeId exchange, const WholeMessage &request) -> void;
     auto runRequest(ExchangeId exchange, const WholeMessage &request) -> void;
     auto finishDue() -> void;
+    /// Answers the releases whose requests have ended.
+    auto answerReleases() -> void;
+    auto onDisconnect(ExchangeId exchange) -> void;
+    /// @returns whether the grant under which a request runs has ended
+    [[nodiscard]] auto hasOutlastedHold(const Running &run) const -> bool;
+    /// @returns when the grants of a key end; Instant{} where there are none
+    [[nodiscard]] auto holdEndOf(int key) const -> Instant;
     auto answer(const Running &run) -> void;
     auto reject(ExchangeId exchange, int status) -> void;
 
@@ -110,10 +137,18 @@
     /// The fences of releases; they hold no keys.
     std::vector<KeyGrant> releases;
     std::list<Running> running;
+    std::list<OpenRelease> openReleases;
+    std::uint64_t startedCount = 0;
     int peakRunning = 0;
     int requestCount = 0;
     FrontListener listener;
     ClockTimer timer;
 };
 
+/// @returns the keys on which an upstream works within the time of its grant while another one
+/// owns them; a system that gives keys on only after their release or that time leaves none
+[[nodiscard]] auto
+keysGivenOnAtWork(const std::vector<std::unique_ptr<KeyedUpstreamStub>> &upstreams)
+    -> std::set<int>;
+
 } // namespace gooseberrywall
