--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -179,6 +179,10 @@
     /// @returns from when on the store lists all upstreams that may hold keys
     [[nodiscard]] auto upstreamsCompleteAt() const -> Instant;
     auto logReleaseRound() -> void;
+    /// Logs how a release ended that belongs to no release round.
+    auto logRelease(const RangeOrder &order, const RangeOrderEnd &end, Instant sentAt) -> void;
+    /// Logs when keys begin and cease to wait for the end of a hold.
+    auto logHoldWait(Instant moment) -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
     /// Logs what upstreams have stated, and keeps who leaves for takeLeaving().
@@ -215,6 +219,8 @@
     Instant upstreamsListedAt{};
     ReleaseRoundStatus loggedRound;
     Instant roundStartedAt{};
+    /// Since when keys wait for the end of a hold.
+    std::optional<Instant> holdWaitSince;
     bool serving = false;
     bool isCutOff = false;
     /// The grantor as last passed to onGrantor().
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -47,6 +47,7 @@
     this->ranges->advance(moment);
     this->logMissingFence();
     this->logReleaseRound();
+    this->logHoldWait(moment);
     if (this->isLeading()) {
         this->plan(moment);
         this->writeRecord();
@@ -281,15 +282,17 @@
 auto GrantorRole::issueOrders() -> void
 {
     for (const auto &order : this->ranges->takeOrders()) {
-        this->orders(order, [this, watcher = std::weak_ptr<RangeGrantor>(this->ranges)](
-                                const RangeOrderEnd &end) {
-            if (watcher.expired()) {
-                return;
-            }
-            this->ranges->onOrderEnd(end, this->now());
-            this->issueOrders();
-            this->orderEndsDue = std::min(this->orderEndsDue, this->now() + orderEndBatchTime);
-        });
+        this->orders(
+            order, [this, order, sentAt = this->now(),
+                    watcher = std::weak_ptr<RangeGrantor>(this->ranges)](const RangeOrderEnd &end) {
+                if (watcher.expired()) {
+                    return;
+                }
+                this->logRelease(order, end, sentAt);
+                this->ranges->onOrderEnd(end, this->now());
+                this->issueOrders();
+                this->orderEndsDue = std::min(this->orderEndsDue, this->now() + orderEndBatchTime);
+            });
     }
 }
 
--- a/src/edge/internal/grantorrelease.cpp
+++ b/src/edge/internal/grantorrelease.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-// What a GrantorRole does for the release round of its ranges.
+// What a GrantorRole does for the release round of its ranges, and what it logs about releases.
 namespace gooseberrywall {
 
 auto GrantorRole::upstreamsCompleteAt() const -> Instant
@@ -54,4 +54,39 @@
     }
 }
 
+auto GrantorRole::logRelease(const RangeOrder &order, const RangeOrderEnd &end, Instant sentAt)
+    -> void
+{
+    if (order.kind != RangeOrder::Kind::Release || this->loggedRound.isActive) {
+        return;
+    }
+    const auto isAnswered =
+        end.kind != RangeOrderEnd::Kind::NoAnswer && end.kind != RangeOrderEnd::Kind::NotSent;
+    LogLine line(isAnswered ? "range_released" : "range_release_unanswered");
+    line.with("service", this->spec.name.value)
+        .with("upstream", order.upstream.value)
+        .with("first", order.range.first)
+        .with("last", order.range.last)
+        .with("fence", static_cast<std::int64_t>(order.fence))
+        .with("ms", toMilliseconds(this->now() - sentAt));
+    this->log(isAnswered ? LogLevel::Info : LogLevel::Warning, line);
+}
+
+auto GrantorRole::logHoldWait(Instant moment) -> void
+{
+    const auto keys = this->ranges->keysWaitingForHoldEnd();
+    if (keys > 0 && !this->holdWaitSince) {
+        this->holdWaitSince = moment;
+        LogLine line("hold_wait_started");
+        line.with("service", this->spec.name.value).with("keys", static_cast<std::int64_t>(keys));
+        this->log(LogLevel::Info, line);
+    } else if (keys == 0 && this->holdWaitSince) {
+        LogLine line("hold_wait_ended");
+        line.with("service", this->spec.name.value)
+            .with("ms", toMilliseconds(moment - *this->holdWaitSince));
+        this->log(LogLevel::Info, line);
+        this->holdWaitSince.reset();
+    }
+}
+
 } // namespace gooseberrywall
--- a/src/keyranges/internal/rangegrantorviews.cpp
+++ b/src/keyranges/internal/rangegrantorviews.cpp
@@ -138,6 +138,17 @@
     return result;
 }
 
+auto RangeGrantor::keysWaitingForHoldEnd() const -> std::uint32_t
+{
+    std::uint32_t count = 0;
+    for (const auto &state : this->rangeStates) {
+        const auto isWaiting = state.phase == Phase::Expiring
+                               || (state.phase == Phase::ReleasingEarlier && state.isReleased);
+        count += isWaiting ? state.range.size() : 0;
+    }
+    return count;
+}
+
 auto RangeGrantor::nextDue(Instant now) const -> Instant
 {
     auto due = now + this->settings.renewalInterval;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -127,6 +127,8 @@
     /// @returns all ranges in the order of their keys
     [[nodiscard]] auto views() const -> std::vector<RangeView>;
     [[nodiscard]] auto releaseRoundStatus() const -> ReleaseRoundStatus;
+    /// @returns how many keys get no other owner before the hold of an earlier one has run out
+    [[nodiscard]] auto keysWaitingForHoldEnd() const -> std::uint32_t;
     /// @returns when to call advance() next
     [[nodiscard]] auto nextDue(Instant now) const -> Instant;
     /// @returns how many keys have been granted again after their first owner; a key counts each
