Show keys that are granted without a record of their next owner; known red

A holder has left a renewal unanswered, so it isn't asked to release keys that are to move; once its hold has run out, they are granted to the next owner while the stored record still names the lost holder only.

--- a/src/keyranges/tests/workatrelease_tests.cpp
+++ b/src/keyranges/tests/workatrelease_tests.cpp
@@ -195,3 +195,41 @@
         }
     }
 }
+
+// Guards against two owners of a key: the stored record named only the lost holder, so that a
+// successor would have renewed its grant while another upstream had the keys.
+SCENARIO(
+    "RangeGrantor: given keys that are to move from a lost holder, the record names their next "
+    "owner before it is granted them",
+    "[keyranges][workatrelease][!mayfail]")
+{
+    GrantorOfThree three;
+    RangeRecord record;
+    record.rows = {RangeRow{allKeys, holderOf(three.entries[0]), {}, false}};
+    three.grantor.adopt(record, three.now);
+    RangeRecord stored = record;
+    const auto unanswered = [](const RangeOrder & /*order*/) {
+        return std::optional(RangeOrderEnd::Kind::NoAnswer);
+    };
+    // Its grants stay unanswered, so it isn't asked to release the keys.
+    REQUIRE_FALSE(three.grantTimeOf("b", milliseconds{500}, unanswered).has_value());
+    three.grantor.move({RangeMove{allKeys, UpstreamId{"b"}}}, three.now);
+    auto isGranted = false;
+    for (const auto end = three.now + seconds{20}; three.now < end && !isGranted;
+         three.now += milliseconds{10}) {
+        three.grantor.advance(three.now);
+        for (const auto &order : three.grantor.takeOrders()) {
+            isGranted = isGranted || order.upstream == UpstreamId{"b"};
+            three.grantor.onOrderEnd({order.call, RangeOrderEnd::Kind::NoAnswer, ""}, three.now);
+        }
+        std::uint64_t version = 0;
+        if (const auto changed = isGranted ? std::nullopt : three.grantor.takeRecord(version)) {
+            stored = *changed;
+            three.grantor.onRecordStored(version, three.now);
+        }
+    }
+    REQUIRE(isGranted);
+    REQUIRE(stored.rows.size() == 1);
+    CHECK(stored.rows[0].owner.id == UpstreamId{"b"});
+    CHECK(stored.rows[0].earlierOwners == std::vector{holderOf(three.entries[0])});
+}
