--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -68,9 +68,8 @@
                 state.phase == Phase::Held && state.holder && state.holder->id == move.target;
             if (move.range.contains(state.range.first) && !isTargetHolder) {
                 state.target = move.target;
-                if (state.phase != Phase::Held) {
-                    state.requiredRecordVersion = this->markRecordChanged();
-                }
+                // Also of a held range: where its holder is lost, it is granted without a release.
+                state.requiredRecordVersion = this->markRecordChanged();
             }
         }
     }
@@ -154,12 +153,12 @@
     using Kind = RangeOrderEnd::Kind;
     const auto hasReleased = end.kind == Kind::Accepted || end.kind == Kind::OtherUpstream;
     if (state.phase == Phase::ReleasingEarlier) {
-        if (hasReleased && this->settings.doReleasesRaiseFences) {
+        if (end.kind == Kind::OtherUpstream && this->settings.doReleasesRaiseFences) {
             state.earlierOwners.erase(state.earlierOwners.begin());
             return;
         }
-        // Grants of the earlier grantor may still be carried out, also prolonged ones, so the
-        // release doesn't shorten the wait for `latestHoldEnd`.
+        // The earlier grantor may have ordered a release, too, and have prolonged its grants, so
+        // an answer doesn't shorten the wait for `latestHoldEnd`.
         state.isReleased = state.isReleased || hasReleased;
         state.nextOrderAt = hasReleased ? state.latestHoldEnd : now + this->settings.retryPause;
         return;
