--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -73,7 +73,8 @@
 
 auto PrefixView::onPage(const StoreAnswer &answer) -> void
 {
-    if (answer.kind != StoreAnswer::Kind::Ok) {
+    const auto isPageMissing = answer.hasMore && answer.items.empty();
+    if (answer.kind != StoreAnswer::Kind::Ok || isPageMissing) {
         this->scheduleRetry();
         return;
     }
@@ -90,7 +91,7 @@
         this->newCopy[item.key] = item;
     }
     this->failures = 0;
-    if (answer.hasMore && !answer.items.empty()) {
+    if (answer.hasMore) {
         this->readPage(answer.items.back().key);
         return;
     }
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -164,3 +164,38 @@
         }
     }
 }
+
+SCENARIO("PrefixView takes a page without items for unreadable where more pages follow",
+         "[storelink]")
+{
+    // Guards against upstreams that are taken for gone as they stand behind an odd page.
+    Instant moment{seconds{10}};
+    std::vector<std::function<void(StoreAnswer)>> open;
+    PrefixView view{"p/", PrefixViewSettings{},
+                    [&](const StoreCall &, Duration, std::function<void(StoreAnswer)> done) {
+                        open.push_back(std::move(done));
+                    },
+                    [&] { return moment; }, [](const PrefixView::Items &) {}};
+    view.advance();
+    REQUIRE(open.size() == 1);
+    StoreAnswer page;
+    page.kind = StoreAnswer::Kind::Ok;
+    page.revision = StoreRevision{9};
+    page.hasMore = true;
+    open[0](page);
+    CHECK_FALSE(view.isLoaded());
+    WHEN("the next read shows the keys")
+    {
+        moment += seconds{5};
+        view.advance();
+        REQUIRE(open.size() == 2);
+        page.hasMore = false;
+        page.items = {StoreItem{"p/a", "1", StoreRevision{4}, StoreRevision{4}, {}, false}};
+        open[1](page);
+        THEN("they are taken over")
+        {
+            CHECK(view.isLoaded());
+            CHECK(view.items().size() == 1);
+        }
+    }
+}
