--- a/src/edge/internal/knowndaemons.cpp
+++ b/src/edge/internal/knowndaemons.cpp
@@ -1,6 +1,9 @@
 #include "edge/knowndaemons.h"
 
+#include "http/endpoint.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace gooseberrywall {
 
@@ -33,8 +36,9 @@
     text.remove_prefix(header.size());
     while (!text.empty()) {
         const auto end = std::min(text.find('\n'), text.size());
-        if (end > 0) {
-            this->heardAt.try_emplace(Address{std::string(text.substr(0, end))}, now);
+        Address address{std::string(text.substr(0, end))};
+        if (parseEndpoint(address)) {
+            this->heardAt.try_emplace(std::move(address), now);
         }
         text.remove_prefix(std::min(end + 1, text.size()));
     }
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t firstSegmentWords = 128;
 /// Limits how much data a packed datagram may expand to, in words of 8 bytes.
 constexpr std::uint64_t traversalLimitWords = 4096;
+/// About 30 years.
+constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000;
+constexpr std::int32_t maxCount = 1'000'000;
 
 auto writeId(permitwire::PermitId::Builder builder, const PermitId &id) -> void
 {
@@ -30,6 +33,18 @@
     return PermitId{entry, reader.getLife(), reader.getSequence()};
 }
 
+/// @returns the duration, limited so that sums with a time can't overflow
+auto durationOf(std::int64_t microseconds) -> Duration
+{
+    return Duration{std::clamp(microseconds, -maxMicroseconds, maxMicroseconds)};
+}
+
+/// @returns the number of requests or slots, limited so that sums can't overflow
+auto countOf(std::int32_t number) -> int
+{
+    return std::clamp(number, 0, maxCount);
+}
+
 auto textOf(capnp::Text::Reader text) -> std::string
 {
     return {text.begin(), text.size()};
@@ -124,8 +139,8 @@
     request.request.value = textOf(in.getRequest());
     request.fingerprint = in.getPrint();
     request.priority = in.getPriority();
-    request.remaining = Duration{in.getRemaining()};
-    request.untilTarget = Duration{in.getUntilTarget()};
+    request.remaining = durationOf(in.getRemaining());
+    request.untilTarget = durationOf(in.getUntilTarget());
     if (in.getHasKey()) {
         request.key = in.getKey();
     }
@@ -153,7 +168,7 @@
         verdict.ownedRange = KeyRange{in.getFirst(), in.getLast()};
     }
     verdict.reason = static_cast<Reason>(in.getReason());
-    verdict.retryAfter = Duration{in.getRetryAfter()};
+    verdict.retryAfter = durationOf(in.getRetryAfter());
     verdict.grantorTerm = in.getGrantorTerm();
     verdict.incarnation.value = in.getUpstreamLife();
     return answer;
@@ -170,9 +185,10 @@
     report.service.value = textOf(in.getService());
     report.upstream.value = textOf(in.getUpstream());
     report.end = static_cast<AttemptEnd>(in.getEnd());
-    report.latency = Duration{in.getLatency()};
+    report.latency = durationOf(in.getLatency());
     if (in.getHasLoad()) {
-        report.load = ReportedLoad{in.getRunning(), in.getWaiting(), in.getSlots()};
+        report.load = ReportedLoad{countOf(in.getRunning()), countOf(in.getWaiting()),
+                                   countOf(in.getSlots())};
     }
     // Also refuses NaN.
     if (in.getHasLimit() && in.getLimitPerSecond() >= 0) {
@@ -180,7 +196,7 @@
     }
     report.isLeaving = in.getLeaving();
     if (in.getHasPause() && in.getPause() >= 0) {
-        report.pause = Duration{in.getPause()};
+        report.pause = durationOf(in.getPause());
     }
     return report;
 }
@@ -204,7 +220,7 @@
         const auto announcement = in.getAnnouncement();
         return GrantorAnnouncement{ServiceName{textOf(announcement.getService())},
                                    announcement.getTerm(), announcement.getConfiguration(),
-                                   Duration{announcement.getConfigurationAge()},
+                                   durationOf(announcement.getConfigurationAge()),
                                    announcement.getDaemons()};
     }
     case permitwire::Message::HELLO:
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -1,6 +1,7 @@
 #include "permitlink/permitcodec.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <rapidcheck/catch.h>
 
 using namespace gooseberrywall;
@@ -84,3 +85,32 @@
         static_cast<void>(decodePermitMessage(bytes, sender, self));
     });
 }
+
+TEST_CASE("PermitCodec: given numbers that no daemon sends, sums with them don't overflow",
+          "[permitlink]")
+{
+    // Guards against a stray datagram whose duration, added to the time, overflows.
+    constexpr auto highest = std::numeric_limits<std::int64_t>::max();
+    constexpr auto lowest = std::numeric_limits<std::int64_t>::min();
+    for (const auto microseconds : {highest, lowest}) {
+        PermitRequest request;
+        request.remaining = Duration{microseconds};
+        request.untilTarget = Duration{microseconds};
+        const auto read = std::get<PermitRequest>(
+            *decodePermitMessage(encodePermitMessage(request), sender, self));
+        for (const auto duration : {read.remaining, read.untilTarget}) {
+            CHECK(duration <= std::chrono::hours{24 * 366 * 100});
+            CHECK(duration >= -std::chrono::hours{24 * 366 * 100});
+        }
+    }
+    PermitReport report;
+    report.load = ReportedLoad{std::numeric_limits<int>::max(), std::numeric_limits<int>::max(),
+                               std::numeric_limits<int>::min()};
+    report.pause = Duration{highest};
+    const auto read =
+        std::get<PermitReport>(*decodePermitMessage(encodePermitMessage(report), sender, self));
+    CHECK(read.load->running <= std::numeric_limits<int>::max() / 4);
+    CHECK(read.load->waiting <= std::numeric_limits<int>::max() / 4);
+    CHECK(read.load->slots >= 0);
+    CHECK(*read.pause <= std::chrono::hours{24 * 366 * 100});
+}
