--- a/src/http1/tests/http1_tests.cpp
+++ b/src/http1/tests/http1_tests.cpp
@@ -249,3 +249,21 @@
     CHECK(responseText(head, "", true, false)
           == "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 5\r\nConnection: close\r\n\r\n");
 }
+
+SCENARIO("MessageReader refuses lengths that no message can have", "[http1]")
+{
+    // Guards against lengths that are cut to the size of a type, and read as a shorter message.
+    for (const auto *length : {"18446744073709551616", "18446744073709551615",
+                               "99999999999999999999999", "-1", "1e400", "4294967299000"}) {
+        INFO(length);
+        CHECK(readOne(Kind::Response,
+                      "HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) + "\r\n\r\nabc")
+              == Step::Malformed);
+    }
+    for (const auto *size : {"10000000000000003", "FFFFFFFFFFFFFFFF", "-3", "100000003"}) {
+        INFO(size);
+        CHECK(readOne(Kind::Response, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                          + std::string(size) + "\r\nabc\r\n0\r\n\r\n")
+              == Step::Malformed);
+    }
+}
