Let the soak cut daemons off from all upstreams and compare first tries

Which daemon has opened a connection is read from the kernel's tables in /proc. Ruled out: a setting of a source address; it would be in the daemon for the soak only, and needs the pools that edgedaemon.h makes. Bounds of the stand-in: the proxy accepts a connection before it can cut it, so a new one that hangs or is refused looks opened to the daemon.

--- a/src/soak/daemonprocess.h
+++ b/src/soak/daemonprocess.h
@@ -24,6 +24,8 @@
     auto signal(int number) -> void;
     /// @returns whether the process runs; reaps it and counts an unexpected exit if not
     [[nodiscard]] auto isRunning() -> bool;
+    /// @returns the id of the process; zero where none was started or it was reaped
+    [[nodiscard]] auto processId() const -> pid_t { return this->id; }
     /// @returns the number of exits without a SIGTERM or SIGKILL from the soak
     [[nodiscard]] auto unexpectedExits() const -> int { return this->unexpectedExitCount; }
 
--- a/src/soak/internal/faultproxy.cpp
+++ b/src/soak/internal/faultproxy.cpp
@@ -2,6 +2,8 @@
 
 #include "testing/freeaddress.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace gooseberrywall {
@@ -15,9 +17,10 @@
 
 } // namespace
 
-FaultProxy::FaultProxy(event_base *base, Address target)
+FaultProxy::FaultProxy(event_base *base, Address target, ClientOf clientOf)
     : base(base)
     , target(std::move(target))
+    , clientOf(std::move(clientOf))
     , listen(freeAddress())
     , listener(base, this->listen, [this](int descriptor) { this->accept(descriptor); })
     , timer(base, [this] { this->sendDelayed(); })
@@ -32,29 +35,71 @@
         this->reset();
     }
     this->mode = mode;
-    const auto isSilent = mode == Mode::Silent;
     for (const auto &pair : this->pairs) {
-        if (!pair->isEnded) {
-            pair->acceptedStream->setReading(!isSilent);
-            pair->targetStream->setReading(!isSilent && mode != Mode::OneWay);
-        }
+        this->updateReading(*pair);
     }
 }
 
-auto FaultProxy::reset() -> void
+auto FaultProxy::setCut(int client, Cut cut) -> void
 {
+    const auto earlier = std::exchange(this->cuts[client], cut);
+    // As at the end of mode Silent, what the kernel has buffered must not be delivered late.
+    if (cut == Cut::Reset || earlier == Cut::Hang) {
+        this->resetPairs([client](const Pair &pair) { return pair.client == client; });
+    }
     for (const auto &pair : this->pairs) {
-        pair->acceptedStream->resetOnClose();
-        pair->targetStream->resetOnClose();
+        this->updateReading(*pair);
     }
-    this->pairs.clear();
+}
+
+auto FaultProxy::reset() -> void
+{
+    this->resetPairs([](const Pair &) { return true; });
+}
+
+auto FaultProxy::resetPairs(const std::function<bool(const Pair &)> &isAffected) -> void
+{
+    this->pairs.remove_if([&](const auto &pair) {
+        const auto isReset = isAffected(*pair);
+        if (isReset) {
+            pair->acceptedStream->resetOnClose();
+            pair->targetStream->resetOnClose();
+        }
+        return isReset;
+    });
+}
+
+auto FaultProxy::updateReading(const Pair &pair) -> void
+{
+    if (pair.isEnded) {
+        return;
+    }
+    const auto isSilent = this->mode == Mode::Silent || this->cutOf(pair.client) == Cut::Hang;
+    pair.acceptedStream->setReading(!isSilent);
+    pair.targetStream->setReading(!isSilent && this->mode != Mode::OneWay);
+}
+
+auto FaultProxy::cutOf(int client) const -> Cut
+{
+    const auto found = this->cuts.find(client);
+    return found == this->cuts.end() ? Cut::None : found->second;
 }
 
 auto FaultProxy::accept(int descriptor) -> void
 {
     // Ended pairs are destroyed here, outside of their own event handlers.
     this->pairs.remove_if([](const auto &pair) { return pair->isEnded; });
+    const auto client = this->clientOf ? this->clientOf(descriptor) : unknownClient;
+    const auto cut = this->cutOf(client);
+    if (cut == Cut::Reset || cut == Cut::RefuseNew) {
+        const linger immediate{1, 0};
+        static_cast<void>(
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate));
+        close(descriptor);
+        return;
+    }
     auto pair = std::make_shared<Pair>();
+    pair->client = client;
     this->pairs.push_back(pair);
     const auto weak = std::weak_ptr<Pair>(pair);
     const auto handlers = [this, weak](bool isTowardsTarget) {
--- a/src/soak/internal/soakcell.cpp
+++ b/src/soak/internal/soakcell.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakcell.h"
 
 #include "http1/messagewriter.h"
+#include "soak/peerprocess.h"
 #include "testing/freeaddress.h"
 
 #include <algorithm>
@@ -36,6 +37,8 @@
     , storeAddress(freeAddress())
     , store(this->loop.base(), this->storeAddress, monotonicNow)
     , storeProxy(this->loop.base(), this->storeAddress)
+    , cuts(this->upstreamProxies, static_cast<std::size_t>(this->settings.daemons),
+           this->settings.seed)
     , callers(this->loop.base(), OutboundPoolSettings{}, monotonicNow)
     , tick(this->loop.base(), [this] { this->onTick(); })
 {
@@ -48,8 +51,9 @@
         upstream.listen = freeAddress();
         const auto isSlow = this->settings.hasOnlyStops && index % 2 == 1;
         upstream.serviceTime = isSlow ? longServiceTime : Duration{milliseconds{15}};
-        this->upstreamProxies.push_back(
-            std::make_unique<FaultProxy>(this->loop.base(), upstream.listen));
+        this->upstreamProxies.push_back(std::make_unique<FaultProxy>(
+            this->loop.base(), upstream.listen,
+            [this](int descriptor) { return this->daemonOf(descriptor); }));
         upstream.advertisedAddress = this->upstreamProxies.back()->address();
         this->upstreams.push_back(std::make_unique<KeyedUpstreamStub>(this->loop.base(), upstream,
                                                                       monotonicNow, this->runs));
@@ -84,6 +88,9 @@
     this->isSending = false;
     this->runFor(std::chrono::seconds{3});
     this->checkRuns();
+    for (const auto &violation : this->cuts.violations()) {
+        this->addViolation(violation);
+    }
     for (const auto &daemon : this->daemons) {
         if (!daemon->isRunning() || daemon->unexpectedExits() > 0) {
             this->addViolation("a daemon exited without a signal from the soak");
@@ -144,6 +151,12 @@
 
 auto SoakCell::injectFault() -> void
 {
+    if (this->settings.hasOnlyCuts) {
+        if (const auto change = this->cuts.advance(monotonicNow()); !change.empty()) {
+            this->addFault(change);
+        }
+        return;
+    }
     const auto kind = this->settings.hasOnlyStops ? daemonFaultKinds - 1 : this->pick(faultKinds);
     const auto upstream = this->pick(this->upstreamProxies.size());
     auto &proxy = *this->upstreamProxies[upstream];
@@ -156,7 +169,7 @@
         this->injectDaemonFault(static_cast<int>(kind));
         return;
     }
-    this->report.faults.push_back("fault " + std::to_string(kind));
+    this->addFault("fault " + std::to_string(kind));
     switch (kind) {
     case 4:
         proxy.setMode(mode);
@@ -184,7 +197,7 @@
 {
     const auto mode = static_cast<FaultProxy::Mode>(
         FaultProxy::linkModes + this->pick(FaultProxy::allModes - FaultProxy::linkModes));
-    this->report.faults.push_back("answer fault " + std::to_string(static_cast<int>(mode)));
+    this->addFault("answer fault " + std::to_string(static_cast<int>(mode)));
     for (std::size_t index = 0; index < this->upstreams.size(); ++index) {
         if (mode == FaultProxy::Mode::Twice || index == upstream) {
             this->upstreamProxies[index]->setMode(mode);
@@ -196,7 +209,7 @@
 auto SoakCell::injectDaemonFault(int kind) -> void
 {
     auto &daemon = *this->daemons[this->pick(this->daemons.size())];
-    this->report.faults.push_back("daemon fault " + std::to_string(kind));
+    this->addFault("daemon fault " + std::to_string(kind));
     switch (kind) {
     case 0:
         daemon.signal(SIGSTOP);
@@ -217,6 +230,7 @@
 
 auto SoakCell::clearFaults() -> void
 {
+    this->cuts.clear(monotonicNow());
     this->store.setMode(KvStoreMode::Normal);
     this->storeProxy.setMode(FaultProxy::Mode::Pass);
     for (const auto &proxy : this->upstreamProxies) {
@@ -262,10 +276,12 @@
     if (isKeyed) {
         head.headers.push_back({"Shard-Key", std::to_string(this->pick(65536))});
     }
+    const auto daemon = this->pick(this->callerAddresses.size());
+    entry.firstTry = this->cuts.classify(daemon, entry.sentAt);
     this->sent[id] = entry;
     ++this->report.sent;
     OutboundRequest request;
-    request.address = this->callerAddresses[this->pick(this->callerAddresses.size())];
+    request.address = this->callerAddresses[daemon];
     request.text = requestText(head, isKeyed ? "" : "body", {});
     request.timeout = std::chrono::seconds{2};
     this->callers.send(std::move(request),
@@ -276,6 +292,7 @@
 {
     auto &entry = this->sent[id];
     const auto status = result.end == OutboundResult::End::Answered ? result.answer.head.status : 0;
+    this->cuts.onEnd(entry.firstTry, status == 200);
     this->consecutiveServed = status == 200 ? this->consecutiveServed + 1 : 0;
     if (status == 200) {
         ++this->report.served;
@@ -327,6 +344,18 @@
     }
 }
 
+auto SoakCell::daemonOf(int descriptor) const -> int
+{
+    std::vector<pid_t> processes;
+    for (const auto &daemon : this->daemons) {
+        processes.push_back(daemon->processId());
+    }
+    const auto process = peerProcess(descriptor, processes);
+    const auto found = std::find(processes.begin(), processes.end(), process);
+    return process == 0 || found == processes.end() ? FaultProxy::unknownClient
+                                                    : static_cast<int>(found - processes.begin());
+}
+
 auto SoakCell::addViolation(const std::string &what) -> void
 {
     constexpr std::size_t violationLimit = 20;
@@ -335,6 +364,12 @@
     }
 }
 
+auto SoakCell::addFault(const std::string &what) -> void
+{
+    const auto now = std::chrono::duration_cast<milliseconds>(monotonicNow() - this->startedAt);
+    this->report.faults.push_back(std::to_string(now.count()) + " ms: " + what);
+}
+
 auto SoakCell::pick(std::size_t count) -> std::size_t
 {
     return static_cast<std::size_t>(this->random() % count);
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -40,6 +40,7 @@
     settings.daemons = values["daemons"].as<int>();
     settings.hasAnswerFaults = values.count("answer-faults") > 0;
     settings.hasOnlyStops = values.count("only-stops") > 0;
+    settings.hasOnlyCuts = values.count("cuts") > 0;
     settings.faultTime = std::chrono::seconds{values["seconds"].as<int>()};
     settings.folder = std::filesystem::path(values["folder"].as<std::string>())
                       / ("seed-" + std::to_string(seed));
@@ -53,6 +54,11 @@
     for (const auto &violation : report.violations) {
         std::cout << "  " << violation << std::endl;
     }
+    for (const auto &fault : report.faults) {
+        if (!report.violations.empty()) {
+            std::cout << "    " << fault << std::endl;
+        }
+    }
     return report.violations.empty();
 }
 
@@ -75,6 +81,8 @@
         "duration of fault injection in seconds");
     add("answer-faults", "upstreams also write answers twice, cut off or without end");
     add("only-stops", "inject planned stops only, and check that they cut off no request");
+    add("cuts", "only cut daemons off from all upstreams and from nothing else, and compare how "
+                "often first tries are served there");
     add("daemons", options::value<int>()->default_value(3), "number of daemons");
     options::variables_map values;
     try {
--- a/src/soak/soakcell.h
+++ b/src/soak/soakcell.h
@@ -2,6 +2,7 @@
 
 #include "soak/daemonprocess.h"
 #include "soak/faultproxy.h"
+#include "soak/vmcuts.h"
 #include "streams/outboundpool.h"
 #include "stubs/kvplatform/keyedupstreamstub.h"
 #include "stubs/kvplatform/kvstorestub.h"
@@ -32,6 +33,8 @@
     bool hasAnswerFaults = false;
     /// The only faults are planned stops, after which each request that ran must have its answer.
     bool hasOnlyStops = false;
+    /// The only faults are daemons that are cut off from all upstreams and from nothing else.
+    bool hasOnlyCuts = false;
 };
 
 /// Results of a run. It has passed if there are no violations.
@@ -64,6 +67,7 @@
         Instant sentAt{};
         /// It ended without the upstream's answer, before its deadline.
         bool isCut = false;
+        VmCuts::Try firstTry;
     };
 
     auto runFor(Duration time) -> void;
@@ -80,6 +84,9 @@
     auto onAnswer(const std::string &id, const OutboundResult &result) -> void;
     auto checkOwners() -> void;
     auto checkRuns() -> void;
+    /// @returns the index of the daemon that has opened the accepted connection
+    [[nodiscard]] auto daemonOf(int descriptor) const -> int;
+    auto addFault(const std::string &what) -> void;
     auto addViolation(const std::string &what) -> void;
     [[nodiscard]] auto pick(std::size_t count) -> std::size_t;
 
@@ -95,12 +102,14 @@
     std::vector<std::unique_ptr<FaultProxy>> upstreamProxies;
     std::vector<Address> callerAddresses;
     std::vector<std::unique_ptr<DaemonProcess>> daemons;
+    VmCuts cuts;
     OutboundPool callers;
     ClockTimer tick;
     std::map<std::string, SentRequest> sent;
     std::uint64_t nextRequest = 1;
     int version = 1;
     int consecutiveServed = 0;
+    Instant startedAt = monotonicNow();
     Instant nextSend{};
     bool isSending = false;
 };
