Drop an upstream that is removed seconds after the store came back

What callers saw: requests reached an upstream up to 2243 ms after the store had acknowledged that it was gone (2000 ms allowed), in calm daemons, 3.6 s after an outage of the store had ended. Cause: an entry that is missing within 4 s of a failed call is taken for one that expired in the outage, and was kept for 2.3 s from when it was missed. An expired one is back within about 2 s of the store's return, so one that is missed later has left. Change: such an entry is kept until 4 s after the failed call at most. Not changed: where over a third of all entries are missing at once without a failed call, they are still kept for 2.3 s. Evidence: the new test of UpstreamDirectory failed before for each removal between 2.0 and 3.9 s after the failure, and passes now.

--- a/src/edge/internal/upstreamdirectory.cpp
+++ b/src/edge/internal/upstreamdirectory.cpp
@@ -37,13 +37,16 @@
                > this->settings.outageMissingShare * static_cast<double>(this->known.size());
     const auto mayHaveExpired =
         isOutage || now - storeFailedAt < this->settings.outageSuspicionTime;
+    // What expired in the outage is back within the re-registration time of its end.
+    const auto latest =
+        isOutage ? Instant::max() : storeFailedAt + this->settings.outageSuspicionTime;
+    const auto dropAt = std::min(now + this->settings.reregistrationTime, latest);
     for (const auto &[id, old] : this->known) {
         const auto isKept = !next.contains(id) && !old.entry.isDraining
                             && !addresses.contains(old.entry.address)
                             && (old.dropAt ? *old.dropAt > now : mayHaveExpired);
         if (isKept) {
-            next[id] =
-                Known{old.entry, old.dropAt.value_or(now + this->settings.reregistrationTime)};
+            next[id] = Known{old.entry, old.dropAt.value_or(dropAt)};
         }
     }
     this->known = std::move(next);
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -1,6 +1,7 @@
 #include "edge/metricstext.h"
 #include "edge/upstreamdirectory.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace gooseberrywall;
@@ -63,6 +64,22 @@
             CHECK(directory.entries().back().id.value == "u7");
         }
     }
+    GIVEN("an entry that is removed seconds after the store has come back")
+    {
+        // Guards against requests to an upstream that has left while its entry is taken for one
+        // that expired in the outage: such an entry would be back by then.
+        for (auto sinceFailure = milliseconds{2000}; sinceFailure < seconds{5};
+             sinceFailure += milliseconds{100}) {
+            UpstreamDirectory after(UpstreamDirectorySettings{});
+            after.update(entries({1, 2, 3, 4, 5, 6}), start, start);
+            const auto removedAt = start + sinceFailure;
+            after.update(entries({1, 2, 3, 4, 5}), start, removedAt);
+            INFO(sinceFailure.count());
+            CHECK(after.entries().size() == (sinceFailure < seconds{4} ? 6U : 5U));
+            after.advance(std::max(removedAt, start + seconds{4}));
+            CHECK(after.entries().size() == 5);
+        }
+    }
     GIVEN("half of the entries missing at once")
     {
         directory.update(entries({1, 2, 3}), longAgo, start);
