Move the exchange of datagrams out of EdgeDaemon

PeerMessages owns the socket, the codec and the messages of the daemon to itself; behaviour as before.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -8,13 +8,12 @@
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
 #include "edge/metricstext.h"
+#include "edge/peermessages.h"
 #include "edge/shutdownplan.h"
 #include "edge/upstreamlinks.h"
 #include "edge/upstreamwatch.h"
 #include "http/clocktimer.h"
-#include "permitlink/permitcodec.h"
 #include "storelink/erakey.h"
-#include "streams/datagramsocket.h"
 #include "tasks/eventloop.h"
 
 #include <algorithm>
@@ -63,10 +62,10 @@
         , pages(
               loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
               [this] { return this->isReady(); }, [this] { return this->metricsPage(); })
-        , peerSocket(
+        , peers(
               loop.base(), this->settings.peerListen,
-              [this](const Address &from, std::string_view bytes) {
-                  this->onDatagram(from, bytes);
+              [this](const Address &from, const PermitMessage &message) {
+                  this->deliver(from, message);
               },
               [this] { this->processPending(); })
         , upstreamWatch(wire, this->storeSender(), now, this->direct,
@@ -265,16 +264,6 @@
         }
     }
 
-    auto onDatagram(const Address &from, std::string_view bytes) -> void
-    {
-        const auto message = decodePermitMessage(bytes, from, this->settings.peerListen);
-        if (!message) {
-            ++this->badDatagrams;
-            return;
-        }
-        this->deliver(from, *message);
-    }
-
     auto deliver(const Address &from, const PermitMessage &message) -> void
     {
         if (const auto *answer = std::get_if<PermitAnswer>(&message)) {
@@ -291,17 +280,6 @@
         this->roles.deliver(from, message);
     }
 
-    auto sendDatagrams(const std::vector<PermitDatagram> &datagrams) -> void
-    {
-        for (const auto &datagram : datagrams) {
-            if (datagram.peer == this->settings.peerListen) {
-                this->localMessages.push_back(datagram.message);
-            } else {
-                this->peerSocket.send(datagram.peer, encodePermitMessage(datagram.message));
-            }
-        }
-    }
-
     /// Handles everything that the last event has caused, and sets the timer for the next.
     auto processPending() -> void
     {
@@ -314,7 +292,7 @@
             this->hasPending = false;
             // Datagrams go before answers: a large answer fills the VM's link, which then drops
             // datagrams.
-            this->sendDatagrams(this->permits.takeDatagrams());
+            this->peers.send(this->permits.takeDatagrams());
             this->entry.execute();
             for (const auto &result : this->permits.takeResults()) {
                 this->flow.onPermit(result, this->now());
@@ -323,12 +301,9 @@
             for (const auto &each : this->roles.takeLeaving()) {
                 this->upstreamWatch.onLeaving(each.upstream, each.incarnation);
             }
-            this->sendDatagrams(this->roles.takeDatagrams());
-            this->sendDatagrams(this->grantorWatch.takeDatagrams());
-            for (const auto &message : std::exchange(this->localMessages, {})) {
-                this->deliver(this->settings.peerListen, message);
-                this->hasPending = true;
-            }
+            this->peers.send(this->roles.takeDatagrams());
+            this->peers.send(this->grantorWatch.takeDatagrams());
+            this->hasPending = this->peers.deliverOwn() || this->hasPending;
         } while (this->hasPending);
         this->isProcessing = false;
         this->setTimer();
@@ -431,8 +406,8 @@
         metrics.storeFailures = this->store.failureCount();
         metrics.upstreamConnections =
             this->upstreamPool.openedCount() + this->orderPool.openedCount();
-        metrics.badDatagrams = this->badDatagrams;
-        metrics.unsentDatagrams = this->peerSocket.failedCount();
+        metrics.badDatagrams = this->peers.malformedCount();
+        metrics.unsentDatagrams = this->peers.unsentCount();
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         metrics.configurationVersion = this->routes ? this->routes->configuration().version : 0;
         metrics.grantedServices = this->roles.servingCount();
@@ -474,7 +449,7 @@
     ForwardClient forwardClient;
     EntryService<Wire> entry;
     EdgePages pages;
-    DatagramSocket peerSocket;
+    PeerMessages peers;
     UpstreamWatch<Wire> upstreamWatch;
     PeerServer peerServer;
     ForwardRole<Wire> forwarder;
@@ -482,7 +457,6 @@
     GrantorRoles roles;
     GrantorWatch grantorWatch;
     std::shared_ptr<const RouteTable> routes;
-    std::vector<PermitMessage> localMessages;
     ClockTimer timer;
     Instant startedAt{};
     Instant housekeepingDue{};
@@ -491,7 +465,6 @@
     std::uint64_t seenDirectSends = 0;
     /// The highest era of the store that is known.
     std::uint64_t storeEra = 0;
-    std::uint64_t badDatagrams = 0;
     std::optional<Instant> stoppingSince;
     Instant shutdownDue{};
     bool isProcessing = false;
