Look an entry daemon's state up once per request, not per upstream

While any daemon was cut off, each request's choice of an upstream looked its entry daemon up twice for each upstream.

--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -90,6 +90,8 @@
 
     /// @returns whether the daemon's last request stated that it reaches no upstream
     [[nodiscard]] auto isCutOff(const Address &daemon) const -> bool;
+    /// @returns whether the daemon is cut off, or has failed at an upstream lately
+    [[nodiscard]] auto isImpaired(const Address &daemon) const -> bool;
     /// @returns whether the daemon may send requests to the upstream itself: it isn't cut off, and
     /// neither the path nor all its links have failed lately
     [[nodiscard]] auto reaches(const Address &daemon, const UpstreamProcess &upstream,
--- a/src/dispatch/internal/entrypaths.cpp
+++ b/src/dispatch/internal/entrypaths.cpp
@@ -196,6 +196,12 @@
     return known != nullptr && known->isCutOff;
 }
 
+auto EntryPaths::isImpaired(const Address &daemon) const -> bool
+{
+    const auto *known = this->impairedCount == 0 ? nullptr : this->find(daemon);
+    return known != nullptr && known->isImpaired;
+}
+
 auto EntryPaths::reaches(const Address &daemon, const UpstreamProcess &upstream, Instant now) const
     -> bool
 {
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+/// An upstream that the entry daemon reaches itself is used first, unless it costs far more.
+constexpr double forwardedCostFactor = 100;
 /// How often waiting requests are checked for those that can't meet their deadline any more.
 constexpr Duration backlogCheckInterval = milliseconds{20};
 /// How often permits are checked for expiry while no request waits.
@@ -406,11 +408,17 @@
     }
     Upstream *best = nullptr;
     double lowestCost = 0;
+    const auto isCutOff = this->paths.isCutOff(request.id.entry);
+    const auto isImpaired = !isCutOff && this->paths.isImpaired(request.id.entry);
     for (auto &[id, upstream] : this->upstreams) {
-        if (!this->hasRoom(upstream, now) || !this->maySend(request.id.entry, upstream, now)) {
+        if (!this->hasRoom(upstream, now) || !upstream.pauses.allows(request.id.entry, now)
+            || (isCutOff && !this->hasForwarder(request.id.entry, upstream, now))) {
             continue;
         }
-        const auto cost = this->costOf(upstream, request, now);
+        const auto needsForwarder =
+            isImpaired && !this->paths.reaches(request.id.entry, upstream.process, now);
+        const auto cost =
+            this->costOf(upstream, request, now) * (needsForwarder ? forwardedCostFactor : 1);
         if (best == nullptr || cost < lowestCost) {
             best = &upstream;
             lowestCost = cost;
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -76,9 +76,7 @@
     cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
-    const auto isPathLost = !this->paths.isCutOff(request.id.entry)
-                            && !this->paths.reaches(request.id.entry, upstream.process, now);
-    return isAvoided || isPathLost ? cost * 100 : cost;
+    return isAvoided ? cost * 100 : cost;
 }
 
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -121,14 +121,17 @@
 
 auto SlotBroker::maySend(const Address &entry, const Upstream &upstream, Instant now) const -> bool
 {
-    if (!upstream.pauses.allows(entry, now)) {
-        return false;
-    }
+    return upstream.pauses.allows(entry, now)
+           && (!this->paths.isCutOff(entry) || this->hasForwarder(entry, upstream, now));
+}
+
+auto SlotBroker::hasForwarder(const Address &entry, const Upstream &upstream, Instant now) const
+    -> bool
+{
     const auto isAllowed = [&](const Address &daemon) {
         return upstream.pauses.allows(daemon, now);
     };
-    return !this->paths.isCutOff(entry)
-           || this->paths.hasForwarder(entry, upstream.process, isAllowed, now);
+    return this->paths.hasForwarder(entry, upstream.process, isAllowed, now);
 }
 
 auto SlotBroker::forwarderFor(const Address &entry, const Upstream &upstream, Instant now) const
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -279,6 +279,9 @@
     /// @returns whether a request of the entry daemon may be sent to the upstream now
     [[nodiscard]] auto maySend(const Address &entry, const Upstream &upstream, Instant now) const
         -> bool;
+    /// @returns whether another daemon can forward a request to the upstream now
+    [[nodiscard]] auto hasForwarder(const Address &entry, const Upstream &upstream,
+                                    Instant now) const -> bool;
     /// @returns the daemon that has to forward a request of the entry daemon to the upstream; empty
     /// where the entry daemon sends it itself
     [[nodiscard]] auto forwarderFor(const Address &entry, const Upstream &upstream,
