Give a suspected upstream its trial while older requests hang

An upstream that one daemon couldn't connect to got its trial only when all requests of before had ended. Where connections hang at a VM without links, those end with their deadlines, and nobody got the upstream until then. Now a suspected upstream gets one request at a time of those granted since.

An answer to the VM, also to a request that it forwards, now ends the simulation's knowledge of a failed path, as it does at the broker; VMs whose links are lost altogether, as in all former scenarios, get none.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -312,6 +312,8 @@
         upstream.noReportSince = now;
     }
     ++upstream.inFlight;
+    const auto isTrial = !upstream.suspectedBy.empty();
+    upstream.trials += isTrial ? 1 : 0;
     upstream.grants.record(now);
     upstream.limiter.onSent(now);
     upstream.pauses.onGranted(waiting.request.id.entry);
@@ -334,7 +336,9 @@
                                                RequestFingerprint{waiting.request.fingerprint},
                                                now + repeatAfter,
                                                repeatAfter,
-                                               now};
+                                               now,
+                                               false,
+                                               isTrial};
     this->issue(waiting.request, std::move(verdict), this->verdictBasis(waiting, forecast, now));
 }
 
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -30,9 +30,13 @@
         || !upstream.limiter.allows(now)) {
         return false;
     }
-    if (isOnTrial(upstream) || this->isSilent(upstream, now)) {
+    if (upstream.health.isLimitedToTrials() || this->isSilent(upstream, now)) {
         return upstream.inFlight == upstream.stranded && upstream.inFlight < upstream.entry.slots;
     }
+    // Requests of before may hang at the VMs that caused the suspicion.
+    if (!upstream.suspectedBy.empty() && upstream.trials > 0) {
+        return false;
+    }
     const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
     return upstream.inFlight + otherRequests
            < upstream.slotReduction.slotsOf(upstream.entry.slots, now);
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -191,6 +191,8 @@
         /// Permits out that were sent by daemons which have stated since that they are cut off.
         /// They hold their slots, as the upstream may run the requests, but no report is expected.
         int stranded = 0;
+        /// Permits out that were granted while the upstream was suspected.
+        int trials = 0;
         /// When each daemon, by address, last got a permit for this upstream, or was named as the
         /// forwarder.
         std::unordered_map<Address, Instant> lastUse;
@@ -237,6 +239,8 @@
         Instant grantedAt;
         /// Counted in the upstream's `stranded`.
         bool isStranded = false;
+        /// Counted in the upstream's `trials`.
+        bool isTrial = false;
     };
     /// A permit that has expired; its report may still come.
     struct ExpiredPermit
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -36,6 +36,10 @@
     ConnectTimeout,
     /// Requests on open connections get no answer until their deadline.
     Hanging,
+    /// Half of the requests go on as before on open connections, the others are refused.
+    PartlyRefused,
+    /// Half of the requests hang on open connections, the others are refused.
+    PartlyHanging,
 };
 
 /// Results of the requests of one class.
@@ -113,7 +117,7 @@
     /// @returns the largest number of requests that a VM has forwarded at once
     [[nodiscard]] auto maxForwarded() const -> int { return this->worstForwarded; }
     /// @returns the number of requests sent directly where the VM was known to reach no upstream,
-    /// or had failed to connect to this one in the last second
+    /// or had failed to connect to this one in the last second and got no answer since
     [[nodiscard]] auto directSendsOnLostPaths() const -> int { return this->lostPathSends; }
     /// @returns the number of requests forwarded by VMs of another failure domain, and of all
     /// forwarded ones
@@ -150,7 +154,7 @@
         bool isFrozen = false;
         Instant statesLossAt{};
         FirstTries firstTries = {};
-        /// When it last couldn't connect to each upstream.
+        /// When it last couldn't connect to each upstream; empty after an answer to the VM.
         std::map<std::size_t, Instant> failedAt = {};
         /// Requests that it forwards now.
         int forwarding = 0;
--- a/src/dispatch/tests/upstreamblame_tests.cpp
+++ b/src/dispatch/tests/upstreamblame_tests.cpp
@@ -139,6 +139,20 @@
     }
 }
 
+// Guards against an upstream that gets no trial because of requests that hang at a VM without
+// links.
+SCENARIO("SlotBroker: given requests that hang when an upstream is suspected, it gets a trial",
+         "[dispatch][lostlinks]")
+{
+    BlameFixture fixture;
+    const auto hanging = fixture.ask(losing, first, start);
+    fixture.report(fixture.ask(losing, first, start), AttemptEnd::NotSent, start + milliseconds{1});
+    const auto trial = fixture.ask(other, first, start + milliseconds{2});
+    CHECK(hanging.verdict.kind == PermitVerdict::Kind::Granted);
+    CHECK(trial.verdict.kind == PermitVerdict::Kind::Granted);
+    CHECK_FALSE(fixture.isGranted(well, first, start + milliseconds{2}));
+}
+
 SCENARIO("SlotBroker: given a VM that can't connect to an upstream which has answered nobody "
          "lately, the upstream is lost at once",
          "[dispatch][lostlinks]")
