Let daemons forward that no upstream has answered yet, as a second choice

A grantor that has just taken over, or whose service gets few requests, knew no daemon with an answer and refused all requests of VMs without links. Now a daemon that has asked for a permit within 10 s, isn't cut off and hasn't failed may forward where none with an answer is free. The avoidance of all links of a daemon now ends with the memory of the failures that caused it.

Evidence: new scenario on the former code: CHECK( choose(start) == near ) fails, as no forwarder is chosen. All dispatch tests pass.

--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -22,7 +22,9 @@
     Duration failureMemory = std::chrono::seconds{1};
     /// Upper limit of that time. Failures are forgotten after twice as long.
     Duration maxFailureMemory = std::chrono::seconds{4};
-    /// A daemon may forward requests for this long after an upstream has answered it.
+    /// A daemon may forward requests for this long after an upstream has answered it. One that has
+    /// asked for a permit in this time and not failed since may, too, where there is no such
+    /// daemon.
     Duration answerValidity = std::chrono::seconds{10};
     /// Requests that one daemon forwards at once for others.
     int forwarderLimit = 24;
@@ -124,7 +126,8 @@
         const auto rank = [&](const Daemon &daemon) {
             const auto isFar = daemon.domain != domain;
             const auto lead = isFar ? this->settings.nearForwarderLead : 0;
-            return std::tuple(daemon.failuresSinceAnswer > 0, daemon.forwarding + lead, isFar);
+            return std::tuple(!this->isProven(daemon, now), daemon.failuresSinceAnswer > 0,
+                              daemon.forwarding + lead, isFar);
         };
         for (const auto *daemon : this->forwarders) {
             if ((best == nullptr || rank(*daemon) < rank(*best))
@@ -188,12 +191,16 @@
         /// Requests of others that it forwards now.
         int forwarding = 0;
         Instant restsUntil{};
+        /// It hasn't forwarded a request, and no upstream has answered it since.
+        bool needsAnswer = false;
         bool isForwarder = false;
         bool isImpaired = false;
     };
 
     [[nodiscard]] auto find(const Address &daemon) const -> const Daemon *;
     [[nodiscard]] auto daemonAt(const Address &address, Instant now) -> Daemon &;
+    /// @returns whether an upstream has answered the daemon lately
+    [[nodiscard]] auto isProven(const Daemon &daemon, Instant now) const -> bool;
     /// @returns whether the daemon may forward as far as its number of forwarded requests allows
     [[nodiscard]] auto isCandidate(const Daemon &daemon, Instant now) const -> bool;
     [[nodiscard]] auto canForward(const Daemon &daemon, const Address &entry,
--- a/src/dispatch/internal/entrypaths.cpp
+++ b/src/dispatch/internal/entrypaths.cpp
@@ -42,9 +42,7 @@
         daemon.failuresSinceAnswer = 0;
         daemon.avoidance = Avoidance{};
     }
-    if (wasCutOff != daemon.isCutOff) {
-        this->update(daemon, now);
-    }
+    this->update(daemon, now);
     return daemon.isCutOff && !wasCutOff;
 }
 
@@ -72,6 +70,7 @@
 {
     auto &known = this->daemonAt(daemon, now);
     known.answeredAt = now;
+    known.needsAnswer = false;
     known.answeredGrant = std::max(known.answeredGrant, grantedAt);
     // An answer to an older request doesn't show that the path is good again: it may have come on a
     // connection that has been there before.
@@ -118,6 +117,7 @@
     auto &known = this->daemonAt(daemon, failure.reportedAt);
     if (failedUpstreamCount(known) >= lostLinksCount) {
         this->avoid(known.avoidance, failure);
+        this->update(known, failure.reportedAt);
     }
 }
 
@@ -145,7 +145,7 @@
 {
     auto &daemon = this->daemonAt(forwarder, now);
     daemon.restsUntil = now + this->settings.forwarderRest;
-    daemon.answeredAt.reset();
+    daemon.needsAnswer = true;
     this->update(daemon, now);
 }
 
@@ -178,12 +178,14 @@
         });
         if (daemon.failedAt + 2 * this->settings.maxFailureMemory <= now) {
             daemon.failuresSinceAnswer = 0;
+            daemon.avoidance = Avoidance{};
         }
         const auto isForgotten = daemon.seenAt + daemonRetention <= now && daemon.forwarding == 0;
         if (isForgotten) {
             daemon.isCutOff = false;
             daemon.paths.clear();
-            daemon.answeredAt.reset();
+            daemon.avoidance = Avoidance{};
+            daemon.needsAnswer = true;
         }
         this->update(daemon, now);
         row = isForgotten ? this->daemons.erase(row) : std::next(row);
@@ -255,11 +257,20 @@
     return daemon;
 }
 
+auto EntryPaths::isProven(const Daemon &daemon, Instant now) const -> bool
+{
+    return daemon.answeredAt && now < *daemon.answeredAt + this->settings.answerValidity;
+}
+
 auto EntryPaths::isCandidate(const Daemon &daemon, Instant now) const -> bool
 {
-    return !daemon.isCutOff && daemon.answeredAt
-           && now < *daemon.answeredAt + this->settings.answerValidity
-           && daemon.failuresSinceAnswer < forwarderFailureLimit && daemon.restsUntil <= now;
+    if (daemon.isCutOff || daemon.needsAnswer || now < daemon.restsUntil) {
+        return false;
+    }
+    if (this->isProven(daemon, now)) {
+        return daemon.failuresSinceAnswer < forwarderFailureLimit;
+    }
+    return daemon.failuresSinceAnswer == 0 && now < daemon.seenAt + this->settings.answerValidity;
 }
 
 auto EntryPaths::canForward(const Daemon &daemon, const Address &entry,
@@ -274,7 +285,8 @@
 
 auto EntryPaths::update(Daemon &daemon, Instant now) -> void
 {
-    const auto isImpaired = daemon.isCutOff || !daemon.paths.empty();
+    const auto isImpaired =
+        daemon.isCutOff || !daemon.paths.empty() || daemon.avoidance.length > Duration{0};
     if (isImpaired != daemon.isImpaired) {
         daemon.isImpaired = isImpaired;
         this->impairedCount += isImpaired ? 1 : -1;
--- a/src/dispatch/tests/entrypaths_tests.cpp
+++ b/src/dispatch/tests/entrypaths_tests.cpp
@@ -209,3 +209,44 @@
         CHECK_FALSE(paths.mayGetForwarder(asking, start + seconds{11}));
     }
 }
+
+// Guards against a new grantor, or one of a service with few requests, that knows no daemon that
+// has been answered and lets the requests of VMs without links fail.
+SCENARIO(
+    "EntryPaths: given no daemon that an upstream has answered, one that hasn't failed forwards",
+    "[dispatch][lostlinks]")
+{
+    EntryPaths paths{EntryPathsSettings{}};
+    static_cast<void>(paths.onRequest(request(asking, 1, true), start));
+    static_cast<void>(paths.onRequest(request(near, 1, false), start));
+    const auto choose = [&](Instant now) {
+        return paths.chooseForwarder(asking, first, everyone(), now);
+    };
+    CHECK(choose(start) == near);
+    GIVEN("a daemon that an upstream has answered")
+    {
+        paths.onAnswered(far, first, start, start);
+        CHECK(choose(start) == far);
+    }
+    GIVEN("a failure of the daemon")
+    {
+        paths.onFailed(near, second, FailureKind::Unanswered, {start, start});
+        CHECK(choose(start).empty());
+    }
+    GIVEN("a daemon that didn't forward")
+    {
+        paths.onForwarderFailed(near, start);
+        paths.advance(start + seconds{1});
+        CHECK(choose(start + seconds{1}).empty());
+    }
+    GIVEN("a daemon that is cut off")
+    {
+        static_cast<void>(paths.onRequest(request(near, 2, true), start));
+        CHECK(choose(start).empty());
+    }
+    GIVEN("no requests for long")
+    {
+        paths.advance(start + seconds{11});
+        CHECK(choose(start + seconds{11}).empty());
+    }
+}
