--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -30,9 +30,13 @@
         || !upstream.limiter.allows(now)) {
         return false;
     }
-    if (isOnTrial(upstream) || this->isSilent(upstream, now)) {
+    if (upstream.health.isLimitedToTrials() || this->isSilent(upstream, now)) {
         return upstream.inFlight == upstream.stranded && upstream.inFlight < upstream.entry.slots;
     }
+    // Requests of before may hang at the VMs that caused the suspicion.
+    if (!upstream.suspectedBy.empty() && upstream.trials > 0) {
+        return false;
+    }
     const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
     return upstream.inFlight + otherRequests
            < upstream.slotReduction.slotsOf(upstream.entry.slots, now);
@@ -76,9 +80,7 @@
     cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
-    const auto isPathLost = !this->paths.isCutOff(request.id.entry)
-                            && !this->paths.reaches(request.id.entry, upstream.process, now);
-    return isAvoided || isPathLost ? cost * 100 : cost;
+    return isAvoided ? cost * 100 : cost;
 }
 
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -121,14 +121,17 @@
 
 auto SlotBroker::maySend(const Address &entry, const Upstream &upstream, Instant now) const -> bool
 {
-    if (!upstream.pauses.allows(entry, now)) {
-        return false;
-    }
+    return upstream.pauses.allows(entry, now)
+           && (!this->paths.isCutOff(entry) || this->hasForwarder(entry, upstream, now));
+}
+
+auto SlotBroker::hasForwarder(const Address &entry, const Upstream &upstream, Instant now) const
+    -> bool
+{
     const auto isAllowed = [&](const Address &daemon) {
         return upstream.pauses.allows(daemon, now);
     };
-    return !this->paths.isCutOff(entry)
-           || this->paths.hasForwarder(entry, upstream.process, isAllowed, now);
+    return this->paths.hasForwarder(entry, upstream.process, isAllowed, now);
 }
 
 auto SlotBroker::forwarderFor(const Address &entry, const Upstream &upstream, Instant now) const
@@ -265,6 +268,7 @@
     upstream->pauses.onReturned(forwarder, permit.grantedAt);
     upstream->inFlight = std::max(0, upstream->inFlight - 1);
     upstream->stranded -= permit.isStranded ? 1 : 0;
+    upstream->trials -= permit.isTrial ? 1 : 0;
     if (upstream->inFlight == upstream->stranded) {
         upstream->noReportSince = now;
     }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -191,6 +191,8 @@
         /// Permits out that were sent by daemons which have stated since that they are cut off.
         /// They hold their slots, as the upstream may run the requests, but no report is expected.
         int stranded = 0;
+        /// Permits out that were granted while the upstream was suspected.
+        int trials = 0;
         /// When each daemon, by address, last got a permit for this upstream, or was named as the
         /// forwarder.
         std::unordered_map<Address, Instant> lastUse;
@@ -237,6 +239,8 @@
         Instant grantedAt;
         /// Counted in the upstream's `stranded`.
         bool isStranded = false;
+        /// Counted in the upstream's `trials`.
+        bool isTrial = false;
     };
     /// A permit that has expired; its report may still come.
     struct ExpiredPermit
@@ -279,6 +283,9 @@
     /// @returns whether a request of the entry daemon may be sent to the upstream now
     [[nodiscard]] auto maySend(const Address &entry, const Upstream &upstream, Instant now) const
         -> bool;
+    /// @returns whether another daemon can forward a request to the upstream now
+    [[nodiscard]] auto hasForwarder(const Address &entry, const Upstream &upstream,
+                                    Instant now) const -> bool;
     /// @returns the daemon that has to forward a request of the entry daemon to the upstream; empty
     /// where the entry daemon sends it itself
     [[nodiscard]] auto forwarderFor(const Address &entry, const Upstream &upstream,
