Let no request make a second hop

Cause: the forwarder passes on any text. With a daemon's address as that of an upstream, and a text that was itself a request to forward (a caller can write one), the next daemon forwarded it, too.

One hop at most then holds by construction, and doesn't depend on what addresses a grantor names.

The checks of the other two cases moved into these.

--- a/src/forwarding/forwardcodec.h
+++ b/src/forwarding/forwardcodec.h
@@ -18,7 +18,7 @@
 [[nodiscard]] auto forwardRequestText(const ForwardRequest &request, const Address &forwarder,
                                       const std::string &id) -> std::string;
 /// @returns nothing where a field is missing, malformed or out of range, or the body isn't exactly
-///          one HTTP request
+///          one HTTP request, or is itself a request to forward
 [[nodiscard]] auto decodeForwardRequest(WholeMessage message) -> std::optional<ForwardRequest>;
 
 /// @param id of the request's hop
--- a/src/forwarding/internal/forwardcodec.cpp
+++ b/src/forwarding/internal/forwardcodec.cpp
@@ -131,16 +131,21 @@
     return endpoint && endpoint->port != 0;
 }
 
-/// @returns whether the text is one whole request, and a HEAD request if that is expected: of a
-/// second one in the text the outcome would stay unknown
+/// @returns whether the text is one whole request, and a HEAD request if that is expected. The
+/// outcome of a second request in the text would stay unknown; a request to forward would make a
+/// second hop.
 auto isOneRequest(std::string_view text, bool isHead) -> bool
 {
     MessageLimits limits;
     limits.headBytes = limits.bodyBytes;
     MessageReader reader(MessageReader::Kind::Request, limits);
     std::size_t taken = 0;
-    return reader.read(text, taken) == MessageReader::Step::Whole && taken == text.size()
-           && (reader.take().head.method == "HEAD") == isHead;
+    if (reader.read(text, taken) != MessageReader::Step::Whole || taken != text.size()) {
+        return false;
+    }
+    const auto head = reader.take().head;
+    const auto isHop = head.target == forwardPath && head.find(addressHeader) != nullptr;
+    return !isHop && (head.method == "HEAD") == isHead;
 }
 
 /// Writes an answer as it is: unlike responseText(), with its connection headers, and with the
--- a/src/forwarding/tests/forwardcodec_tests.cpp
+++ b/src/forwarding/tests/forwardcodec_tests.cpp
@@ -164,6 +164,8 @@
     CHECK(isRejected("HTTP/1.1 200 OK\r\n\r\n"));
     CHECK(isRejected("HEAD / HTTP/1.1\r\n\r\n", false));
     CHECK(isRejected("GET / HTTP/1.1\r\n\r\n", true));
+    CHECK(isRejected(forwardRequestText(sampleRequest(upstreamAddress), forwarderAddress, "1")));
+    CHECK_FALSE(isRejected("POST /forward HTTP/1.1\r\nContent-Length: 0\r\n\r\n"));
     auto get = messageOf(sampleRequest(upstreamAddress));
     get.head.method = "GET";
     CHECK(!decodeForwardRequest(get));
--- a/src/forwarding/tests/forwardhop_tests.cpp
+++ b/src/forwarding/tests/forwardhop_tests.cpp
@@ -336,15 +336,27 @@
         const auto end = fixture.ask(sampleRequest(other.address));
         CHECK(end.end == End::Answered);
         CHECK(end.answer.head.status == 404);
+        CHECK(other.asked == 1);
+        CHECK(fixture.forwarder->service.counters().sent == 1);
     }
     GIVEN("a request of a caller for the path of forwarding")
     {
         auto request = sampleRequest(other.address);
         request.text = "POST /forward HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
         CHECK(fixture.ask(request).answer.head.status == 400);
+        CHECK(other.asked == 1);
+        CHECK(fixture.forwarder->service.counters().sent == 1);
+    }
+    GIVEN("a request that asks the next daemon to forward it")
+    {
+        auto request = sampleRequest(other.address);
+        request.text =
+            forwardRequestText(sampleRequest(fixture.upstream.address), other.address, "1");
+        CHECK(fixture.ask(request) == ForwardAnswer{});
+        CHECK(fixture.forwarder->service.counters().malformed == 1);
+        CHECK(fixture.forwarder->service.counters().sent == 0);
+        CHECK(other.asked == 0);
     }
-    CHECK(other.asked == 1);
     CHECK(other.service.counters().sent == 0);
-    CHECK(fixture.forwarder->service.counters().sent == 1);
     CHECK(fixture.upstream.connections == 0);
 }
