Don't forward what has waited in the sockets of a suspended VM

Cause: the time for which a suspended forwarder hasn't read a request was only deducted from its remaining time. But an entry daemon may give up a request before its time is over, when its caller leaves or the connection fails, and the end of the connection doesn't reach a suspended VM. The request would run when the VM resumes.

Change: after a suspension of a second or more, requests that may have waited through it are answered as not sent ("expired"), which is certain, so the entry daemon can have them sent elsewhere.

--- a/src/forwarding/internal/forwardservice.cpp
+++ b/src/forwarding/internal/forwardservice.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int statusBadRequest = 400;
+/// Of a request that has waited for this long in the sockets of a suspended VM, the connection may
+/// have ended without a trace.
+constexpr Duration unseenEndTime = std::chrono::seconds{1};
 
 auto notSent(ForwardRefusal refusal) -> ForwardAnswer
 {
@@ -63,7 +66,8 @@
         return;
     }
     const auto moment = this->now();
-    request->remaining -= this->stalls.longestWait(moment);
+    const auto waited = this->stalls.longestWait(moment);
+    request->remaining = waited < unseenEndTime ? request->remaining - waited : Duration{0};
     if (const auto refusal = this->refusalOf(*request, moment)) {
         ++this->counts.refused;
         this->replyWith(exchange, *refusal, hopId);
--- a/src/forwarding/tests/forwardservice_tests.cpp
+++ b/src/forwarding/tests/forwardservice_tests.cpp
@@ -302,7 +302,7 @@
 SCENARIO("ForwardService sends nothing of which the time was over while it was suspended",
          "[forwarding]")
 {
-    // Guards against a request that runs long after its entry daemon and caller have given it up.
+    // Guards against a request that runs after its entry daemon and caller have given it up.
     ServiceFixture fixture({{okAnswer}});
     fixture.loop.runFor(milliseconds{120});
     fixture.added = seconds{1};
@@ -314,8 +314,22 @@
         CHECK(fixture.answerTo(1) == ForwardAnswer{End::NotSent, ForwardRefusal::Expired});
         CHECK(fixture.service.counters().sent == 0);
     }
-    GIVEN("a request with time left")
+    GIVEN("a request with time left, after a pause that connections don't survive")
     {
+        request.remaining = seconds{60};
+        fixture.start(1, request);
+        CHECK(fixture.answerTo(1) == ForwardAnswer{End::NotSent, ForwardRefusal::Expired});
+    }
+    GIVEN("a request whose time was over in a short pause")
+    {
+        fixture.added = milliseconds{600};
+        request.remaining = milliseconds{500};
+        fixture.start(1, request);
+        CHECK(fixture.answerTo(1) == ForwardAnswer{End::NotSent, ForwardRefusal::Expired});
+    }
+    GIVEN("a request with time left, after a short pause")
+    {
+        fixture.added = milliseconds{600};
         request.remaining = milliseconds{1600};
         fixture.start(1, request);
         CHECK(fixture.awaitAnswer(1).end == End::Answered);
--- a/src/forwarding/types/forwardmessages.h
+++ b/src/forwarding/types/forwardmessages.h
@@ -48,7 +48,8 @@
     Stopping,
     /// An upstream's statement binds the forwarder.
     Held,
-    /// The request's time was over when the forwarder read it.
+    /// The request's time was over when the forwarder read it, or its entry daemon may have given
+    /// it up.
     Expired,
 };
 
