Test the largest forwarded requests and answers

A request with a body of 8 MiB, a head near 16 KiB and an id of 15,000 bytes, and an answer with a body of 16 MiB and a head near 16 KiB: the limits of the messages between daemons hold both.

--- a/src/edge/tests/forwardhandler_tests.cpp
+++ b/src/edge/tests/forwardhandler_tests.cpp
@@ -99,6 +99,28 @@
     }
 }
 
+SCENARIO("The largest requests and answers are forwarded whole", "[edge]")
+{
+    constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+    const std::string body(MessageLimits{}.bodyBytes, 'x');
+    const std::string filler(MessageLimits{}.headBytes - 100, 'y');
+    HandlerFixture fixture({{"HTTP/1.1 200 OK\r\nFiller: " + filler + "\r\nContent-Length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body}});
+    auto request = sampleRequest(fixture.upstream.address, std::string(15'000, '%'));
+    request.remaining = seconds{10};
+    request.text = "PUT / HTTP/1.1\r\nFiller: " + filler + "\r\nContent-Length: "
+                   + std::to_string(8 * megabyte) + "\r\n\r\n" + body.substr(0, 8 * megabyte);
+    std::optional<ForwardAnswer> end;
+    fixture.client.send(fixture.address, request,
+                        [&](ForwardAnswer ended) { end = std::move(ended); });
+    REQUIRE(fixture.loop.runUntil([&] { return end.has_value(); }, seconds{15}));
+    CHECK(end->end == End::Answered);
+    CHECK((end->answer.body == body));
+    CHECK(fixture.loop.runUntil(
+        [&] { return fixture.upstream.received.size() >= request.text.size(); }));
+    CHECK((fixture.upstream.received == request.text));
+}
+
 SCENARIO("An idle connection to a forwarder is left by its client before the forwarder closes it",
          "[edge]")
 {
