Wait for the time that requests take where a release may be a second one

After a takeover, keys that were changing their owner waited for the longest hold, up to 10 s, since the answer to a second release doesn't tell that the work on them has ended.

Upstreams end a request at the deadline that they get, which is never later than its route's time-out. So an answer now counts once the longest time-out of the service's routes that this daemon has known has passed since, with 2% for slow clocks and 150 ms; where it isn't known, or longer than the hold, the hold decides as before. No flags for unanswered releases are needed.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -214,7 +214,7 @@
                 .text());
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
-        this->roles.setServices(this->routes->configuration().services);
+        this->roles.setConfiguration(this->routes->configuration());
         this->grantorWatch.setServices(this->routes->configuration().services);
         return true;
     }
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -11,6 +11,7 @@
 #include "permitlink/permitmessages.h"
 #include "routing/types/routeconfiguration.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -91,6 +92,11 @@
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     /// @param listedAt a time at which no upstream of the store was missing from onUpstreams()
     auto onUpstreamsListed(Instant listedAt) -> void { this->upstreamsListedAt = listedAt; }
+    /// Takes in that requests to the service may last this long; upstreams end them then.
+    auto onRequestTime(Duration time) -> void
+    {
+        this->longestRequest = std::max(this->longestRequest, time);
+    }
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
     /// Takes in what an upstream has stated in an answer to an order.
     auto onStatement(const UpstreamStatement &statement) -> void;
@@ -217,6 +223,9 @@
     std::vector<UpstreamEntry> upstreams;
     bool hasUpstreams = false;
     Instant upstreamsListedAt{};
+    /// The longest request in any configuration so far, as earlier ones may still run; zero: not
+    /// known.
+    Duration longestRequest{0};
     ReleaseRoundStatus loggedRound;
     Instant roundStartedAt{};
     /// Since when keys wait for the end of a hold.
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -19,6 +19,10 @@
 
     /// Adds a role for each service that has none yet.
     auto setServices(const std::vector<ServiceSpec> &specs) -> void;
+    /// Takes in how long requests to the services last at most.
+    auto setRoutes(const std::vector<Route> &routes) -> void;
+    /// Takes in the services and routes of a configuration.
+    auto setConfiguration(const RouteConfiguration &configuration) -> void;
     /// @param grantorOf returns a service's grantor; empty where it has none
     auto
     onGrantors(const std::function<std::optional<ElectedGrantor>(const ServiceName &)> &grantorOf)
--- a/src/edge/internal/grantorranges.cpp
+++ b/src/edge/internal/grantorranges.cpp
@@ -23,6 +23,9 @@
 auto GrantorRole::advanceRanges(Instant moment) -> void
 {
     this->ranges->setAuthorityEnd(this->election.authorityEnd());
+    if (this->longestRequest > Duration{0}) {
+        this->ranges->setLongestWork(this->longestRequest);
+    }
     if (!this->isRecordAdopted) {
         const auto mayRead = this->hasUpstreams && !this->isRecordCallPending && this->isLeading()
                              && moment >= this->recordDue;
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -36,6 +36,23 @@
     }
 }
 
+auto GrantorRoles::setRoutes(const std::vector<Route> &routes) -> void
+{
+    for (const auto &route : routes) {
+        for (const auto &target : route.services) {
+            if (const auto role = this->roles.find(target.service); role != this->roles.end()) {
+                role->second->onRequestTime(route.timeout);
+            }
+        }
+    }
+}
+
+auto GrantorRoles::setConfiguration(const RouteConfiguration &configuration) -> void
+{
+    this->setServices(configuration.services);
+    this->setRoutes(configuration.routes);
+}
+
 auto GrantorRoles::onGrantors(
     const std::function<std::optional<ElectedGrantor>(const ServiceName &)> &grantorOf) -> void
 {
--- a/src/edge/tests/restoredstore_tests.cpp
+++ b/src/edge/tests/restoredstore_tests.cpp
@@ -46,6 +46,7 @@
 {
     CHECK(cell.doubleOwnerCount() == 0);
     CHECK(cell.lowFenceCount() == 0);
+    CHECK(cell.givenOnAtWorkCount() == 0);
 }
 
 } // namespace
@@ -250,3 +251,36 @@
         checkOwners(cell);
     }
 }
+
+// Guards against keys that are given on while their holder is at work (OWNER, issue 33): a lost
+// grantor had ordered the release of the keys that its successor ordered, too.
+SCENARIO("GrantorRole: given upstreams at work for seconds and lost grantors, no key is given on "
+         "before the work or its hold has ended",
+         "[edge][restored][workatrelease]")
+{
+    RestoredStoreCell cell(7);
+    cell.setWorkTime(seconds{3});
+    cell.killAll();
+    cell.run(seconds{3});
+    const auto leads = milliseconds{GENERATE(1500, 1650, 1900, 2200)};
+    for (auto round = 0; round < 4; ++round) {
+        cell.setLoad(round % 2 == 0 ? hotKeys : laterHotKeys, 120);
+        cell.run(leads);
+        cell.killGrantor(seconds{1});
+    }
+    GIVEN("a store that keeps its records")
+    {
+        cell.run(seconds{20});
+        checkOwners(cell);
+    }
+    GIVEN("a store that comes back from an older copy")
+    {
+        cell.store.keepCopy();
+        cell.setLoad(hotKeys, 120);
+        cell.run(seconds{4});
+        restore(cell, milliseconds{500});
+        cell.killGrantor(seconds{1});
+        cell.run(seconds{25});
+        checkOwners(cell);
+    }
+}
--- a/src/edge/tests/restoredstorecell.cpp
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -103,6 +103,10 @@
                                              std::nullopt, this->store.now()});
         },
         [this] { return this->store.now(); });
+    Route route;
+    route.services = {WeightedService{service, 1}};
+    route.timeout = this->workTime;
+    daemon->roles.setRoutes({route});
     this->publishEntries();
 }
 
@@ -276,8 +280,6 @@
 auto RestoredStoreCell::carryOutOrders() -> void
 {
     constexpr Duration grantAnswerTime = std::chrono::milliseconds{10};
-    // A release is answered when the requests on its keys have ended.
-    constexpr Duration releaseAnswerTime = std::chrono::milliseconds{1400};
     constexpr Duration orderTimeout = std::chrono::milliseconds{1500};
     std::uniform_real_distribution<double> chance(0, 1);
     for (auto &sent : std::exchange(this->orders, {})) {
@@ -291,13 +293,23 @@
                               + std::chrono::milliseconds{this->random() % spreadMs};
                 sent.answerAt = this->store.now() + orderTimeout;
             } else {
-                end.kind = this->apply(upstream, sent.order, sent.sentAt);
                 const auto isGrant = sent.order.kind == RangeOrder::Kind::Grant;
-                sent.answerAt = this->store.now() + (isGrant ? grantAnswerTime : releaseAnswerTime);
+                const auto workEndsAt =
+                    isGrant ? Instant{} : this->startWork(upstream, sent.order.range);
+                end.kind = this->apply(upstream, sent.order, sent.sentAt);
+                const auto answerTime = isGrant ? grantAnswerTime : this->releaseAnswerTime;
+                sent.answerAt = std::max(this->store.now() + answerTime, workEndsAt);
+                if (sent.answerAt > this->store.now() + orderTimeout) {
+                    sent.answerAt = this->store.now() + orderTimeout;
+                    end.kind = RangeOrderEnd::Kind::NoAnswer;
+                }
             }
             sent.end = end;
         }
         if (sent.lateAt && *sent.lateAt <= this->store.now()) {
+            if (sent.order.kind == RangeOrder::Kind::Release) {
+                (void) this->startWork(upstream, sent.order.range);
+            }
             (void) this->apply(upstream, sent.order, sent.sentAt);
             sent.lateAt.reset();
         }
@@ -310,6 +322,23 @@
     }
 }
 
+auto RestoredStoreCell::startWork(Upstream &upstream, KeyRange released) const -> Instant
+{
+    const auto now = this->store.now();
+    std::erase_if(upstream.work, [&](const Hold &work) { return work.endsAt <= now; });
+    auto answeredAt = now;
+    for (const auto &hold : upstream.holds) {
+        const KeyRange range{std::max(hold.range.first, released.first),
+                             std::min(hold.range.last, released.last)};
+        if (range.first <= range.last && hold.endsAt > now) {
+            const auto endsAt = std::min(now + this->workTime, hold.endsAt);
+            upstream.work.push_back(Hold{range, 0, endsAt});
+            answeredAt = std::max(answeredAt, endsAt);
+        }
+    }
+    return answeredAt;
+}
+
 auto RestoredStoreCell::apply(Upstream &upstream, const RangeOrder &order, Instant sentAt)
     -> RangeOrderEnd::Kind
 {
@@ -371,6 +400,23 @@
             }
         }
         this->ownerConflicts += ownerCount > 1 ? 1 : 0;
+        this->checkWork(key);
+    }
+}
+
+auto RestoredStoreCell::checkWork(KeyPosition key) -> void
+{
+    for (const auto &[id, worker] : this->upstreams) {
+        const auto isAtWork =
+            std::any_of(worker.work.begin(), worker.work.end(), [&](const Hold &work) {
+                return work.range.contains(key) && work.endsAt > this->store.now();
+            });
+        const auto isGivenOn =
+            isAtWork
+            && std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &other) {
+                   return other.first != id && this->holds(other.first, key);
+               });
+        this->givenOnAtWork += isGivenOn ? 1 : 0;
     }
 }
 
--- a/src/edge/tests/restoredstorecell.h
+++ b/src/edge/tests/restoredstorecell.h
@@ -35,6 +35,14 @@
     auto setCutOff(std::size_t daemon, bool isCutOff) -> void;
     /// Keeps an upstream out of the store's list for a time, as if the copy lacked it.
     auto loseEntry(std::size_t upstream, Duration time) -> void;
+    /// Lets upstreams be at work on keys that they release for this long, though not longer than
+    /// their hold lasts; grantors that start later know it. A release is answered then, and one of
+    /// keys that the upstream doesn't hold any more at once.
+    auto setWorkTime(Duration time) -> void
+    {
+        this->workTime = time;
+        this->releaseAnswerTime = Duration{0};
+    }
     /// @param share of the orders that are not answered, and carried out 1 s to 8 s later
     auto setLateOrderShare(double share) -> void { this->lateOrderShare = share; }
     [[nodiscard]] auto grantorIndex() const -> std::optional<std::size_t>;
@@ -44,6 +52,9 @@
     /// @returns how often an upstream took a sampled key with a fence that wasn't above that of
     /// another upstream before
     [[nodiscard]] auto lowFenceCount() const -> int { return this->lowFences; }
+    /// @returns how often a sampled key was held after a step while another upstream was still at
+    /// work on it, within the time of that one's hold
+    [[nodiscard]] auto givenOnAtWorkCount() const -> int { return this->givenOnAtWork; }
     [[nodiscard]] auto grantedCount() const -> int { return this->grantedRequests; }
     [[nodiscard]] auto askedCount() const -> int { return this->askedRequests; }
     /// @returns how many requests were granted to an upstream that held their key
@@ -62,6 +73,8 @@
     };
     struct Upstream
     {
+        /// Work that goes on after a release; without fences.
+        std::vector<Hold> work;
         std::vector<Hold> holds;
         std::vector<Hold> takenFences;
     };
@@ -84,6 +97,9 @@
     auto carryOutOrders() -> void;
     auto deliverDatagrams() -> void;
     auto checkOwners() -> void;
+    auto checkWork(KeyPosition key) -> void;
+    /// @returns when a release that is carried out now will be answered
+    [[nodiscard]] auto startWork(Upstream &upstream, KeyRange released) const -> Instant;
     [[nodiscard]] auto apply(Upstream &upstream, const RangeOrder &order, Instant sentAt)
         -> RangeOrderEnd::Kind;
     /// Tells all daemons which upstreams the store lists.
@@ -111,6 +127,11 @@
     Instant startedAt = this->store.now();
     int ownerConflicts = 0;
     int lowFences = 0;
+    int givenOnAtWork = 0;
+    /// As long as requests last.
+    Duration workTime = std::chrono::milliseconds{800};
+    /// A release isn't answered earlier.
+    Duration releaseAnswerTime = std::chrono::milliseconds{1400};
     int grantedRequests = 0;
     int askedRequests = 0;
     /// For each sampled key: the highest fence, and the upstream that took it.
--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -27,6 +27,7 @@
     , term(term)
     , releaseRound(settings.releaseRound)
 {
+    this->setLongestWork(settings.longestHoldTime);
     this->rangeStates.emplace_back().range = KeyRange{0, lastKey};
 }
 
@@ -157,10 +158,12 @@
             state.earlierOwners.erase(state.earlierOwners.begin());
             return;
         }
-        // The earlier grantor may have ordered a release, too, and have prolonged its grants, so
-        // an answer doesn't shorten the wait for `latestHoldEnd`.
+        // The earlier grantor may have ordered a release, too. Where releases don't raise fences,
+        // its grants may still be carried out afterwards, also prolonged ones.
+        const auto endsAt =
+            this->settings.doReleasesRaiseFences ? this->latestEndOfWork(now) : state.latestHoldEnd;
         state.isReleased = state.isReleased || hasReleased;
-        state.nextOrderAt = hasReleased ? state.latestHoldEnd : now + this->settings.retryPause;
+        state.nextOrderAt = hasReleased ? endsAt : now + this->settings.retryPause;
         return;
     }
     if (hasReleased) {
--- a/src/keyranges/internal/rangegrantorrelease.cpp
+++ b/src/keyranges/internal/rangegrantorrelease.cpp
@@ -35,10 +35,9 @@
 
 auto RangeGrantor::endReleasedRanges(Instant now) -> void
 {
-    const auto unreleased = this->releaseRound.unreleased();
+    const auto unreleased = this->releaseRound.unreleased(now);
     for (auto &state : this->rangeStates) {
-        if (state.phase != Phase::Outdated || state.mayHaveUnansweredRelease
-            || overlapsAny(unreleased, state.range)) {
+        if (state.phase != Phase::Outdated || overlapsAny(unreleased, state.range)) {
             continue;
         }
         if (!state.holder || !this->isUsable(*state.holder)) {
--- a/src/keyranges/internal/rangegrantortakeover.cpp
+++ b/src/keyranges/internal/rangegrantortakeover.cpp
@@ -46,7 +46,6 @@
             state.ownedSince = now;
             if (row.isOutdated) {
                 this->markOutdated(state, now);
-                state.mayHaveUnansweredRelease = true;
             }
         }
     }
@@ -120,9 +119,6 @@
 auto RangeGrantor::markOutdated(RangeState &state, Instant now) -> void
 {
     this->recordHolders(state);
-    state.mayHaveUnansweredRelease =
-        state.phase == Phase::Releasing || state.phase == Phase::Expiring
-        || state.phase == Phase::ReleasingEarlier || state.phase == Phase::Outdated;
     state.phase = Phase::Outdated;
     state.isUnconfirmedInTerm = false;
     state.isReleased = false;
@@ -152,6 +148,8 @@
     const auto haveGrantsEnded = now >= state.latestHoldEnd;
     if (haveGrantsEnded) {
         state.earlierOwners.clear();
+    } else if (state.isReleased && now >= state.nextOrderAt && !state.earlierOwners.empty()) {
+        state.earlierOwners.erase(state.earlierOwners.begin());
     }
     if (state.earlierOwners.size() < countBefore) {
         state.isReleased = false;
--- a/src/keyranges/internal/rangegrantorviews.cpp
+++ b/src/keyranges/internal/rangegrantorviews.cpp
@@ -74,8 +74,7 @@
     const auto isReleaseExpected =
         this->releaseRoundTerm == this->term && !this->releaseRound.isAnySilent();
     const auto outdatedReadyAt = [&](const RangeState &state) {
-        return isReleaseExpected && !state.mayHaveUnansweredRelease ? Instant{}
-                                                                    : state.latestHoldEnd;
+        return isReleaseExpected ? Instant{} : state.latestHoldEnd;
     };
     for (const auto &state : this->rangeStates) {
         OwnedRange owned{state.range, std::nullopt, Instant{}};
@@ -144,7 +143,6 @@
     std::uint32_t count = 0;
     for (const auto &state : this->rangeStates) {
         const auto isWaiting = state.phase == Phase::Expiring
-                               || (state.phase == Phase::Outdated && state.mayHaveUnansweredRelease)
                                || (state.phase == Phase::ReleasingEarlier && state.isReleased);
         count += isWaiting ? state.range.size() : 0;
     }
--- a/src/keyranges/internal/releaseround.cpp
+++ b/src/keyranges/internal/releaseround.cpp
@@ -31,7 +31,7 @@
             // The order reaches whichever incarnation runs, and earlier ones have ended.
             if (known.holder.incarnation < upstream.incarnation) {
                 known.holder.incarnation = upstream.incarnation;
-                known.unanswered.clear();
+                known.answers.clear();
             }
             return;
         }
@@ -68,8 +68,7 @@
             required.push_back(each.range);
         }
     }
-    upstream.required = joined(std::move(required));
-    upstream.missing = without(upstream.required, upstream.released);
+    upstream.missing = without(joined(std::move(required)), upstream.released);
 }
 
 auto ReleaseRound::takeOrders(std::uint64_t &nextCallId, Instant now) -> std::vector<RangeOrder>
@@ -111,18 +110,15 @@
         --this->openOrderCount;
         const auto hasReleased = end.kind == RangeOrderEnd::Kind::Accepted
                                  || end.kind == RangeOrderEnd::Kind::OtherUpstream;
-        if (end.kind == RangeOrderEnd::Kind::NoAnswer) {
-            upstream.unanswered.push_back(range);
-            upstream.unanswered = joined(std::move(upstream.unanswered));
-        } else if (end.kind == RangeOrderEnd::Kind::OtherUpstream) {
-            upstream.unanswered = without(upstream.unanswered, {range});
-        }
         if (!hasReleased) {
             ++upstream.failures;
             upstream.nextOrderAt = now + this->retryPause(upstream.failures);
             return;
         }
         upstream.failures = 0;
+        if (end.kind == RangeOrderEnd::Kind::Accepted) {
+            upstream.answers.push_back(Answer{range, now});
+        }
         upstream.released.push_back(range);
         upstream.released = joined(std::move(upstream.released));
         upstream.missing = without(upstream.missing, {range});
@@ -137,36 +133,32 @@
                     this->settings.firstRetryPause * (1 << std::min(failures - 1, mostDoublings)));
 }
 
-auto ReleaseRound::unreleased() const -> std::vector<KeyRange>
+auto ReleaseRound::unreleased(Instant now) const -> std::vector<KeyRange>
 {
     std::vector<KeyRange> result;
     for (const auto &upstream : this->upstreams) {
         result.insert(result.end(), upstream.missing.begin(), upstream.missing.end());
-        const auto proven = without(upstream.required, upstream.unanswered);
-        const auto unproven = without(upstream.required, proven);
-        result.insert(result.end(), unproven.begin(), unproven.end());
+        for (const auto &answer : upstream.answers) {
+            if (now < answer.at + this->workTime) {
+                result.push_back(answer.range);
+            }
+        }
     }
     return joined(std::move(result));
 }
 
-auto ReleaseRound::isSilent(const Upstream &upstream) -> bool
-{
-    const auto isMissingAny = upstream.failures > 0 && !upstream.missing.empty();
-    return isMissingAny
-           || (!upstream.unanswered.empty()
-               && without(upstream.required, upstream.unanswered) != upstream.required);
-}
-
 auto ReleaseRound::isAnySilent() const -> bool
 {
-    return std::any_of(this->upstreams.begin(), this->upstreams.end(), isSilent);
+    return std::any_of(this->upstreams.begin(), this->upstreams.end(), [](const Upstream &each) {
+        return each.failures > 0 && !each.missing.empty();
+    });
 }
 
 auto ReleaseRound::silentUpstreams() const -> std::vector<UpstreamId>
 {
     std::vector<UpstreamId> result;
     for (const auto &upstream : this->upstreams) {
-        if (isSilent(upstream)) {
+        if (upstream.failures > 0 && !upstream.missing.empty()) {
             result.push_back(upstream.holder.id);
         }
     }
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -67,9 +67,9 @@
 ///
 /// A range changes its owner only after the record that names both owners has been stored, and
 /// after the earlier owner has released the range, has ended, or can hold no grant that still
-/// lasts. A release counts only if no earlier one may have gone unanswered: only the answer to the
-/// first tells that the work on the keys has ended. Fencing tokens are above those of all earlier
-/// grantors, whose terms are lower.
+/// lasts. Only the answer to the first release of a range tells that the work on it has ended;
+/// where an earlier one may have gone unanswered, the time that work takes at most passes, too.
+/// Fencing tokens are above those of all earlier grantors, whose terms are lower.
 class RangeGrantor
 {
 public:
@@ -94,6 +94,13 @@
     /// @param areAll no upstream that may hold keys is missing from the entries, apart from those
     /// that the adopted record names
     auto setAreAllUpstreamsListed(bool areAll) -> void { this->areAllUpstreamsListed = areAll; }
+    /// @param time an upstream ends its work on a request at the latest this long after it has
+    /// begun; where it isn't set, the work ends with the hold
+    auto setLongestWork(Duration time) -> void
+    {
+        this->longestWork = time;
+        this->releaseRound.setWorkTime(this->latestEndOfHold(Instant{}, time) - Instant{});
+    }
     /// @param end no order is issued from then on
     auto setAuthorityEnd(Instant end) -> void { this->authorityEnd = end; }
     /// Starts moves. A move is left out where an order about its range is open, where the range is
@@ -188,11 +195,9 @@
         /// The record has to be stored in this version before the range is granted.
         std::uint64_t requiredRecordVersion = 0;
         bool hasHadOwner = false;
-        /// ReleasingEarlier only: the first of `earlierOwners` has released the range.
+        /// ReleasingEarlier only: the first of `earlierOwners` has released the range; its work
+        /// ends by `nextOrderAt`.
         bool isReleased = false;
-        /// Outdated only: an upstream may have left a release of the range unanswered. It may then
-        /// answer a further one while work goes on that was running at the first.
-        bool mayHaveUnansweredRelease = false;
         /// The term was raised, and the holder hasn't confirmed the earlier fence since.
         bool isUnconfirmedInTerm = false;
     };
@@ -246,6 +251,11 @@
     [[nodiscard]] auto isUsable(const RangeHolder &holder) const -> bool;
     /// @returns when a grant that has arrived by `now` ends at the latest
     [[nodiscard]] auto latestEndOfHold(Instant now, Duration holdTime) const -> Instant;
+    /// @returns when work has ended that began by `now`, even by the slowest clock
+    [[nodiscard]] auto latestEndOfWork(Instant now) const -> Instant
+    {
+        return this->latestEndOfHold(now, this->longestWork);
+    }
     [[nodiscard]] auto nextFence() -> std::uint64_t;
     [[nodiscard]] auto jitteredRenewalInterval(const RangeState &state) const -> Duration;
     [[nodiscard]] auto currentHoldTime() const -> Duration;
@@ -257,6 +267,7 @@
     std::uint64_t storeRevision = 0;
     /// Counts the fences given out.
     std::uint64_t sequence = 0;
+    Duration longestWork{0};
     std::uint64_t nextCallId = 1;
     Instant authorityEnd{};
     /// In the order of their keys; together they cover all keys.
--- a/src/keyranges/releaseround.h
+++ b/src/keyranges/releaseround.h
@@ -31,9 +31,9 @@
 
 /// Has all upstreams release the ranges that they aren't the likely owners of. Once all have
 /// answered, nobody but its likely owner can hold a range, provided that a release also bars grants
-/// with lower fences that are carried out later. An upstream that has left a release unanswered may
-/// still be at work on its keys when it answers the next one, which therefore doesn't count. Does
-/// no input or output itself.
+/// with lower fences that are carried out later. An upstream that has left an earlier release
+/// unanswered, maybe of another grantor, may still be at work on its keys when it answers, so an
+/// answer counts only after the time that work takes at most. Does no input or output itself.
 class ReleaseRound
 {
 public:
@@ -54,11 +54,13 @@
     /// Takes in how an order from takeOrders() ended; other orders are ignored.
     auto onOrderEnd(const RangeOrderEnd &end, Instant now) -> void;
 
+    /// Sets how long work takes at most that was running when an upstream answered.
+    auto setWorkTime(Duration time) -> void { this->workTime = time; }
     /// @returns the ranges that another upstream than their likely owner may hold or be at work on,
     /// sorted and without overlaps
-    [[nodiscard]] auto unreleased() const -> std::vector<KeyRange>;
+    [[nodiscard]] auto unreleased(Instant now) const -> std::vector<KeyRange>;
     [[nodiscard]] auto isAnySilent() const -> bool;
-    /// @returns the upstreams that left an order for such a range unanswered
+    /// @returns the upstreams that left their last order unanswered
     [[nodiscard]] auto silentUpstreams() const -> std::vector<UpstreamId>;
     [[nodiscard]] auto upstreamCount() const -> std::size_t { return this->upstreams.size(); }
     /// @returns how many orders were given out since the start
@@ -70,16 +72,19 @@
         CallId call;
         KeyRange range;
     };
+    /// An upstream has released a range, on which it may have been at work.
+    struct Answer
+    {
+        KeyRange range;
+        Instant at;
+    };
     struct Upstream
     {
         RangeHolder holder;
-        /// What it has to release in all, has released, and has yet to release; sorted, without
-        /// overlaps.
-        std::vector<KeyRange> required;
+        /// What it has released, and what it has yet to release; sorted, without overlaps.
         std::vector<KeyRange> released;
         std::vector<KeyRange> missing;
-        /// What it was ordered to release without an answer; likewise.
-        std::vector<KeyRange> unanswered;
+        std::vector<Answer> answers;
         std::vector<OpenOrder> openOrders;
         Instant nextOrderAt{};
         /// Orders in a row without an answer.
@@ -87,10 +92,10 @@
     };
 
     auto updateMissing(Upstream &upstream) const -> void;
-    [[nodiscard]] static auto isSilent(const Upstream &upstream) -> bool;
     [[nodiscard]] auto retryPause(int failures) const -> Duration;
 
     ReleaseRoundSettings settings;
+    Duration workTime{0};
     std::uint64_t fence = 0;
     std::vector<UncertainRange> ranges;
     std::vector<Upstream> upstreams;
--- a/src/keyranges/tests/rangesimulation.cpp
+++ b/src/keyranges/tests/rangesimulation.cpp
@@ -12,6 +12,8 @@
 constexpr Duration planInterval = std::chrono::milliseconds{300};
 /// An upstream answers a release after the requests that it runs, which last up to this long.
 constexpr int longestReleaseDelayMs = 300;
+/// Work takes this long where none is set.
+constexpr Duration shortestWork = std::chrono::milliseconds{longestReleaseDelayMs};
 /// Upstreams that a restored store has lost register again within this time.
 constexpr Duration registrationTime = std::chrono::milliseconds{2300};
 constexpr double clockSlowdown = 1.02;
@@ -40,6 +42,7 @@
 auto RangeSimulation::startGrantor() -> void
 {
     this->grantor = std::make_unique<RangeGrantor>(this->settings, this->term);
+    this->grantor->setLongestWork(std::max(this->longestWork, shortestWork));
     this->grantor->setUpstreams(this->entries(), this->moment);
     if (this->isRecordOutdated) {
         this->grantor->adoptOutdated(this->storedRecord, this->moment);
--- a/src/keyranges/tests/releaseround_tests.cpp
+++ b/src/keyranges/tests/releaseround_tests.cpp
@@ -58,14 +58,14 @@
                 CHECK(order.fence == 7);
             }
             CHECK(fixture.takeOrders(start).empty());
-            CHECK(fixture.round.unreleased() == std::vector{KeyRange{0, 65535}});
+            CHECK(fixture.round.unreleased(start) == std::vector{KeyRange{0, 65535}});
         }
         WHEN("one has answered")
         {
             fixture.end(orders[0], RangeOrderEnd::Kind::Accepted, start);
             THEN("only what the other may hold is left")
             {
-                CHECK(fixture.round.unreleased()
+                CHECK(fixture.round.unreleased(start)
                       == std::vector{KeyRange{0, 99}, KeyRange{200, 65535}});
             }
             AND_WHEN("the other's address belongs to another upstream")
@@ -74,7 +74,7 @@
                 fixture.end(orders[2], RangeOrderEnd::Kind::OtherUpstream, start);
                 THEN("all is released, until a likely owner may not keep its range")
                 {
-                    CHECK(fixture.round.unreleased().empty());
+                    CHECK(fixture.round.unreleased(start).empty());
                     fixture.round.setRanges({{KeyRange{0, 99}, std::nullopt}});
                     const auto next = fixture.takeOrders(start);
                     REQUIRE(next.size() == 1);
@@ -115,7 +115,7 @@
             THEN("answers to earlier orders don't count")
             {
                 fixture.end(orders[0], RangeOrderEnd::Kind::Accepted, start);
-                CHECK(fixture.round.unreleased() == std::vector{KeyRange{100, 65535}});
+                CHECK(fixture.round.unreleased(start) == std::vector{KeyRange{100, 65535}});
             }
         }
     }
--- a/src/keyranges/tests/workatrelease_tests.cpp
+++ b/src/keyranges/tests/workatrelease_tests.cpp
@@ -154,6 +154,35 @@
     CHECK(*grantedAt - start >= three.settings.longestHoldTime);
 }
 
+// Keys whose holders may have left a release unanswered aren't refused for longer than work takes.
+SCENARIO(
+    "RangeGrantor: given the time that work takes at most, keys wait that long after the answer "
+    "to a release that may be a second one",
+    "[keyranges][workatrelease]")
+{
+    GrantorOfThree three;
+    const auto start = three.now;
+    three.grantor.setLongestWork(seconds{1});
+    RangeRecord record;
+    std::optional<Instant> grantedAt;
+    GIVEN("a takeover while keys move")
+    {
+        record.rows = {
+            RangeRow{allKeys, holderOf(three.entries[1]), {holderOf(three.entries[0])}, false}};
+        three.grantor.adopt(record, three.now);
+        grantedAt = three.grantTimeOf("b", seconds{20}, accepted);
+    }
+    GIVEN("a release round")
+    {
+        record.rows = {RangeRow{allKeys, holderOf(three.entries[0]), {}, false}};
+        three.grantor.adoptOutdated(record, three.now);
+        grantedAt = three.grantTimeOf("a", seconds{20}, accepted);
+    }
+    REQUIRE(grantedAt.has_value());
+    CHECK(*grantedAt - start >= milliseconds{1020});
+    CHECK(*grantedAt - start < milliseconds{1300});
+}
+
 // Guards against two owners of a key, and keys that are given on while their holder is at work
 // (OWNER, issue 33), where releases that weren't answered are followed by others.
 SCENARIO("RangeGrantor: given upstreams at work for seconds, no key is given on before the work or "
@@ -233,3 +262,51 @@
     CHECK(stored.rows[0].owner.id == UpstreamId{"b"});
     CHECK(stored.rows[0].earlierOwners == std::vector{holderOf(three.entries[0])});
 }
+
+// Guards against keys that are given on while their holder is at work (OWNER, issue 33) after the
+// store came back from a copy: the lost grantor may have ordered releases that nobody knows of.
+SCENARIO("RangeGrantor: given restorations and upstreams at work, no key is given on before the "
+         "work or its hold has ended",
+         "[keyranges][workatrelease][restored]")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        GIVEN("seed " + std::to_string(seed))
+        {
+            RangeSimulation simulation(seed, 8, {0.03, 0.05});
+            simulation.setDoReleasesRaiseFences(true);
+            simulation.replaceGrantor(milliseconds{0});
+            simulation.setLongestWork(seconds{8});
+            std::mt19937_64 random(seed * 97);
+            simulation.run(seconds{3});
+            simulation.keepCopy();
+            for (auto round = 0; round < 10; ++round) {
+                const auto hotFirst = static_cast<KeyPosition>(random() % 60'000);
+                simulation.setHotKeys(KeyRange{hotFirst, static_cast<KeyPosition>(hotFirst + 2000)},
+                                      300);
+                simulation.run(milliseconds{1500 + random() % 2000});
+                switch (random() % 4) {
+                case 0:
+                    simulation.keepCopy();
+                    break;
+                case 1:
+                    simulation.replaceGrantor(milliseconds{random() % 1500});
+                    break;
+                default:
+                    simulation.restoreCopy(milliseconds{random() % 1500});
+                    break;
+                }
+                simulation.run(milliseconds{random() % 4000});
+            }
+            simulation.setFaults({});
+            simulation.setHotKeys(KeyRange{0, 0}, 0);
+            simulation.run(seconds{25});
+            THEN("each key was given on after the work, and all keys are served at the end")
+            {
+                CHECK(simulation.givenOnAtWorkCount() == 0);
+                CHECK(simulation.doubleOwnerCount() == 0);
+                CHECK(simulation.lowFenceCount() == 0);
+                CHECK(simulation.servedKeyCount() == 65536);
+            }
+        }
+    }
+}
