Let upstreams leave and pause in the soak, and check who still reaches them

A request that is sent more than 2 s after its daemon passed on an answer that states the leave, or after the store, being stable, acknowledged it, must not reach that process from that daemon; at most two may reach a pausing upstream from a daemon between 0.5 s after its 503 and the end of the pause. A killed, stopped or frozen daemon is excused, for the store's word also a store with a fault within 3 s. Evidence: soak_tests show that each check reports what it must and no more. Not played: losses of links beside leaves; a freeze.

--- a/src/soak/daemonprocess.h
+++ b/src/soak/daemonprocess.h
@@ -26,6 +26,9 @@
     [[nodiscard]] auto isRunning() -> bool;
     /// @returns the id of the process; zero where none was started or it was reaped
     [[nodiscard]] auto processId() const -> pid_t { return this->id; }
+    /// @returns whether the process runs, and got no signal that ends or freezes it since it was
+    ///          started
+    [[nodiscard]] auto isUndisturbed() const -> bool { return this->id != 0 && !this->isDisturbed; }
     /// @returns the number of exits without a SIGTERM or SIGKILL from the soak
     [[nodiscard]] auto unexpectedExits() const -> int { return this->unexpectedExitCount; }
 
@@ -34,6 +37,7 @@
     std::string settingsFile;
     pid_t id = 0;
     bool isExitExpected = false;
+    bool isDisturbed = false;
     int unexpectedExitCount = 0;
 };
 
--- a/src/soak/internal/daemonprocess.cpp
+++ b/src/soak/internal/daemonprocess.cpp
@@ -41,6 +41,7 @@
         posix_spawn(&this->id, this->program.c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     this->isExitExpected = false;
+    this->isDisturbed = false;
     if (error != 0) {
         this->id = 0;
         throw std::runtime_error(
@@ -54,6 +55,7 @@
         return;
     }
     this->isExitExpected = this->isExitExpected || number == SIGTERM || number == SIGKILL;
+    this->isDisturbed = this->isDisturbed || number != SIGCONT;
     kill(this->id, number);
 }
 
--- a/src/soak/internal/soakcell.cpp
+++ b/src/soak/internal/soakcell.cpp
@@ -60,6 +60,17 @@
         this->upstreams.back()->start();
         this->store.put(this->upstreams.back()->storeKey(), this->upstreams.back()->entry(false));
     }
+    if (this->settings.hasLeaves) {
+        this->lives = std::make_unique<UpstreamLives>(
+            this->upstreams, this->store,
+            [this](const std::string &request) -> std::optional<UpstreamLives::Origin> {
+                const auto found = this->sent.find(request);
+                return found == this->sent.end() ? std::nullopt
+                                                 : std::optional(UpstreamLives::Origin{
+                                                     found->second.daemon, found->second.sentAt});
+            },
+            this->settings.seed);
+    }
     this->putConfiguration(this->version);
     for (auto index = 0; index < this->settings.daemons; ++index) {
         this->daemons.push_back(
@@ -71,6 +82,7 @@
 
 auto SoakCell::run() -> SoakReport
 {
+    const std::vector<std::string> noViolations;
     this->isSending = true;
     if (!this->waitUntilServed(this->settings.recoveryTime)) {
         this->addViolation("the cell doesn't serve requests before the first fault");
@@ -91,6 +103,9 @@
     for (const auto &violation : this->cuts.violations()) {
         this->addViolation(violation);
     }
+    for (const auto &violation : this->lives ? this->lives->violations() : noViolations) {
+        this->addViolation(violation);
+    }
     for (const auto &daemon : this->daemons) {
         if (!daemon->isRunning() || daemon->unexpectedExits() > 0) {
             this->addViolation("a daemon exited without a signal from the soak");
@@ -157,6 +172,10 @@
         }
         return;
     }
+    if (this->lives) {
+        this->injectLeave();
+        return;
+    }
     const auto kind = this->settings.hasOnlyStops ? daemonFaultKinds - 1 : this->pick(faultKinds);
     const auto upstream = this->pick(this->upstreamProxies.size());
     auto &proxy = *this->upstreamProxies[upstream];
@@ -193,6 +212,75 @@
     }
 }
 
+auto SoakCell::injectLeave() -> void
+{
+    constexpr std::size_t kinds = 10;
+    constexpr Duration outageTime = std::chrono::seconds{3};
+    constexpr Duration stableTime = std::chrono::seconds{3};
+    constexpr auto stopFault = static_cast<int>(daemonFaultKinds) - 1;
+    const auto now = monotonicNow();
+    switch (this->pick(kinds)) {
+    case 0:
+        this->setStoreMode(this->pick(2) == 0 ? KvStoreMode::Refusing : KvStoreMode::Silent);
+        this->storeOutageEnd = now + outageTime;
+        return;
+    case 1:
+        this->injectDaemonFault(stopFault - 1);
+        return;
+    case 2:
+        this->injectDaemonFault(stopFault);
+        return;
+    case 3:
+        this->keepOrRestoreStore();
+        return;
+    default:
+        const auto isStable = !this->storeOutageEnd && now - this->storeFaultAt >= stableTime;
+        if (const auto begun = this->lives->begin(isStable, now); !begun.empty()) {
+            this->addFault(begun);
+        }
+        return;
+    }
+}
+
+auto SoakCell::keepOrRestoreStore() -> void
+{
+    if (!std::exchange(this->hasStoreCopy, !this->hasStoreCopy)) {
+        this->store.keepCopy();
+        return;
+    }
+    this->addFault("store restored");
+    this->store.restoreCopy();
+    this->putConfiguration(++this->version);
+    this->lives->writeEntries();
+    this->storeFaultAt = monotonicNow();
+}
+
+auto SoakCell::setStoreMode(KvStoreMode mode) -> void
+{
+    this->addFault("store mode " + std::to_string(static_cast<int>(mode)));
+    this->store.setMode(mode);
+    this->storeFaultAt = monotonicNow();
+}
+
+auto SoakCell::advanceLeaves() -> void
+{
+    const auto now = monotonicNow();
+    if (this->storeOutageEnd && now >= *this->storeOutageEnd) {
+        this->storeOutageEnd.reset();
+        this->setStoreMode(KvStoreMode::Normal);
+    }
+    if (this->storeOutageEnd) {
+        this->storeFaultAt = now;
+    }
+    this->lives->onStoreFault(this->storeFaultAt);
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        if (!this->daemons[index]->isUndisturbed()) {
+            this->lives->onDaemonFault(index, now);
+        }
+    }
+    this->lives->advance(now);
+}
+
 auto SoakCell::injectAnswerFault(std::size_t upstream) -> void
 {
     const auto mode = static_cast<FaultProxy::Mode>(
@@ -231,6 +319,10 @@
 auto SoakCell::clearFaults() -> void
 {
     this->cuts.clear(monotonicNow());
+    if (this->lives) {
+        this->lives->clear(monotonicNow());
+    }
+    this->storeOutageEnd.reset();
     this->store.setMode(KvStoreMode::Normal);
     this->storeProxy.setMode(FaultProxy::Mode::Pass);
     for (const auto &proxy : this->upstreamProxies) {
@@ -249,6 +341,9 @@
     this->tick.set(monotonicNow() + tickInterval);
     this->store.tick();
     this->checkOwners();
+    if (this->lives) {
+        this->advanceLeaves();
+    }
     for (const auto &daemon : this->daemons) {
         if (!daemon->isRunning()) {
             daemon->start();
@@ -277,6 +372,7 @@
         head.headers.push_back({"Shard-Key", std::to_string(this->pick(65536))});
     }
     const auto daemon = this->pick(this->callerAddresses.size());
+    entry.daemon = daemon;
     entry.firstTry = this->cuts.classify(daemon, entry.sentAt);
     this->sent[id] = entry;
     ++this->report.sent;
@@ -292,6 +388,9 @@
 {
     auto &entry = this->sent[id];
     const auto status = result.end == OutboundResult::End::Answered ? result.answer.head.status : 0;
+    if (this->lives && status != 0) {
+        this->lives->onAnswer(entry.daemon, result.answer.head, monotonicNow());
+    }
     this->cuts.onEnd(entry.firstTry, status == 200);
     this->consecutiveServed = status == 200 ? this->consecutiveServed + 1 : 0;
     if (status == 200) {
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -40,6 +40,7 @@
     settings.daemons = values["daemons"].as<int>();
     settings.hasAnswerFaults = values.count("answer-faults") > 0;
     settings.hasOnlyStops = values.count("only-stops") > 0;
+    settings.hasLeaves = values.count("leaves") > 0;
     settings.hasOnlyCuts = values.count("cuts") > 0;
     settings.faultTime = std::chrono::seconds{values["seconds"].as<int>()};
     settings.folder = std::filesystem::path(values["folder"].as<std::string>())
@@ -83,6 +84,8 @@
     add("only-stops", "inject planned stops only, and check that they cut off no request");
     add("cuts", "only cut daemons off from all upstreams and from nothing else, and compare how "
                 "often first tries are served there");
+    add("leaves", "upstreams leave and pause, beside outages of the store and lost and stopped "
+                  "daemons; check that requests keep away from them");
     add("daemons", options::value<int>()->default_value(3), "number of daemons");
     options::variables_map values;
     try {
--- a/src/soak/soakcell.h
+++ b/src/soak/soakcell.h
@@ -2,6 +2,7 @@
 
 #include "soak/daemonprocess.h"
 #include "soak/faultproxy.h"
+#include "soak/upstreamlives.h"
 #include "soak/vmcuts.h"
 #include "streams/outboundpool.h"
 #include "stubs/kvplatform/keyedupstreamstub.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -35,6 +37,8 @@
     bool hasOnlyStops = false;
     /// The only faults are daemons that are cut off from all upstreams and from nothing else.
     bool hasOnlyCuts = false;
+    /// Upstreams leave and pause, beside outages of the store and lost and stopped daemons.
+    bool hasLeaves = false;
 };
 
 /// Results of a run. It has passed if there are no violations.
@@ -67,6 +71,7 @@
         Instant sentAt{};
         /// It ended without the upstream's answer, before its deadline.
         bool isCut = false;
+        std::size_t daemon = 0;
         VmCuts::Try firstTry;
     };
 
@@ -76,6 +81,12 @@
     auto putConfiguration(int version) -> void;
     auto injectFault() -> void;
     auto injectDaemonFault(int kind) -> void;
+    /// Makes an upstream leave or pause, or injects a fault beside that.
+    auto injectLeave() -> void;
+    auto setStoreMode(KvStoreMode mode) -> void;
+    auto advanceLeaves() -> void;
+    /// Keeps a copy of the store, or brings the store back from the one kept before.
+    auto keepOrRestoreStore() -> void;
     /// Makes an upstream send faulty answers, or all of them where the answers come twice.
     auto injectAnswerFault(std::size_t upstream) -> void;
     auto clearFaults() -> void;
@@ -103,6 +114,7 @@
     std::vector<Address> callerAddresses;
     std::vector<std::unique_ptr<DaemonProcess>> daemons;
     VmCuts cuts;
+    std::unique_ptr<UpstreamLives> lives;
     OutboundPool callers;
     ClockTimer tick;
     std::map<std::string, SentRequest> sent;
@@ -110,6 +122,10 @@
     int version = 1;
     int consecutiveServed = 0;
     Instant startedAt = monotonicNow();
+    Instant storeFaultAt{};
+    /// Empty where the store has no outage that ends by itself.
+    std::optional<Instant> storeOutageEnd;
+    bool hasStoreCopy = false;
     Instant nextSend{};
     bool isSending = false;
 };
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -66,19 +66,30 @@
     });
 }
 
+auto KeyedUpstreamStub::restart() -> void
+{
+    ++this->settings.incarnation;
+    this->grants.clear();
+    this->releases.clear();
+    this->pauseEnd = Instant{};
+}
+
 auto KeyedUpstreamStub::onRequest(ExchangeId exchange, const WholeMessage &request) -> void
 {
     const auto *target = request.head.find("Target-Instance");
     const auto isForThisUpstream = target == nullptr || *target == this->settings.id;
     const auto isOrder = request.head.target == "/grant" || request.head.target == "/release";
     const auto isOwner = isOrder || !this->settings.isSharded || this->ownsKey(keyOf(request.head));
+    if (isForThisUpstream && isOwner && !isOrder && this->onOwnRequest) {
+        this->onOwnRequest(request.head);
+    }
     if (!isForThisUpstream || !isOwner) {
         this->reject(exchange, 421);
     } else if (request.head.target == "/grant") {
         this->onGrant(exchange, request);
     } else if (request.head.target == "/release") {
         this->onRelease(exchange, request);
-    } else if (this->mode == KeyedUpstreamMode::Full
+    } else if (this->mode == KeyedUpstreamMode::Full || this->now() < this->pauseEnd
                || (this->mode == KeyedUpstreamMode::OftenFull && ++this->requestCount % 3 == 0)) {
         this->reject(exchange, 503);
     } else {
@@ -178,7 +189,7 @@
     if (const auto *id = run.request.head.find("Request-Id")) {
         head.headers.push_back(HttpHeader{"Request-Id", *id});
     }
-    head.headers.push_back(HttpHeader{"Server-Signature", "sig-" + this->settings.id});
+    head.headers.push_back(HttpHeader{"Server-Signature", this->signature()});
     head.headers.push_back(HttpHeader{"Instance-Load", std::to_string(this->running.size()) + ",0,"
                                                            + std::to_string(this->settings.slots)});
     head.headers.insert(head.headers.end(), this->extraHeaders.begin(), this->extraHeaders.end());
@@ -191,6 +202,10 @@
     MessageHead head;
     head.status = status;
     head.headers = {HttpHeader{"Not-Executed", "1"}};
+    if (status == 503 && this->now() < this->pauseEnd) {
+        const std::chrono::duration<double> pause = this->pauseEnd - this->now();
+        head.headers.push_back(HttpHeader{"Retry-After", std::to_string(pause.count())});
+    }
     head.headers.insert(head.headers.end(), this->extraHeaders.begin(), this->extraHeaders.end());
     this->listener.reply(exchange, head, "");
 }
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -71,10 +71,23 @@
     {
         this->extraHeaders = std::move(headers);
     }
+    /// Rejects requests with 503 and states the rest of this time, in which it wants none.
+    auto pauseUntil(Instant end) -> void { this->pauseEnd = end; }
+    /// @param callback called for each request that was sent to this upstream and whose key it owns
+    auto setOnRequest(std::function<void(const MessageHead &)> callback) -> void
+    {
+        this->onOwnRequest = std::move(callback);
+    }
+    /// Becomes another process with the same id and address, which holds no keys. Requests that
+    /// still run are answered.
+    auto restart() -> void;
     auto setServiceTime(Duration time) -> void { this->settings.serviceTime = time; }
     /// @returns the JSON with which the upstream registers in the store
     [[nodiscard]] auto entry(bool isDraining) const -> std::string;
     [[nodiscard]] auto storeKey() const -> std::string { return "servers/" + this->settings.id; }
+    [[nodiscard]] auto service() const -> const std::string & { return this->settings.service; }
+    /// @returns the signature of its answers
+    [[nodiscard]] auto signature() const -> std::string { return "sig-" + this->settings.id; }
     [[nodiscard]] auto ownsKey(int key) const -> bool;
     [[nodiscard]] auto peakRunningCount() const -> int { return this->peakRunning; }
 
@@ -106,6 +119,8 @@
     std::vector<KeyedRun> &runs;
     KeyedUpstreamMode mode = KeyedUpstreamMode::Normal;
     std::vector<HttpHeader> extraHeaders;
+    Instant pauseEnd{};
+    std::function<void(const MessageHead &)> onOwnRequest;
     std::vector<KeyGrant> grants;
     /// The fences of releases; they hold no keys.
     std::vector<KeyGrant> releases;
