--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -69,7 +69,7 @@
                   this->onDatagram(from, bytes);
               },
               [this] { this->processPending(); })
-        , upstreamWatch(wire, this->storeSender(), now, this->direct,
+        , upstreamWatch(wire, this->storeSender(), now, logger, this->direct,
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
--- a/src/edge/internal/upstreamdirectory.cpp
+++ b/src/edge/internal/upstreamdirectory.cpp
@@ -96,6 +96,12 @@
     return result;
 }
 
+auto UpstreamDirectory::isMissing(const UpstreamId &upstream) const -> bool
+{
+    const auto found = this->known.find(upstream);
+    return found != this->known.end() && found->second.dropAt;
+}
+
 auto UpstreamDirectory::nextDue() const -> std::optional<Instant>
 {
     std::optional<Instant> due;
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -45,6 +45,8 @@
     auto advance(Instant now) -> void;
 
     [[nodiscard]] auto entries() const -> std::vector<UpstreamEntry>;
+    /// @returns whether entries() has the upstream although the store doesn't show it
+    [[nodiscard]] auto isMissing(const UpstreamId &upstream) const -> bool;
     /// @returns which process has the address as this upstream; empty where that isn't known
     [[nodiscard]] auto incarnationOf(const UpstreamId &upstream, const Address &address) const
         -> std::optional<Incarnation>;
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/upstreamdirectory.h"
+#include "edge/upstreamentrylog.h"
 #include "edge/wireadapter.h"
 #include "entry/directchoice.h"
 #include "keyranges/rangerecordcodec.h"
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -28,10 +30,11 @@
     /// @param direct receives entries and owners
     /// @param onEntries called after each change of the entries
     UpstreamWatch(const Wire &wire, SendStoreCall store, std::function<Instant()> now,
-                  DirectChoice &direct, OnEntries onEntries)
+                  Logger &logger, DirectChoice &direct, OnEntries onEntries)
         : wire(wire)
         , store(std::move(store))
         , now(std::move(now))
+        , log(logger)
         , direct(direct)
         , onEntries(std::move(onEntries))
         , directory(UpstreamDirectorySettings{})
@@ -53,7 +56,7 @@
     auto onLeaving(const UpstreamId &upstream, Incarnation incarnation) -> void
     {
         if (this->directory.setLeaving(upstream, incarnation, this->now())) {
-            this->publish();
+            this->publish("statement");
         }
     }
 
@@ -93,7 +96,7 @@
         }
         if (const auto due = this->directory.nextDue(); due && *due <= this->now()) {
             this->directory.advance(this->now());
-            this->publish();
+            this->publish("time");
         }
     }
 
@@ -149,13 +152,25 @@
             }
         }
         this->directory.update(entries, this->storeFailedAt, this->now());
-        this->publish();
+        const auto isRead = std::exchange(this->loggedReadAt, this->view->readStartedAt())
+                            != this->view->readStartedAt();
+        this->publish(isRead ? "list" : "watch");
         this->allListedAt = this->viewStartedAt;
     }
 
-    auto publish() -> void
+    /// @param cause what has brought the change, as it is logged
+    auto publish(std::string_view cause) -> void
     {
         const auto entries = this->directory.entries();
+        UpstreamEntryOrigin origin;
+        origin.cause = cause;
+        if (this->view) {
+            origin.revision = this->view->revision();
+            origin.sinceCall = this->now() - this->view->callStartedAt();
+            origin.sinceRead = this->now() - this->view->readStartedAt();
+        }
+        origin.sinceFailure = this->now() - this->storeFailedAt;
+        this->log.update(entries, this->directory, origin);
         this->direct.setUpstreams(entries);
         this->onEntries(entries);
     }
@@ -178,6 +193,7 @@
     const Wire &wire;
     SendStoreCall store;
     std::function<Instant()> now;
+    UpstreamEntryLog log;
     DirectChoice &direct;
     OnEntries onEntries;
     UpstreamDirectory directory;
@@ -186,6 +202,8 @@
     Instant viewStartedAt{};
     Instant allListedAt{};
     Instant storeFailedAt{};
+    /// Begin of the read whose entries were logged last.
+    Instant loggedReadAt{};
 };
 
 } // namespace gooseberrywall
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -30,6 +30,7 @@
     this->newCopy.clear();
     this->newCopyRevision = StoreRevision{};
     this->hasWatched = false;
+    this->newCopyReadStartedAt = this->now();
     this->readPage("");
 }
 
@@ -107,6 +108,7 @@
     if (!isOlder) {
         this->copy = std::move(this->newCopy);
         this->copyRevision = this->newCopyRevision;
+        this->copyReadStartedAt = this->newCopyReadStartedAt;
         this->isCopyLoaded = true;
     }
     this->newCopy.clear();
@@ -173,6 +175,7 @@
                       void (PrefixView::*onAnswer)(const StoreAnswer &)) -> void
 {
     this->isCalling = true;
+    this->lastCallAt = this->now();
     this->send(std::move(call), timeout,
                [this, onAnswer, number = ++this->callNumber,
                 watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -66,6 +66,12 @@
     [[nodiscard]] auto items() const -> const Items & { return this->copy; }
     /// @returns the era of the store in which the copy was read
     [[nodiscard]] auto era() const -> std::uint64_t { return eraOf(this->copyRevision); }
+    /// @returns the store has shown the copy with all changes up to this revision
+    [[nodiscard]] auto revision() const -> StoreRevision { return this->copyRevision; }
+    /// @returns when the last complete read of all keys began; Instant{} before the first
+    [[nodiscard]] auto readStartedAt() const -> Instant { return this->copyReadStartedAt; }
+    /// @returns when the call began that is open, or the last one where none is
+    [[nodiscard]] auto callStartedAt() const -> Instant { return this->lastCallAt; }
     /// @returns whether all keys have been read at least once
     [[nodiscard]] auto isLoaded() const -> bool { return this->isCopyLoaded; }
     /// @returns whether the last call failed
@@ -103,6 +109,9 @@
     StoreRevision copyRevision;
     /// Of the store when the first page was read.
     StoreRevision newCopyRevision;
+    Instant copyReadStartedAt{};
+    Instant newCopyReadStartedAt{};
+    Instant lastCallAt{};
     bool isCopyLoaded = false;
     bool isWatching = false;
     bool isCalling = false;
