Read the upstreams' entries anew as soon as the store answers again

A watch that was waiting when the store went away may hang on a dead connection, and a failed read was tried again only after a pause of up to 2 s or its time-out of 1.5 s. Meanwhile other calls of the same daemon were answered.

Change: UpstreamWatch hears the end of each store call. The first answer after a failure has the view read all entries, unless such a read began after the failure. A failure of a call from before that answer says nothing new and is passed over. The longest pause between failed reads is 500 ms. A read that changes nothing is passed on, too, as the directory has to know what was listed and when.

Tests: LeavingCell, daemons and upstreams in virtual time; an upstream leaves each 250 ms, by draining and by removal in turn, at five offsets, around an outage, a restoration, changes of grantors, silent grantors and a lossy or slow store. The time for which the store is away doesn't count: nobody can hear a leave then. FakeStore can lose its open calls, lose answers and be slow.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -40,17 +40,13 @@
         this->pool.send(std::move(request), [this, call, done = std::move(done),
                                              sentAt = this->now()](const OutboundResult &result) {
             const auto answer = this->answerOf(call, result);
-            const auto isAnswered = answer.kind != StoreAnswer::Kind::Refused
-                                    && answer.kind != StoreAnswer::Kind::Unknown;
-            if (isAnswered && !std::holds_alternative<StoreWatch>(call)) {
+            if (!isFailure(answer.kind) && !std::holds_alternative<StoreWatch>(call)) {
                 this->contactAt = std::max(this->contactAt, sentAt);
             }
             done(answer);
         });
     }
 
-    /// @returns when a call last failed; Instant{} where none has
-    [[nodiscard]] auto lastFailureAt() const -> Instant { return this->failedAt; }
     /// @returns when the last call was sent that the store has answered; watches don't count, as
     /// they wait
     [[nodiscard]] auto lastContactAt() const -> Instant { return this->contactAt; }
@@ -83,12 +79,8 @@
         } else if (result.end == OutboundResult::End::NotSent) {
             answer.kind = StoreAnswer::Kind::Refused;
         }
-        const auto isFailed =
-            answer.kind == StoreAnswer::Kind::Refused || answer.kind == StoreAnswer::Kind::Unknown;
-        if (isFailed) {
-            this->failedAt = this->now();
-            ++this->failures;
-        }
+        const auto isFailed = isFailure(answer.kind);
+        this->failures += isFailed ? 1 : 0;
         this->logEra(answer);
         this->logState(isFailed, answer.kind == StoreAnswer::Kind::Refused);
         return answer;
@@ -130,7 +122,6 @@
     Address store;
     std::function<Instant()> now;
     Logger &logger;
-    Instant failedAt{};
     Instant contactAt{};
     std::optional<Instant> outageSince;
     /// The highest era that the store has named.
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -154,11 +154,11 @@
 
     [[nodiscard]] auto storeSender() -> SendStoreCall
     {
-        return [this](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
+        return [this](const StoreCall &call, Duration timeout, const auto &done) {
             this->store.send(call, timeout,
-                             [this, done = std::move(done)](const StoreAnswer &answer) {
+                             [this, done, sentAt = this->now()](const StoreAnswer &answer) {
                                  this->onStoreEra(answer.era.value_or(0));
-                                 this->upstreamWatch.setStoreFailedAt(this->store.lastFailureAt());
+                                 this->upstreamWatch.onStoreAnswer(answer, sentAt);
                                  done(answer);
                                  this->processPending();
                              });
--- /dev/null
+++ b/src/edge/tests/leavingcell.cpp
@@ -0,0 +1,464 @@
+#include "edge/tests/leavingcell.h"
+
+#include "edge/grantorwatch.h"
+
+#include <algorithm>
+
+namespace gooseberrywall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration stepTime = milliseconds{10};
+/// A dead connection is found by its probes after this time.
+constexpr Duration deadConnectionTimeout = std::chrono::seconds{3};
+/// An upstream's entry is removed so long after it has started to drain.
+constexpr Duration drainTime = std::chrono::seconds{3};
+constexpr Duration answerTime = milliseconds{50};
+constexpr Duration directWatchTime = std::chrono::seconds{3};
+const ServiceName service{"service"};
+const std::string prefix = "upstreams/";
+
+auto daemonAddress(std::size_t index) -> Address
+{
+    return Address{"10.0.0." + std::to_string(index) + ":7000"};
+}
+
+auto upstreamId(int number) -> UpstreamId
+{
+    return UpstreamId{"u" + std::to_string(number)};
+}
+
+/// Keeps the state of an upstream as the entry's value.
+struct TextWire
+{
+    static auto storeCall(const StoreCall &) -> WireCall { return {}; }
+    static auto storeAnswer(const StoreCall &, const WholeMessage &) -> StoreAnswer { return {}; }
+    static auto configurationKey() -> std::string { return "configuration"; }
+    static auto configuration(const std::string &) -> std::optional<RouteConfiguration>
+    {
+        return {};
+    }
+    static auto upstreamPrefix() -> std::string { return prefix; }
+    static auto upstreamEntry(const StoreItem &item) -> std::optional<UpstreamEntry>
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId{item.key.substr(prefix.size())};
+        entry.service = service;
+        entry.address = Address{entry.id.value + ":80"};
+        entry.slots = 3;
+        entry.isDraining = item.value == "draining";
+        return entry;
+    }
+    static auto order(const RangeOrder &) -> WireCall { return {}; }
+    static auto orderEnd(const RangeOrder &, const WholeMessage &) -> RangeOrderEnd { return {}; }
+    static auto orderStatement(const MessageHead &) -> OrderStatement { return {}; }
+    static auto doReleasesRaiseFences() -> bool { return true; }
+    static auto callerFields(const MessageHead &) -> CallerFields { return {}; }
+    static auto attemptHeaders(const UpstreamId &, Duration) -> std::vector<HttpHeader>
+    {
+        return {};
+    }
+    static auto targetHeaders(const UpstreamId &) -> std::vector<HttpHeader> { return {}; }
+    static auto answerFields(const MessageHead &, bool) -> AnswerFields { return {}; }
+    static auto echoHeader() -> std::string { return {}; }
+    static auto refusalHeaders(const RequestId &, std::optional<Duration>)
+        -> std::vector<HttpHeader>
+    {
+        return {};
+    }
+};
+
+} // namespace
+
+struct LeavingCell::Daemon
+{
+    struct Running
+    {
+        UpstreamId upstream;
+        /// Empty for a request that was sent without a permit.
+        std::optional<PermitId> permit;
+        Instant endsAt;
+    };
+
+    /// Expires with the daemon, so that answers that arrive later are dropped.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    TextWire wire;
+    Logger logger{"error", 1};
+    RequestLog log{this->logger, 0};
+    std::uint64_t storeEra = 0;
+    std::optional<Instant> directSentAt;
+    PermitClient permits;
+    UpstreamStatements statements{UpstreamStatementSettings{}};
+    DirectChoice direct;
+    GrantorRoles roles;
+    GrantorWatch grantors;
+    UpstreamWatch<TextWire> upstreams;
+    std::vector<UpstreamEntry> entries;
+    std::vector<Running> running;
+
+    Daemon(const GrantorRoleSettings &settings, const SendStoreCall &store,
+           const std::function<Instant()> &now)
+        : permits(settings.peerAddress, settings.incarnation, PermitClientSettings{})
+        , direct(settings.incarnation, this->statements)
+        , roles(
+              settings, this->senderOf(store, now),
+              [](const RangeOrder &, const std::function<void(RangeOrderEnd)> &) {}, now,
+              this->logger, this->log)
+        , grantors(watchSettings(settings), this->senderOf(store, now), now, this->permits,
+                   this->roles, this->logger)
+        , upstreams(this->wire, this->senderOf(store, now), now, this->logger, this->direct,
+                    [this](const std::vector<UpstreamEntry> &entries) {
+                        this->entries = entries;
+                        this->roles.onUpstreams(entries);
+                    })
+    {
+        ServiceSpec spec;
+        spec.name = service;
+        this->roles.setServices({spec});
+        this->grantors.setServices({spec});
+    }
+
+    static auto watchSettings(const GrantorRoleSettings &settings) -> GrantorWatchSettings
+    {
+        GrantorWatchSettings result;
+        result.grantorPrefix = settings.grantorPrefix;
+        result.daemon = settings.daemon;
+        result.processorCores = settings.processorCores;
+        return result;
+    }
+
+    auto senderOf(const SendStoreCall &store, const std::function<Instant()> &now) -> SendStoreCall
+    {
+        return [this, store, now](StoreCall call, Duration timeout,
+                                  std::function<void(StoreAnswer)> done) {
+            store(std::move(call), timeout,
+                  [this, sentAt = now(), done = std::move(done),
+                   watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
+                      if (watcher.expired()) {
+                          return;
+                      }
+                      this->onStoreEra(answer.era.value_or(0));
+                      this->upstreams.onStoreAnswer(answer, sentAt);
+                      done(answer);
+                  });
+        };
+    }
+
+    auto onStoreEra(std::uint64_t era) -> void
+    {
+        if (era <= this->storeEra) {
+            return;
+        }
+        this->storeEra = era;
+        this->grantors.onStoreEra(era);
+        this->upstreams.onStoreEra(era);
+        this->roles.onStoreEra(era);
+    }
+
+    auto advance(Instant now) -> void
+    {
+        this->grantors.advance();
+        this->roles.advance();
+        const auto isRecent = [now](const std::optional<Instant> &last) {
+            return last && now - *last < directWatchTime;
+        };
+        this->upstreams.advance(this->roles.servingCount() > 0,
+                                isRecent(this->permits.lastNoGrantorAt())
+                                    || isRecent(this->directSentAt));
+        this->permits.advance(now);
+    }
+};
+
+LeavingCell::LeavingCell(int daemonCount, int upstreamCount)
+{
+    this->store.pageSize = 500;
+    for (auto number = 0; number < upstreamCount; ++number) {
+        this->start(number);
+    }
+    for (auto number = 0; number < daemonCount; ++number) {
+        const auto index = static_cast<std::size_t>(number);
+        GrantorRoleSettings settings;
+        settings.daemon = DaemonId{"d" + std::to_string(number)};
+        settings.peerAddress = daemonAddress(index);
+        settings.incarnation = index + 1;
+        settings.processorCores = 0.5;
+        this->daemons[index] = std::make_unique<Daemon>(settings, this->store.sender(),
+                                                        [this] { return this->store.now(); });
+    }
+}
+
+LeavingCell::~LeavingCell() = default;
+
+auto LeavingCell::run(Duration time) -> void
+{
+    for (auto passed = Duration{0}; passed < time; passed += stepTime) {
+        this->step();
+    }
+}
+
+auto LeavingCell::start(int upstream) -> void
+{
+    this->running.insert(upstreamId(upstream));
+    this->store.put(prefix + upstreamId(upstream).value, "ready");
+}
+
+auto LeavingCell::leave(int upstream, LeaveKind kind) -> void
+{
+    this->leaves[upstreamId(upstream)] = Leave{kind, std::nullopt, Duration{0}, false};
+}
+
+auto LeavingCell::loseEntry(int upstream, Duration absence) -> void
+{
+    this->store.remove(prefix + upstreamId(upstream).value);
+    this->registrations[upstreamId(upstream)] = this->store.now() + absence;
+}
+
+auto LeavingCell::isStoreAway() const -> bool
+{
+    return this->store.mode != FakeStore::Mode::Normal;
+}
+
+auto LeavingCell::stopStore() -> void
+{
+    this->store.mode = FakeStore::Mode::Silent;
+}
+
+auto LeavingCell::startStore() -> void
+{
+    this->store.loseOpenCalls(deadConnectionTimeout);
+    this->store.mode = FakeStore::Mode::Normal;
+}
+
+auto LeavingCell::restoreStore(Duration absence) -> void
+{
+    this->store.restoreCopy();
+    this->startStore();
+    for (const auto &id : this->running) {
+        if (this->store.find(prefix + id.value) == nullptr && !this->leaves.contains(id)) {
+            this->registrations[id] = this->store.now() + absence;
+        }
+    }
+    for (auto &[id, leave] : this->leaves) {
+        if (this->store.find(prefix + id.value) != nullptr) {
+            leave = Leave{leave.kind, std::nullopt, Duration{0}, false};
+        }
+    }
+}
+
+auto LeavingCell::hasGrantor() const -> bool
+{
+    return std::any_of(this->daemons.begin(), this->daemons.end(),
+                       [](const auto &row) { return row.second->roles.servingCount() > 0; });
+}
+
+auto LeavingCell::leftUpstreamsInUse(Duration since) const -> int
+{
+    auto count = 0;
+    for (const auto &[index, daemon] : this->daemons) {
+        if (daemon->roles.servingCount() == 0) {
+            continue;
+        }
+        for (const auto &entry : daemon->entries) {
+            const auto leave = this->leaves.find(entry.id);
+            const auto hasLeft = leave != this->leaves.end() && leave->second.acknowledgedAt
+                                 && this->store.now() - *leave->second.acknowledgedAt > since;
+            count += hasLeft && !entry.isDraining ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+auto LeavingCell::killGrantor() -> void
+{
+    const auto found =
+        std::find_if(this->daemons.begin(), this->daemons.end(),
+                     [](const auto &row) { return row.second->roles.servingCount() > 0; });
+    if (found != this->daemons.end()) {
+        this->daemons.erase(found);
+    }
+}
+
+auto LeavingCell::resignGrantor() -> void
+{
+    for (const auto &[index, daemon] : this->daemons) {
+        if (daemon->roles.servingCount() > 0) {
+            daemon->roles.resign();
+        }
+    }
+}
+
+auto LeavingCell::sendOnlyFromGrantor() -> void
+{
+    for (const auto &[index, daemon] : this->daemons) {
+        if (daemon->roles.servingCount() == 0) {
+            this->quiet.insert(index);
+        }
+    }
+}
+
+auto LeavingCell::silenceGrantors(Duration time) -> void
+{
+    this->grantorsSilentUntil = this->store.now() + time;
+}
+
+auto LeavingCell::longestUseAfterLeave() const -> Duration
+{
+    return this->longestUse;
+}
+
+auto LeavingCell::resetCounts() -> void
+{
+    this->longestUse = Duration{0};
+    this->worst.clear();
+    this->sent = 0;
+    this->directlySent = 0;
+    this->unsent = 0;
+}
+
+auto LeavingCell::step() -> void
+{
+    this->advanceLeaves();
+    this->sendRequests();
+    this->deliverDatagrams();
+    for (const auto &[index, daemon] : this->daemons) {
+        daemon->advance(this->store.now());
+    }
+    this->store.advance(stepTime);
+}
+
+auto LeavingCell::advanceLeaves() -> void
+{
+    const auto now = this->store.now();
+    if (this->isStoreAway()) {
+        this->storeAwayTime += stepTime;
+        return;
+    }
+    std::erase_if(this->registrations, [&](const auto &row) {
+        const auto isDue = row.second <= now;
+        if (isDue && !this->leaves.contains(row.first)) {
+            this->store.put(prefix + row.first.value, "ready");
+        }
+        return isDue;
+    });
+    for (auto &[id, leave] : this->leaves) {
+        if (!leave.acknowledgedAt) {
+            leave.acknowledgedAt = now;
+            leave.awayBefore = this->storeAwayTime;
+            leave.isEntryRemoved = leave.kind == LeaveKind::Removed;
+            if (leave.isEntryRemoved) {
+                this->store.remove(prefix + id.value);
+            } else {
+                this->store.put(prefix + id.value, "draining");
+            }
+        }
+        if (!leave.isEntryRemoved && now - *leave.acknowledgedAt >= drainTime) {
+            leave.isEntryRemoved = true;
+            this->store.remove(prefix + id.value);
+        }
+    }
+}
+
+auto LeavingCell::sendRequests() -> void
+{
+    const auto now = this->store.now();
+    for (const auto &[index, daemon] : this->daemons) {
+        PermitRequest request;
+        request.service = service;
+        request.remaining = milliseconds{800};
+        request.untilTarget = milliseconds{300};
+        if (!this->quiet.contains(index)) {
+            daemon->permits.ask(ExchangeId{this->nextRequest++}, request, now);
+        }
+        for (const auto &result : daemon->permits.takeResults()) {
+            if (!result.verdict) {
+                const auto chosen = daemon->direct.choose(request, now);
+                if (!chosen || chosen->kind != PermitVerdict::Kind::Granted) {
+                    ++this->unsent;
+                    continue;
+                }
+                daemon->directSentAt = now;
+                daemon->direct.onSent(chosen->upstream, now);
+                daemon->running.push_back({chosen->upstream, std::nullopt, now + answerTime});
+                this->onSent(index, chosen->upstream, true);
+            } else if (result.verdict->kind == PermitVerdict::Kind::Granted) {
+                daemon->running.push_back({result.verdict->upstream, result.id, now + answerTime});
+                this->onSent(index, result.verdict->upstream, false);
+            } else {
+                ++this->unsent;
+            }
+        }
+        std::erase_if(daemon->running, [&](const Daemon::Running &each) {
+            if (each.endsAt > now) {
+                return false;
+            }
+            if (each.permit) {
+                PermitReport report;
+                report.id = *each.permit;
+                report.service = service;
+                report.upstream = each.upstream;
+                report.end = AttemptEnd::Answered;
+                report.latency = answerTime;
+                daemon->permits.report(report);
+            } else {
+                daemon->direct.onEnd(each.upstream, AttemptEnd::Answered, now);
+            }
+            return true;
+        });
+    }
+}
+
+auto LeavingCell::onSent(std::size_t daemon, const UpstreamId &upstream, bool isDirect) -> void
+{
+    ++this->sent;
+    this->directlySent += isDirect ? 1 : 0;
+    const auto leave = this->leaves.find(upstream);
+    if (leave == this->leaves.end() || !leave->second.acknowledgedAt) {
+        return;
+    }
+    const auto use = this->store.now() - *leave->second.acknowledgedAt
+                     - (this->storeAwayTime - leave->second.awayBefore);
+    if (use > this->longestUse) {
+        this->longestUse = use;
+        const auto *const kind = leave->second.kind == LeaveKind::Removed ? "removed" : "draining";
+        const auto leftAt = std::chrono::duration_cast<milliseconds>(
+            leave->second.acknowledgedAt->time_since_epoch());
+        this->worst = upstream.value + " " + kind + " at " + std::to_string(leftAt.count())
+                      + " ms, sent by daemon " + std::to_string(daemon)
+                      + (isDirect ? " without a permit" : " with a permit");
+    }
+}
+
+auto LeavingCell::deliverDatagrams() -> void
+{
+    const auto now = this->store.now();
+    for (const auto &[index, daemon] : this->daemons) {
+        const auto send = [&, from = daemonAddress(index)](std::vector<PermitDatagram> sent) {
+            for (auto &datagram : sent) {
+                this->datagrams.emplace_back(from, std::move(datagram));
+            }
+        };
+        send(daemon->permits.takeDatagrams());
+        send(daemon->roles.takeDatagrams());
+        send(daemon->grantors.takeDatagrams());
+    }
+    for (const auto &[from, datagram] : std::exchange(this->datagrams, {})) {
+        for (const auto &[index, daemon] : this->daemons) {
+            if (daemonAddress(index) != datagram.peer) {
+                continue;
+            }
+            if (const auto *answer = std::get_if<PermitAnswer>(&datagram.message)) {
+                if (now >= this->grantorsSilentUntil) {
+                    daemon->permits.onAnswer(from, *answer, now);
+                }
+            } else if (const auto *heard = std::get_if<GrantorAnnouncement>(&datagram.message)) {
+                daemon->grantors.onAnnouncement(from, *heard);
+            } else {
+                daemon->roles.deliver(from, datagram.message);
+            }
+        }
+    }
+}
+
+} // namespace gooseberrywall
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -41,8 +41,25 @@
     {
     }
 
-    /// @param storeFailedAt when a call to the store last failed
-    auto setStoreFailedAt(Instant storeFailedAt) -> void { this->storeFailedAt = storeFailedAt; }
+    /// Takes in the answer to any call to the store. Where the store answers again after a failure,
+    /// the entries are read anew at once: the watch may be waiting on a dead connection.
+    /// @param sentAt when the call was sent
+    auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
+    {
+        if (isFailure(answer.kind) && sentAt < this->storeBackAt) {
+            // Lost in an outage that has ended.
+            return;
+        }
+        const auto wasFailing = std::exchange(this->isStoreFailing, isFailure(answer.kind));
+        if (this->isStoreFailing) {
+            this->storeFailedAt = this->now();
+        } else if (wasFailing) {
+            this->storeBackAt = this->now();
+            if (this->view) {
+                this->view->readSince(this->storeFailedAt);
+            }
+        }
+    }
 
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void
@@ -78,6 +95,7 @@
             this->viewStartedAt = this->now();
             auto settings = PrefixViewSettings{};
             settings.gatherPause = isGrantor ? grantorGatherPause : directGatherPause;
+            settings.longestRetryPause = longestRetryPause;
             this->view = std::make_unique<PrefixView>(
                 this->wire.upstreamPrefix(), settings, this->store, this->now,
                 [this](const PrefixView::Items &items) { this->onItems(items); });
@@ -87,6 +105,9 @@
         }
         if (this->view) {
             this->view->advance();
+            if (this->view->readStartedAt() > this->takenInReadAt) {
+                this->onItems(this->view->items());
+            }
             // While the store doesn't answer, it can't have published a change to anybody, so the
             // entries known before are as good as any.
             const auto isOverdue = this->now() - this->viewStartedAt > readTimeout;
@@ -137,6 +158,8 @@
     /// Entries known before are trusted again where the store hasn't answered for this long; a slow
     /// store answers sooner.
     static constexpr Duration readTimeout = std::chrono::milliseconds{300};
+    /// Longest pause after a failed read; another call that is answered ends it.
+    static constexpr Duration longestRetryPause = std::chrono::milliseconds{500};
     /// A grantor batches changes that follow another within this time; far below the time after
     /// which a leaving upstream may get no request.
     static constexpr Duration grantorGatherPause = std::chrono::milliseconds{300};
@@ -151,9 +174,9 @@
                 entries.push_back(std::move(*entry));
             }
         }
+        const auto listedAt = this->view->readStartedAt();
         this->directory.update(entries, this->storeFailedAt, this->now());
-        const auto isRead = std::exchange(this->loggedReadAt, this->view->readStartedAt())
-                            != this->view->readStartedAt();
+        const auto isRead = std::exchange(this->takenInReadAt, listedAt) != listedAt;
         this->publish(isRead ? "list" : "watch");
         this->allListedAt = this->viewStartedAt;
     }
@@ -201,9 +224,13 @@
     bool isForGrantor = false;
     Instant viewStartedAt{};
     Instant allListedAt{};
+    /// The last call to the store has failed.
+    bool isStoreFailing = false;
     Instant storeFailedAt{};
-    /// Begin of the read whose entries were logged last.
-    Instant loggedReadAt{};
+    /// When the store first answered after the last failure.
+    Instant storeBackAt{};
+    /// Begin of the read whose entries the directory has.
+    Instant takenInReadAt{};
 };
 
 } // namespace gooseberrywall
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -51,6 +51,15 @@
     }
 }
 
+auto PrefixView::readSince(Instant moment) -> void
+{
+    const auto isReading = this->isCalling && !this->isWatching;
+    const auto startedAt = isReading ? this->newCopyReadStartedAt : this->copyReadStartedAt;
+    if (startedAt < moment) {
+        this->readAnew();
+    }
+}
+
 auto PrefixView::readAnew() -> void
 {
     ++this->callNumber;
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -61,6 +61,9 @@
     /// Takes in that the store is in this era: a copy of an earlier one is read anew, as the store
     /// has lost a part of what the copy has.
     auto onStoreEra(std::uint64_t era) -> void;
+    /// Reads all keys anew, unless a read that began at `moment` or later is complete or under way.
+    /// A watch that waits on a dead connection is dropped with that.
+    auto readSince(Instant moment) -> void;
     /// @returns when to call advance() next; nothing while paused or while a call is open
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     [[nodiscard]] auto items() const -> const Items & { return this->copy; }
--- a/src/storelink/tests/fakestore.h
+++ b/src/storelink/tests/fakestore.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,14 +26,25 @@
     auto sender() -> SendStoreCall
     {
         return [this](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
-            this->calls.push_back(Call{std::move(call), this->moment + timeout, std::move(done)});
+            this->calls.push_back(Call{std::move(call), this->moment + timeout, std::move(done),
+                                       this->moment + this->answerDelay});
         };
     }
 
     /// Takes a call that never arrives; it ends as Unknown after `timeout`.
     auto loseCall(Duration timeout, std::function<void(StoreAnswer)> done) -> void
     {
-        this->lostCalls.push_back(Call{StoreGet{}, this->moment + timeout, std::move(done)});
+        this->lostCalls.push_back(Call{StoreGet{}, this->moment + timeout, std::move(done), {}});
+    }
+
+    /// Drops all open calls without an answer; each ends as Unknown at its time-out, or when its
+    /// connection is found dead.
+    auto loseOpenCalls(Duration deadConnectionTimeout) -> void
+    {
+        for (auto &call : std::exchange(this->calls, {})) {
+            call.deadline = std::min(call.deadline, this->moment + deadConnectionTimeout);
+            this->lostCalls.push_back(std::move(call));
+        }
     }
 
     /// Moves the clock forward, ends the leases that have expired, and answers the open calls.
@@ -105,6 +117,10 @@
 
     Mode mode = Mode::Normal;
     bool areLeasesPaused = false;
+    /// A call is executed this long after it was sent.
+    Duration answerDelay{0};
+    /// This share of the calls is executed and not answered.
+    double lostAnswerShare = 0;
     /// Keys in one page; small, so that tests with few keys read several pages.
     std::size_t pageSize = 2;
 
@@ -114,6 +130,8 @@
         StoreCall call;
         Instant deadline;
         std::function<void(StoreAnswer)> done;
+        /// Executed then at the earliest.
+        Instant dueAt;
     };
     struct Lease
     {
@@ -145,6 +163,10 @@
             this->keepUntilTimeout(call);
             return;
         }
+        if (call.dueAt > this->moment) {
+            this->keepUntilTimeout(call);
+            return;
+        }
         if (const auto *watch = std::get_if<StoreWatch>(&call.call)) {
             answer = this->watch(*watch);
             if (answer.kind == StoreAnswer::Kind::Ok && answer.items.empty()
@@ -160,6 +182,10 @@
             call.done(StoreAnswer{});
             return;
         }
+        if (std::uniform_real_distribution<double>(0, 1)(this->random) < this->lostAnswerShare) {
+            this->lostCalls.push_back(std::move(call));
+            return;
+        }
         answer.era = this->era;
         this->addEra(answer);
         call.done(answer);
@@ -320,6 +346,7 @@
     Data kept;
     std::uint64_t era = 0;
     int executedCalls = 0;
+    std::mt19937_64 random{5};
 };
 
 } // namespace gooseberrywall
--- a/src/storelink/types/storecalls.h
+++ b/src/storelink/types/storecalls.h
@@ -177,6 +177,12 @@
     auto operator==(const StoreAnswer &) const -> bool = default;
 };
 
+/// @returns whether the store hasn't executed the call, or hasn't told whether it has
+[[nodiscard]] constexpr auto isFailure(StoreAnswer::Kind kind) -> bool
+{
+    return kind == StoreAnswer::Kind::Refused || kind == StoreAnswer::Kind::Unknown;
+}
+
 /// Sends a call to the store. `done` receives the answer exactly once, and only after the function
 /// has returned. A call without an answer within `timeout` ends as Unknown, or as Refused if it was
 /// never sent.
