Take the removal of an entry that was listed after an outage for a leave

Upstreams may leave by removing their entry, without draining first. UpstreamDirectory took each removal within 4 s of any failed store call for an expiry in an outage, and kept the entry for 2.3 s from the moment at which it was missed: 2.3 s and the pause in which changes are gathered, 0.3 s, exceed the 2 s (or 2.5 s) allowed. A restoration isn't needed: one lost answer in 4 s is enough.

Change: an entry may have expired in an outage only if it is missing from the first list after it. It is kept until live upstreams can have registered again, counted from the end of the outage. Since it may also have left, it is marked as missing and gets requests only where no other upstream has room; the owner of a key keeps its requests, as no other can serve them. One line each in SlotBroker and DirectChoice.

Ruled out: watches going on from a revision given out again (eras are compared, 410 reads anew); the listing after an era change (read at once).

The tests of UpstreamDirectory pass the reading instead of the failure's time; what they check is the same, and two cases are new.

--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -74,6 +74,7 @@
     }
     // Upstreams slow down as they fill.
     cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
+    cost *= upstream.entry.isMissing ? 100 : 1;
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
     return isAvoided ? cost * 100 : cost;
--- a/src/dispatch/types/upstreamentry.h
+++ b/src/dispatch/types/upstreamentry.h
@@ -18,6 +18,9 @@
     /// Requests that it can run at once.
     int slots = 1;
     bool isDraining = false;
+    /// The store doesn't show it any more, perhaps because of an outage. It may also have left, so
+    /// it gets requests only where no other can take them.
+    bool isMissing = false;
     /// Time until it has warmed up after its start, counted from the arrival of this entry; it is
     /// slower until then.
     Duration remainingWarmUp{0};
--- a/src/edge/internal/upstreamdirectory.cpp
+++ b/src/edge/internal/upstreamdirectory.cpp
@@ -10,8 +10,8 @@
 {
 }
 
-auto UpstreamDirectory::update(const std::vector<UpstreamEntry> &present, Instant storeFailedAt,
-                               Instant now) -> void
+auto UpstreamDirectory::update(const std::vector<UpstreamEntry> &present,
+                               const UpstreamReading &reading, Instant now) -> void
 {
     for (auto &[id, each] : this->known) {
         this->markDrained(each.entry, now);
@@ -23,7 +23,7 @@
     std::set<Address> addresses;
     for (const auto &entry : present) {
         auto &added = next[entry.id];
-        added = Known{entry, std::nullopt};
+        added = Known{entry, reading.listedAt, std::nullopt};
         this->markDrained(added.entry, now);
         addresses.insert(entry.address);
     }
@@ -35,15 +35,17 @@
         missing > 1
         && static_cast<double>(missing)
                > this->settings.outageMissingShare * static_cast<double>(this->known.size());
-    const auto mayHaveExpired =
-        isOutage || now - storeFailedAt < this->settings.outageSuspicionTime;
+    const auto registeredAt =
+        (isOutage ? now : reading.storeBackAt) + this->settings.reregistrationTime;
     for (const auto &[id, old] : this->known) {
+        const auto mayHaveExpired = isOutage || old.listedAt < reading.storeFailedAt;
+        const auto dropAt = old.dropAt.value_or(mayHaveExpired ? registeredAt : now);
         const auto isKept = !next.contains(id) && !old.entry.isDraining
-                            && !addresses.contains(old.entry.address)
-                            && (old.dropAt ? *old.dropAt > now : mayHaveExpired);
+                            && !addresses.contains(old.entry.address) && dropAt > now;
         if (isKept) {
-            next[id] =
-                Known{old.entry, old.dropAt.value_or(now + this->settings.reregistrationTime)};
+            auto &kept = next[id];
+            kept = Known{old.entry, old.listedAt, dropAt};
+            kept.entry.isMissing = true;
         }
     }
     this->known = std::move(next);
@@ -96,12 +98,6 @@
     return result;
 }
 
-auto UpstreamDirectory::isMissing(const UpstreamId &upstream) const -> bool
-{
-    const auto found = this->known.find(upstream);
-    return found != this->known.end() && found->second.dropAt;
-}
-
 auto UpstreamDirectory::nextDue() const -> std::optional<Instant>
 {
     std::optional<Instant> due;
--- a/src/edge/internal/upstreamentrylog.cpp
+++ b/src/edge/internal/upstreamentrylog.cpp
@@ -25,14 +25,13 @@
 }
 
 auto UpstreamEntryLog::update(const std::vector<UpstreamEntry> &entries,
-                              const UpstreamDirectory &directory, const UpstreamEntryOrigin &origin)
-    -> void
+                              const UpstreamEntryOrigin &origin) -> void
 {
     std::map<UpstreamId, Logged> next;
     for (const auto &entry : entries) {
-        const auto state = entry.isDraining                ? State::Draining
-                           : directory.isMissing(entry.id) ? State::Missing
-                                                           : State::Ready;
+        const auto state = entry.isDraining  ? State::Draining
+                           : entry.isMissing ? State::Missing
+                                             : State::Ready;
         next[entry.id] = Logged{entry.incarnation, state};
     }
     // The first list would be one line for each upstream.
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -26,24 +26,24 @@
 SCENARIO("UpstreamDirectory follows the store except around outages", "[edge]")
 {
     const Instant start{seconds{100}};
-    const Instant longAgo{};
     UpstreamDirectory directory(UpstreamDirectorySettings{});
-    directory.update(entries({1, 2, 3, 4, 5, 6}), longAgo, start);
+    directory.update(entries({1, 2, 3, 4, 5, 6}), UpstreamReading{}, start);
     GIVEN("a store without failed calls")
     {
-        directory.update(entries({1, 2, 3, 4, 5}), longAgo, start);
+        directory.update(entries({1, 2, 3, 4, 5}), UpstreamReading{}, start);
         THEN("an entry that the store no longer shows is dropped at once")
         {
             CHECK(directory.entries().size() == 5);
         }
     }
-    GIVEN("an entry that expired around a failed store call")
+    GIVEN("an entry that expired in an outage of the store")
     {
-        directory.update(entries({1, 2, 3, 4, 5}), start - seconds{1}, start);
+        const UpstreamReading reading{start, start - seconds{1}, start};
+        directory.update(entries({1, 2, 3, 4, 5}), reading, start);
         CHECK(directory.entries().size() == 6);
         THEN("it is kept if it appears again in time")
         {
-            directory.update(entries({1, 2, 3, 4, 5, 6}), start, start + seconds{1});
+            directory.update(entries({1, 2, 3, 4, 5, 6}), reading, start + seconds{1});
             directory.advance(start + seconds{10});
             CHECK(directory.entries().size() == 6);
         }
@@ -58,25 +58,48 @@
         {
             auto next = entries({1, 2, 3, 4, 5, 7});
             next.back().address = Address{"10.0.0.6:80"};
-            directory.update(next, start, start + milliseconds{100});
+            directory.update(next, reading, start + milliseconds{100});
             CHECK(directory.entries().size() == 6);
             CHECK(directory.entries().back().id.value == "u7");
         }
     }
     GIVEN("half of the entries missing at once")
     {
-        directory.update(entries({1, 2, 3}), longAgo, start);
+        directory.update(entries({1, 2, 3}), UpstreamReading{}, start);
         THEN("it counts as an outage, and they are kept")
         {
             CHECK(directory.entries().size() == 6);
         }
     }
+    GIVEN("an upstream whose entry was listed after the outage")
+    {
+        const UpstreamReading reading{start - milliseconds{900}, start - seconds{1},
+                                      start - milliseconds{900}};
+        directory.update(entries({1, 2, 3, 4, 5, 6}), reading, start - milliseconds{900});
+        directory.update(entries({1, 2, 3, 4, 5}), reading, start);
+        THEN("its removal is a leave, and it is dropped at once")
+        {
+            CHECK(directory.entries().size() == 5);
+        }
+    }
+    GIVEN("an entry that is missed some time after the outage has ended")
+    {
+        const UpstreamReading reading{start, start - seconds{2}, start - seconds{2}};
+        directory.update(entries({1, 2, 3, 4, 5}), reading, start);
+        CHECK(directory.entries().size() == 6);
+        THEN("the time to register again counts from the end of the outage")
+        {
+            directory.advance(start + milliseconds{400});
+            CHECK(directory.entries().size() == 5);
+        }
+    }
     GIVEN("a draining upstream whose entry disappears around a failed store call")
     {
         auto draining = entries({1, 2, 3, 4, 5, 6});
         draining.back().isDraining = true;
-        directory.update(draining, start, start);
-        directory.update(entries({1, 2, 3, 4, 5}), start, start);
+        const UpstreamReading reading{start, start, start};
+        directory.update(draining, reading, start);
+        directory.update(entries({1, 2, 3, 4, 5}), reading, start);
         THEN("it is dropped at once")
         {
             CHECK(directory.entries().size() == 5);
@@ -90,21 +113,20 @@
          "[edge][restored]")
 {
     const Instant start{seconds{100}};
-    const Instant longAgo{};
     UpstreamDirectory directory(UpstreamDirectorySettings{});
     auto draining = entries({1, 2, 3});
     draining[0].isDraining = true;
-    directory.update(entries({1, 2, 3}), longAgo, start);
-    directory.update(draining, longAgo, start + seconds{1});
+    directory.update(entries({1, 2, 3}), UpstreamReading{}, start);
+    directory.update(draining, UpstreamReading{}, start + seconds{1});
     GIVEN("a store that shows it as ready again")
     {
-        directory.update(entries({1, 2, 3}), longAgo, start + seconds{2});
+        directory.update(entries({1, 2, 3}), UpstreamReading{}, start + seconds{2});
         CHECK(directory.entries()[0].isDraining);
     }
     GIVEN("a store that shows it as ready again after it had gone")
     {
-        directory.update(entries({2, 3}), longAgo, start + seconds{2});
-        directory.update(entries({1, 2, 3}), longAgo, start + seconds{3});
+        directory.update(entries({2, 3}), UpstreamReading{}, start + seconds{2});
+        directory.update(entries({1, 2, 3}), UpstreamReading{}, start + seconds{3});
         REQUIRE(directory.entries().size() == 3);
         CHECK(directory.entries()[0].isDraining);
     }
@@ -112,7 +134,7 @@
     {
         auto restarted = entries({1, 2, 3});
         restarted[0].incarnation = Incarnation{7};
-        directory.update(restarted, longAgo, start + seconds{2});
+        directory.update(restarted, UpstreamReading{}, start + seconds{2});
         CHECK_FALSE(directory.entries()[0].isDraining);
     }
 }
@@ -124,29 +146,28 @@
          "[edge][leaving]")
 {
     const Instant start{seconds{100}};
-    const Instant longAgo{};
     UpstreamDirectory directory(UpstreamDirectorySettings{});
-    directory.update(entries({1, 2, 3}), longAgo, start);
+    directory.update(entries({1, 2, 3}), UpstreamReading{}, start);
     const auto id = entries({1})[0].id;
     CHECK(directory.setLeaving(id, Incarnation{0}, start));
     CHECK(directory.entries()[0].isDraining);
     CHECK_FALSE(directory.setLeaving(id, Incarnation{0}, start));
     GIVEN("a store that shows it as ready, also after a long time without changes")
     {
-        directory.update(entries({1, 2, 3}), longAgo, start + seconds{300});
+        directory.update(entries({1, 2, 3}), UpstreamReading{}, start + seconds{300});
         CHECK(directory.entries()[0].isDraining);
     }
     GIVEN("a store that shows it as ready after its entry had gone for a while")
     {
-        directory.update(entries({2, 3}), longAgo, start + seconds{1});
-        directory.update(entries({1, 2, 3}), longAgo, start + seconds{50});
+        directory.update(entries({2, 3}), UpstreamReading{}, start + seconds{1});
+        directory.update(entries({1, 2, 3}), UpstreamReading{}, start + seconds{50});
         CHECK(directory.entries()[0].isDraining);
     }
     GIVEN("its next incarnation")
     {
         auto restarted = entries({1, 2, 3});
         restarted[0].incarnation = Incarnation{7};
-        directory.update(restarted, longAgo, start + seconds{1});
+        directory.update(restarted, UpstreamReading{}, start + seconds{1});
         CHECK_FALSE(directory.entries()[0].isDraining);
         THEN("a late statement of the earlier one changes nothing")
         {
@@ -155,7 +176,7 @@
         }
         THEN("a store that shows the earlier one once more shows it as draining")
         {
-            directory.update(entries({1, 2, 3}), longAgo, start + seconds{2});
+            directory.update(entries({1, 2, 3}), UpstreamReading{}, start + seconds{2});
             CHECK(directory.entries()[0].isDraining);
         }
     }
--- a/src/edge/tests/statementfleet.cpp
+++ b/src/edge/tests/statementfleet.cpp
@@ -118,7 +118,7 @@
         entries.back().isDraining =
             this->settings.isLeavingInStore && upstream.leavingSince.has_value();
     }
-    this->directory.update(entries, Instant{}, this->store.now());
+    this->directory.update(entries, UpstreamReading{}, this->store.now());
     this->grantor->roles.onUpstreams(this->directory.entries());
 }
 
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -14,9 +14,6 @@
     /// Upstreams whose entries expired during an outage of the store register again within about
     /// this time of its end.
     Duration reregistrationTime = std::chrono::milliseconds{2300};
-    /// For this long after a failed call to the store, missing entries may have expired only
-    /// because of an outage.
-    Duration outageSuspicionTime = std::chrono::seconds{4};
     /// A larger share than this of entries missing at once indicates an outage that this daemon
     /// didn't notice.
     double outageMissingShare = 0.35;
@@ -26,17 +23,28 @@
     auto operator==(const UpstreamDirectorySettings &) const -> bool = default;
 };
 
-/// Keeps the entries of live upstreams. Entries that disappear around an outage of the store are
-/// kept for as long as live upstreams need to register again.
+/// How the entries that the store shows were read.
+struct UpstreamReading
+{
+    /// When the last list of all entries began; changes since are known.
+    Instant listedAt;
+    /// When a call to the store last failed, and when one was first answered after that.
+    Instant storeFailedAt;
+    Instant storeBackAt;
+    auto operator==(const UpstreamReading &) const -> bool = default;
+};
+
+/// Keeps the entries of live upstreams. Entries that have disappeared in an outage of the store are
+/// kept for as long as live upstreams need to register again. An entry that was listed after the
+/// outage and disappears then is that of an upstream that has left.
 class UpstreamDirectory
 {
 public:
     explicit UpstreamDirectory(UpstreamDirectorySettings settings);
 
     /// @param present all entries that the store shows
-    /// @param storeFailedAt when a call to the store last failed
-    auto update(const std::vector<UpstreamEntry> &present, Instant storeFailedAt, Instant now)
-        -> void;
+    auto update(const std::vector<UpstreamEntry> &present, const UpstreamReading &reading,
+                Instant now) -> void;
     /// Takes in that an upstream has stated that it is about to stop. This process is draining from
     /// now on, whatever the store shows.
     /// @returns whether entries() has changed
@@ -45,8 +53,6 @@
     auto advance(Instant now) -> void;
 
     [[nodiscard]] auto entries() const -> std::vector<UpstreamEntry>;
-    /// @returns whether entries() has the upstream although the store doesn't show it
-    [[nodiscard]] auto isMissing(const UpstreamId &upstream) const -> bool;
     /// @returns which process has the address as this upstream; empty where that isn't known
     [[nodiscard]] auto incarnationOf(const UpstreamId &upstream, const Address &address) const
         -> std::optional<Incarnation>;
@@ -56,6 +62,8 @@
     struct Known
     {
         UpstreamEntry entry;
+        /// Begin of the last list of all entries that had it, itself or with a change since.
+        Instant listedAt;
         /// When an entry that is missing from the store is dropped; empty where it isn't missing.
         std::optional<Instant> dropAt;
     };
--- a/src/edge/upstreamentrylog.h
+++ b/src/edge/upstreamentrylog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/upstreamdirectory.h"
+#include "dispatch/types/upstreamentry.h"
 #include "logging/logger.h"
 #include "storelink/types/storecalls.h"
 
@@ -35,9 +35,8 @@
     explicit UpstreamEntryLog(Logger &logger);
 
     /// @param entries those in use now
-    /// @param directory tells which of them the store doesn't show
-    auto update(const std::vector<UpstreamEntry> &entries, const UpstreamDirectory &directory,
-                const UpstreamEntryOrigin &origin) -> void;
+    auto update(const std::vector<UpstreamEntry> &entries, const UpstreamEntryOrigin &origin)
+        -> void;
 
 private:
     enum class State : std::uint8_t { Ready, Draining, Missing, Dropped };
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -175,7 +175,9 @@
             }
         }
         const auto listedAt = this->view->readStartedAt();
-        this->directory.update(entries, this->storeFailedAt, this->now());
+        this->directory.update(entries,
+                               UpstreamReading{listedAt, this->storeFailedAt, this->storeBackAt},
+                               this->now());
         const auto isRead = std::exchange(this->takenInReadAt, listedAt) != listedAt;
         this->publish(isRead ? "list" : "watch");
         this->allListedAt = this->viewStartedAt;
@@ -193,7 +195,7 @@
             origin.sinceRead = this->now() - this->view->readStartedAt();
         }
         origin.sinceFailure = this->now() - this->storeFailedAt;
-        this->log.update(entries, this->directory, origin);
+        this->log.update(entries, origin);
         this->direct.setUpstreams(entries);
         this->onEntries(entries);
     }
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -188,8 +188,8 @@
         }
         const auto found = this->inFlight.find(entry.id);
         const auto count = found == this->inFlight.end() ? 0 : found->second;
-        const auto penalty =
-            (this->isUsable(entry.id, now) ? 0 : avoidedPenalty) + (hold ? leavingPenalty : 0);
+        const auto penalty = (this->isUsable(entry.id, now) ? 0 : avoidedPenalty)
+                             + (hold || entry.isMissing ? leavingPenalty : 0);
         const auto cost = static_cast<double>(count) / std::max(1, entry.slots) + penalty
                           + tieBreak(this->random);
         if (best == nullptr || cost < bestCost) {
