--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -163,8 +163,9 @@
     /// A grantor batches changes that follow another within this time; far below the time after
     /// which a leaving upstream may get no request.
     static constexpr Duration grantorGatherPause = std::chrono::milliseconds{300};
-    /// Changes are batched for this long where this daemon is no grantor.
-    static constexpr Duration directGatherPause = std::chrono::milliseconds{1200};
+    /// Changes are batched for this long where this daemon is no grantor; also below half of that
+    /// time.
+    static constexpr Duration directGatherPause = std::chrono::milliseconds{600};
 
     auto onItems(const PrefixView::Items &items) -> void
     {
