--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -49,6 +49,9 @@
     /// now on, whatever the store shows.
     /// @returns whether entries() has changed
     auto setLeaving(const UpstreamId &upstream, Incarnation incarnation, Instant now) -> bool;
+    /// Forgets all entries, as changes from now on aren't known: those that are missing later have
+    /// left. Processes that have started to drain are remembered.
+    auto forget() -> void { this->known.clear(); }
     /// Drops entries whose upstreams haven't registered again in time.
     auto advance(Instant now) -> void;
 
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -101,6 +101,7 @@
                 [this](const PrefixView::Items &items) { this->onItems(items); });
         } else if (!isNeeded && this->view) {
             this->view.reset();
+            this->directory.forget();
             this->direct.setTrusted(false);
         }
         if (this->view) {
