--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/upstreamdirectory.h"
+#include "edge/upstreamentrylog.h"
 #include "edge/wireadapter.h"
 #include "entry/directchoice.h"
 #include "keyranges/rangerecordcodec.h"
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -28,18 +30,36 @@
     /// @param direct receives entries and owners
     /// @param onEntries called after each change of the entries
     UpstreamWatch(const Wire &wire, SendStoreCall store, std::function<Instant()> now,
-                  DirectChoice &direct, OnEntries onEntries)
+                  Logger &logger, DirectChoice &direct, OnEntries onEntries)
         : wire(wire)
         , store(std::move(store))
         , now(std::move(now))
+        , log(logger)
         , direct(direct)
         , onEntries(std::move(onEntries))
         , directory(UpstreamDirectorySettings{})
     {
     }
 
-    /// @param storeFailedAt when a call to the store last failed
-    auto setStoreFailedAt(Instant storeFailedAt) -> void { this->storeFailedAt = storeFailedAt; }
+    /// Takes in the answer to any call to the store. Where the store answers again after a failure,
+    /// the entries are read anew at once: the watch may be waiting on a dead connection.
+    /// @param sentAt when the call was sent
+    auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
+    {
+        if (isFailure(answer.kind) && sentAt < this->storeBackAt) {
+            // Lost in an outage that has ended.
+            return;
+        }
+        const auto wasFailing = std::exchange(this->isStoreFailing, isFailure(answer.kind));
+        if (this->isStoreFailing) {
+            this->storeFailedAt = this->now();
+        } else if (wasFailing) {
+            this->storeBackAt = this->now();
+            if (this->view) {
+                this->view->readSince(this->storeFailedAt);
+            }
+        }
+    }
 
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void
@@ -53,7 +73,7 @@
     auto onLeaving(const UpstreamId &upstream, Incarnation incarnation) -> void
     {
         if (this->directory.setLeaving(upstream, incarnation, this->now())) {
-            this->publish();
+            this->publish("statement");
         }
     }
 
@@ -75,15 +95,20 @@
             this->viewStartedAt = this->now();
             auto settings = PrefixViewSettings{};
             settings.gatherPause = isGrantor ? grantorGatherPause : directGatherPause;
+            settings.longestRetryPause = longestRetryPause;
             this->view = std::make_unique<PrefixView>(
                 this->wire.upstreamPrefix(), settings, this->store, this->now,
                 [this](const PrefixView::Items &items) { this->onItems(items); });
         } else if (!isNeeded && this->view) {
             this->view.reset();
+            this->directory.forget();
             this->direct.setTrusted(false);
         }
         if (this->view) {
             this->view->advance();
+            if (this->view->readStartedAt() > this->takenInReadAt) {
+                this->onItems(this->view->items());
+            }
             // While the store doesn't answer, it can't have published a change to anybody, so the
             // entries known before are as good as any.
             const auto isOverdue = this->now() - this->viewStartedAt > readTimeout;
@@ -93,7 +118,7 @@
         }
         if (const auto due = this->directory.nextDue(); due && *due <= this->now()) {
             this->directory.advance(this->now());
-            this->publish();
+            this->publish("time");
         }
     }
 
@@ -134,11 +159,14 @@
     /// Entries known before are trusted again where the store hasn't answered for this long; a slow
     /// store answers sooner.
     static constexpr Duration readTimeout = std::chrono::milliseconds{300};
+    /// Longest pause after a failed read; another call that is answered ends it.
+    static constexpr Duration longestRetryPause = std::chrono::milliseconds{500};
     /// A grantor batches changes that follow another within this time; far below the time after
     /// which a leaving upstream may get no request.
     static constexpr Duration grantorGatherPause = std::chrono::milliseconds{300};
-    /// Changes are batched for this long where this daemon is no grantor.
-    static constexpr Duration directGatherPause = std::chrono::milliseconds{1200};
+    /// Changes are batched for this long where this daemon is no grantor; also below half of that
+    /// time.
+    static constexpr Duration directGatherPause = std::chrono::milliseconds{600};
 
     auto onItems(const PrefixView::Items &items) -> void
     {
@@ -148,14 +176,28 @@
                 entries.push_back(std::move(*entry));
             }
         }
-        this->directory.update(entries, this->storeFailedAt, this->now());
-        this->publish();
+        const auto listedAt = this->view->readStartedAt();
+        this->directory.update(entries,
+                               UpstreamReading{listedAt, this->storeFailedAt, this->storeBackAt},
+                               this->now());
+        const auto isRead = std::exchange(this->takenInReadAt, listedAt) != listedAt;
+        this->publish(isRead ? "list" : "watch");
         this->allListedAt = this->viewStartedAt;
     }
 
-    auto publish() -> void
+    /// @param cause what has brought the change, as it is logged
+    auto publish(std::string_view cause) -> void
     {
         const auto entries = this->directory.entries();
+        UpstreamEntryOrigin origin;
+        origin.cause = cause;
+        if (this->view) {
+            origin.revision = this->view->revision();
+            origin.sinceCall = this->now() - this->view->callStartedAt();
+            origin.sinceRead = this->now() - this->view->readStartedAt();
+        }
+        origin.sinceFailure = this->now() - this->storeFailedAt;
+        this->log.update(entries, origin);
         this->direct.setUpstreams(entries);
         this->onEntries(entries);
     }
@@ -178,6 +220,7 @@
     const Wire &wire;
     SendStoreCall store;
     std::function<Instant()> now;
+    UpstreamEntryLog log;
     DirectChoice &direct;
     OnEntries onEntries;
     UpstreamDirectory directory;
@@ -185,7 +228,13 @@
     bool isForGrantor = false;
     Instant viewStartedAt{};
     Instant allListedAt{};
+    /// The last call to the store has failed.
+    bool isStoreFailing = false;
     Instant storeFailedAt{};
+    /// When the store first answered after the last failure.
+    Instant storeBackAt{};
+    /// Begin of the read whose entries the directory has.
+    Instant takenInReadAt{};
 };
 
 } // namespace gooseberrywall
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -30,6 +30,7 @@
     this->newCopy.clear();
     this->newCopyRevision = StoreRevision{};
     this->hasWatched = false;
+    this->newCopyReadStartedAt = this->now();
     this->readPage("");
 }
 
@@ -50,6 +51,15 @@
     }
 }
 
+auto PrefixView::readSince(Instant moment) -> void
+{
+    const auto isReading = this->isCalling && !this->isWatching;
+    const auto startedAt = isReading ? this->newCopyReadStartedAt : this->copyReadStartedAt;
+    if (startedAt < moment) {
+        this->readAnew();
+    }
+}
+
 auto PrefixView::readAnew() -> void
 {
     ++this->callNumber;
@@ -108,6 +118,7 @@
     if (!isOlder) {
         this->copy = std::move(this->newCopy);
         this->copyRevision = this->newCopyRevision;
+        this->copyReadStartedAt = this->newCopyReadStartedAt;
         this->isCopyLoaded = true;
     }
     this->newCopy.clear();
@@ -174,6 +185,7 @@
                       void (PrefixView::*onAnswer)(const StoreAnswer &)) -> void
 {
     this->isCalling = true;
+    this->lastCallAt = this->now();
     this->send(std::move(call), timeout,
                [this, onAnswer, number = ++this->callNumber,
                 watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -61,11 +61,20 @@
     /// Takes in that the store is in this era: a copy of an earlier one is read anew, as the store
     /// has lost a part of what the copy has.
     auto onStoreEra(std::uint64_t era) -> void;
+    /// Reads all keys anew, unless a read that began at `moment` or later is complete or under way.
+    /// A watch that waits on a dead connection is dropped with that.
+    auto readSince(Instant moment) -> void;
     /// @returns when to call advance() next; nothing while paused or while a call is open
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     [[nodiscard]] auto items() const -> const Items & { return this->copy; }
     /// @returns the era of the store in which the copy was read
     [[nodiscard]] auto era() const -> std::uint64_t { return eraOf(this->copyRevision); }
+    /// @returns the store has shown the copy with all changes up to this revision
+    [[nodiscard]] auto revision() const -> StoreRevision { return this->copyRevision; }
+    /// @returns when the last complete read of all keys began; Instant{} before the first
+    [[nodiscard]] auto readStartedAt() const -> Instant { return this->copyReadStartedAt; }
+    /// @returns when the call began that is open, or the last one where none is
+    [[nodiscard]] auto callStartedAt() const -> Instant { return this->lastCallAt; }
     /// @returns whether all keys have been read at least once
     [[nodiscard]] auto isLoaded() const -> bool { return this->isCopyLoaded; }
     /// @returns whether the last call failed
@@ -103,6 +112,9 @@
     StoreRevision copyRevision;
     /// Of the store when the first page was read.
     StoreRevision newCopyRevision;
+    Instant copyReadStartedAt{};
+    Instant newCopyReadStartedAt{};
+    Instant lastCallAt{};
     bool isCopyLoaded = false;
     bool isWatching = false;
     bool isCalling = false;
