--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -154,6 +154,8 @@
     [[nodiscard]] auto mayGetForwarder(const Address &entry, Instant now) const -> bool;
     /// @returns the number of daemons that have stated that they are cut off
     [[nodiscard]] auto cutOffCount() const -> std::size_t;
+    /// @returns the number of permits out that name a forwarder
+    [[nodiscard]] auto forwardedCount() const -> int;
 
 private:
     /// The time for which something isn't used after its failures.
--- a/src/dispatch/internal/entrypaths.cpp
+++ b/src/dispatch/internal/entrypaths.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/entrypaths.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace gooseberrywall {
 
@@ -243,6 +244,12 @@
                       [](const auto &row) { return row.second.isCutOff; }));
 }
 
+auto EntryPaths::forwardedCount() const -> int
+{
+    return std::accumulate(this->daemons.begin(), this->daemons.end(), 0,
+                           [](int sum, const auto &row) { return sum + row.second.forwarding; });
+}
+
 auto EntryPaths::find(const Address &daemon) const -> const Daemon *
 {
     const auto found = this->daemons.find(daemon);
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -173,6 +173,10 @@
     [[nodiscard]] auto upstreamStatuses(Instant now) const -> std::vector<UpstreamStatus>;
     /// @returns how many upstreams want no requests from some entry daemon
     [[nodiscard]] auto pausedUpstreamCount(Instant now) const -> std::size_t;
+    /// @returns the number of daemons that have stated that they are cut off
+    [[nodiscard]] auto cutOffCount() const -> std::size_t { return this->paths.cutOffCount(); }
+    /// @returns the number of permits out that name a forwarder
+    [[nodiscard]] auto forwardedCount() const -> int { return this->paths.forwardedCount(); }
     [[nodiscard]] auto backlogSize() const -> std::size_t { return this->backlog.size(); }
     [[nodiscard]] auto permitCount() const -> std::size_t { return this->permits.size(); }
 
--- a/src/dispatch/tests/forwarding_tests.cpp
+++ b/src/dispatch/tests/forwarding_tests.cpp
@@ -104,6 +104,8 @@
     REQUIRE((verdict.verdict.forwarder == well || verdict.verdict.forwarder == other));
     const auto &busy = verdict.verdict.forwarder;
     const auto &idle = busy == well ? other : well;
+    CHECK(fixture.broker.cutOffCount() == 1);
+    CHECK(fixture.broker.forwardedCount() == 1);
     GIVEN("a further request")
     {
         CHECK(fixture.forwarder(start) == idle);
@@ -129,6 +131,7 @@
         static_cast<void>(fixture.broker.takeVerdicts());
         THEN("the forwarder doesn't count as busy any more")
         {
+            CHECK(fixture.broker.forwardedCount() == 0);
             const auto next = fixture.send(cutOff, now);
             CHECK(fixture.forwarder(now) == (next.verdict.forwarder == well ? other : well));
             fixture.broker.cancel(next.id, now);
@@ -170,6 +173,7 @@
         static_cast<void>(fixture.broker.takeVerdicts());
     }
     fixture.report(verdict, AttemptEnd::NotRun, now, milliseconds{600});
+    CHECK(fixture.broker.forwardedCount() == 0);
     now += milliseconds{40};
     CHECK_FALSE(isGranted(fixture.send(cutOff, now)));
     CHECK_FALSE(isGranted(fixture.send(paused, now)));
