Don't read past a literal in a test of the forwarding codec

Cause: the length of a literal with a zero byte was counted wrongly, so the test's body had two bytes from behind it. Change: the literal has its own length ("..."s).

--- a/src/forwarding/tests/forwardcodec_tests.cpp
+++ b/src/forwarding/tests/forwardcodec_tests.cpp
@@ -10,6 +10,7 @@
 using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using namespace std::string_literals;
 using End = OutboundResult::End;
 
 namespace {
@@ -77,7 +78,7 @@
         request.isRepeatable = true;
         request.needsNewConnection = true;
         request.isLastResort = true;
-        const std::string body("\0\r\n\r\nGET / HTTP/1.1\r\n\r\n\xff", 26);
+        const auto body = "\0\r\n\r\nGET / HTTP/1.1\r\n\r\n\xff"s;
         request.text =
             "POST /a?b=%20 HTTP/1.1\r\nHost: h\r\nX-Forward-Is-Head: 1\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
