Show a grant to a later incarnation than the record names; known red

The next owner of keys restarts at another address between the record and its grant. The grant goes to the later incarnation, the record names the earlier one. A grantor that takes over before the next record takes the keys for free, as their recorded owner has ended, and grants them to a third upstream: two owners.

--- a/src/keyranges/tests/workatrelease_tests.cpp
+++ b/src/keyranges/tests/workatrelease_tests.cpp
@@ -310,3 +310,36 @@
         }
     }
 }
+
+// Guards against two owners of a key: the record named an incarnation of the next owner that had
+// ended by the grant, so that a successor would have taken the keys for free.
+SCENARIO("RangeGrantor: given a next owner that restarts before its grant, the record names the "
+         "incarnation that is granted the keys",
+         "[keyranges][workatrelease][!mayfail]")
+{
+    GrantorOfThree three;
+    three.grantor.adopt(RangeRecord{}, three.now);
+    three.grantor.move({RangeMove{allKeys, UpstreamId{"b"}}}, three.now);
+    std::uint64_t version = 0;
+    const auto early = three.grantor.takeRecord(version);
+    REQUIRE(early.has_value());
+    three.entries[1].incarnation = Incarnation{300};
+    three.entries[1].address = Address{"10.0.0.9:80"};
+    three.grantor.setUpstreams(three.entries, three.now);
+    three.grantor.onRecordStored(version, three.now);
+    THEN("nobody is granted the keys with the record of the earlier one")
+    {
+        CHECK(three.grantor.takeOrders().empty());
+    }
+    THEN("they are granted once the record names the later one")
+    {
+        const auto later = three.grantor.takeRecord(version);
+        REQUIRE(later.has_value());
+        REQUIRE(later->rows.size() == 1);
+        CHECK(later->rows[0].owner == holderOf(three.entries[1]));
+        three.grantor.onRecordStored(version, three.now);
+        const auto orders = three.grantor.takeOrders();
+        REQUIRE(orders.size() == 1);
+        CHECK(orders[0].address == three.entries[1].address);
+    }
+}
