Test readSince() and missing upstreams by themselves; trust the upstreams in a test

PrefixView and DirectChoice have tests of their own for what LeavingCell shows as a whole. "DirectChoice replaces ranges whose owner has changed" never set the upstreams as trusted, so choose() returned nothing, and the test read from an empty optional and passed by chance.

--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -230,6 +230,7 @@
 {
     UpstreamStatements statements{UpstreamStatementSettings{}};
     DirectChoice direct(1, statements);
+    direct.setTrusted(true);
     const auto owned = [](KeyPosition first, KeyPosition last, const std::string &upstream) {
         PermitVerdict verdict;
         verdict.kind = PermitVerdict::Kind::Granted;
@@ -247,3 +248,37 @@
     request.key = KeyPosition{10};
     CHECK_FALSE(direct.choose(request, now).has_value());
 }
+
+// Guards against requests without a permit to an upstream that may have left in an outage of the
+// store.
+SCENARIO("DirectChoice: given an upstream that the store doesn't show, it is chosen only where "
+         "there is no other",
+         "[entry][leaves]")
+{
+    UpstreamStatements statements{UpstreamStatementSettings{}};
+    DirectChoice direct(1, statements);
+    direct.setTrusted(true);
+    UpstreamEntry missing;
+    missing.id = UpstreamId{"a"};
+    missing.service = service;
+    missing.isMissing = true;
+    UpstreamEntry shown;
+    shown.id = UpstreamId{"b"};
+    shown.service = service;
+    const Instant now{std::chrono::seconds{1}};
+    PermitRequest request;
+    request.service = service;
+    GIVEN("another upstream, though it is busier")
+    {
+        direct.setUpstreams({missing, shown});
+        for (auto count = 0; count < 20; ++count) {
+            CHECK(direct.choose(request, now)->upstream == shown.id);
+            direct.onSent(shown.id, now);
+        }
+    }
+    GIVEN("no other upstream")
+    {
+        direct.setUpstreams({missing});
+        CHECK(direct.choose(request, now)->upstream == missing.id);
+    }
+}
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -107,6 +107,34 @@
     }
 }
 
+// Guards against a copy that is out of date until a watch on a dead connection has timed out.
+SCENARIO("PrefixView: given a watch on a dead connection, a read that is asked for replaces it",
+         "[storelink][leaves]")
+{
+    Trial trial;
+    trial.store.put("p/a", "1");
+    trial.run(milliseconds{200});
+    trial.store.loseOpenCalls(seconds{20});
+    trial.store.put("p/a", "2");
+    trial.run(seconds{1});
+    REQUIRE(trial.view.items().at("p/a").value == "1");
+    const auto askedAt = trial.store.now();
+    trial.view.readSince(askedAt);
+    trial.run(milliseconds{50});
+    CHECK(trial.view.items().at("p/a").value == "2");
+    CHECK(trial.view.readStartedAt() >= askedAt);
+    WHEN("a read since the same moment is asked for again")
+    {
+        const auto callsBefore = trial.store.callCount();
+        trial.view.readSince(askedAt);
+        trial.run(milliseconds{50});
+        THEN("no call is started")
+        {
+            CHECK(trial.store.callCount() == callsBefore);
+        }
+    }
+}
+
 // Guards against a copy that keeps what the store has lost, and misses what is written to it
 // afterwards, because revisions have gone back.
 SCENARIO("PrefixView: given a store that comes back from an older copy, the view follows it",
