Read the configuration anew as soon as the store answers again

A grantor whose watch of the configuration waits on a dead connection goes on announcing its configuration as the newest, as its other calls are answered, until the connection's probes or the time-out end the watch.

Change: StoreOutage, taken out of UpstreamWatch, follows when the store was last away; ConfigurationSource reads anew when it is back.

--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -3,6 +3,7 @@
 #include "edge/configurationrelay.h"
 #include "logging/logger.h"
 #include "storelink/prefixview.h"
+#include "storelink/storeoutage.h"
 #include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
 
@@ -57,6 +58,10 @@
     auto advance(bool isGrantor) -> void;
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void { this->view.onStoreEra(era); }
+    /// Takes in the answer to any call to the store. Where the store answers again after a failure,
+    /// the configuration is read anew at once.
+    /// @param sentAt when the call was sent
+    auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void;
     auto sweep() -> void { this->listener.sweep(); }
     /// @returns when to call advance() next
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
@@ -94,6 +99,7 @@
     std::function<void()> onWork;
     ConfigurationRelay relay;
     PrefixView view;
+    StoreOutage outage;
     FrontListener listener;
     OutboundPool pool;
     std::string text;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -158,6 +158,7 @@
             this->store.send(call, timeout,
                              [this, done, sentAt = this->now()](const StoreAnswer &answer) {
                                  this->onStoreEra(answer.era.value_or(0));
+                                 this->configurationSource.onStoreAnswer(answer, sentAt);
                                  this->upstreamWatch.onStoreAnswer(answer, sentAt);
                                  done(answer);
                                  this->processPending();
@@ -395,9 +396,7 @@
         consider(this->permits.nextDue());
         consider(this->flow.nextDue());
         consider(this->roles.nextDue());
-        if (this->stoppingSince) {
-            consider(this->shutdownDue);
-        }
+        consider(this->stoppingSince ? std::optional(this->shutdownDue) : std::nullopt);
         const auto wait = std::max(Duration{200}, Duration{due - moment});
         this->timer.set(monotonicNow() + wait);
     }
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -123,6 +123,13 @@
     }
 }
 
+auto ConfigurationSource::onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
+{
+    if (this->outage.onAnswer(answer, sentAt, this->now())) {
+        this->view.readSince(this->outage.failedAt());
+    }
+}
+
 auto ConfigurationSource::nextDue() const -> std::optional<Instant>
 {
     const auto moment = this->now();
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -6,6 +6,7 @@
 #include "entry/directchoice.h"
 #include "keyranges/rangerecordcodec.h"
 #include "storelink/prefixview.h"
+#include "storelink/storeoutage.h"
 
 #include <algorithm>
 #include <functional>
@@ -42,22 +43,12 @@
     }
 
     /// Takes in the answer to any call to the store. Where the store answers again after a failure,
-    /// the entries are read anew at once: the watch may be waiting on a dead connection.
+    /// the entries are read anew at once.
     /// @param sentAt when the call was sent
     auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
     {
-        if (isFailure(answer.kind) && sentAt < this->storeBackAt) {
-            // Lost in an outage that has ended.
-            return;
-        }
-        const auto wasFailing = std::exchange(this->isStoreFailing, isFailure(answer.kind));
-        if (this->isStoreFailing) {
-            this->storeFailedAt = this->now();
-        } else if (wasFailing) {
-            this->storeBackAt = this->now();
-            if (this->view) {
-                this->view->readSince(this->storeFailedAt);
-            }
+        if (this->outage.onAnswer(answer, sentAt, this->now()) && this->view) {
+            this->view->readSince(this->outage.failedAt());
         }
     }
 
@@ -177,9 +168,9 @@
             }
         }
         const auto listedAt = this->view->readStartedAt();
-        this->directory.update(entries,
-                               UpstreamReading{listedAt, this->storeFailedAt, this->storeBackAt},
-                               this->now());
+        this->directory.update(
+            entries, UpstreamReading{listedAt, this->outage.failedAt(), this->outage.backAt()},
+            this->now());
         const auto isRead = std::exchange(this->takenInReadAt, listedAt) != listedAt;
         this->publish(isRead ? "list" : "watch");
         this->allListedAt = this->viewStartedAt;
@@ -196,7 +187,7 @@
             origin.sinceCall = this->now() - this->view->callStartedAt();
             origin.sinceRead = this->now() - this->view->readStartedAt();
         }
-        origin.sinceFailure = this->now() - this->storeFailedAt;
+        origin.sinceFailure = this->now() - this->outage.failedAt();
         this->log.update(entries, origin);
         this->direct.setUpstreams(entries);
         this->onEntries(entries);
@@ -228,11 +219,7 @@
     bool isForGrantor = false;
     Instant viewStartedAt{};
     Instant allListedAt{};
-    /// The last call to the store has failed.
-    bool isStoreFailing = false;
-    Instant storeFailedAt{};
-    /// When the store first answered after the last failure.
-    Instant storeBackAt{};
+    StoreOutage outage;
     /// Begin of the read whose entries the directory has.
     Instant takenInReadAt{};
 };
