--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -4,6 +4,7 @@
 #include "edge/peerserver.h"
 #include "logging/logger.h"
 #include "storelink/prefixview.h"
+#include "storelink/storeoutage.h"
 #include "streams/outboundpool.h"
 
 #include <functional>
@@ -56,6 +57,10 @@
     auto advance(bool isGrantor) -> void;
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void { this->view.onStoreEra(era); }
+    /// Takes in the answer to any call to the store. Where the store answers again after a failure,
+    /// the configuration is read anew at once.
+    /// @param sentAt when the call was sent
+    auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void;
     /// @returns when to call advance() next
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
 
@@ -93,6 +98,7 @@
     std::function<void()> onWork;
     ConfigurationRelay relay;
     PrefixView view;
+    StoreOutage outage;
     OutboundPool pool;
     std::string text;
     StoreRevision textRevision;
