--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -64,7 +64,7 @@
     explicit EntryPaths(EntryPathsSettings settings);
 
     /// Takes in what a permit request tells about its entry daemon.
-    /// @returns whether it is the first to state that the daemon is cut off
+    /// @returns whether it is the first to state that the daemon is isolated
     auto onRequest(const PermitRequest &request, Instant now) -> bool;
     /// Takes in that the daemon gets a permit to send a request to the upstream itself: after a
     /// time without use, the path gets one request at a time until one is answered.
@@ -91,10 +91,10 @@
     auto advance(Instant now) -> void;
 
     /// @returns whether the daemon's last request stated that it reaches no upstream
-    [[nodiscard]] auto isCutOff(const Address &daemon) const -> bool;
-    /// @returns whether the daemon is cut off, or has failed at an upstream lately
+    [[nodiscard]] auto isIsolated(const Address &daemon) const -> bool;
+    /// @returns whether the daemon is isolated, or has failed at an upstream lately
     [[nodiscard]] auto isImpaired(const Address &daemon) const -> bool;
-    /// @returns whether the daemon may send requests to the upstream itself: it isn't cut off, and
+    /// @returns whether the daemon may send requests to the upstream itself: it isn't isolated, and
     /// neither the path nor all its links have failed lately
     [[nodiscard]] auto reaches(const Address &daemon, const UpstreamProcess &upstream,
                                Instant now) const -> bool;
@@ -152,8 +152,8 @@
     [[nodiscard]] auto hasForwarder(const Address &entry) const -> bool;
     /// @returns whether a daemon could forward requests of this one, now or with fewer others
     [[nodiscard]] auto mayGetForwarder(const Address &entry, Instant now) const -> bool;
-    /// @returns the number of daemons that have stated that they are cut off
-    [[nodiscard]] auto cutOffCount() const -> std::size_t;
+    /// @returns the number of daemons that have stated that they are isolated
+    [[nodiscard]] auto isolatedCount() const -> std::size_t;
     /// @returns the number of permits out that name a forwarder
     [[nodiscard]] auto forwardedCount() const -> int;
 
@@ -179,7 +179,7 @@
         /// Of the latest request.
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
-        bool isCutOff = false;
+        bool isIsolated = false;
         Instant seenAt{};
         std::optional<Instant> answeredAt;
         /// When the latest permit was granted of a request that was answered.
@@ -219,7 +219,7 @@
     std::unordered_map<Address, Daemon> daemons;
     /// Candidates with fewer forwarded requests than allowed.
     std::vector<const Daemon *> forwarders;
-    /// Daemons that are cut off or have paths with failures.
+    /// Daemons that are isolated or have paths with failures.
     std::size_t impairedCount = 0;
 };
 
--- a/src/dispatch/internal/entrypaths.cpp
+++ b/src/dispatch/internal/entrypaths.cpp
@@ -32,19 +32,19 @@
     if (isOvertaken) {
         return false;
     }
-    const auto wasCutOff = daemon.isCutOff;
+    const auto wasIsolated = daemon.isIsolated;
     daemon.domain = request.domain;
     daemon.incarnation = request.id.incarnation;
     daemon.sequence = request.id.sequence;
-    daemon.isCutOff = request.isCutOff;
-    if (wasCutOff && !daemon.isCutOff) {
+    daemon.isIsolated = request.isIsolated;
+    if (wasIsolated && !daemon.isIsolated) {
         // The failures were those of the daemon's links, which are back.
         daemon.paths.clear();
         daemon.failuresSinceAnswer = 0;
         daemon.avoidance = Avoidance{};
     }
     this->update(daemon, now);
-    return daemon.isCutOff && !wasCutOff;
+    return daemon.isIsolated && !wasIsolated;
 }
 
 auto EntryPaths::onDirectPermit(const Address &daemon, const UpstreamProcess &upstream, Instant now)
@@ -183,7 +183,7 @@
         }
         const auto isForgotten = daemon.seenAt + daemonRetention <= now && daemon.forwarding == 0;
         if (isForgotten) {
-            daemon.isCutOff = false;
+            daemon.isIsolated = false;
             daemon.paths.clear();
             daemon.avoidance = Avoidance{};
             daemon.needsAnswer = true;
@@ -193,10 +193,10 @@
     }
 }
 
-auto EntryPaths::isCutOff(const Address &daemon) const -> bool
+auto EntryPaths::isIsolated(const Address &daemon) const -> bool
 {
     const auto *known = this->impairedCount == 0 ? nullptr : this->find(daemon);
-    return known != nullptr && known->isCutOff;
+    return known != nullptr && known->isIsolated;
 }
 
 auto EntryPaths::isImpaired(const Address &daemon) const -> bool
@@ -213,7 +213,7 @@
         return true;
     }
     const auto path = known->paths.find(upstream);
-    return !known->isCutOff && known->avoidance.endsAt <= now
+    return !known->isIsolated && known->avoidance.endsAt <= now
            && (path == known->paths.end() || path->second.avoidance.endsAt <= now);
 }
 
@@ -237,11 +237,11 @@
     });
 }
 
-auto EntryPaths::cutOffCount() const -> std::size_t
+auto EntryPaths::isolatedCount() const -> std::size_t
 {
     return static_cast<std::size_t>(
         std::count_if(this->daemons.begin(), this->daemons.end(),
-                      [](const auto &row) { return row.second.isCutOff; }));
+                      [](const auto &row) { return row.second.isIsolated; }));
 }
 
 auto EntryPaths::forwardedCount() const -> int
@@ -271,7 +271,7 @@
 
 auto EntryPaths::isCandidate(const Daemon &daemon, Instant now) const -> bool
 {
-    if (daemon.isCutOff || daemon.needsAnswer || now < daemon.restsUntil) {
+    if (daemon.isIsolated || daemon.needsAnswer || now < daemon.restsUntil) {
         return false;
     }
     if (this->isProven(daemon, now)) {
@@ -293,7 +293,7 @@
 auto EntryPaths::update(Daemon &daemon, Instant now) -> void
 {
     const auto isImpaired =
-        daemon.isCutOff || !daemon.paths.empty() || daemon.avoidance.length > Duration{0};
+        daemon.isIsolated || !daemon.paths.empty() || daemon.avoidance.length > Duration{0};
     if (isImpaired != daemon.isImpaired) {
         daemon.isImpaired = isImpaired;
         this->impairedCount += isImpaired ? 1 : -1;
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -260,7 +260,7 @@
                            this->latencyOf(upstream, now), upstream.health.failureShare(now),
                            !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
                                && !this->isSilent(upstream, now),
-                           upstream.limiter.limit(), upstream.grants.perSecond(now)});
+                           upstream.entry.isDraining, upstream.limiter.limit(), upstream.grants.perSecond(now)});
     }
     return result;
 }
@@ -412,11 +412,11 @@
     }
     Upstream *best = nullptr;
     double lowestCost = 0;
-    const auto isCutOff = this->paths.isCutOff(request.id.entry);
-    const auto isImpaired = !isCutOff && this->paths.isImpaired(request.id.entry);
+    const auto isIsolated = this->paths.isIsolated(request.id.entry);
+    const auto isImpaired = !isIsolated && this->paths.isImpaired(request.id.entry);
     for (auto &[id, upstream] : this->upstreams) {
         if (!this->hasRoom(upstream, now) || !upstream.pauses.allows(request.id.entry, now)
-            || (isCutOff && !this->hasForwarder(request.id.entry, upstream, now))) {
+            || (isIsolated && !this->hasForwarder(request.id.entry, upstream, now))) {
             continue;
         }
         const auto needsForwarder =
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -16,7 +16,7 @@
 /// An upstream that has answered another daemon within this time isn't lost because one daemon
 /// can't connect.
 constexpr Duration answerRelevance = milliseconds{500};
-/// A daemon that is cut off finds within about this time that its links are back.
+/// A daemon that is isolated finds within about this time that its links are back.
 constexpr Duration linkProbeTime = milliseconds{500};
 
 } // namespace
@@ -122,7 +122,7 @@
 auto SlotBroker::maySend(const Address &entry, const Upstream &upstream, Instant now) const -> bool
 {
     return upstream.pauses.allows(entry, now)
-           && (!this->paths.isCutOff(entry) || this->hasForwarder(entry, upstream, now));
+           && (!this->paths.isIsolated(entry) || this->hasForwarder(entry, upstream, now));
 }
 
 auto SlotBroker::hasForwarder(const Address &entry, const Upstream &upstream, Instant now) const
@@ -139,7 +139,7 @@
 {
     // The trial of a daemon whose attempts fail elsewhere, too, would tell nothing.
     const auto isTrial = isOnTrial(upstream) && this->paths.hasFailed(entry, now);
-    const auto isPathLost = this->paths.isCutOff(entry)
+    const auto isPathLost = this->paths.isIsolated(entry)
                             || (!this->paths.reaches(entry, upstream.process, now)
                                 && !upstream.health.isLimitedToTrials());
     if (!isTrial && !isPathLost) {
@@ -171,7 +171,7 @@
 auto SlotBroker::isUnreachable(const PermitRequest &request, Instant now) -> bool
 {
     const auto &entry = request.id.entry;
-    if (!this->paths.isCutOff(entry)) {
+    if (!this->paths.isIsolated(entry)) {
         return false;
     }
     this->paths.advance(now);
@@ -183,7 +183,7 @@
 
 auto SlotBroker::hasNoForwarder(const Address &entry, Instant now) const -> bool
 {
-    return this->paths.isCutOff(entry) && !this->paths.mayGetForwarder(entry, now);
+    return this->paths.isIsolated(entry) && !this->paths.mayGetForwarder(entry, now);
 }
 
 auto SlotBroker::unreachableRetryAfter(const Address &entry, Instant now) -> Duration
@@ -202,7 +202,7 @@
         return other != nullptr
                && (other->grantedAt > failure.grantedAt || other->reportedAt > failure.reportedAt);
     };
-    return this->paths.isCutOff(daemon) || this->paths.isContradicted(daemon, answeredAnother);
+    return this->paths.isIsolated(daemon) || this->paths.isContradicted(daemon, answeredAnother);
 }
 
 auto SlotBroker::isOnTrial(const Upstream &upstream) -> bool
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -115,6 +115,7 @@
     /// The upstream gets requests as usual: it doesn't drain, isn't silent and its last attempts
     /// didn't fail.
     bool isUsable = true;
+    bool isDraining = false;
     /// As its answers state it.
     RequestLimit requestLimit;
     /// Permits for it per second, an average over about a second.
@@ -173,8 +174,8 @@
     [[nodiscard]] auto upstreamStatuses(Instant now) const -> std::vector<UpstreamStatus>;
     /// @returns how many upstreams want no requests from some entry daemon
     [[nodiscard]] auto pausedUpstreamCount(Instant now) const -> std::size_t;
-    /// @returns the number of daemons that have stated that they are cut off
-    [[nodiscard]] auto cutOffCount() const -> std::size_t { return this->paths.cutOffCount(); }
+    /// @returns the number of daemons that have stated that they are isolated
+    [[nodiscard]] auto isolatedCount() const -> std::size_t { return this->paths.isolatedCount(); }
     /// @returns the number of permits out that name a forwarder
     [[nodiscard]] auto forwardedCount() const -> int { return this->paths.forwardedCount(); }
     [[nodiscard]] auto backlogSize() const -> std::size_t { return this->backlog.size(); }
@@ -192,7 +193,7 @@
         Address suspectedBy;
         Instant warmUpEnd{};
         int inFlight = 0;
-        /// Permits out that were sent by daemons which have stated since that they are cut off.
+        /// Permits out that were sent by daemons which have stated since that they are isolated.
         /// They hold their slots, as the upstream may run the requests, but no report is expected.
         int stranded = 0;
         /// Permits out that were granted while the upstream was suspected.
@@ -297,15 +298,15 @@
     /// Learns from a report that a daemon couldn't be reached as a forwarder, or didn't forward.
     auto learnForwarderFailure(const Address &forwarder, const Permit &permit, Upstream &upstream,
                                Instant now) -> void;
-    /// @returns whether the entry daemon is cut off, and none can forward the request now
+    /// @returns whether the entry daemon is isolated, and none can forward the request now
     [[nodiscard]] auto isUnreachable(const PermitRequest &request, Instant now) -> bool;
-    /// @returns whether the entry daemon is cut off, and none is likely to forward soon
+    /// @returns whether the entry daemon is isolated, and none is likely to forward soon
     [[nodiscard]] auto hasNoForwarder(const Address &entry, Instant now) const -> bool;
-    /// @returns the time until a daemon that is cut off can expect to be served
+    /// @returns the time until a daemon that is isolated can expect to be served
     [[nodiscard]] auto unreachableRetryAfter(const Address &entry, Instant now) -> Duration;
     /// @returns whether the daemon's attempts fail because of its own links
     [[nodiscard]] auto isInDoubt(const Address &daemon) const -> bool;
-    /// Counts the permits of a daemon that is cut off as stranded.
+    /// Counts the permits of a daemon that is isolated as stranded.
     auto strand(const Address &entry, Instant now) -> void;
     auto updateQuarantine(const PermitReport &report, const Upstream &upstream, Evidence evidence,
                           Instant now) -> void;
--- a/src/dispatch/tests/brokerload_tests.cpp
+++ b/src/dispatch/tests/brokerload_tests.cpp
@@ -147,11 +147,11 @@
 
 // Guards against a search over all daemons for each pair of request and upstream.
 SCENARIO("SlotBroker: given hundreds of daemons and upstreams with free slots, and many daemons "
-         "that are cut off, half a core is enough",
+         "that are isolated, half a core is enough",
          "[dispatch][load][lostlinks]")
 {
     constexpr std::uint64_t daemonCount = 250;
-    const auto cutOffCount = GENERATE(std::uint64_t{80}, std::uint64_t{225});
+    const auto isolatedCount = GENERATE(std::uint64_t{80}, std::uint64_t{225});
     SlotBroker broker(service, false, SlotBrokerSettings{}, RetryWindowSettings{}, 1);
     broker.setUpstreams(upstreams(270), start);
     std::vector<IssuedVerdict> granted;
@@ -159,7 +159,7 @@
     auto refused = 0;
     const auto ask = [&](Instant now) {
         auto request = permit(++sequence, std::nullopt);
-        request.isCutOff = sequence % daemonCount < cutOffCount;
+        request.isIsolated = sequence % daemonCount < isolatedCount;
         broker.ask(request, now);
         for (auto &verdict : broker.takeVerdicts()) {
             refused += verdict.verdict.kind == PermitVerdict::Kind::Refused ? 1 : 0;
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -239,7 +239,7 @@
     request.remaining = caller.arrivedAt + requestClass.deadline - this->now;
     request.untilTarget = caller.arrivedAt + requestClass.target - this->now;
     request.avoid = caller.avoid;
-    request.isCutOff = vm.lostLinks && vm.statesLossAt <= this->now;
+    request.isIsolated = vm.lostLinks && vm.statesLossAt <= this->now;
     this->askedAt[id] = this->now;
     this->broker->ask(request, this->now);
 }
--- a/src/dispatch/tests/entrypaths_tests.cpp
+++ b/src/dispatch/tests/entrypaths_tests.cpp
@@ -16,12 +16,12 @@
 const UpstreamProcess second{UpstreamId{"b"}, Incarnation{1}};
 using FailureKind = EntryPaths::FailureKind;
 
-auto request(const Address &entry, std::uint64_t sequence, bool isCutOff) -> PermitRequest
+auto request(const Address &entry, std::uint64_t sequence, bool isIsolated) -> PermitRequest
 {
     PermitRequest result;
     result.id = PermitId{entry, 1, sequence};
     result.domain = FailureDomain{entry == far ? "domain-2" : "domain-1"};
-    result.isCutOff = isCutOff;
+    result.isIsolated = isIsolated;
     return result;
 }
 
@@ -104,20 +104,20 @@
     CHECK_FALSE(paths.reaches(asking, first, now));
 }
 
-SCENARIO("EntryPaths: given a daemon that states that it is cut off, it reaches no upstream until "
+SCENARIO("EntryPaths: given a daemon that states that it is isolated, it reaches no upstream until "
          "it states otherwise",
          "[dispatch][lostlinks]")
 {
     auto paths = knownPaths();
     CHECK(paths.onRequest(request(asking, 3, true), start));
     CHECK_FALSE(paths.onRequest(request(asking, 4, true), start));
-    CHECK(paths.isCutOff(asking));
+    CHECK(paths.isIsolated(asking));
     CHECK_FALSE(paths.reaches(asking, first, start));
-    CHECK(paths.cutOffCount() == 1);
+    CHECK(paths.isolatedCount() == 1);
     GIVEN("a request of before that arrives later")
     {
         CHECK_FALSE(paths.onRequest(request(asking, 2, false), start));
-        CHECK(paths.isCutOff(asking));
+        CHECK(paths.isIsolated(asking));
     }
     GIVEN("a later request that doesn't state it")
     {
@@ -125,7 +125,7 @@
         CHECK_FALSE(paths.onRequest(request(asking, 5, false), start));
         THEN("its earlier failures don't count any more")
         {
-            CHECK_FALSE(paths.isCutOff(asking));
+            CHECK_FALSE(paths.isIsolated(asking));
             CHECK(paths.reaches(asking, first, start));
             CHECK_FALSE(paths.hasFailed(asking, start));
         }
@@ -186,7 +186,7 @@
         paths.onFailed(near, second, FailureKind::Unanswered, {start + milliseconds{1}, start});
         CHECK(choose(first, start) == far);
     }
-    GIVEN("a near daemon that is cut off")
+    GIVEN("a near daemon that is isolated")
     {
         static_cast<void>(paths.onRequest(request(near, 2, true), start));
         CHECK(choose(first, start) == far);
@@ -239,7 +239,7 @@
         paths.advance(start + seconds{1});
         CHECK(choose(start + seconds{1}).empty());
     }
-    GIVEN("a daemon that is cut off")
+    GIVEN("a daemon that is isolated")
     {
         static_cast<void>(paths.onRequest(request(near, 2, true), start));
         CHECK(choose(start).empty());
--- a/src/dispatch/tests/forwarding_tests.cpp
+++ b/src/dispatch/tests/forwarding_tests.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const Instant start{seconds{100}};
-const Address cutOff{"10.9.0.1:7000"};
+const Address isolated{"10.9.0.1:7000"};
 const Address well{"10.9.0.2:7000"};
 const Address other{"10.9.0.3:7000"};
 const UpstreamId first{"a"};
@@ -51,7 +51,7 @@
         request.service = ServiceName{"service"};
         request.remaining = milliseconds{800};
         request.untilTarget = milliseconds{600};
-        request.isCutOff = daemon == cutOff;
+        request.isIsolated = daemon == isolated;
         request.avoid = std::move(avoid);
         this->broker.ask(request, now);
         const auto verdicts = this->broker.takeVerdicts();
@@ -62,7 +62,7 @@
     /// @returns the forwarder that is named for a request
     auto forwarder(Instant now, std::vector<UpstreamId> avoid = {}) -> Address
     {
-        const auto verdict = this->send(cutOff, now, std::move(avoid));
+        const auto verdict = this->send(isolated, now, std::move(avoid));
         this->broker.cancel(verdict.id, now);
         return verdict.verdict.forwarder;
     }
@@ -95,16 +95,16 @@
 } // namespace
 
 // Guards against a VM without links to upstreams that can only refuse its callers' requests.
-SCENARIO("SlotBroker: given a VM that is cut off, its permits name a forwarder",
+SCENARIO("SlotBroker: given a VM that is isolated, its permits name a forwarder",
          "[dispatch][lostlinks]")
 {
     ForwardingFixture fixture;
-    const auto verdict = fixture.send(cutOff, start);
+    const auto verdict = fixture.send(isolated, start);
     REQUIRE(isGranted(verdict));
     REQUIRE((verdict.verdict.forwarder == well || verdict.verdict.forwarder == other));
     const auto &busy = verdict.verdict.forwarder;
     const auto &idle = busy == well ? other : well;
-    CHECK(fixture.broker.cutOffCount() == 1);
+    CHECK(fixture.broker.isolatedCount() == 1);
     CHECK(fixture.broker.forwardedCount() == 1);
     GIVEN("a further request")
     {
@@ -113,7 +113,7 @@
     GIVEN("a permit request that is repeated")
     {
         const auto repeated =
-            fixture.send(cutOff, start + milliseconds{50}, {}, verdict.id.sequence);
+            fixture.send(isolated, start + milliseconds{50}, {}, verdict.id.sequence);
         CHECK(repeated.verdict == verdict.verdict);
     }
     GIVEN("a permit that ends by a report, by a cancellation or without a report")
@@ -132,7 +132,7 @@
         THEN("the forwarder doesn't count as busy any more")
         {
             CHECK(fixture.broker.forwardedCount() == 0);
-            const auto next = fixture.send(cutOff, now);
+            const auto next = fixture.send(isolated, now);
             CHECK(fixture.forwarder(now) == (next.verdict.forwarder == well ? other : well));
             fixture.broker.cancel(next.id, now);
             CHECK(fixture.broker.permitCount() == 0);
@@ -146,7 +146,7 @@
         CHECK(status.isUsable == true);
         CHECK(fixture.forwarder(start + milliseconds{10}) == idle);
         fixture.answer(busy, start + milliseconds{20});
-        const auto occupied = fixture.send(cutOff, start + milliseconds{110});
+        const auto occupied = fixture.send(isolated, start + milliseconds{110});
         CHECK(occupied.verdict.forwarder == idle);
         CHECK(fixture.forwarder(start + milliseconds{110}) == idle);
         THEN("it is asked again half a second later")
@@ -162,7 +162,7 @@
          "[dispatch][lostlinks][leaving]")
 {
     ForwardingFixture fixture;
-    const auto verdict = fixture.send(cutOff, start);
+    const auto verdict = fixture.send(isolated, start);
     const auto &paused = verdict.verdict.forwarder;
     const auto &idle = paused == well ? other : well;
     const auto isExpired = GENERATE(false, true);
@@ -175,7 +175,7 @@
     fixture.report(verdict, AttemptEnd::NotRun, now, milliseconds{600});
     CHECK(fixture.broker.forwardedCount() == 0);
     now += milliseconds{40};
-    CHECK_FALSE(isGranted(fixture.send(cutOff, now)));
+    CHECK_FALSE(isGranted(fixture.send(isolated, now)));
     CHECK_FALSE(isGranted(fixture.send(paused, now)));
     CHECK(isGranted(fixture.send(idle, now)));
     CHECK(fixture.broker.takeChanges().size() == 1);
@@ -190,7 +190,7 @@
     fixture.report(fixture.send(well, start), AttemptEnd::NotRun, start + milliseconds{10},
                    milliseconds{500});
     for (auto count = 0; count < 3; ++count) {
-        CHECK(fixture.send(cutOff, start + milliseconds{50}).verdict.forwarder == other);
+        CHECK(fixture.send(isolated, start + milliseconds{50}).verdict.forwarder == other);
     }
 }
 
@@ -236,7 +236,7 @@
     }
 }
 
-SCENARIO("SlotBroker: given no daemon that can forward, a request of a VM that is cut off is "
+SCENARIO("SlotBroker: given no daemon that can forward, a request of a VM that is isolated is "
          "refused at once",
          "[dispatch][lostlinks]")
 {
@@ -245,10 +245,10 @@
         SlotBroker broker(ServiceName{"service"}, false, {}, {}, 1);
         broker.setUpstreams({entry(first)}, start);
         PermitRequest request;
-        request.id = PermitId{cutOff, 1, 1};
+        request.id = PermitId{isolated, 1, 1};
         request.remaining = seconds{5};
         request.untilTarget = seconds{1};
-        request.isCutOff = true;
+        request.isIsolated = true;
         broker.ask(request, start);
         const auto verdicts = broker.takeVerdicts();
         REQUIRE(verdicts.size() == 1);
@@ -261,26 +261,26 @@
         SlotBrokerSettings settings;
         settings.paths.forwarderLimit = 1;
         ForwardingFixture fixture(false, settings);
-        CHECK(isGranted(fixture.send(cutOff, start)));
-        CHECK(isGranted(fixture.send(cutOff, start)));
-        const auto refused = fixture.send(cutOff, start);
+        CHECK(isGranted(fixture.send(isolated, start)));
+        CHECK(isGranted(fixture.send(isolated, start)));
+        const auto refused = fixture.send(isolated, start);
         CHECK(refused.verdict.kind == PermitVerdict::Kind::Refused);
         CHECK(refused.verdict.reason == Reason::UpstreamUnreachable);
         CHECK(refused.verdict.retryAfter <= milliseconds{150});
         CHECK(isGranted(fixture.send(well, start)));
     }
-    GIVEN("a request that waits while the others become cut off, too")
+    GIVEN("a request that waits while the others become isolated, too")
     {
         ForwardingFixture fixture;
         for (auto count = 0; count < 5; ++count) {
             static_cast<void>(fixture.send(well, start));
         }
-        CHECK(fixture.send(cutOff, start).verdict.kind == PermitVerdict::Kind::Queued);
+        CHECK(fixture.send(isolated, start).verdict.kind == PermitVerdict::Kind::Queued);
         for (const auto &daemon : {well, other}) {
             PermitRequest statement;
             statement.id = PermitId{daemon, 1, 1000};
             statement.remaining = milliseconds{800};
-            statement.isCutOff = true;
+            statement.isIsolated = true;
             fixture.broker.ask(statement, start + milliseconds{10});
         }
         static_cast<void>(fixture.broker.takeVerdicts());
--- a/src/dispatch/tests/lostlinks_tests.cpp
+++ b/src/dispatch/tests/lostlinks_tests.cpp
@@ -47,10 +47,10 @@
     simulation.resetCounts();
     simulation.run(seconds{11});
     const auto others = simulation.firstTries(false);
-    const auto cutOff = simulation.firstTries(true);
-    CAPTURE(others.share(), cutOff.share(), simulation.forwarded());
+    const auto isolated = simulation.firstTries(true);
+    CAPTURE(others.share(), isolated.share(), simulation.forwarded());
     CHECK(others.share() >= 0.97 * before);
-    CHECK(cutOff.share() >= 2.0 / 3 * others.share());
+    CHECK(isolated.share() >= 2.0 / 3 * others.share());
     THEN("no VM forwards more than it may, and no path is used that is known as lost")
     {
         CHECK(simulation.maxForwarded() <= EntryPathsSettings{}.forwarderLimit);
@@ -82,10 +82,10 @@
     simulation.resetCounts();
     simulation.run(seconds{11});
     const auto others = simulation.firstTries(false);
-    const auto cutOff = simulation.firstTries(true);
-    CAPTURE(others.share(), cutOff.share(), simulation.forwarded());
+    const auto isolated = simulation.firstTries(true);
+    CAPTURE(others.share(), isolated.share(), simulation.forwarded());
     CHECK(others.share() >= 0.95);
-    CHECK(cutOff.share() >= 2.0 / 3 * others.share());
+    CHECK(isolated.share() >= 2.0 / 3 * others.share());
     CHECK(simulation.directSendsOnLostPaths() == 0);
 }
 
@@ -105,9 +105,9 @@
     simulation.resetCounts();
     simulation.run(seconds{11});
     const auto others = simulation.firstTries(false);
-    const auto cutOff = simulation.firstTries(true);
-    CHECK(cutOff.share() >= 2.0 / 3 * others.share());
-    CHECK(others.share() + cutOff.share() >= 0.9 * 2 * before);
+    const auto isolated = simulation.firstTries(true);
+    CHECK(isolated.share() >= 2.0 / 3 * others.share());
+    CHECK(others.share() + isolated.share() >= 0.9 * 2 * before);
 }
 
 SCENARIO("SlotBroker: given a forwarder that freezes, it gets no more requests after a second",
--- a/src/dispatch/tests/upstreamblame_tests.cpp
+++ b/src/dispatch/tests/upstreamblame_tests.cpp
@@ -52,8 +52,8 @@
         }
     }
 
-    auto ask(const Address &daemon, const UpstreamId &upstream, Instant now, bool isCutOff = false,
-             std::uint64_t fingerprint = 0) -> IssuedVerdict
+    auto ask(const Address &daemon, const UpstreamId &upstream, Instant now,
+             bool isIsolated = false, std::uint64_t fingerprint = 0) -> IssuedVerdict
     {
         PermitRequest request;
         request.id = PermitId{daemon, 1, ++this->sequence};
@@ -61,7 +61,7 @@
         request.key = keyOf(upstream);
         request.remaining = milliseconds{1000};
         request.untilTarget = milliseconds{800};
-        request.isCutOff = isCutOff;
+        request.isIsolated = isIsolated;
         request.fingerprint = fingerprint;
         this->broker.ask(request, now);
         const auto verdicts = this->broker.takeVerdicts();
@@ -164,8 +164,8 @@
     CHECK(fixture.isGranted(well, first, now + milliseconds{252}));
 }
 
-// Guards against an upstream that counts as slow and failing because of VMs that are cut off.
-SCENARIO("SlotBroker: given a VM that states that it is cut off, its earlier permits tell nothing "
+// Guards against an upstream that counts as slow and failing because of VMs that are isolated.
+SCENARIO("SlotBroker: given a VM that states that it is isolated, its earlier permits tell nothing "
          "about the upstreams",
          "[dispatch][lostlinks]")
 {
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -69,7 +69,7 @@
     /// Upstreams that failed or rejected this request; used only where no other has a free slot.
     std::vector<UpstreamId> avoid;
     /// The entry daemon reaches no upstream itself, so another daemon has to forward the request.
-    bool isCutOff = false;
+    bool isIsolated = false;
     auto operator==(const PermitRequest &) const -> bool = default;
 };
 
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -73,7 +73,7 @@
                             this->roles.onUpstreams(entries);
                         })
         , peerServer(loop.base(), this->settings.peerListen, now, logger)
-        , forwarder(loop.base(), wire, this->peerServer, this->upstreamPool, this->statements, now,
+        , forwarder(wire, this->peerServer, this->upstreamPool, this->statements, now,
                     [this] { this->processPending(); })
         , configurationSource(
               loop.base(), this->peerServer,
@@ -318,7 +318,7 @@
         this->grantorWatch.advance();
         this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
         this->links.advance();
-        this->roles.setUpstreamsReached(!this->links.isCutOff());
+        this->roles.setUpstreamsReached(!this->links.isIsolated());
         this->roles.advance();
         this->watchUpstreams(moment);
         this->permits.advance(moment);
@@ -381,6 +381,7 @@
         consider(this->roles.nextDue());
         consider(this->stoppingSince ? std::optional(this->shutdownDue) : std::nullopt);
         const auto wait = std::max(Duration{200}, Duration{due - moment});
+        this->forwarder.onWait(moment, moment + wait);
         this->timer.set(monotonicNow() + wait);
     }
 
@@ -421,7 +422,7 @@
         metrics.grantedLeavingUpstreams = this->roles.leavingUpstreamCount();
         metrics.grantedPausedUpstreams = this->roles.pausedUpstreamCount();
         metrics.storeEra = this->store.currentEra();
-        metrics.isCutOff = this->links.isCutOff() ? 1 : 0;
+        metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
         metrics.forwardedRequests = this->flow.forwardedCount();
         metrics.servedForwards = this->forwarder.sentCount();
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
--- a/src/edge/forwardrole.h
+++ b/src/edge/forwardrole.h
@@ -17,11 +17,11 @@
     /// @param statements what upstreams have stated to this daemon
     /// @param now reads a clock that goes on while the VM is suspended
     /// @param onWork called after each end of an attempt
-    ForwardRole(event_base *base, const Wire &wire, PeerServer &server, OutboundPool &upstreams,
+    ForwardRole(const Wire &wire, PeerServer &server, OutboundPool &upstreams,
                 UpstreamStatements &statements, const std::function<Instant()> &now,
                 std::function<void()> onWork)
         : service(
-            base, ForwardSettings{}, upstreams, statements,
+            ForwardSettings{}, upstreams, statements,
             [&wire](const MessageHead &answer, bool isRepeatable) {
                 return answerStatement(wire, answer, isRepeatable);
             },
@@ -34,6 +34,8 @@
         serveForwarding(server, this->service);
     }
 
+    /// As in ForwardService.
+    auto onWait(Instant moment, Instant due) -> void { this->service.onWait(moment, due); }
     /// From now on refuses new requests; those in progress continue.
     auto refuseNew() -> void { this->service.refuseNew(); }
     /// @returns the number of requests in progress
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -51,7 +51,7 @@
     Duration claimSpread = std::chrono::milliseconds{200};
     /// Added to the delay of a claim of a sharded service while this VM reaches no upstream: its
     /// grantor sends orders to upstreams, so others go first. Longer than they take to claim.
-    Duration cutOffClaimDelay = std::chrono::milliseconds{1500};
+    Duration isolatedClaimDelay = std::chrono::milliseconds{1500};
     /// A grantor that reaches no upstream gives up its place at most this often.
     Duration stepDownInterval = std::chrono::seconds{4};
     /// Delay before a claim on a VM with one core; VMs with less wait longer, so that the strongest
@@ -167,7 +167,7 @@
     auto onElected(StoreRevision term) -> void;
     auto onReplaced() -> void;
     /// Gives up the grantor's place if another daemon can fill it better.
-    auto stepDownIfCutOff(Instant moment) -> void;
+    auto stepDownIfIsolated(Instant moment) -> void;
     /// Goes on as grantor after this daemon has claimed its place again in a restored store.
     auto onReclaimed(StoreRevision term) -> void;
     auto readRecord() -> void;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -127,7 +127,7 @@
         this->onElected(*elected);
     }
     const auto moment = this->now();
-    this->stepDownIfCutOff(moment);
+    this->stepDownIfIsolated(moment);
     this->advancedAt = moment;
     this->orderEndsDue = moment + idleAdvanceEvery;
     if (this->ranges) {
--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -17,7 +17,7 @@
     const auto mayNotReach = this->spec.isSharded && !this->areUpstreamsReached;
     this->election.onElectedGrantor(
         grantor, this->ownClaimDelay + delayPerGrant * grantedCount
-                     + (mayNotReach ? this->settings.cutOffClaimDelay : Duration{0}));
+                     + (mayNotReach ? this->settings.isolatedClaimDelay : Duration{0}));
     this->knownGrantor = grantor;
     if (grantor) {
         this->removeFormerClaim(*grantor);
@@ -136,13 +136,13 @@
                                      this->settings.retries, this->settings.incarnation);
 }
 
-auto GrantorRole::stepDownIfCutOff(Instant moment) -> void
+auto GrantorRole::stepDownIfIsolated(Instant moment) -> void
 {
     if (this->areUpstreamsReached || !this->spec.isSharded || !this->isLeading()
         || moment < this->stepDownDue) {
         return;
     }
-    // All VMs may be cut off: the place isn't given from one to the other again and again.
+    // All VMs may be isolated: the place isn't given from one to the other again and again.
     this->stepDownDue = moment + this->settings.stepDownInterval;
     LogLine line("grantor_stepped_down");
     line.with("service", this->spec.name.value).with("why", "no upstream reached");
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -32,7 +32,7 @@
          {"granted_paused_upstreams", metrics.grantedPausedUpstreams},
          {"held_by_leaving_total", metrics.heldByLeaving},
          {"held_by_pause_total", metrics.heldByPause},
-         {"upstreams_unreachable", metrics.isCutOff},
+         {"upstreams_unreachable", metrics.isIsolated},
          {"forwarded_requests_total", metrics.forwardedRequests},
          {"served_forwards_total", metrics.servedForwards}}};
     for (const auto &[name, value] : rows) {
--- a/src/edge/internal/upstreamlinks.cpp
+++ b/src/edge/internal/upstreamlinks.cpp
@@ -64,15 +64,15 @@
     for (const auto &upstream : this->upstreamReach.takeProbes()) {
         this->probes.start(upstream);
     }
-    if (this->isCutOff() == this->lostSince.has_value()) {
+    if (this->isIsolated() == this->lostSince.has_value()) {
         return;
     }
-    LogLine line(this->isCutOff() ? "upstreams_unreachable" : "upstreams_reachable");
+    LogLine line(this->isIsolated() ? "upstreams_unreachable" : "upstreams_reachable");
     if (this->lostSince) {
         line.with("lost_ms", toMilliseconds(moment - *this->lostSince));
     }
     this->logger.write(LogLevel::Warning, line.text());
-    this->lostSince = this->isCutOff() ? std::optional(moment) : std::nullopt;
+    this->lostSince = this->isIsolated() ? std::optional(moment) : std::nullopt;
 }
 
 } // namespace gooseberrywall
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -37,7 +37,7 @@
     std::uint64_t heldByLeaving = 0;
     std::uint64_t heldByPause = 0;
     /// 1 while this VM reaches no upstream.
-    std::uint64_t isCutOff = 0;
+    std::uint64_t isIsolated = 0;
     /// Requests that this daemon has sent through another daemon.
     std::uint64_t forwardedRequests = 0;
     /// Requests that this daemon has forwarded for other daemons.
--- a/src/edge/tests/configurationsource_tests.cpp
+++ b/src/edge/tests/configurationsource_tests.cpp
@@ -20,7 +20,10 @@
     EventLoop loop;
     Logger logger{"error", 1};
     std::string text;
+    PeerServer peers{this->loop.base(), Address{}, [this] { return this->store.now(); },
+                     this->logger};
     ConfigurationSource source{this->loop.base(),
+                               this->peers,
                                settings(),
                                this->sender(),
                                [this] { return this->store.now(); },
--- a/src/edge/tests/forwardhandler_tests.cpp
+++ b/src/edge/tests/forwardhandler_tests.cpp
@@ -23,7 +23,7 @@
               this->loop.base(), this->address, [this] { return this->now(); }, this->logger)
         , pool(this->loop.base(), OutboundPoolSettings{}, monotonicNow)
         , service(
-              this->loop.base(), ForwardSettings{}, this->pool, this->statements,
+              ForwardSettings{}, this->pool, this->statements,
               [](const MessageHead &, bool) { return AnswerStatement{true}; }, monotonicNow,
               [this](ExchangeId exchange, const MessageHead &head, std::string_view body) {
                   this->server.reply(exchange, head, body);
--- a/src/edge/tests/grantorrole_tests.cpp
+++ b/src/edge/tests/grantorrole_tests.cpp
@@ -184,7 +184,8 @@
 }
 
 // Keys of the whole service had no owner while their grantor's VM had lost its links.
-SCENARIO("GrantorRole gives up its place while its VM reaches no upstream", "[grantorrole][cutoff]")
+SCENARIO("GrantorRole gives up its place while its VM reaches no upstream",
+         "[grantorrole][isolated]")
 {
     GIVEN("a grantor whose keys all have owners")
     {
--- a/src/edge/upstreamlinks.h
+++ b/src/edge/upstreamlinks.h
@@ -27,7 +27,7 @@
     auto advance() -> void;
 
     [[nodiscard]] auto reach() -> UpstreamReach & { return this->upstreamReach; }
-    [[nodiscard]] auto isCutOff() const -> bool { return this->upstreamReach.isCutOff(); }
+    [[nodiscard]] auto isIsolated() const -> bool { return this->upstreamReach.isIsolated(); }
     /// @returns when to call advance() next
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>
     {
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -126,7 +126,7 @@
     request.isRetry = isRetry;
     request.avoid = flow.avoid;
     request.avoid.insert(request.avoid.end(), flow.held.begin(), flow.held.end());
-    request.isCutOff = this->reach.isCutOff();
+    request.isIsolated = this->reach.isIsolated();
     return request;
 }
 
--- a/src/entry/internal/requestflowforward.cpp
+++ b/src/entry/internal/requestflowforward.cpp
@@ -8,7 +8,7 @@
 auto RequestFlow::exchangeForForwarder(Flow &flow, const PermitVerdict &verdict, Instant now)
     -> bool
 {
-    if (!this->reach.isCutOff() || !verdict.forwarder.empty()) {
+    if (!this->reach.isIsolated() || !verdict.forwarder.empty()) {
         return false;
     }
     // The permit was asked for before the links were lost.
@@ -25,7 +25,7 @@
 
 auto RequestFlow::sendWithoutGrantor(Flow &flow, PermitVerdict verdict, Instant now) -> void
 {
-    if (this->reach.isCutOff()) {
+    if (this->reach.isIsolated()) {
         const auto forwarder = this->forwarders.next(now);
         if (!forwarder) {
             this->failRequest(flow, Reason::UpstreamUnreachable, this->settings.defaultRetryAfter,
@@ -41,8 +41,9 @@
 
 auto RequestFlow::leaveLostLinks(Instant now) -> void
 {
-    if (std::exchange(this->handledCutOffs, this->reach.cutOffCount()) == this->reach.cutOffCount()
-        || !this->reach.isCutOff()) {
+    if (std::exchange(this->handledIsolations, this->reach.isolationCount())
+            == this->reach.isolationCount()
+        || !this->reach.isIsolated()) {
         return;
     }
     std::vector<ExchangeId> hanging;
--- a/src/entry/internal/upstreamreach.cpp
+++ b/src/entry/internal/upstreamreach.cpp
@@ -57,13 +57,13 @@
     this->openProbes -= std::min<std::size_t>(this->openProbes, 1);
     if (isOpen) {
         this->onContact(now);
-        this->cutOff = false;
+        this->isolated = false;
         return;
     }
     // An answer on a connection that is still open says nothing of new ones.
     if (this->openProbes == 0 && this->contactAt < this->probeDue - this->settings.probeInterval
-        && !std::exchange(this->cutOff, true)) {
-        ++this->cutOffs;
+        && !std::exchange(this->isolated, true)) {
+        ++this->isolations;
     }
 }
 
@@ -73,7 +73,7 @@
         return;
     }
     this->forgetUnused(now);
-    if (this->cutOff || this->areLinksInDoubt(now)) {
+    if (this->isolated || this->areLinksInDoubt(now)) {
         this->startProbes(now);
     }
 }
@@ -121,7 +121,7 @@
         return row.second.openSince.empty() && now - row.second.usedAt >= this->settings.retention;
     });
     if (this->upstreams.empty()) {
-        this->cutOff = false;
+        this->isolated = false;
     }
 }
 
@@ -135,7 +135,7 @@
     if (this->openProbes > 0) {
         return std::nullopt;
     }
-    if (this->cutOff) {
+    if (this->isolated) {
         return this->probeDue;
     }
     std::optional<Instant> due;
--- a/src/entry/requestflow.h
+++ b/src/entry/requestflow.h
@@ -161,10 +161,10 @@
     auto retryPermits(Instant now) -> void;
     auto send(Flow &flow, const PermitVerdict &verdict, Instant now) -> void;
     /// Returns a permit by which this VM would have to reach the upstream itself although it is
-    /// cut off, and asks for another one or refuses the request.
+    /// isolated, and asks for another one or refuses the request.
     /// @returns false where the request may be sent with the permit
     auto exchangeForForwarder(Flow &flow, const PermitVerdict &verdict, Instant now) -> bool;
-    /// Sends a request without a permit, through a forwarder where this VM is cut off.
+    /// Sends a request without a permit, through a forwarder where this VM is isolated.
     auto sendWithoutGrantor(Flow &flow, PermitVerdict verdict, Instant now) -> void;
     /// After the VM's links were lost, sends repeatable requests anew whose attempts hang.
     auto leaveLostLinks(Instant now) -> void;
@@ -223,8 +223,8 @@
     std::uint64_t directSends = 0;
     std::uint64_t forwardedSends = 0;
     RecentForwarders forwarders;
-    /// UpstreamReach::cutOffCount() as of the last loss of links that was handled.
-    std::uint64_t handledCutOffs = 0;
+    /// UpstreamReach::isolationCount() as of the last loss of links that was handled.
+    std::uint64_t handledIsolations = 0;
     std::optional<FlowStop> stop;
     std::uint64_t heldByLeaving = 0;
     std::uint64_t heldByPause = 0;
--- a/src/entry/tests/requestflowforward_tests.cpp
+++ b/src/entry/tests/requestflowforward_tests.cpp
@@ -23,7 +23,7 @@
         static_cast<void>(probe);
         fixture.reach.onProbeEnd(false, fixture.now);
     }
-    REQUIRE(fixture.reach.isCutOff());
+    REQUIRE(fixture.reach.isIsolated());
 }
 
 auto restoreLinks(RequestFlowFixture &fixture) -> void
@@ -31,7 +31,7 @@
     fixture.now += UpstreamReachSettings{}.probeInterval;
     fixture.reach.advance(fixture.now);
     fixture.reach.onProbeEnd(true, fixture.now);
-    REQUIRE_FALSE(fixture.reach.isCutOff());
+    REQUIRE_FALSE(fixture.reach.isIsolated());
 }
 
 auto grantThrough(RequestFlowFixture &fixture, const Address &through) -> void
@@ -57,12 +57,12 @@
 
 // Callers of a VM that had lost its links were refused although other VMs reached the upstreams.
 SCENARIO("RequestFlow: given a VM that reaches no upstream, its requests go through other daemons",
-         "[entry][cutoff]")
+         "[entry][isolated]")
 {
     RequestFlowFixture fixture;
     loseLinks(fixture);
     fixture.begin(false);
-    REQUIRE(fixture.lastRequest()->isCutOff);
+    REQUIRE(fixture.lastRequest()->isIsolated);
     WHEN("the grantor names a forwarder")
     {
         grantThrough(fixture, forwarder);
@@ -129,7 +129,7 @@
         fixture.begin(ExchangeId{2}, std::nullopt);
         THEN("requests are sent straight to the upstreams again")
         {
-            CHECK_FALSE(fixture.lastRequest()->isCutOff);
+            CHECK_FALSE(fixture.lastRequest()->isIsolated);
             fixture.grant();
             CHECK(lastSend(fixture).forwarder.empty());
         }
@@ -137,7 +137,7 @@
 }
 
 SCENARIO("RequestFlow: given attempts that hang, losing the links sends repeatable ones anew",
-         "[entry][cutoff]")
+         "[entry][isolated]")
 {
     RequestFlowFixture fixture;
     GIVEN("a repeatable request at an upstream")
@@ -150,7 +150,7 @@
         {
             CHECK(fixture.count<FlowAbort>() == 1);
             CHECK(fixture.lastRequest()->isRetry);
-            CHECK(fixture.lastRequest()->isCutOff);
+            CHECK(fixture.lastRequest()->isIsolated);
             grantThrough(fixture, forwarder);
             CHECK(lastSend(fixture).forwarder == forwarder);
         }
@@ -182,7 +182,7 @@
 }
 
 SCENARIO("RequestFlow: given neither links nor a grantor, lately named forwarders are used",
-         "[entry][cutoff]")
+         "[entry][isolated]")
 {
     RequestFlowFixture fixture;
     UpstreamEntry entry;
--- a/src/entry/tests/upstreamreach_tests.cpp
+++ b/src/entry/tests/upstreamreach_tests.cpp
@@ -44,8 +44,8 @@
 } // namespace
 
 // A VM that has lost its links would go on sending requests into them, or refuse them all.
-SCENARIO("UpstreamReach: given upstreams that answered, a VM whose links are refused is cut off",
-         "[entry][cutoff]")
+SCENARIO("UpstreamReach: given upstreams that answered, a VM whose links are refused is isolated",
+         "[entry][isolated]")
 {
     ReachFixture fixture;
     for (int index = 1; index <= 5; ++index) {
@@ -56,20 +56,20 @@
         fixture.attempt(1, AttemptEnd::NotSent);
         CHECK(fixture.reach.takeProbes().empty());
         fixture.attempt(2, AttemptEnd::NotSent);
-        CHECK_FALSE(fixture.reach.isCutOff());
+        CHECK_FALSE(fixture.reach.isIsolated());
         CHECK_FALSE(fixture.reach.nextDue());
         CHECK(fixture.endProbes(false) == 3);
-        THEN("it is cut off, and probes again until a connection is established")
+        THEN("it is isolated, and probes again until a connection is established")
         {
-            CHECK(fixture.reach.isCutOff());
-            CHECK(fixture.reach.cutOffCount() == 1);
+            CHECK(fixture.reach.isIsolated());
+            CHECK(fixture.reach.isolationCount() == 1);
             fixture.reach.advance(fixture.now);
             CHECK(fixture.reach.takeProbes().empty());
             fixture.now += UpstreamReachSettings{}.probeInterval;
             CHECK(fixture.reach.nextDue() <= fixture.now);
             fixture.reach.advance(fixture.now);
             CHECK(fixture.endProbes(true) == 3);
-            CHECK_FALSE(fixture.reach.isCutOff());
+            CHECK_FALSE(fixture.reach.isIsolated());
         }
     }
     WHEN("two upstreams fail in a row, and nothing is open any more")
@@ -93,7 +93,7 @@
         fixture.reach.onProbeEnd(false, fixture.now);
         THEN("the upstreams are lost, and not the links")
         {
-            CHECK_FALSE(fixture.reach.isCutOff());
+            CHECK_FALSE(fixture.reach.isIsolated());
         }
     }
     WHEN("a single upstream fails again and again")
@@ -119,7 +119,7 @@
 }
 
 SCENARIO("UpstreamReach: given connections that hang, the VM finds out before the deadlines",
-         "[entry][cutoff]")
+         "[entry][isolated]")
 {
     ReachFixture fixture;
     fixture.attempt(3, AttemptEnd::Answered, milliseconds{70});
@@ -135,7 +135,7 @@
         THEN("connections to several upstreams decide")
         {
             CHECK(fixture.endProbes(false) == 3);
-            CHECK(fixture.reach.isCutOff());
+            CHECK(fixture.reach.isIsolated());
         }
     }
     WHEN("a third upstream answers meanwhile")
@@ -159,15 +159,15 @@
         for (int index = 0; index < 3; ++index) {
             fixture.reach.onProbeEnd(false, fixture.now);
         }
-        THEN("the VM isn't cut off")
+        THEN("the VM isn't isolated")
         {
-            CHECK_FALSE(fixture.reach.isCutOff());
+            CHECK_FALSE(fixture.reach.isIsolated());
         }
     }
 }
 
 SCENARIO("UpstreamReach: given upstreams that aren't used any more, they aren't probed",
-         "[entry][cutoff]")
+         "[entry][isolated]")
 {
     ReachFixture fixture;
     fixture.attempt(1, AttemptEnd::Answered);
--- a/src/entry/upstreamreach.h
+++ b/src/entry/upstreamreach.h
@@ -50,9 +50,9 @@
     auto advance(Instant now) -> void;
 
     /// @returns whether no upstream is reached: the last probes have all failed
-    [[nodiscard]] auto isCutOff() const -> bool { return this->cutOff; }
+    [[nodiscard]] auto isIsolated() const -> bool { return this->isolated; }
     /// @returns how many times the links have been lost
-    [[nodiscard]] auto cutOffCount() const -> std::uint64_t { return this->cutOffs; }
+    [[nodiscard]] auto isolationCount() const -> std::uint64_t { return this->isolations; }
     /// @returns the upstreams to connect to since the last call
     [[nodiscard]] auto takeProbes() -> std::vector<Address>;
     /// @returns when to call advance() next; empty where nothing is open and no link in doubt
@@ -80,8 +80,8 @@
     UpstreamReachSettings settings;
     std::map<Address, Known> upstreams;
     Instant contactAt{};
-    bool cutOff = false;
-    std::uint64_t cutOffs = 0;
+    bool isolated = false;
+    std::uint64_t isolations = 0;
     std::vector<Address> probes;
     std::size_t openProbes = 0;
     Instant probeDue{};
--- a/src/forwarding/forwardservice.h
+++ b/src/forwarding/forwardservice.h
@@ -12,8 +12,6 @@
 #include <string>
 #include <string_view>
 
-struct event_base;
-
 namespace gooseberrywall {
 
 struct ForwardSettings
@@ -52,7 +50,7 @@
     /// @param readStatement reads what an upstream's answer states
     /// @param now reads a clock that goes on while the VM is suspended
     /// @param onWork called after each end of an attempt
-    ForwardService(event_base *base, ForwardSettings settings, OutboundPool &upstreams,
+    ForwardService(ForwardSettings settings, OutboundPool &upstreams,
                    UpstreamStatements &statements, ReadStatement readStatement,
                    std::function<Instant()> now, Reply reply, std::function<void()> onWork);
     ~ForwardService();
@@ -63,6 +61,9 @@
     auto onRequest(ExchangeId exchange, WholeMessage message) -> void;
     /// Aborts an attempt whose entry daemon's connection has ended.
     auto onDisconnect(ExchangeId exchange) -> void;
+    /// Takes in that the process waits for events, until `due` at the latest: requests that it
+    /// reads much later may have waited in its sockets, so their time may be over.
+    auto onWait(Instant moment, Instant due) -> void { this->stalls.onWait(moment, due); }
     /// From now on refuses new requests; those in progress continue.
     auto refuseNew() -> void { this->isStopping = true; }
 
@@ -97,7 +98,6 @@
     Reply reply;
     std::function<void()> onWork;
     StallWatch stalls;
-    EventPointer tickEvent;
     std::map<ExchangeId, Attempt> attempts;
     bool isStopping = false;
     ForwardCounters counts;
--- a/src/forwarding/internal/forwardservice.cpp
+++ b/src/forwarding/internal/forwardservice.cpp
@@ -1,9 +1,7 @@
 #include "forwarding/forwardservice.h"
 
 #include "forwarding/forwardcodec.h"
-#include "http/timeval.h"
 
-#include <event2/event.h>
 #include <utility>
 
 namespace gooseberrywall {
@@ -22,7 +20,7 @@
 
 } // namespace
 
-ForwardService::ForwardService(event_base *base, ForwardSettings settings, OutboundPool &upstreams,
+ForwardService::ForwardService(ForwardSettings settings, OutboundPool &upstreams,
                                UpstreamStatements &statements, ReadStatement readStatement,
                                std::function<Instant()> now, Reply reply,
                                std::function<void()> onWork)
@@ -33,17 +31,7 @@
     , now(std::move(now))
     , reply(std::move(reply))
     , onWork(std::move(onWork))
-    , stalls(this->now())
-    , tickEvent(event_new(
-          base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void *self) {
-              auto *service = static_cast<ForwardService *>(self);
-              service->stalls.onTick(service->now());
-          },
-          this))
 {
-    const auto interval = toTimeval(StallWatch::tickInterval);
-    event_add(this->tickEvent.get(), &interval);
 }
 
 ForwardService::~ForwardService()
--- a/src/forwarding/internal/stallwatch.cpp
+++ b/src/forwarding/internal/stallwatch.cpp
@@ -2,22 +2,28 @@
 
 namespace gooseberrywall {
 
-auto StallWatch::onTick(Instant now) -> void
+auto StallWatch::onWait(Instant now, Instant due) -> void
 {
-    if (now - this->tickedAt > pauseLimit) {
-        this->pauseStart = this->tickedAt;
+    if (this->isLate(now)) {
+        this->pauseStart = this->waitingSince;
         this->pauseEnd = now;
     }
-    this->tickedAt = now;
+    this->waitingSince = now;
+    this->wakeUpDue = due;
 }
 
 auto StallWatch::longestWait(Instant now) const -> Duration
 {
-    if (now - this->tickedAt > pauseLimit) {
-        return now - this->tickedAt;
+    if (this->isLate(now)) {
+        return now - this->waitingSince;
     }
     const auto isCatchingUp = this->pauseEnd != Instant{} && now - this->pauseEnd < catchUpTime;
     return isCatchingUp ? now - this->pauseStart : Duration{0};
 }
 
+auto StallWatch::isLate(Instant now) const -> bool
+{
+    return now - this->wakeUpDue > pauseLimit;
+}
+
 } // namespace gooseberrywall
--- a/src/forwarding/tests/forwardhop_tests.cpp
+++ b/src/forwarding/tests/forwardhop_tests.cpp
@@ -24,7 +24,7 @@
     explicit Forwarder(event_base *base)
         : pool(base, poolSettings(), monotonicNow)
         , service(
-              base, ForwardSettings{}, this->pool, this->statements,
+              ForwardSettings{}, this->pool, this->statements,
               [](const MessageHead &, bool) { return AnswerStatement{true}; }, monotonicNow,
               [this](ExchangeId exchange, const MessageHead &head, std::string_view body) {
                   this->listener.reply(exchange, head, body);
--- a/src/forwarding/tests/forwardservice_tests.cpp
+++ b/src/forwarding/tests/forwardservice_tests.cpp
@@ -25,13 +25,23 @@
         : upstream(this->loop.base(), std::move(steps))
         , pool(this->loop.base(), OutboundPoolSettings{}, monotonicNow)
         , service(
-              this->loop.base(), ForwardSettings{limit}, this->pool, this->statements,
-              readStatement, [this] { return this->now(); },
+              ForwardSettings{limit}, this->pool, this->statements, readStatement,
+              [this] { return this->now(); },
               [this](ExchangeId exchange, const MessageHead &head, std::string_view body) {
                   this->replies[exchange.value] = WholeMessage{head, std::string(body)};
               },
               [this] { ++this->workCalls; })
+        , tick(this->loop.base(), [this] { this->onTick(); })
     {
+        this->onTick();
+    }
+
+    /// Waits for events in steps, as a daemon does.
+    auto onTick() -> void
+    {
+        constexpr Duration step = milliseconds{50};
+        this->service.onWait(this->now(), this->now() + step);
+        this->tick.set(monotonicNow() + step);
     }
 
     static auto readStatement(const MessageHead &answer, bool) -> AnswerStatement
@@ -101,6 +111,7 @@
     std::map<std::uint64_t, WholeMessage> replies;
     int workCalls = 0;
     ForwardService service;
+    ClockTimer tick;
 };
 
 const std::string okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/src/keyranges/internal/rangeplanner.cpp
+++ b/src/keyranges/internal/rangeplanner.cpp
@@ -81,13 +81,22 @@
     this->updateLoadPrefixSums();
     auto candidates = this->candidatesOf(views, upstreams);
     std::vector<RangeMove> moves;
-    const auto hasUsable = std::any_of(candidates.begin(), candidates.end(),
-                                       [](const auto &row) { return row.second.isUsable; });
-    if (!hasUsable) {
+    const auto hasUsable = [&candidates] {
+        return std::any_of(candidates.begin(), candidates.end(),
+                           [](const auto &row) { return row.second.isUsable; });
+    };
+    if (hasUsable()) {
+        this->placeUnowned(views, candidates, moves);
+        this->balance(views, candidates, moves, now);
         return moves;
     }
-    this->placeUnowned(views, candidates, moves);
-    this->balance(views, candidates, moves, now);
+    // An upstream is found to have recovered only by requests, and keys without an owner get none.
+    for (auto &[id, candidate] : candidates) {
+        candidate.isUsable = !candidate.isDraining;
+    }
+    if (hasUsable()) {
+        this->placeUnowned(views, candidates, moves);
+    }
     return moves;
 }
 
@@ -136,6 +145,7 @@
         candidate.capacity =
             std::max(0.1, std::min(slotsPerSecond, upstream.requestLimit.perSecond));
         candidate.isUsable = upstream.isUsable;
+        candidate.isDraining = upstream.isDraining;
         result.emplace(upstream.id, candidate);
     }
     for (const auto &view : views) {
--- a/src/keyranges/rangeplanner.h
+++ b/src/keyranges/rangeplanner.h
@@ -60,6 +60,7 @@
         double load = 0;
         int rangeCount = 0;
         bool isUsable = false;
+        bool isDraining = false;
         [[nodiscard]] auto utilisation() const -> double { return this->load / this->capacity; }
     };
 
--- a/src/keyranges/tests/rangeplanner_tests.cpp
+++ b/src/keyranges/tests/rangeplanner_tests.cpp
@@ -250,3 +250,57 @@
         CHECK(keys.movedShare() - settled < 0.3);
     }
 }
+
+// Keys stayed without an owner for as long as all upstreams counted as failing: nothing was sent to
+// them that could show that they had recovered.
+SCENARIO("RangePlanner: given upstreams that have all failed lately, keys without an owner get one",
+         "[keyranges]")
+{
+    RangePlanner planner(RangePlannerSettings{});
+    const Instant now{seconds{100}};
+    std::vector<UpstreamStatus> statuses(3);
+    for (std::size_t index = 0; index < statuses.size(); ++index) {
+        statuses[index].id = UpstreamId{"u" + std::to_string(index)};
+        statuses[index].slots = 3;
+        statuses[index].expectedLatency = milliseconds{80};
+        statuses[index].isUsable = false;
+    }
+    statuses[2].isDraining = true;
+    const std::vector<RangeView> views{
+        RangeView{KeyRange{0, 999}, UpstreamId{"u0"}, true, now},
+        RangeView{KeyRange{1000, keyCount - 1}, std::nullopt, true, now}};
+    WHEN("none is usable")
+    {
+        const auto moves = planner.plan(views, statuses, now);
+        THEN("the keys are placed on upstreams that don't drain, and owned ones stay")
+        {
+            std::uint32_t placed = 0;
+            for (const auto &move : moves) {
+                CHECK(move.range.first >= 1000);
+                CHECK(move.target != UpstreamId{"u2"});
+                placed += move.range.size();
+            }
+            CHECK(placed == keyCount - 1000);
+        }
+    }
+    WHEN("one is usable")
+    {
+        statuses[1].isUsable = true;
+        THEN("it gets the keys")
+        {
+            for (const auto &move : planner.plan(views, statuses, now)) {
+                CHECK(move.target == UpstreamId{"u1"});
+            }
+        }
+    }
+    WHEN("all drain")
+    {
+        for (auto &status : statuses) {
+            status.isDraining = true;
+        }
+        THEN("no key is placed")
+        {
+            CHECK(planner.plan(views, statuses, now).empty());
+        }
+    }
+}
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -64,7 +64,7 @@
     out.setHasKey(request.key.has_value());
     out.setKey(request.key.value_or(0));
     out.setIsRetry(request.isRetry);
-    out.setCutOff(request.isCutOff);
+    out.setIsolated(request.isIsolated);
     const auto count = std::min(request.avoid.size(), maxAvoidedUpstreams);
     auto avoid = out.initAvoid(static_cast<unsigned>(count));
     for (unsigned index = 0; index < count; ++index) {
@@ -148,7 +148,7 @@
         request.key = in.getKey();
     }
     request.isRetry = in.getIsRetry();
-    request.isCutOff = in.getCutOff();
+    request.isIsolated = in.getIsolated();
     const auto avoid = in.getAvoid();
     for (unsigned index = 0; index < avoid.size() && index < maxAvoidedUpstreams; ++index) {
         request.avoid.push_back(UpstreamId{textOf(avoid[index])});
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -21,7 +21,7 @@
   avoid @9 :List(Text);
   request @10 :Text;
   print @11 :UInt64;
-  cutOff @12 :Bool;
+  isolated @12 :Bool;
 }
 
 struct Verdict {
--- a/src/permitlink/schema/permit.capnp.cpp
+++ b/src/permitlink/schema/permit.capnp.cpp
@@ -64,7 +64,7 @@
   0, 2, i_983d8383ecc8b152, nullptr, nullptr, { &s_983d8383ecc8b152, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<219> b_d01b3eeb31aa2e82 = {
+static const ::capnp::_::AlignedData<220> b_d01b3eeb31aa2e82 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     130,  46, 170,  49, 235,  62,  27, 208,
      13,   0,   0,   0,   1,   0,   4,   0,
@@ -169,10 +169,10 @@
      12,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   1,   0,  12,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   1,   0,   0,  58,   0,   0,   0,
+    169,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    164,   1,   0,   0,   3,   0,   1,   0,
-    176,   1,   0,   0,   2,   0,   1,   0,
+    168,   1,   0,   0,   3,   0,   1,   0,
+    180,   1,   0,   0,   2,   0,   1,   0,
     105, 100,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      82, 177, 200, 236, 131, 131,  61, 152,
@@ -276,7 +276,8 @@
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     99, 117, 116,  79, 102, 102,   0,   0,
+    105, 115, 111, 108,  97, 116, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -290,10 +291,10 @@
 static const ::capnp::_::RawSchema* const d_d01b3eeb31aa2e82[] = {
   &s_983d8383ecc8b152,
 };
-static const uint16_t m_d01b3eeb31aa2e82[] = {9, 12, 2, 6, 0, 8, 7, 11, 3, 4, 10, 1, 5};
+static const uint16_t m_d01b3eeb31aa2e82[] = {9, 2, 6, 0, 8, 12, 7, 11, 3, 4, 10, 1, 5};
 static const uint16_t i_d01b3eeb31aa2e82[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12};
 const ::capnp::_::RawSchema s_d01b3eeb31aa2e82 = {
-  0xd01b3eeb31aa2e82, b_d01b3eeb31aa2e82.words, 219, d_d01b3eeb31aa2e82, m_d01b3eeb31aa2e82,
+  0xd01b3eeb31aa2e82, b_d01b3eeb31aa2e82.words, 220, d_d01b3eeb31aa2e82, m_d01b3eeb31aa2e82,
   1, 13, i_d01b3eeb31aa2e82, nullptr, nullptr, { &s_d01b3eeb31aa2e82, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -288,7 +288,7 @@
 
   inline  ::uint64_t getPrint() const;
 
-  inline bool getCutOff() const;
+  inline bool getIsolated() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -375,8 +375,8 @@
   inline  ::uint64_t getPrint();
   inline void setPrint( ::uint64_t value);
 
-  inline bool getCutOff();
-  inline void setCutOff(bool value);
+  inline bool getIsolated();
+  inline void setIsolated(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1440,16 +1440,16 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::getCutOff() const {
+inline bool Request::Reader::getIsolated() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<34>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Builder::getCutOff() {
+inline bool Request::Builder::getIsolated() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<34>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setCutOff(bool value) {
+inline void Request::Builder::setIsolated(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
 }
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -34,7 +34,7 @@
     request.isRetry = true;
     request.fingerprint = 99;
     request.avoid = {UpstreamId{"a"}, UpstreamId{"b"}};
-    request.isCutOff = true;
+    request.isIsolated = true;
     CHECK(roundTrip(request, sender, self) == PermitMessage{request});
 
     PermitAnswer answer;
