Show three more ways in which an answer to a release proves too much; known red

Not covered are releases that the record doesn't show:

- after a restoration, the lost grantor's releases since the copy was made: the owner of the copy gets the keys at the round's first answers, while the last holder is at work (adoptOutdated leaves mayHaveUnansweredRelease unset for held rows);
- after a raised term, the releases of a grantor that led meanwhile (the same in markOutdated, reached from Held);
- in a release round, an order that reached a restarted upstream before the store listed it (addUpstream clears `unanswered`).

No logic is changed.

--- a/src/keyranges/tests/releaseround_tests.cpp
+++ b/src/keyranges/tests/releaseround_tests.cpp
@@ -144,3 +144,22 @@
         }
     }
 }
+
+// Guards against keys that are given on while their holder is at work (OWNER, issue 33): the order
+// that stayed unanswered had reached an upstream that had restarted and wasn't listed yet.
+SCENARIO("ReleaseRound: given an upstream that is listed only after it has left a release "
+         "unanswered, its next answer proves nothing",
+         "[releaseround][workatrelease][knownred][!mayfail]")
+{
+    ReleaseRoundFixture fixture;
+    for (const auto &order : fixture.takeOrders(start)) {
+        const auto isFromB = order.upstream.value == "b";
+        fixture.end(order, isFromB ? RangeOrderEnd::Kind::NoAnswer : RangeOrderEnd::Kind::Accepted,
+                    start);
+    }
+    fixture.round.addUpstream(holder("b", 2));
+    for (const auto &order : fixture.takeOrders(start + seconds{1})) {
+        fixture.end(order, RangeOrderEnd::Kind::Accepted, start + seconds{1});
+    }
+    CHECK(fixture.round.unreleased() == std::vector{KeyRange{0, 99}, KeyRange{200, 65535}});
+}
--- a/src/keyranges/tests/workatrelease_tests.cpp
+++ b/src/keyranges/tests/workatrelease_tests.cpp
@@ -233,3 +233,104 @@
     CHECK(stored.rows[0].owner.id == UpstreamId{"b"});
     CHECK(stored.rows[0].earlierOwners == std::vector{holderOf(three.entries[0])});
 }
+
+// Guards against keys that are given on while their holder is at work (OWNER, issue 33): the store
+// has lost that they moved, and the lost grantor's release of them stayed unanswered.
+SCENARIO("RangeGrantor: given a restored store, an upstream that has left the lost grantor's "
+         "release unanswered keeps its keys until its hold has run out",
+         "[keyranges][workatrelease][knownred][!mayfail]")
+{
+    GrantorOfThree three;
+    // "b" was granted the keys, and was ordered to release them 2 s before the round. Its work on
+    // them may last until its hold ends, and it answers each further release at once.
+    const auto holdEnd = three.now + three.settings.holdTime - seconds{2};
+    RangeRecord copy;
+    copy.rows = {RangeRow{allKeys, holderOf(three.entries[0]), {}, false}};
+    three.grantor.adoptOutdated(copy, three.now);
+    const auto grantedAt = three.grantTimeOf("a", seconds{20}, accepted);
+    REQUIRE(grantedAt.has_value());
+    CHECK(*grantedAt >= holdEnd);
+}
+
+// Guards against keys that are given on while their holder is at work (OWNER, issue 33): another
+// grantor that led meanwhile had granted them and left a release of them without an answer.
+SCENARIO("RangeGrantor: given a raised term, an upstream that has left another grantor's release "
+         "unanswered keeps its keys until its hold has run out",
+         "[keyranges][workatrelease][knownred][!mayfail]")
+{
+    GrantorOfThree three;
+    three.grantor.adopt(RangeRecord{}, three.now);
+    three.grantor.move({RangeMove{allKeys, UpstreamId{"a"}}}, three.now);
+    REQUIRE_FALSE(three.grantTimeOf("b", milliseconds{500}, accepted).has_value());
+    three.grantor.raiseTerm(7, true, three.now);
+    // As in the case before, with the other grantor's release.
+    const auto holdEnd = three.now + three.settings.holdTime - seconds{2};
+    auto isRefused = false;
+    std::optional<Instant> grantedAt;
+    for (const auto end = three.now + seconds{20}; three.now < end && !grantedAt;
+         three.now += milliseconds{10}) {
+        three.storeRecord();
+        three.grantor.advance(three.now);
+        for (const auto &order : three.grantor.takeOrders()) {
+            const auto isGrant = order.kind == RangeOrder::Kind::Grant;
+            const auto isFirst = isGrant && !isRefused;
+            isRefused = isRefused || isGrant;
+            if (isGrant && !isFirst) {
+                grantedAt = three.now;
+            }
+            three.grantor.onOrderEnd(
+                {order.call,
+                 isFirst ? RangeOrderEnd::Kind::FenceTooLow : RangeOrderEnd::Kind::Accepted, ""},
+                three.now);
+        }
+    }
+    REQUIRE(isRefused);
+    REQUIRE(grantedAt.has_value());
+    CHECK(*grantedAt >= holdEnd);
+}
+
+// Guards against keys that are given on while their holder is at work (OWNER, issue 33) after the
+// store was restored and its grantor lost.
+SCENARIO("RangeGrantor: given a restored store and upstreams at work for seconds, no key is given "
+         "on before the work or its hold has ended",
+         "[keyranges][workatrelease][knownred][!mayfail]")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        GIVEN("seed " + std::to_string(seed))
+        {
+            RangeSimulation simulation(seed, 8, {});
+            simulation.setDoReleasesRaiseFences(true);
+            simulation.replaceGrantor(milliseconds{0});
+            simulation.setLongestWork(seconds{5});
+            std::mt19937_64 random(seed * 57);
+            simulation.run(seconds{4});
+            simulation.keepCopy();
+            // The same keys move several times, so that the copy names another owner than the last.
+            const auto heatKeys = [&] {
+                const auto hotFirst = static_cast<KeyPosition>(30'000 + random() % 4'000);
+                simulation.setHotKeys(KeyRange{hotFirst, static_cast<KeyPosition>(hotFirst + 4000)},
+                                      400);
+            };
+            for (auto round = 0; round < 10; ++round) {
+                heatKeys();
+                simulation.run(milliseconds{500 + random() % 2000});
+            }
+            // The store doesn't answer before it is restored, and keys move while the lease lasts.
+            simulation.setGrantsProlonged(true);
+            for (auto round = 0; round < 3; ++round) {
+                heatKeys();
+                simulation.run(milliseconds{400 + random() % 600});
+            }
+            simulation.restoreCopy(seconds{2});
+            // From here on, only what was at work at the lost grantor's releases is at work.
+            simulation.setLongestWork(seconds{0});
+            simulation.run(seconds{20});
+            THEN("each key was given on after the work, and no key had two owners")
+            {
+                CHECK(simulation.givenOnAtWorkCount() == 0);
+                CHECK(simulation.doubleOwnerCount() == 0);
+                CHECK(simulation.lowFenceCount() == 0);
+            }
+        }
+    }
+}
