--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -255,12 +255,12 @@
 {
     std::vector<UpstreamStatus> result;
     for (const auto &[id, upstream] : this->upstreams) {
-        result.push_back(
-            UpstreamStatus{id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
-                           this->latencyOf(upstream, now), upstream.health.failureShare(now),
-                           !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
-                               && !this->isSilent(upstream, now),
-                           upstream.entry.isDraining, upstream.limiter.limit(), upstream.grants.perSecond(now)});
+        result.push_back(UpstreamStatus{
+            id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
+            this->latencyOf(upstream, now), upstream.health.failureShare(now),
+            !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
+                && !this->isSilent(upstream, now),
+            upstream.entry.isDraining, upstream.limiter.limit(), upstream.grants.perSecond(now)});
     }
     return result;
 }
