--- a/src/edge/internal/grantorrelease.cpp
+++ b/src/edge/internal/grantorrelease.cpp
@@ -57,11 +57,12 @@
 auto GrantorRole::logRelease(const RangeOrder &order, const RangeOrderEnd &end, Instant sentAt)
     -> void
 {
-    if (order.kind != RangeOrder::Kind::Release || this->loggedRound.isActive) {
+    // One that wasn't sent is tried again several times a second.
+    if (order.kind != RangeOrder::Kind::Release || this->loggedRound.isActive
+        || end.kind == RangeOrderEnd::Kind::NotSent) {
         return;
     }
-    const auto isAnswered =
-        end.kind != RangeOrderEnd::Kind::NoAnswer && end.kind != RangeOrderEnd::Kind::NotSent;
+    const auto isAnswered = end.kind != RangeOrderEnd::Kind::NoAnswer;
     LogLine line(isAnswered ? "range_released" : "range_release_unanswered");
     line.with("service", this->spec.name.value)
         .with("upstream", order.upstream.value)
