Keep a forwarder in use that doesn't reach one of the upstreams

A report that a forwarder didn't forward took it off for 500 ms for all upstreams, though only its path to one upstream may have failed, which the entry daemon can't tell. The broker now keeps when an upstream last answered each daemon. Such a report ends the use of the path only, and says nothing about the upstream, where the upstream hasn't answered the forwarder within 10 s; a forwarder whose path is proven is preferred until it forwards eight more.

Evidence: new scenario on the former code: CHECK( one.verdict.forwarder != another.verdict.forwarder ) fails. The simulation gets lost paths of single pairs.

--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -4,12 +4,13 @@
 #include "dispatch/types/upstreamprocess.h"
 
 #include <algorithm>
+#include <compare>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <tuple>
+#include <type_traits>
 #include <unordered_map>
 #include <vector>
 
@@ -17,11 +18,14 @@
 
 struct EntryPathsSettings
 {
-    /// A path to an upstream isn't used for this time after a failure on it; doubles with each
-    /// further failure.
+    /// A path to an upstream, or all links of a daemon, aren't used for this time after a failure;
+    /// doubles with each further failure.
     Duration failureMemory = std::chrono::seconds{1};
-    /// Upper limit of that time. Failures are forgotten after twice as long.
-    Duration maxFailureMemory = std::chrono::seconds{4};
+    /// Upper limit of that time for all links of a daemon. Its failures are forgotten after twice
+    /// as long.
+    Duration maxLinksMemory = std::chrono::seconds{4};
+    /// Upper limit of that time for one path: its requests are forwarded meanwhile.
+    Duration maxPathMemory = std::chrono::seconds{4};
     /// A daemon may forward requests for this long after an upstream has answered it. One that has
     /// asked for a permit in this time and not failed since may, too, where there is no such
     /// daemon.
@@ -31,6 +35,8 @@
     /// A daemon in another failure domain than the entry daemon is chosen where those in the same
     /// domain forward this many more.
     int nearForwarderLead = 4;
+    /// The same for a daemon that the upstream hasn't answered lately.
+    int provenPathLead = 8;
     /// A daemon that couldn't be reached as a forwarder, or didn't forward, isn't asked to for this
     /// time.
     Duration forwarderRest = std::chrono::milliseconds{500};
@@ -51,6 +57,15 @@
         auto operator==(const Failure &) const -> bool = default;
     };
 
+    /// How well a daemon can send requests to an upstream.
+    enum class ForwarderFit : std::uint8_t {
+        None,
+        /// Nothing is known of the path to the upstream.
+        Unknown,
+        /// The upstream has answered the daemon lately.
+        Proven,
+    };
+
     enum class FailureKind : std::uint8_t {
         /// The request wasn't sent, as no connection could be opened.
         NotSent,
@@ -114,29 +129,33 @@
                   });
     }
 
-    /// @param isAllowed tells whether the upstream takes requests from a daemon
+    /// @param fitOf tells how well a daemon can send the request to the upstream
     /// @returns the daemon that should forward a request to the upstream; empty where none can now
-    template<std::predicate<const Address &> Predicate>
+    template<typename FitOf>
+    requires std::is_invocable_r_v<ForwarderFit, FitOf, const Address &>
     [[nodiscard]] auto chooseForwarder(const Address &entry, const UpstreamProcess &upstream,
-                                       const Predicate &isAllowed, Instant now) const -> Address
+                                       const FitOf &fitOf, Instant now) const -> Address
     {
         const auto *asking = this->find(entry);
         const auto domain = asking == nullptr ? FailureDomain{} : asking->domain;
         const Daemon *best = nullptr;
-        const auto rank = [&](const Daemon &daemon) {
-            const auto isFar = daemon.domain != domain;
-            const auto lead = isFar ? this->settings.nearForwarderLead : 0;
-            return std::tuple(!this->isProven(daemon, now), daemon.failuresSinceAnswer > 0,
-                              daemon.forwarding + lead, isFar);
-        };
+        ForwarderRank bestRank;
         for (const auto *daemon : this->forwarders) {
-            if ((best == nullptr || rank(*daemon) < rank(*best))
-                && this->canForward(*daemon, entry, upstream, now) && isAllowed(daemon->address)) {
+            const auto fit = this->canForward(*daemon, entry, upstream, now)
+                                 ? fitOf(daemon->address)
+                                 : ForwarderFit::None;
+            if (fit == ForwarderFit::None) {
+                continue;
+            }
+            const auto rank = this->rankOf(*daemon, fit, domain, now);
+            if (best == nullptr || rank < bestRank) {
                 best = daemon;
+                bestRank = rank;
             }
         }
         return best == nullptr ? Address{} : best->address;
     }
+    /// @param isAllowed tells whether the upstream takes requests from a daemon
     /// @returns whether a daemon can forward a request to the upstream now
     template<std::predicate<const Address &> Predicate>
     [[nodiscard]] auto hasForwarder(const Address &entry, const UpstreamProcess &upstream,
@@ -199,6 +218,17 @@
         bool isImpaired = false;
     };
 
+    struct ForwarderRank
+    {
+        bool isUnproven = false;
+        bool hasFailed = false;
+        int load = 0;
+        bool isFar = false;
+        auto operator<=>(const ForwarderRank &) const = default;
+    };
+
+    [[nodiscard]] auto rankOf(const Daemon &daemon, ForwarderFit fit, const FailureDomain &domain,
+                              Instant now) const -> ForwarderRank;
     [[nodiscard]] auto find(const Address &daemon) const -> const Daemon *;
     [[nodiscard]] auto daemonAt(const Address &address, Instant now) -> Daemon &;
     /// @returns whether an upstream has answered the daemon lately
@@ -208,7 +238,7 @@
     [[nodiscard]] auto canForward(const Daemon &daemon, const Address &entry,
                                   const UpstreamProcess &upstream, Instant now) const -> bool;
     /// Begins the avoidance, or extends it.
-    auto avoid(Avoidance &avoidance, Failure failure) const -> void;
+    auto avoid(Avoidance &avoidance, Duration maxLength, Failure failure) const -> void;
     /// @returns at how many upstreams the daemon has failed since it was last answered
     [[nodiscard]] static auto failedUpstreamCount(const Daemon &daemon) -> std::ptrdiff_t;
     /// Updates what is derived from the daemon's state.
--- a/src/dispatch/internal/entrypaths.cpp
+++ b/src/dispatch/internal/entrypaths.cpp
@@ -102,7 +102,7 @@
         kind == FailureKind::NotSent
         || (kind == FailureKind::UnansweredAlone && path.failures >= unansweredLimit);
     if (isLost) {
-        this->avoid(path.avoidance, failure);
+        this->avoid(path.avoidance, this->settings.maxPathMemory, failure);
     }
     path.failure.grantedAt = std::max(path.failure.grantedAt, failure.grantedAt);
     path.failure.reportedAt = now;
@@ -117,19 +117,19 @@
 {
     auto &known = this->daemonAt(daemon, failure.reportedAt);
     if (failedUpstreamCount(known) >= lostLinksCount) {
-        this->avoid(known.avoidance, failure);
+        this->avoid(known.avoidance, this->settings.maxLinksMemory, failure);
         this->update(known, failure.reportedAt);
     }
 }
 
-auto EntryPaths::avoid(Avoidance &avoidance, Failure failure) const -> void
+auto EntryPaths::avoid(Avoidance &avoidance, Duration maxLength, Failure failure) const -> void
 {
     // Requests that were sent at the same time fail together.
     const auto isFurther = failure.grantedAt >= avoidance.failedAt;
     if (avoidance.length == Duration{0}) {
         avoidance.length = this->settings.failureMemory;
     } else if (isFurther) {
-        avoidance.length = std::min(2 * avoidance.length, this->settings.maxFailureMemory);
+        avoidance.length = std::min(2 * avoidance.length, maxLength);
     }
     avoidance.failedAt = failure.reportedAt;
     avoidance.endsAt = failure.reportedAt + avoidance.length;
@@ -174,10 +174,10 @@
         auto &daemon = row->second;
         std::erase_if(daemon.paths, [&](const auto &path) {
             return std::max(path.second.avoidance.endsAt, path.second.failure.reportedAt)
-                       + this->settings.maxFailureMemory
+                       + std::max(path.second.avoidance.length, this->settings.maxLinksMemory)
                    <= now;
         });
-        if (daemon.failedAt + 2 * this->settings.maxFailureMemory <= now) {
+        if (daemon.failedAt + 2 * this->settings.maxLinksMemory <= now) {
             daemon.failuresSinceAnswer = 0;
             daemon.avoidance = Avoidance{};
         }
@@ -221,7 +221,7 @@
 {
     const auto *known = this->find(daemon);
     return known != nullptr && known->failuresSinceAnswer > 0
-           && now < known->failedAt + 2 * this->settings.maxFailureMemory;
+           && now < known->failedAt + 2 * this->settings.maxLinksMemory;
 }
 
 auto EntryPaths::hasForwarder(const Address &entry) const -> bool
@@ -290,6 +290,15 @@
     return path == daemon.paths.end() || path->second.avoidance.endsAt <= now;
 }
 
+auto EntryPaths::rankOf(const Daemon &daemon, ForwarderFit fit, const FailureDomain &domain,
+                        Instant now) const -> ForwarderRank
+{
+    const auto isFar = daemon.domain != domain;
+    const auto load = daemon.forwarding + (isFar ? this->settings.nearForwarderLead : 0)
+                      + (fit == ForwarderFit::Proven ? 0 : this->settings.provenPathLead);
+    return ForwarderRank{!this->isProven(daemon, now), daemon.failuresSinceAnswer > 0, load, isFar};
+}
+
 auto EntryPaths::update(Daemon &daemon, Instant now) -> void
 {
     const auto isImpaired =
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -318,11 +318,11 @@
     upstream.limiter.onSent(now);
     upstream.pauses.onGranted(waiting.request.id.entry);
     if (verdict.forwarder.empty()) {
-        upstream.lastUse[waiting.request.id.entry] = now;
+        upstream.lastUse[waiting.request.id.entry].grantedAt = now;
         this->paths.onDirectPermit(waiting.request.id.entry, upstream.process, now);
     } else {
         upstream.pauses.onGranted(verdict.forwarder);
-        upstream.lastUse[verdict.forwarder] = now;
+        upstream.lastUse[verdict.forwarder].grantedAt = now;
         this->paths.onForwardingStart(verdict.forwarder, now);
     }
     const Forecast forecast{Duration{0}, this->latencyOf(upstream, now)};
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -73,7 +73,7 @@
     }
     const auto lastUse = upstream.lastUse.find(request.id.entry);
     if (lastUse == upstream.lastUse.end()
-        || now - lastUse->second > this->settings.connectionKeepAlive) {
+        || now - lastUse->second.grantedAt > this->settings.connectionKeepAlive) {
         cost += static_cast<double>(this->settings.connectionPenalty.count());
     }
     // Upstreams slow down as they fill.
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -74,6 +74,7 @@
     case AttemptEnd::WrongOwner:
         this->paths.onAnswered(daemon, upstream.process, permit.grantedAt, now);
         upstream.answers.onAnswered(UpstreamAnswers::Answer{daemon, permit.grantedAt, now});
+        upstream.lastUse[daemon].answeredAt = now;
         upstream.suspectedBy = Address{};
         return Evidence::Full;
     case AttemptEnd::NotSent:
@@ -145,25 +146,43 @@
     if (!isTrial && !isPathLost) {
         return {};
     }
-    const auto isAllowed = [&](const Address &daemon) {
-        return upstream.pauses.allows(daemon, now)
-               && (isPathLost || !this->paths.hasFailed(daemon, now));
+    const auto fitOf = [&](const Address &daemon) {
+        using Fit = EntryPaths::ForwarderFit;
+        const auto isAllowed = upstream.pauses.allows(daemon, now)
+                               && (isPathLost || !this->paths.hasFailed(daemon, now));
+        if (!isAllowed) {
+            return Fit::None;
+        }
+        return this->hasAnswered(upstream, daemon, now) ? Fit::Proven : Fit::Unknown;
     };
-    return this->paths.chooseForwarder(entry, upstream.process, isAllowed, now);
+    return this->paths.chooseForwarder(entry, upstream.process, fitOf, now);
+}
+
+auto SlotBroker::hasAnswered(const Upstream &upstream, const Address &daemon, Instant now) const
+    -> bool
+{
+    const auto found = upstream.lastUse.find(daemon);
+    return found != upstream.lastUse.end() && found->second.answeredAt != Instant{}
+           && now < found->second.answeredAt + this->settings.paths.answerValidity;
 }
 
 auto SlotBroker::learnForwarderFailure(const Address &forwarder, const Permit &permit,
                                        Upstream &upstream, Instant now) -> void
 {
-    if (upstream.health.hasFailures() || !upstream.suspectedBy.empty()) {
+    const auto isInDoubt = upstream.health.hasFailures() || !upstream.suspectedBy.empty();
+    const auto isPathProven = this->hasAnswered(upstream, forwarder, now);
+    if (isInDoubt || !isPathProven) {
+        // The forwarder may have been reached, but not the upstream.
         this->paths.onFailed(forwarder, upstream.process, EntryPaths::FailureKind::NotSent,
                              EntryPaths::Failure{permit.grantedAt, now});
-        upstream.health.delayTrial(now);
-        return;
+    } else {
+        this->paths.onForwarderFailed(forwarder, now);
     }
-    this->paths.onForwarderFailed(forwarder, now);
     const auto *other = upstream.answers.lastToOther(forwarder);
-    if (other == nullptr || other->grantedAt <= permit.grantedAt) {
+    const auto isAlone = other != nullptr && other->grantedAt > permit.grantedAt;
+    if (isInDoubt) {
+        upstream.health.delayTrial(now);
+    } else if (isPathProven && !isAlone) {
         upstream.suspectedBy = forwarder;
     }
 }
--- a/src/dispatch/internal/slotbrokerstatements.cpp
+++ b/src/dispatch/internal/slotbrokerstatements.cpp
@@ -114,7 +114,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(upstream.lastUse.begin(), upstream.lastUse.end(),
-                      [&](const auto &row) { return now - row.second <= useRetention; }));
+                      [&](const auto &row) { return now - row.second.grantedAt <= useRetention; }));
 }
 
 auto SlotBroker::endPauses(Instant now) -> void
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -181,6 +181,13 @@
     [[nodiscard]] auto permitCount() const -> std::size_t { return this->permits.size(); }
 
 private:
+    struct UpstreamUse
+    {
+        /// When the daemon last got a permit for the upstream, or was named as the forwarder.
+        Instant grantedAt{};
+        /// When the upstream last answered it; the epoch where it hasn't.
+        Instant answeredAt{};
+    };
     struct Upstream
     {
         UpstreamEntry entry;
@@ -197,9 +204,8 @@
         int stranded = 0;
         /// Permits out that were granted while the upstream was suspected.
         int trials = 0;
-        /// When each daemon, by address, last got a permit for this upstream, or was named as the
-        /// forwarder.
-        std::unordered_map<Address, Instant> lastUse;
+        /// Of the daemons, by address, that have sent requests to this upstream.
+        std::unordered_map<Address, UpstreamUse> lastUse;
         /// Requests at the upstream beyond this broker's permits, by the load in its last answer.
         int otherRequests = 0;
         Instant otherRequestsValidUntil{};
@@ -290,6 +296,9 @@
     /// @returns whether another daemon can forward a request to the upstream now
     [[nodiscard]] auto hasForwarder(const Address &entry, const Upstream &upstream,
                                     Instant now) const -> bool;
+    /// @returns whether the upstream has answered the daemon lately
+    [[nodiscard]] auto hasAnswered(const Upstream &upstream, const Address &daemon,
+                                   Instant now) const -> bool;
     /// @returns the daemon that has to forward a request of the entry daemon to the upstream; empty
     /// where the entry daemon sends it itself
     [[nodiscard]] auto forwarderFor(const Address &entry, const Upstream &upstream,
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -95,10 +95,23 @@
     }
 }
 
+auto BrokerSimulation::losePaths(double share) -> void
+{
+    std::bernoulli_distribution isLost(share);
+    for (auto &vm : this->vms) {
+        for (std::size_t upstream = 0; upstream < this->speeds.size(); ++upstream) {
+            if (isLost(this->random)) {
+                vm.lostPaths.insert(upstream);
+            }
+        }
+    }
+}
+
 auto BrokerSimulation::restoreLinks() -> void
 {
     for (auto &vm : this->vms) {
         vm.lostLinks.reset();
+        vm.lostPaths.clear();
         vm.failedAt.clear();
     }
 }
@@ -306,6 +319,11 @@
         end.end = AttemptEnd::NotSent;
         return end;
     }
+    if (sender.lostPaths.contains(upstream)) {
+        end.at = std::min(dueAt, this->now + connectTimeout);
+        end.end = AttemptEnd::NotSent;
+        return end;
+    }
     const auto isPartly = sender.lostLinks == LostLinks::PartlyRefused
                           || sender.lostLinks == LostLinks::PartlyHanging;
     const auto isOnOpenConnection =
@@ -395,7 +413,9 @@
     }
     if (attemptEnd == AttemptEnd::Answered) {
         auto &sender = event.isForwarded ? this->vms[event.forwarder] : vm;
-        sender.failedAt.clear();
+        if (sender.lostPaths.empty()) {
+            sender.failedAt.clear();
+        }
         report.requestLimit = this->limits[event.upstream];
         auto &result = this->results[caller.classIndex];
         const auto isInTarget = this->now <= caller.arrivedAt + requestClass.target;
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -100,6 +100,9 @@
     /// @param statedAfter time after which their permit requests state it
     auto loseLinks(std::size_t count, LostLinks kind,
                    Duration statedAfter = std::chrono::milliseconds{500}) -> void;
+    /// Makes each upstream unreachable for some VMs, which can't connect until the time-out.
+    /// @param share of the VMs, for each upstream drawn anew
+    auto losePaths(double share) -> void;
     /// Freezes a VM: it asks for no permits, and requests that it should forward get no answer.
     auto freezeVm(std::size_t index) -> void { this->vms.at(index).isFrozen = true; }
     /// Gives all VMs their links back.
@@ -151,6 +154,8 @@
         Address address;
         FailureDomain domain = {};
         std::optional<LostLinks> lostLinks = std::nullopt;
+        /// Upstreams that it doesn't reach while its links are up.
+        std::set<std::size_t> lostPaths = {};
         bool isFrozen = false;
         Instant statesLossAt{};
         FirstTries firstTries = {};
--- a/src/dispatch/tests/entrypaths_tests.cpp
+++ b/src/dispatch/tests/entrypaths_tests.cpp
@@ -15,6 +15,7 @@
 const UpstreamProcess first{UpstreamId{"a"}, Incarnation{1}};
 const UpstreamProcess second{UpstreamId{"b"}, Incarnation{1}};
 using FailureKind = EntryPaths::FailureKind;
+using ForwarderFit = EntryPaths::ForwarderFit;
 
 auto request(const Address &entry, std::uint64_t sequence, bool isCutOff) -> PermitRequest
 {
@@ -27,7 +28,7 @@
 
 auto everyone() -> auto
 {
-    return [](const Address &) { return true; };
+    return [](const Address &) { return ForwarderFit::Proven; };
 }
 
 /// @returns paths of three daemons, of which an upstream has answered the last two
@@ -70,7 +71,7 @@
             now += seconds{4};
             paths.onFailed(asking, first, FailureKind::NotSent, {now, now});
         }
-        THEN("it is tried again after a few seconds at the latest")
+        THEN("it is tried again after a limited time")
         {
             CHECK_FALSE(paths.reaches(asking, first, now + milliseconds{3990}));
             CHECK(paths.reaches(asking, first, now + milliseconds{4010}));
@@ -143,9 +144,13 @@
     };
     CHECK(choose(first, start) == near);
     CHECK(paths.chooseForwarder(near, first, everyone(), start) == far);
-    CHECK(paths.chooseForwarder(
-              asking, first, [](const Address &daemon) { return daemon != near; }, start)
-          == far);
+    const auto fitWithNear = [](ForwarderFit ofNear) {
+        return [ofNear](const Address &daemon) {
+            return daemon == near ? ofNear : ForwarderFit::Proven;
+        };
+    };
+    CHECK(paths.chooseForwarder(asking, first, fitWithNear(ForwarderFit::None), start) == far);
+    CHECK(paths.chooseForwarder(asking, first, fitWithNear(ForwarderFit::Unknown), start) == far);
     GIVEN("a near daemon that forwards as many as it may")
     {
         paths.onForwardingStart(near, start);
--- a/src/dispatch/tests/forwarding_tests.cpp
+++ b/src/dispatch/tests/forwarding_tests.cpp
@@ -158,6 +158,30 @@
     }
 }
 
+// Guards against forwarders that are left out for all upstreams because they don't reach one.
+SCENARIO(
+    "SlotBroker: given a forwarder that an upstream has never answered, its failure there ends "
+    "the use of that path only",
+    "[dispatch][lostlinks]")
+{
+    ForwardingFixture fixture;
+    fixture.broker.setUpstreams({entry(first), entry(second)}, start);
+    const auto failed = fixture.send(cutOff, start, {first});
+    REQUIRE(failed.verdict.upstream == second);
+    fixture.report(failed, AttemptEnd::NotSent, start + milliseconds{5});
+    const auto now = start + milliseconds{10};
+    const auto next = fixture.send(cutOff, now, {first});
+    CHECK(next.verdict.upstream == second);
+    CHECK(next.verdict.forwarder != failed.verdict.forwarder);
+    fixture.report(next, AttemptEnd::Answered, now + milliseconds{80});
+    fixture.report(fixture.send(failed.verdict.forwarder, now, {second}), AttemptEnd::Answered,
+                   now + milliseconds{80});
+    const auto one = fixture.send(cutOff, now + milliseconds{80}, {second});
+    const auto another = fixture.send(cutOff, now + milliseconds{80}, {second});
+    CHECK(one.verdict.upstream == first);
+    CHECK(one.verdict.forwarder != another.verdict.forwarder);
+}
+
 SCENARIO("SlotBroker: given an upstream that pauses a forwarded request, the pause binds both VMs",
          "[dispatch][lostlinks][leaving]")
 {
