Try a path that fails again and again every 16 s instead of every 4 s

A try of a lost path holds a slot of the upstream until the connect time-out. Where each upstream is unreachable for some VMs, most requests of such a pair were tries. Its requests are forwarded meanwhile, so a longer time costs a hop only; all links of a daemon are still tried every 4 s at least, and an answer after that ends the avoidance of all its paths.

Test change: the unit test of the longest time follows the setting, 16 s for 4 s.

--- a/src/dispatch/entrypaths.h
+++ b/src/dispatch/entrypaths.h
@@ -25,7 +25,7 @@
     /// as long.
     Duration maxLinksMemory = std::chrono::seconds{4};
     /// Upper limit of that time for one path: its requests are forwarded meanwhile.
-    Duration maxPathMemory = std::chrono::seconds{4};
+    Duration maxPathMemory = std::chrono::seconds{16};
     /// A daemon may forward requests for this long after an upstream has answered it. One that has
     /// asked for a permit in this time and not failed since may, too, where there is no such
     /// daemon.
--- a/src/dispatch/tests/entrypaths_tests.cpp
+++ b/src/dispatch/tests/entrypaths_tests.cpp
@@ -68,13 +68,13 @@
         CHECK_FALSE(paths.reaches(asking, first, now + milliseconds{1990}));
         CHECK(paths.reaches(asking, first, now + milliseconds{2010}));
         for (auto count = 0; count < 5; ++count) {
-            now += seconds{4};
+            now += seconds{16};
             paths.onFailed(asking, first, FailureKind::NotSent, {now, now});
         }
         THEN("it is tried again after a limited time")
         {
-            CHECK_FALSE(paths.reaches(asking, first, now + milliseconds{3990}));
-            CHECK(paths.reaches(asking, first, now + milliseconds{4010}));
+            CHECK_FALSE(paths.reaches(asking, first, now + milliseconds{15990}));
+            CHECK(paths.reaches(asking, first, now + milliseconds{16010}));
         }
     }
     WHEN("an older request is answered, and then a newer one")
--- a/src/dispatch/tests/lostlinks_tests.cpp
+++ b/src/dispatch/tests/lostlinks_tests.cpp
@@ -89,6 +89,22 @@
     CHECK(simulation.directSendsOnLostPaths() == 0);
 }
 
+// Guards against upstreams that are blocked for all VMs where each is unreachable for some.
+SCENARIO("SlotBroker: given upstreams that some VMs don't reach, other VMs use or forward to them",
+         "[dispatch][lostlinks]")
+{
+    const auto isSharded = GENERATE(false, true);
+    CAPTURE(isSharded);
+    auto simulation = simulationOf(isSharded);
+    simulation.losePaths(0.3);
+    // Each VM finds each lost path with a request that waits for the connect time-out.
+    simulation.run(seconds{10});
+    simulation.resetCounts();
+    simulation.run(seconds{10});
+    CHECK(simulation.firstTries(false).share() >= 0.95);
+    CHECK(simulation.maxForwarded() <= EntryPathsSettings{}.forwarderLimit);
+}
+
 // Guards against forwarded requests that lose to others where the capacity isn't enough for all.
 SCENARIO("SlotBroker: given VMs without links under overload, all VMs are served alike",
          "[dispatch][lostlinks][overload]")
