Ignore the answer to the renewal of a former lease

A review of stepDown() found it: a renewal under way at the step down, answered after the daemon has claimed again, ended its new leadership (no owner is at risk; the place was free for 1.7 s). The answer now counts only for the present lease. Test: GrantorElection "given a renewal that is answered after the daemon has stepped down": failed before (state Following), passes now.

--- a/src/election/internal/grantorelection.cpp
+++ b/src/election/internal/grantorelection.cpp
@@ -277,7 +277,12 @@
 {
     const auto sentAt = this->now();
     this->call(StoreLeaseRenew{this->lease},
-               [this, sentAt](const StoreAnswer &answer) { this->onRenewed(answer, sentAt); });
+               [this, sentAt, renewed = this->lease](const StoreAnswer &answer) {
+                   // After a step down the daemon may lead again, by another lease.
+                   if (renewed == this->lease) {
+                       this->onRenewed(answer, sentAt);
+                   }
+               });
 }
 
 auto GrantorElection::onRenewed(const StoreAnswer &answer, Instant sentAt) -> void
--- a/src/election/tests/election_tests.cpp
+++ b/src/election/tests/election_tests.cpp
@@ -233,3 +233,50 @@
     REQUIRE(trial.daemons[0]->hasReclaimed());
     CHECK_FALSE(trial.daemons[0]->hasLedThroughout());
 }
+
+// A grantor that had given up its place and led again lost it to an answer about its former lease.
+SCENARIO("GrantorElection: given a renewal that is answered after the daemon has stepped down and "
+         "leads again, it goes on leading",
+         "[election]")
+{
+    FakeStore store;
+    std::vector<std::pair<StoreCall, std::function<void(StoreAnswer)>>> kept;
+    auto keepsRenewals = false;
+    auto sender = store.sender();
+    GrantorElection election(
+        "grantor", "daemon", ElectionSettings{},
+        [&](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
+            if (keepsRenewals && std::holds_alternative<StoreLeaseRenew>(call)) {
+                kept.emplace_back(std::move(call), std::move(done));
+                return;
+            }
+            sender(std::move(call), timeout, std::move(done));
+        },
+        [&store] { return store.now(); });
+    const auto run = [&](Duration time) {
+        for (auto passed = Duration{0}; passed < time; passed += milliseconds{10}) {
+            const auto *item = store.find("grantor");
+            election.onElectedGrantor(
+                item == nullptr ? std::nullopt
+                                : std::optional(ElectedGrantor{item->value, item->created}),
+                milliseconds{100});
+            election.advance();
+            store.advance(milliseconds{10});
+        }
+    };
+    run(seconds{2});
+    REQUIRE(election.state() == State::Leading);
+    keepsRenewals = true;
+    run(seconds{1});
+    REQUIRE(kept.size() == 1);
+    keepsRenewals = false;
+    election.stepDown();
+    run(seconds{1});
+    REQUIRE(election.state() == State::Leading);
+    // The lease has ended meanwhile, so the store knows none.
+    sender(kept[0].first, milliseconds{500}, kept[0].second);
+    run(milliseconds{30});
+    CHECK(election.state() == State::Leading);
+    run(seconds{3});
+    CHECK(election.state() == State::Leading);
+}
