--- a/src/dispatch/tests/forwarding_tests.cpp
+++ b/src/dispatch/tests/forwarding_tests.cpp
@@ -166,18 +166,18 @@
 {
     ForwardingFixture fixture;
     fixture.broker.setUpstreams({entry(first), entry(second)}, start);
-    const auto failed = fixture.send(cutOff, start, {first});
+    const auto failed = fixture.send(isolated, start, {first});
     REQUIRE(failed.verdict.upstream == second);
     fixture.report(failed, AttemptEnd::NotSent, start + milliseconds{5});
     const auto now = start + milliseconds{10};
-    const auto next = fixture.send(cutOff, now, {first});
+    const auto next = fixture.send(isolated, now, {first});
     CHECK(next.verdict.upstream == second);
     CHECK(next.verdict.forwarder != failed.verdict.forwarder);
     fixture.report(next, AttemptEnd::Answered, now + milliseconds{80});
     fixture.report(fixture.send(failed.verdict.forwarder, now, {second}), AttemptEnd::Answered,
                    now + milliseconds{80});
-    const auto one = fixture.send(cutOff, now + milliseconds{80}, {second});
-    const auto another = fixture.send(cutOff, now + milliseconds{80}, {second});
+    const auto one = fixture.send(isolated, now + milliseconds{80}, {second});
+    const auto another = fixture.send(isolated, now + milliseconds{80}, {second});
     CHECK(one.verdict.upstream == first);
     CHECK(one.verdict.forwarder != another.verdict.forwarder);
 }
