review: case 1, OWNER: additional bytes end an ownership that lasts

At fault: OrderClient sends renewals on used connections, where an answer has no id, and RangeGrantor gives keys on at once where a renewal is answered 421.

--- a/review/standins/cell.cpp
+++ b/review/standins/cell.cpp
@@ -10,7 +10,6 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
-#include <unistd.h>
 #include <utility>
 
 namespace gooseberrywall::review {
@@ -26,6 +25,9 @@
 constexpr Duration restartDelay = milliseconds{200};
 constexpr Duration startLimit = seconds{20};
 constexpr int keyedInstanceCount = 4;
+constexpr int garbledInstanceCount = 2;
+constexpr int keyCount = 65536;
+constexpr int checkedKeys = 64;
 constexpr int servedInRowWanted = 40;
 
 volatile std::sig_atomic_t hasStopSignal = 0;
@@ -85,6 +87,11 @@
         instance.zone = zoneOf(index);
         instance.listen = freeAddress();
         instance.isSharded = true;
+        if (index < garbledInstanceCount) {
+            instance.advertisedAddress = freeAddress();
+            this->garblingProxies.push_back(std::make_unique<GarblingProxy>(
+                this->loop.base(), instance.advertisedAddress, instance.listen, this->record));
+        }
         instance.serviceTime = this->settings.workTime;
         this->keyedInstances.push_back(std::make_unique<KeyedUpstreamStub>(
             this->loop.base(), instance, monotonicNow, this->keyedRuns));
@@ -136,6 +143,46 @@
     this->daemons.back()->start();
 }
 
+auto Cell::setGarbledShare(double share) -> void
+{
+    for (const auto &proxy : this->garblingProxies) {
+        proxy->setShare(share);
+    }
+}
+
+auto Cell::garbledAnswers() const -> int
+{
+    auto count = 0;
+    for (const auto &proxy : this->garblingProxies) {
+        count += proxy->additions();
+    }
+    return count;
+}
+
+auto Cell::checkOwners() -> void
+{
+    const auto now = monotonicNow();
+    for (auto key = 0; key < keyCount; key += keyCount / checkedKeys) {
+        std::string holders;
+        auto count = 0;
+        for (std::size_t index = 0; index < this->keyedInstances.size(); ++index) {
+            if (this->keyedInstances[index]->ownsKey(key)) {
+                ++count;
+                holders += " i-look" + std::to_string(index);
+            }
+        }
+        if (count < 2) {
+            this->sharedSince.erase(key);
+            continue;
+        }
+        const auto [since, isNew] = this->sharedSince.try_emplace(key, now);
+        if (isNew) {
+            this->record.write("key " + std::to_string(key) + " has two holders:" + holders);
+        }
+        this->longestShared = std::max(this->longestShared, Duration{now - since->second});
+    }
+}
+
 auto Cell::killAll() -> void
 {
     this->record.write("all daemons are killed");
@@ -247,12 +294,7 @@
         }
     }
     this->superviseDaemons();
-    this->checkMemory();
-    if (this->ordersPerSecond > 0 && now >= this->nextOrderAt) {
-        const std::chrono::duration<double> orderGap(1 / this->ordersPerSecond);
-        this->nextOrderAt = now + std::chrono::duration_cast<Duration>(orderGap);
-        this->sendOrder();
-    }
+    this->checkOwners();
     const auto gap = std::chrono::duration<double>(1 / this->settings.requestsPerSecond);
     if (this->isSending && now >= this->nextSendAt) {
         this->nextSendAt = now + std::chrono::duration_cast<Duration>(gap);
@@ -294,59 +336,18 @@
     }
 }
 
-auto Cell::setOrders(double perSecond, std::size_t bytes, int deadlineMs) -> void
+auto Cell::keyOf(int number) const -> int
 {
-    this->ordersPerSecond = perSecond;
-    this->orderBytes = bytes;
-    this->orderDeadlineMs = deadlineMs;
-}
-
-auto Cell::sendOrder() -> void
-{
-    const auto number = this->nextOrder++;
-    const auto id = "o" + std::to_string(number);
-    MessageHead head;
-    head.method = "POST";
-    head.target = "/book/" + id;
-    head.headers = {{"Host", "desk.example"},
-                    {"Request-Id", id},
-                    {"Deadline-Ms", std::to_string(this->orderDeadlineMs)}};
-    OutboundRequest request;
-    request.address = this->fronts[static_cast<std::size_t>(number) % this->fronts.size()];
-    request.timeout = milliseconds{2 * this->orderDeadlineMs};
-    request.text = requestText(head, std::string(this->orderBytes, 'x'), {});
-    this->record.write("client sends " + id + ", " + std::to_string(this->orderBytes)
-                       + " bytes, to " + request.address.value);
-    this->clients.send(std::move(request), [this, id](const OutboundResult &result) {
-        const auto isAnswered = result.end == OutboundResult::End::Answered;
-        this->record.write("client gets for " + id + " status "
-                           + std::to_string(isAnswered ? result.answer.head.status : 0));
-    });
-}
-
-auto Cell::checkMemory() -> void
-{
-    if (this->settings.memoryLimitMb == 0) {
-        return;
-    }
-    constexpr std::int64_t bytesPerMb = 1'000'000;
-    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
-        auto &daemon = *this->daemons[index];
-        std::ifstream file("/proc/" + std::to_string(daemon.processId()) + "/statm");
-        std::int64_t total = 0;
-        std::int64_t resident = 0;
-        if (daemon.processId() == 0 || !(file >> total >> resident)) {
-            continue;
-        }
-        const auto size = static_cast<int>(resident * sysconf(_SC_PAGESIZE) / bytesPerMb);
-        this->largestSizeMb = std::max(this->largestSizeMb, size);
-        if (size > this->settings.memoryLimitMb) {
-            ++this->memoryKillCount;
-            this->record.write("edge-" + std::to_string(index + 1) + " uses " + std::to_string(size)
-                               + " MB and is killed by the platform");
-            daemon.signal(SIGKILL);
-        }
+    constexpr auto keyStep = 7919;
+    const auto spreadKey = number * keyStep % keyCount;
+    if (!this->settings.hasBusyKeys || number % 3 == 0) {
+        return spreadKey;
     }
+    // Two thirds of the requests are for neighbouring keys; after some seconds these are others.
+    constexpr auto busyKeys = 600;
+    constexpr auto requestsUntilOthers = 1000;
+    const auto first = number / requestsUntilOthers * keyStep * 3 % (keyCount - busyKeys);
+    return first + spreadKey % busyKeys;
 }
 
 auto Cell::askReady(std::size_t daemon) -> void
@@ -379,9 +380,7 @@
     }
     const auto deadlineMs = static_cast<int>(this->settings.timeoutSeconds * 1000);
     request.timeout = milliseconds{2 * deadlineMs};
-    // Spreads the requests over all keys.
-    constexpr auto keyStep = 7919;
-    const auto key = this->settings.isKeyed ? number * keyStep % 65536 : -1;
+    const auto key = this->settings.isKeyed ? this->keyOf(number) : -1;
     request.text =
         Cell::request(entry.isIdempotent ? "GET" : "POST", entry.target, id, deadlineMs, key);
     this->record.write("client sends " + id + " " + entry.target + " to " + request.address.value);
--- a/review/standins/cell.h
+++ b/review/standins/cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edgeprocess.h"
+#include "garblingproxy.h"
 #include "instance.h"
 #include "record.h"
 #include "storeproxy.h"
@@ -26,14 +27,14 @@
     int daemons = 3;
     /// There is only service "look", and it is divided by key.
     bool isKeyed = false;
+    /// Some keys are far busier than others, and which ones changes.
+    bool hasBusyKeys = false;
     int instancesPerService = 3;
     /// Share of a core that each machine has.
     std::string processorShare = "0.14";
     double timeoutSeconds = 1;
     /// Ordinary requests per second, half of them to each service.
     double requestsPerSecond = 60;
-    /// The platform ends a process that uses more; zero: none.
-    int memoryLimitMb = 0;
     Duration workTime = std::chrono::milliseconds{60};
     std::function<std::size_t(const std::string &target)> answerBytes = [](const std::string &) {
         return std::size_t{1500};
@@ -70,12 +71,13 @@
     auto setSending(bool isSending) -> void { this->isSending = isSending; }
     /// While it is silent, the store answers no call, and what it answers is lost.
     auto setStoreSilent(bool isSilent) -> void { this->storeProxy.setSilent(isSilent); }
+    /// Two of the four keyed instances send additional bytes after this share of their answers.
+    auto setGarbledShare(double share) -> void;
+    [[nodiscard]] auto garbledAnswers() const -> int;
+    /// @returns the longest time for which two instances held the same key, of some keys
+    [[nodiscard]] auto longestSharedHold() const -> Duration { return this->longestShared; }
     /// Kills all daemons; the platform starts them again.
     auto killAll() -> void;
-    /// Sends orders with large bodies to the daemons in turn, evenly spaced.
-    auto setOrders(double perSecond, std::size_t bytes, int deadlineMs) -> void;
-    [[nodiscard]] auto memoryKills() const -> int { return this->memoryKillCount; }
-    [[nodiscard]] auto largestMb() const -> int { return this->largestSizeMb; }
 
     [[nodiscard]] auto base() -> event_base * { return this->loop.base(); }
     [[nodiscard]] auto daemon(std::size_t index) -> EdgeProcess & { return *this->daemons[index]; }
@@ -101,9 +103,9 @@
     auto createDaemon(int index) -> void;
     auto writeHeartbeats() -> void;
     auto superviseDaemons() -> void;
+    auto checkOwners() -> void;
     auto sendOrdinary() -> void;
-    auto sendOrder() -> void;
-    auto checkMemory() -> void;
+    [[nodiscard]] auto keyOf(int number) const -> int;
     auto askReady(std::size_t daemon) -> void;
     auto putConfiguration() -> void;
 
@@ -116,6 +118,10 @@
     StoreProxy storeProxy;
     std::vector<KeyedRun> keyedRuns;
     std::vector<std::unique_ptr<KeyedUpstreamStub>> keyedInstances;
+    std::vector<std::unique_ptr<GarblingProxy>> garblingProxies;
+    /// Since when a key has two holders.
+    std::map<int, Instant> sharedSince;
+    Duration longestShared{0};
     std::vector<std::unique_ptr<Instance>> instanceList;
     std::vector<std::unique_ptr<EdgeProcess>> daemons;
     std::vector<std::map<std::string, std::string>> fields;
@@ -126,13 +132,6 @@
     OutboundPool clients;
     std::map<std::string, SentRequest> sent;
     bool isSending = false;
-    double ordersPerSecond = 0;
-    std::size_t orderBytes = 0;
-    int orderDeadlineMs = 0;
-    int nextOrder = 1;
-    Instant nextOrderAt{};
-    int memoryKillCount = 0;
-    int largestSizeMb = 0;
     int servedInRow = 0;
     int nextRequest = 1;
     int sequence = 1;
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -223,41 +223,35 @@
     return conclude(record, ran > 100 ? Outcome::Held : Outcome::NotRun, text);
 }
 
-/// Callers send large orders; in a burst, more of them. The stand-in of the platform ends a process
-/// that uses more memory than its machine has.
-auto runUploads(Scenario scenario) -> Outcome
+/// Instances that own keys send additional bytes after some of their answers to grants.
+auto runGarbledGrants(Scenario scenario) -> Outcome
 {
-    constexpr std::size_t orderBytes = 4'000'000;
-    constexpr auto memoryLimitMb = 182;
-    constexpr auto ordersPerSecond = 18.5;
-    constexpr auto burstFactor = 1.7;
-    constexpr auto deadlineMs = 5000;
-    scenario.cell.timeoutSeconds = 5;
-    scenario.cell.requestsPerSecond = 30;
-    scenario.cell.instancesPerService = 16;
-    scenario.cell.workTime = milliseconds{1200};
-    scenario.cell.memoryLimitMb = memoryLimitMb;
+    constexpr Duration longestAllowed = milliseconds{500};
+    scenario.cell.isKeyed = true;
+    scenario.cell.hasBusyKeys = true;
+    scenario.cell.requestsPerSecond = 125;
+    scenario.cell.workTime = milliseconds{40};
     auto &record = scenario.record;
     Cell cell(scenario.cell, record);
     cell.setSending(true);
     if (!cell.waitUntilServed()) {
         return conclude(record, Outcome::NotRun, "the cell doesn't serve requests");
     }
-    cell.setSending(false);
-    const auto runOrders = [&](Duration time, double perSecond) {
-        record.write(std::to_string(perSecond) + " orders a second");
-        cell.setOrders(perSecond, orderBytes, deadlineMs);
-        cell.runFor(time);
-    };
+    cell.runFor(seconds{3});
     for (auto count = 0; count < faultCount; ++count) {
-        runOrders(faultTime, ordersPerSecond);
-        runOrders(faultTime, scenario.isTroubled ? ordersPerSecond * burstFactor : ordersPerSecond);
+        const auto share = scenario.isTroubled ? secondAnswerShare : 0;
+        record.write("two of four instances send additional bytes after " + std::to_string(share)
+                     + " of their answers");
+        cell.setGarbledShare(share);
+        cell.runFor(faultTime);
+        cell.setGarbledShare(0);
+        cell.runFor(faultPause);
     }
-    runOrders(seconds{6}, 0);
-    const auto text = "processes over " + std::to_string(memoryLimitMb)
-                      + " MB: " + std::to_string(cell.memoryKills()) + "; largest size "
-                      + std::to_string(cell.largestMb()) + " MB";
-    return conclude(record, cell.memoryKills() > 0 ? Outcome::Broken : Outcome::Held, text);
+    const auto shared = std::chrono::duration_cast<milliseconds>(cell.longestSharedHold());
+    const auto text = "two instances held the same key for " + std::to_string(shared.count())
+                      + " ms at most; " + std::to_string(cell.garbledAnswers())
+                      + " answers were followed by additional bytes";
+    return conclude(record, shared > longestAllowed ? Outcome::Broken : Outcome::Held, text);
 }
 
 /// All daemons are killed; soon after they are back, the store is silent for some seconds, and its
@@ -343,12 +337,12 @@
     if (name == "second-rejections") {
         return runSecondRejections(std::move(scenario));
     }
-    if (name == "uploads") {
-        return runUploads(std::move(scenario));
-    }
     if (name == "silent-store") {
         return runSilentStore(std::move(scenario));
     }
+    if (name == "garbled-grants") {
+        return runGarbledGrants(std::move(scenario));
+    }
     std::cerr << "unknown scenario " << name << '\n';
     return Outcome::NotRun;
 }
