http1: treat response statuses outside 100 to 599 as malformed

An upstream in trouble may answer with status 000 or 999. 000 was refused before, statuses above 599 were passed on to the caller as answers.

--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -11,6 +11,8 @@
 constexpr std::string_view lineEnd = "\r\n";
 /// Limit of a chunk's size line including extensions; longer lines are malformed.
 constexpr std::size_t chunkLineLimitBytes = 256;
+constexpr std::uint64_t lowestStatus = 100;
+constexpr std::uint64_t highestStatus = 599;
 
 auto isToken(std::string_view text) -> bool
 {
@@ -190,7 +192,8 @@
     if (this->kind == Kind::Response) {
         const auto version = line.substr(0, first);
         const auto code = parsedNumber(line.substr(first + 1, 3), 10);
-        if ((version != "HTTP/1.1" && version != "HTTP/1.0") || !code || *code < 100
+        const auto isStatus = code && *code >= lowestStatus && *code <= highestStatus;
+        if ((version != "HTTP/1.1" && version != "HTTP/1.0") || !isStatus
             || (line.size() > first + 4 && line[first + 4] != ' ')) {
             return false;
         }
--- a/src/http1/tests/http1_tests.cpp
+++ b/src/http1/tests/http1_tests.cpp
@@ -136,6 +136,15 @@
             CHECK(readOne(Kind::Response, "garbage\r\n\r\n") == Step::Malformed);
         }
     }
+    GIVEN("a status that no HTTP response can have")
+    {
+        const std::string status = GENERATE("000", "001", "099", "600", "700", "999", "20", "-20");
+        THEN("it is malformed, so that no caller gets it")
+        {
+            const auto text = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+            CHECK(readOne(Kind::Response, text) == Step::Malformed);
+        }
+    }
 }
 
 SCENARIO("MessageReader never takes the beginning of a response for the whole", "[http1]")
