streams: skip answers that name no request on used connections

Cause: an answer without the echo header counted as that of the open request also on a used connection. Change: such an answer is skipped, and the request's own one is awaited; after eight the outcome is unknown.

--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -16,6 +16,8 @@
 constexpr Duration sweepInterval = std::chrono::seconds{2};
 /// Idle connections are discarded this long before the idle timeout that the peer has announced.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds{1200};
+/// Answers of other requests that are skipped for one request; a peer that sends more is faulty.
+constexpr int skippedAnswerLimit = 8;
 
 /// @returns the peer's idle timeout from the Keep-Alive header, if there is one
 auto advertisedIdleTimeout(const MessageHead &head) -> std::optional<Duration>
@@ -61,6 +63,8 @@
         this->request = std::move(newRequest);
         this->done = std::move(newDone);
         this->deadline = this->pool.now() + this->request.timeout;
+        this->skippedAnswers = 0;
+        ++this->requestCount;
         if (this->request.isHead) {
             this->reader.expectNoBody();
         }
@@ -126,31 +130,53 @@
         }
     }
 
+    /// @returns whether the answer is surely the one to the open request
+    [[nodiscard]] auto isOwnAnswer(const MessageHead &answer) const -> bool
+    {
+        const auto &echo = this->pool.settings.echoHeader;
+        if (echo.empty()) {
+            return true;
+        }
+        const auto *echoed = answer.find(echo);
+        if (echoed == nullptr || !this->request.echoedId) {
+            // Behind an earlier answer, the peer may have sent additional bytes that look like one.
+            return this->requestCount == 1;
+        }
+        return *echoed == *this->request.echoedId;
+    }
+
+    /// Goes on to the next answer: the answer to the open request follows the one that was read.
+    auto skipAnswer(bool isOpen) -> void
+    {
+        ++this->skippedAnswers;
+        if (!isOpen) {
+            this->finish(OutboundResult::End::NoAnswer, {});
+            return;
+        }
+        if (this->skippedAnswers > skippedAnswerLimit) {
+            this->finish(OutboundResult::End::BadAnswer, {});
+            return;
+        }
+        if (this->request.isHead) {
+            this->reader.expectNoBody();
+        }
+        this->onInput();
+    }
+
     auto onWholeAnswer(bool isOpen) -> void
     {
         auto answer = this->reader.take();
-        const auto &echo = this->pool.settings.echoHeader;
-        const auto *echoed = echo.empty() ? nullptr : answer.head.find(echo);
-        const auto isForOtherRequest =
-            this->request.echoedId && echoed != nullptr && *echoed != *this->request.echoedId;
-        if (isForOtherRequest) {
-            // A late answer to an earlier request; the answer to this request follows it.
-            this->hasLateAnswer = true;
-            if (this->request.isHead) {
-                this->reader.expectNoBody();
-            }
-            if (isOpen) {
-                this->onInput();
-            } else {
-                this->finish(OutboundResult::End::NoAnswer, {});
-            }
+        if (!this->isOwnAnswer(answer.head)) {
+            this->skipAnswer(isOpen);
             return;
         }
+        const auto &echo = this->pool.settings.echoHeader;
+        const auto *echoed = echo.empty() ? nullptr : answer.head.find(echo);
         // A second copy of an answer without an id couldn't be told from the next answer.
         const auto isIdentified = echo.empty() || echoed != nullptr;
         const auto mayFollow =
             this->pool.settings.reusesAfterErrors || answer.head.status / 100 == 2;
-        const auto isClean = isOpen && isIdentified && mayFollow && !this->hasLateAnswer
+        const auto isClean = isOpen && isIdentified && mayFollow && this->skippedAnswers == 0
                              && this->stream.input().empty() && this->stream.unsentBytes() == 0
                              && answer.head.keepsConnection();
         this->idleTimeout = this->pool.settings.idleTimeout;
@@ -185,6 +211,7 @@
     {
         evtimer_del(this->timer.get());
         auto callback = std::exchange(this->done, {});
+        const auto isFirst = this->requestCount == 1;
         this->pool.busy.erase(std::exchange(this->id, 0));
         if (this->isReusable) {
             this->isReusable = false;
@@ -193,7 +220,7 @@
             this->pool.discard(this);
         }
         if (callback) {
-            callback(OutboundResult{end, std::move(answer)});
+            callback(OutboundResult{end, std::move(answer), isFirst});
         }
     }
 
@@ -204,7 +231,10 @@
     bool isConnected = false;
     bool isSent = false;
     bool isReusable = false;
-    bool hasLateAnswer = false;
+    /// Requests that were sent on the connection, the open one included.
+    std::uint64_t requestCount = 0;
+    /// Answers of other requests that came since the open request was sent.
+    int skippedAnswers = 0;
     EventPointer timer;
     SocketStream stream;
 };
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -32,9 +32,11 @@
     auto operator==(const OutboundPoolSettings &) const -> bool = default;
 };
 
-/// Sends HTTP requests over keep-alive connections, one request at a time on each. A connection is
-/// used again only if the answer was complete, was identified by its id as that of the request
-/// where ids are compared, and was followed by no further bytes. Requests are never repeated.
+/// Sends HTTP requests over keep-alive connections, one request at a time on each. Where ids are
+/// compared, an answer counts only if it has the request's id, or if it has none and the request is
+/// the first one on its connection; others are skipped. A connection is used again only if the
+/// answer was complete, had an id where ids are compared, and was followed by no further bytes.
+/// Requests are never repeated.
 class OutboundPool
 {
 public:
--- a/src/streams/tests/streams_tests.cpp
+++ b/src/streams/tests/streams_tests.cpp
@@ -206,6 +206,63 @@
     }
 }
 
+SCENARIO("OutboundPool takes no answer without an id on a used connection", "[streams]")
+{
+    // Guards against additional bytes behind an earlier answer that look like a rejection or an
+    // answer: a request that runs would be sent again, or its caller would get foreign bytes.
+    const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n";
+    const std::string foreign = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign";
+    const auto additional = GENERATE_COPY(rejection, foreign);
+    GIVEN("such bytes before the request's answer")
+    {
+        PoolFixture fixture(
+            {{answer("a", "1")}, {additional + answer("b", "2")}, {answer("c", "3")}});
+        CHECK(fixture.ask("a").answer.body == "1");
+        const auto result = fixture.ask("b");
+        THEN("the request gets its own answer, and the connection isn't used again")
+        {
+            CHECK(result.end == End::Answered);
+            CHECK(result.answer.body == "2");
+            CHECK_FALSE(result.isFirstOnConnection);
+            CHECK(fixture.ask("c").isFirstOnConnection);
+            CHECK(fixture.peer.connections == 2);
+        }
+    }
+    GIVEN("such bytes and no answer")
+    {
+        PoolFixture fixture({{answer("a", "1")}, {additional}});
+        CHECK(fixture.ask("a").answer.body == "1");
+        THEN("the outcome is unknown")
+        {
+            CHECK(fixture.ask("b", milliseconds{200}).end == End::NoAnswer);
+        }
+    }
+    GIVEN("such bytes without end")
+    {
+        std::string many;
+        for (auto count = 0; count < 100; ++count) {
+            many += additional;
+        }
+        PoolFixture fixture({{answer("a", "1")}, {many}});
+        CHECK(fixture.ask("a").answer.body == "1");
+        THEN("the request ends before its timeout, with an unknown outcome")
+        {
+            CHECK(fixture.ask("b", seconds{60}).end == End::BadAnswer);
+        }
+    }
+    GIVEN("an answer without an id to the first request of a connection")
+    {
+        PoolFixture fixture({{additional}});
+        THEN("it counts, as nothing else can have come before")
+        {
+            const auto result = fixture.ask("a");
+            CHECK(result.end == End::Answered);
+            CHECK(result.isFirstOnConnection);
+        }
+    }
+}
+
 SCENARIO("OutboundPool reports how each request ended", "[streams]")
 {
     GIVEN("an answer without a length that ends with its connection")
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -47,6 +47,9 @@
 
     End end = End::NoAnswer;
     WholeMessage answer;
+    /// No other request was sent on the connection before. Otherwise an answer that names no
+    /// request may consist of additional bytes behind an earlier answer.
+    bool isFirstOnConnection = true;
     auto operator==(const OutboundResult &) const -> bool = default;
 };
 
--- a/src/stubs/kvplatform/keyedupstreamstub.cpp
+++ b/src/stubs/kvplatform/keyedupstreamstub.cpp
@@ -117,14 +117,14 @@
         this->onOwnRequest(request.head);
     }
     if (!isForThisUpstream || !isOwner) {
-        this->reject(exchange, 421);
+        this->reject(exchange, request.head, 421);
     } else if (request.head.target == "/grant") {
         this->onGrant(exchange, request);
     } else if (request.head.target == "/release") {
         this->onRelease(exchange, request);
     } else if (this->mode == KeyedUpstreamMode::Full || this->now() < this->pauseEnd
                || (this->mode == KeyedUpstreamMode::OftenFull && ++this->requestCount % 3 == 0)) {
-        this->reject(exchange, 503);
+        this->reject(exchange, request.head, 503);
     } else {
         this->runRequest(exchange, request);
     }
@@ -254,6 +254,9 @@
     head.status = this->mode == KeyedUpstreamMode::Failing || !isComplete ? 500 : 200;
     if (const auto *id = run.request.head.find("Request-Id")) {
         head.headers.push_back(HttpHeader{"Request-Id", *id});
+        if (!isComplete) {
+            this->endedByHold.insert(*id);
+        }
     }
     head.headers.push_back(HttpHeader{"Server-Signature", this->signature()});
     head.headers.push_back(HttpHeader{"Instance-Load", std::to_string(this->running.size()) + ",0,"
@@ -263,11 +266,14 @@
                          "answer of " + this->settings.id + " to " + run.request.head.target);
 }
 
-auto KeyedUpstreamStub::reject(ExchangeId exchange, int status) -> void
+auto KeyedUpstreamStub::reject(ExchangeId exchange, const MessageHead &request, int status) -> void
 {
     MessageHead head;
     head.status = status;
     head.headers = {HttpHeader{"Not-Executed", "1"}};
+    if (const auto *id = request.find("Request-Id")) {
+        head.headers.push_back(HttpHeader{"Request-Id", *id});
+    }
     if (status == 503 && this->now() < this->pauseEnd) {
         const std::chrono::duration<double> pause = this->pauseEnd - this->now();
         head.headers.push_back(HttpHeader{"Retry-After", std::to_string(pause.count())});
--- a/src/stubs/kvplatform/keyedupstreamstub.h
+++ b/src/stubs/kvplatform/keyedupstreamstub.h
@@ -97,6 +97,11 @@
     /// runs. No other upstream may be granted one of them meanwhile, also after a release.
     [[nodiscard]] auto keysAtWork() const -> std::set<int>;
     [[nodiscard]] auto peakRunningCount() const -> int { return this->peakRunning; }
+    /// @returns whether a request's run was ended with 500 because the grant of its key had run out
+    [[nodiscard]] auto hasEndedByHold(const std::string &request) const -> bool
+    {
+        return this->endedByHold.contains(request);
+    }
 
 private:
     struct KeyGrant
@@ -139,7 +144,7 @@
     /// @returns when the grants of a key end; Instant{} where there are none
     [[nodiscard]] auto holdEndOf(int key) const -> Instant;
     auto answer(const Running &run) -> void;
-    auto reject(ExchangeId exchange, int status) -> void;
+    auto reject(ExchangeId exchange, const MessageHead &request, int status) -> void;
 
     Settings settings;
     std::function<Instant()> now;
@@ -153,6 +158,8 @@
     std::vector<KeyGrant> releases;
     std::list<Running> running;
     std::list<OpenRelease> openReleases;
+    /// Ids of the requests whose runs were ended because the grants of their keys had run out.
+    std::set<std::string> endedByHold;
     std::uint64_t startedCount = 0;
     int peakRunning = 0;
     int requestCount = 0;
