edge: let only accepted renewals count on used connections

Cause: answers to orders carry no id, and a 421 behind an earlier answer was taken for the answer to the next renewal. Change: on a used connection any other answer leaves the order's outcome unknown, and nothing that it states is taken in; the next order to the address uses a new connection.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -131,9 +131,9 @@
 };
 
 /// Sends orders that grant or release keys to upstreams. Their answers carry no id, so an order
-/// whose result may end an ownership has a connection of its own: a second copy of an earlier
-/// answer can't be taken for its answer. Renewals share connections on which only renewals and an
-/// accepted grant came before; a copy there can only make a grant count as longer than it is, which
+/// whose result may end an ownership has a connection of its own: additional bytes behind an
+/// earlier answer can't be taken for its answer. Renewals share connections; there only an accepted
+/// renewal counts, as additional bytes then make a grant count as longer than it is at most, which
 /// is safe.
 template<WireAdapter Wire>
 class OrderClient
@@ -164,9 +164,10 @@
                                                    this->wire.targetHeaders(order.upstream));
         this->pool.send(std::move(request), [this, order,
                                              done = std::move(done)](const OutboundResult &result) {
-            const auto isAnswered = result.end == OutboundResult::End::Answered;
-            done(this->endOf(order, result),
-                 isAnswered ? this->wire.orderStatement(result.answer.head) : OrderStatement{});
+            const auto end = this->endOf(order, result);
+            const auto isAnswer = result.end == OutboundResult::End::Answered
+                                  && end.kind != RangeOrderEnd::Kind::NoAnswer;
+            done(end, isAnswer ? this->wire.orderStatement(result.answer.head) : OrderStatement{});
         });
     }
 
@@ -174,7 +175,10 @@
     auto endOf(const RangeOrder &order, const OutboundResult &result) -> RangeOrderEnd
     {
         if (result.end == OutboundResult::End::Answered) {
-            return this->wire.orderEnd(order, result.answer);
+            const auto answered = this->wire.orderEnd(order, result.answer);
+            if (result.isFirstOnConnection || answered.kind == RangeOrderEnd::Kind::Accepted) {
+                return answered;
+            }
         }
         RangeOrderEnd end;
         end.call = order.call;
