edge: read the grantors anew when the store answers again

Change: as the views of the configuration and of the upstreams, it is read anew at the first answer after a failure.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -169,6 +169,7 @@
                                  this->onStoreEra(answer.era.value_or(0));
                                  this->configurationSource.onStoreAnswer(answer, sentAt);
                                  this->upstreamWatch.onStoreAnswer(answer, sentAt);
+                                 this->grantorWatch.onStoreAnswer(answer, sentAt);
                                  done(answer);
                                  this->processPending();
                              });
--- a/src/edge/grantorwatch.h
+++ b/src/edge/grantorwatch.h
@@ -4,6 +4,7 @@
 #include "edge/grantorroles.h"
 #include "entry/permitclient.h"
 #include "storelink/prefixview.h"
+#include "storelink/storeoutage.h"
 
 #include <functional>
 #include <map>
@@ -50,6 +51,11 @@
     /// Replaces the services whose grantors are searched.
     auto setServices(const std::vector<ServiceSpec> &specs) -> void;
     auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
+    /// Takes in the answer to any call to the store. Where the store answers again after a failure,
+    /// the grantors are read anew: the watch may be waiting on a dead connection, and a lease that
+    /// ran out meanwhile leaves a vacant place that nobody would claim.
+    /// @param sentAt when the call was sent
+    auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void;
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void { this->view.onStoreEra(era); }
     auto advance() -> void;
@@ -92,6 +98,7 @@
     Instant startedAt;
     Instant helloDue{};
     std::vector<PermitDatagram> datagrams;
+    StoreOutage outage;
     PrefixView view;
 };
 
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -53,6 +53,13 @@
     this->permits.setGrantor(announcement.service, from, announcement.term);
 }
 
+auto GrantorWatch::onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
+{
+    if (this->outage.onAnswer(answer, sentAt, this->now())) {
+        this->view.readSince(this->outage.failedAt());
+    }
+}
+
 auto GrantorWatch::advance() -> void
 {
     const auto isStarting = this->now() - this->startedAt < this->settings.startTime;
--- a/src/edge/tests/grantorwatch_tests.cpp
+++ b/src/edge/tests/grantorwatch_tests.cpp
@@ -32,14 +32,27 @@
         : address{"10.0.0." + std::to_string(number) + ":7000"}
         , permits(this->address, 1, PermitClientSettings{})
         , roles(
-              roleSettings(this->address, number, cores), store.sender(), ignoreOrders(),
+              roleSettings(this->address, number, cores), this->sender(store), ignoreOrders(),
               [&store] { return store.now(); }, this->logger, this->log)
         , watch(
-              watchSettings(number, cores), store.sender(), [&store] { return store.now(); },
+              watchSettings(number, cores), this->sender(store), [&store] { return store.now(); },
               this->permits, this->roles, this->logger)
     {
     }
 
+    /// @returns a sender that also reports each answer to the watch, as the daemon does
+    auto sender(FakeStore &store) -> SendStoreCall
+    {
+        return [this, &store, send = store.sender()](StoreCall call, Duration timeout,
+                                                     std::function<void(StoreAnswer)> done) {
+            send(std::move(call), timeout,
+                 [this, sentAt = store.now(), done = std::move(done)](const StoreAnswer &answer) {
+                     this->watch.onStoreAnswer(answer, sentAt);
+                     done(answer);
+                 });
+        };
+    }
+
     static auto ignoreOrders() -> SendRangeOrder
     {
         return [](const RangeOrder &, const std::function<void(RangeOrderEnd)> &) {};
@@ -233,3 +246,33 @@
         }
     }
 }
+
+SCENARIO("GrantorWatch notices that grantors have lost their leases in an outage", "[grantorwatch]")
+{
+    // Guards against keys without an owner for half a minute: the store is silent until the leases
+    // have run out, and the watches stay open on connections that return nothing any more.
+    constexpr Duration outageTime = milliseconds{4500};
+    constexpr Duration deadWatchTimeout = seconds{31};
+    Fleet fleet(0, 3);
+    fleet.run(seconds{5});
+    fleet.store.loseOpenCalls(deadWatchTimeout);
+    fleet.store.mode = FakeStore::Mode::Silent;
+    fleet.run(outageTime);
+    fleet.store.loseOpenCalls(deadWatchTimeout);
+    fleet.store.mode = FakeStore::Mode::Normal;
+    fleet.run(seconds{5});
+    THEN("each service has a grantor whose claim the store shows")
+    {
+        for (const auto &service : serviceNames) {
+            const auto *claim =
+                fleet.store.find(GrantorRoleSettings{}.grantorPrefix + service.value);
+            REQUIRE(claim != nullptr);
+            CHECK(fleet.knownGrantors(service).size() == 1);
+            const auto isLed =
+                std::any_of(fleet.daemons.begin(), fleet.daemons.end(), [&](const auto &daemon) {
+                    return claim->value.find(daemon->address.value) != std::string::npos;
+                });
+            CHECK(isLed);
+        }
+    }
+}
