streams: keep a closing connection while its caller takes the answer

Cause: a connection was discarded 2 s after its last answer was written, whatever was unsent, so a planned stop cut off long answers (case 5 of review/REPORT.md). Change: the connection stays while the caller takes bytes; after 5 s without any it is discarded.

--- a/src/streams/internal/frontlistener.cpp
+++ b/src/streams/internal/frontlistener.cpp
@@ -16,6 +16,8 @@
 /// Time for the caller to close its side after the last answer. Closing at once would reset the
 /// connection, and the caller could lose the answer.
 constexpr Duration closeTimeout = std::chrono::seconds{2};
+/// A closing connection whose caller has taken nothing of its answers for this long is reset.
+constexpr Duration answerStallTimeout = std::chrono::seconds{5};
 constexpr int statusRequestTimeout = 408;
 /// Reading from a connection pauses at this size of unparsed input, such as requests beyond the
 /// pipeline limit.
@@ -57,9 +59,7 @@
     auto sweep(Instant moment) -> void
     {
         if (this->isEnding) {
-            if (moment - this->lastUsedAt > closeTimeout) {
-                this->front.discard(this);
-            }
+            this->sweepEnding(moment);
             return;
         }
         if (!this->pendingReplies.empty()) {
@@ -107,6 +107,18 @@
         std::optional<WholeMessage> answer;
     };
 
+    /// Discards a closing connection once its caller has had time to take the answers.
+    auto sweepEnding(Instant moment) -> void
+    {
+        const auto unsent = this->stream.unsentBytes();
+        if (std::exchange(this->sweptUnsentBytes, unsent) > unsent) {
+            this->lastUsedAt = moment;
+        }
+        if (moment - this->lastUsedAt > (unsent > 0 ? answerStallTimeout : closeTimeout)) {
+            this->front.discard(this);
+        }
+    }
+
     auto onInput() -> void
     {
         if (this->isEnding) {
@@ -224,6 +236,7 @@
         this->abandonReplies();
         this->isEnding = true;
         this->lastUsedAt = this->front.now();
+        this->sweptUnsentBytes = this->stream.unsentBytes();
         this->stream.finishWriting();
         this->stream.consume(this->stream.input().size());
         this->stream.setReading(true);
@@ -254,6 +267,8 @@
     bool hasSentContinue = false;
     bool isLastRequestRead = false;
     bool isEnding = false;
+    /// Of a closing connection: the unsent bytes when it was last swept.
+    std::size_t sweptUnsentBytes = 0;
     std::optional<MessageHead> refusal;
     SocketStream stream;
 };
--- a/src/streams/tests/streams_tests.cpp
+++ b/src/streams/tests/streams_tests.cpp
@@ -529,6 +529,71 @@
     }
 }
 
+SCENARIO("FrontListener keeps a closing connection while its caller takes the answer", "[streams]")
+{
+    // Guards against a planned stop that cuts off answers which take longer to send than the time
+    // that a caller has to close its side.
+    constexpr std::size_t answerBytes = std::size_t{24} * 1024 * 1024;
+    constexpr std::size_t pieceBytes = std::size_t{4} * 1024 * 1024;
+    ListenerFixture fixture;
+    auto moment = monotonicNow();
+    std::vector<ExchangeId> requests;
+    const auto address = freeAddress();
+    FrontListener front(
+        fixture.loop.base(), ListenerFixture::settings(address), [&] { return moment; },
+        [&](ExchangeId exchange, const WholeMessage &) { requests.push_back(exchange); },
+        [](ExchangeId) {});
+    front.start();
+    std::size_t taken = 0;
+    auto isEnded = false;
+    auto limit = pieceBytes;
+    std::unique_ptr<SocketStream> caller;
+    caller = std::make_unique<SocketStream>(
+        fixture.loop.base(), parseEndpoint(address).value_or(Endpoint{}),
+        SocketStream::Handlers{[](bool) {},
+                               [&] {
+                                   taken += caller->input().size();
+                                   caller->consume(caller->input().size());
+                                   caller->setReading(taken < limit);
+                               },
+                               [&](bool) { isEnded = true; }});
+    caller->write(getRequest);
+    REQUIRE(fixture.loop.runUntil([&] { return !requests.empty(); }));
+    front.closeAfterReplies();
+    MessageHead head;
+    head.status = 200;
+    front.reply(requests.front(), head, std::string(answerBytes, 'x'));
+    REQUIRE(fixture.loop.runUntil([&] { return taken >= limit; }));
+    GIVEN("a caller that takes a piece every three seconds")
+    {
+        while (!isEnded && limit < 2 * answerBytes) {
+            moment += seconds{3};
+            front.sweep();
+            limit += pieceBytes;
+            caller->setReading(true);
+            fixture.loop.runUntil([&] { return taken >= limit || isEnded; }, seconds{2});
+        }
+        THEN("it gets the whole answer, and the connection ends")
+        {
+            CHECK(taken > answerBytes);
+            CHECK(isEnded);
+        }
+    }
+    GIVEN("a caller that takes nothing more")
+    {
+        fixture.loop.runFor(milliseconds{50});
+        front.sweep();
+        moment += seconds{6};
+        front.sweep();
+        fixture.loop.runFor(milliseconds{50});
+        THEN("its connection and the memory of the answer are released")
+        {
+            CHECK(front.connectionCount() == 0);
+            CHECK(front.unsentBytes() == 0);
+        }
+    }
+}
+
 SCENARIO("DatagramSocket passes on the sender's address", "[streams]")
 {
     TestLoop loop;
