soak: tell runs that an upstream ended itself from cut-off answers

With all daemons in a planned stop at once no grantor renews the grants; a grant runs out and the upstream ends its work with a 500 of its own, which the caller gets. The check now leaves out a request only if the upstream has recorded that end and the caller got that upstream's signed 500; all others count as before.

--- a/src/soak/internal/soakcell.cpp
+++ b/src/soak/internal/soakcell.cpp
@@ -407,6 +407,8 @@
     } else {
         ++this->report.unknown;
         entry.isCut = monotonicNow() - entry.sentAt < shortestDeadline;
+        const auto *signature = result.answer.head.find("Server-Signature");
+        entry.failedBy = status == 500 && signature != nullptr ? *signature : std::string{};
     }
 }
 
@@ -422,6 +424,13 @@
     }
 }
 
+auto SoakCell::isEndedByHold(const std::string &id, const SentRequest &entry) const -> bool
+{
+    return std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &upstream) {
+        return upstream->signature() == entry.failedBy && upstream->hasEndedByHold(id);
+    });
+}
+
 auto SoakCell::checkRuns() -> void
 {
     std::map<std::string, int> counts;
@@ -434,7 +443,8 @@
             this->addViolation(id + " is not idempotent and ran " + std::to_string(runCount)
                                + " times");
         }
-        if (this->settings.hasOnlyStops && entry.isCut && runCount > 0) {
+        if (this->settings.hasOnlyStops && entry.isCut && runCount > 0
+            && !this->isEndedByHold(id, entry)) {
             this->addViolation(id + " ran and was cut off by a planned stop");
         }
         if (!entry.isIdempotent && entry.isRefused && runCount > 0) {
--- a/src/soak/soakcell.h
+++ b/src/soak/soakcell.h
@@ -69,8 +69,10 @@
         bool isIdempotent = false;
         bool isRefused = false;
         Instant sentAt{};
-        /// It ended without the upstream's answer, before its deadline.
+        /// It ended without a success before its deadline.
         bool isCut = false;
+        /// Signature of the upstream whose failure the caller got; empty where it got none.
+        std::string failedBy;
         std::size_t daemon = 0;
         VmCuts::Try firstTry;
     };
@@ -94,6 +96,9 @@
     auto sendRequest() -> void;
     auto onAnswer(const std::string &id, const OutboundResult &result) -> void;
     auto checkOwners() -> void;
+    /// @returns whether the caller got the failure with which an upstream ended the run because the
+    ///          grant of the key had run out, as it does while all daemons are in a planned stop
+    [[nodiscard]] auto isEndedByHold(const std::string &id, const SentRequest &entry) const -> bool;
     auto checkRuns() -> void;
     /// @returns the index of the daemon that has opened the accepted connection
     [[nodiscard]] auto daemonOf(int descriptor) const -> int;
