Bound the memory held for callers and upstreams

Cause: callers that send many large bodies and stop short of their end made a process grow without bound, as each body was held until it was complete, and then up to three times (exchange, text of the attempt, unsent bytes). Change: one account counts all bytes held; its budget is a share of the new setting memory_mb. Requests are admitted by the announced length, or by what arrives of a chunked body; where memory is short, stalled and slow connections are closed, and the request is refused with 503 if that isn't enough. A part of the budget is reserved for small bodies. Bodies and answers are moved or shared instead of copied. The limit of 8 MiB on bodies is gone: the operators' limit counts. Sent bytes wait in a queue of segments; a long answer is no longer moved to the front of its buffer with each part that the socket takes.

--- a/src/common/types/reason.cpp
+++ b/src/common/types/reason.cpp
@@ -49,6 +49,8 @@
     {"upstream_paused", "Retry after the stated time; the upstream takes no requests until then."},
     {"upstream_unreachable",
      "Retry; look at the VM's network if it lasts: no daemon that reaches the upstream has room."},
+    {"memory_short",
+     "Retry after the stated time; other requests take the memory of this daemon's VM."},
 }};
 
 } // namespace
--- a/src/common/types/reason.h
+++ b/src/common/types/reason.h
@@ -46,9 +46,10 @@
     RequestLimitReached,
     UpstreamPaused,
     UpstreamUnreachable,
+    MemoryShort,
 };
 
-inline constexpr int reasonCount = static_cast<int>(Reason::UpstreamUnreachable) + 1;
+inline constexpr int reasonCount = static_cast<int>(Reason::MemoryShort) + 1;
 
 /// @returns the name of the reason in headers, counters and logs, such as "queue_full"
 [[nodiscard]] auto toString(Reason reason) -> std::string_view;
--- a/src/edge/componentsettings.h
+++ b/src/edge/componentsettings.h
@@ -3,6 +3,7 @@
 #include "edge/configurationsource.h"
 #include "edge/grantorrole.h"
 #include "edge/grantorwatch.h"
+#include "memory/types/memorybudget.h"
 #include "settings/types/edgesettings.h"
 #include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
@@ -12,6 +13,8 @@
 /// The settings of the edge daemon's components, derived from those of the daemon.
 namespace gooseberrywall {
 
+/// @returns the budget for the requests and answers that the daemon holds
+[[nodiscard]] auto memoryBudget(const EdgeSettings &settings) -> MemoryBudget;
 /// @param echoHeader header in which upstreams repeat the id of a request
 [[nodiscard]] auto upstreamPoolSettings(const std::string &echoHeader) -> OutboundPoolSettings;
 [[nodiscard]] auto storePoolSettings() -> OutboundPoolSettings;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -7,6 +7,7 @@
 #include "edge/forwardrole.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
+#include "edge/memorylog.h"
 #include "edge/metricstext.h"
 #include "edge/peermessages.h"
 #include "edge/shutdownplan.h"
@@ -42,7 +43,9 @@
         , now(now)
         , logger(logger)
         , requestLog(logger, this->settings.logSampleOneIn)
-        , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now)
+        , memory(memoryBudget(this->settings))
+        , memoryLog(logger)
+        , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now, &this->memory)
         , storePool(loop.base(), storePoolSettings(), now)
         , store(wire, this->storePool, this->settings.store, now, logger)
         , orderPool(loop.base(), orderPoolSettings(), now)
@@ -56,9 +59,9 @@
                FlowRecords{this->requestLog, this->counters, this->stages})
         , forwardClient(loop.base(), now)
         , entry(
-              loop.base(), wire, this->settings, this->upstreamPool, this->forwardClient,
-              this->flow, this->counters, now, [this] { this->processPending(); },
-              static_cast<double>(incarnation % 1000) / 1000)
+              loop.base(), wire, this->settings, this->memory, this->upstreamPool,
+              this->forwardClient, this->flow, this->counters, now,
+              [this] { this->processPending(); }, static_cast<double>(incarnation % 1000) / 1000)
         , pages(
               loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
               [this] { return this->isReady(); }, [this] { return this->metricsPage(); })
@@ -72,7 +75,7 @@
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
-        , peerServer(loop.base(), this->settings.peerListen, now, logger)
+        , peerServer(loop.base(), this->settings.peerListen, now, logger, &this->memory)
         , forwarder(wire, this->peerServer, this->upstreamPool, this->statements, now,
                     [this] { this->processPending(); })
         , configurationSource(
@@ -308,6 +311,8 @@
             this->hasPending = this->peers.deliverOwn() || this->hasPending;
         } while (this->hasPending);
         this->isProcessing = false;
+        this->entry.listener().shedExcess();
+        this->peerServer.shedExcess();
         this->setTimer();
         this->logger.flushIfDue();
     }
@@ -329,6 +334,8 @@
             this->entry.listener().sweep();
             this->pages.sweep();
             this->peerServer.sweep();
+            this->memoryLog.update(this->entry.listener().counters(), this->peerServer.counters(),
+                                   this->memory, moment);
         }
         if (this->stoppingSince) {
             this->advanceShutdown(moment);
@@ -426,6 +433,12 @@
         metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
         metrics.forwardedRequests = this->flow.forwardedCount();
         metrics.servedForwards = this->forwarder.sentCount();
+        metrics.memoryHeldBytes = this->memory.heldBytes();
+        metrics.memoryBudgetBytes = this->memory.budget().totalBytes;
+        const auto &callers = this->entry.listenerCounters();
+        const auto &peerCounters = this->peerServer.counters();
+        metrics.memoryRefusals = callers.memoryRefusals + peerCounters.memoryRefusals;
+        metrics.memoryShedConnections = callers.shedConnections + peerCounters.shedConnections;
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
     }
 
@@ -438,6 +451,8 @@
     RequestLog requestLog;
     Counters counters;
     StageHistograms stages;
+    MemoryAccount memory;
+    MemoryLog memoryLog;
     OutboundPool upstreamPool;
     OutboundPool storePool;
     StoreClient<Wire> store;
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -6,6 +6,7 @@
 #include "forwarding/forwardclient.h"
 #include "http1/messagewriter.h"
 #include "insight/counters.h"
+#include "memory/memoryaccount.h"
 #include "routing/routetable.h"
 #include "settings/types/edgesettings.h"
 #include "streams/frontlistener.h"
@@ -30,11 +31,13 @@
     /// @param now reads the clock
     /// @param onWork called after each event for which commands may have to be executed
     /// @param spreadStart first point of each route's EvenSpread, 0 to 1; differs between daemons
+    /// @param memory counts what is held for callers
     EntryService(event_base *base, const Wire &wire, const EdgeSettings &settings,
-                 OutboundPool &upstreams, ForwardClient &forwards, RequestFlow &flow,
-                 Counters &counters, std::function<Instant()> now, std::function<void()> onWork,
-                 double spreadStart)
+                 MemoryAccount &memory, OutboundPool &upstreams, ForwardClient &forwards,
+                 RequestFlow &flow, Counters &counters, std::function<Instant()> now,
+                 std::function<void()> onWork, double spreadStart)
         : wire(wire)
+        , memory(memory)
         , upstreams(upstreams)
         , forwards(forwards)
         , flow(flow)
@@ -47,8 +50,10 @@
               [this](ExchangeId exchange, WholeMessage request) {
                   this->onRequest(exchange, std::move(request));
               },
-              [this](ExchangeId exchange) { this->onCallerGone(exchange); })
+              [this](ExchangeId exchange) { this->onCallerGone(exchange); }, &memory)
     {
+        this->front.setMemoryRefusal(
+            this->refusalHead(RequestId{}, 503, Reason::MemoryShort, memoryRetryAfter));
     }
 
     auto start() -> void { this->front.start(); }
@@ -59,7 +64,7 @@
         const auto &limits = table->configuration().limits;
         MessageLimits bounds;
         bounds.headBytes = limits.headerBytes;
-        bounds.bodyBytes = std::min(limits.bodyBytes, bodyLimitBytes);
+        bounds.bodyBytes = limits.bodyBytes;
         this->front.setLimits(bounds, limits.headerTimeout + limitSlack,
                               limits.idleTimeout + limitSlack);
         this->routes = table;
@@ -86,12 +91,20 @@
     }
 
     [[nodiscard]] auto listener() -> FrontListener & { return this->front; }
+    [[nodiscard]] auto listenerCounters() const -> const FrontCounters &
+    {
+        return this->front.counters();
+    }
     [[nodiscard]] auto openCount() const -> std::size_t { return this->exchanges.size(); }
 
 private:
-    /// Upper bound of the configured body limit, because waiting requests are held whole in memory;
-    /// larger ones are refused.
-    static constexpr std::size_t bodyLimitBytes = std::size_t{8} * 1024 * 1024;
+    /// Larger bodies are sent from where they are held; smaller ones are copied behind the head,
+    /// which saves a system call.
+    static constexpr std::size_t copiedBodyBytes = std::size_t{16} * 1024;
+    /// Memory of an open request without its body.
+    static constexpr std::size_t exchangeBytes = 2048;
+    /// Retry-After where memory is short; a caller that stalls is disconnected after that time.
+    static constexpr Duration memoryRetryAfter = std::chrono::seconds{1};
     /// Added to the configured timeouts, so that a caller that just keeps them isn't disconnected.
     static constexpr Duration limitSlack = std::chrono::milliseconds{500};
     /// Retry-After while this daemon has no configuration or is shutting down.
@@ -102,7 +115,9 @@
 
     struct Exchange
     {
-        WholeMessage request;
+        MessageHead head;
+        std::shared_ptr<const std::string> body;
+        MemoryAccount::Charge charge;
         CallerFields fields;
         bool isRepeatable = false;
         std::optional<OutboundId> attempt;
@@ -147,7 +162,10 @@
         auto spread = this->spreads.try_emplace(route->name, EvenSpread(this->spreadStart)).first;
         Exchange entry;
         entry.fields = fields;
-        entry.request = std::move(request);
+        entry.head = std::move(request.head);
+        entry.body = std::make_shared<const std::string>(std::move(request.body));
+        entry.charge = MemoryAccount::Charge(&this->memory);
+        entry.charge.set(exchangeBytes + entry.body->size());
         entry.isRepeatable = route->isIdempotent;
         FlowRequest flowRequest;
         flowRequest.exchange = exchange;
@@ -160,8 +178,7 @@
         }
         flowRequest.callerTimeout = fields.timeout;
         flowRequest.fingerprint =
-            stableHash(entry.request.head.method + " " + entry.request.head.target,
-                       stableHash(entry.request.body));
+            stableHash(entry.head.method + " " + entry.head.target, stableHash(*entry.body));
         this->exchanges.emplace(exchange, std::move(entry));
         this->flow.begin(std::move(flowRequest), this->now());
         this->onWork();
@@ -189,9 +206,15 @@
         auto &entry = found->second;
         OutboundRequest request;
         request.address = command.address;
-        request.text = requestText(entry.request.head, entry.request.body,
-                                   this->wire.attemptHeaders(command.upstream, command.remaining));
-        request.isHead = entry.request.head.method == "HEAD";
+        const auto headers = this->wire.attemptHeaders(command.upstream, command.remaining);
+        entry.isForwarded = !command.forwarder.empty();
+        if (entry.isForwarded || entry.body->size() <= copiedBodyBytes) {
+            request.text = requestText(entry.head, *entry.body, headers);
+        } else {
+            request.text = requestHead(entry.head, entry.body->size(), headers);
+            request.body = entry.body;
+        }
+        request.isHead = entry.head.method == "HEAD";
         // RequestFlow aborts attempts itself; this timeout only bounds those that it would miss.
         request.timeout = command.remaining + std::chrono::milliseconds{500};
         if (!entry.fields.id.empty()) {
@@ -202,7 +225,6 @@
             != entry.sentTo.end();
         request.needsNewConnection = !request.echoedId || wasSentThere;
         entry.sentTo.push_back(command.address);
-        entry.isForwarded = !command.forwarder.empty();
         if (entry.isForwarded) {
             entry.attempt = this->forward(command, std::move(request), entry.isRepeatable);
             return;
@@ -259,9 +281,9 @@
         if (found == this->exchanges.end()) {
             return;
         }
-        const auto entry = std::move(found->second);
+        auto entry = std::move(found->second);
         this->exchanges.erase(found);
-        this->front.reply(command.exchange, entry.answer.head, entry.answer.body);
+        this->front.reply(command.exchange, std::move(entry.answer));
     }
 
     auto execute(const FlowRefuse &command) -> void
@@ -334,6 +356,7 @@
     }
 
     const Wire &wire;
+    MemoryAccount &memory;
     OutboundPool &upstreams;
     ForwardClient &forwards;
     RequestFlow &flow;
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -1,7 +1,28 @@
 #include "edge/componentsettings.h"
 
+#include <algorithm>
+#include <unistd.h>
+
 namespace gooseberrywall {
 
+namespace {
+
+/// @returns the memory of this VM as the system reports it
+auto systemMemoryBytes() -> std::size_t
+{
+    const auto pages = sysconf(_SC_PHYS_PAGES);
+    const auto pageBytes = sysconf(_SC_PAGESIZE);
+    return static_cast<std::size_t>(std::max(0L, pages)) * static_cast<std::size_t>(pageBytes);
+}
+
+} // namespace
+
+auto memoryBudget(const EdgeSettings &settings) -> MemoryBudget
+{
+    return MemoryBudget::ofVm(settings.memoryBytes > 0 ? settings.memoryBytes
+                                                       : systemMemoryBytes());
+}
+
 auto upstreamPoolSettings(const std::string &echoHeader) -> OutboundPoolSettings
 {
     OutboundPoolSettings result;
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 23> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 27> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -34,7 +34,11 @@
          {"held_by_pause_total", metrics.heldByPause},
          {"upstreams_unreachable", metrics.isIsolated},
          {"forwarded_requests_total", metrics.forwardedRequests},
-         {"served_forwards_total", metrics.servedForwards}}};
+         {"served_forwards_total", metrics.servedForwards},
+         {"memory_held_bytes", metrics.memoryHeldBytes},
+         {"memory_budget_bytes", metrics.memoryBudgetBytes},
+         {"memory_refusals_total", metrics.memoryRefusals},
+         {"memory_shed_connections_total", metrics.memoryShedConnections}}};
     for (const auto &[name, value] : rows) {
         page += "gooseberrywall_" + std::string(name) + " " + std::to_string(value) + "\n";
     }
--- a/src/edge/internal/peerserver.cpp
+++ b/src/edge/internal/peerserver.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t connectionLimit = 600;
 /// Room for a caller's request or an upstream's answer within a message between daemons.
 constexpr std::size_t headLimitBytes = std::size_t{64} * 1024;
-constexpr std::size_t bodyLimitBytes = MessageLimits{}.bodyBytes + headLimitBytes;
+constexpr std::size_t bodyLimitBytes = std::size_t{128} * 1024 * 1024;
 
 auto listenerSettings(const Address &listen) -> FrontSettings
 {
@@ -27,14 +27,14 @@
 } // namespace
 
 PeerServer::PeerServer(event_base *base, const Address &listen, const std::function<Instant()> &now,
-                       Logger &logger)
+                       Logger &logger, MemoryAccount *memory)
     : logger(logger)
     , listener(
           base, listenerSettings(listen), now,
           [this](ExchangeId exchange, WholeMessage request) {
               this->onRequest(exchange, std::move(request));
           },
-          [this](ExchangeId exchange) { this->onDisconnect(exchange); })
+          [this](ExchangeId exchange) { this->onDisconnect(exchange); }, memory)
 {
 }
 
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -42,6 +42,12 @@
     std::uint64_t forwardedRequests = 0;
     /// Requests that this daemon has forwarded for other daemons.
     std::uint64_t servedForwards = 0;
+    /// Bytes held for callers and upstreams, and the budget for them.
+    std::uint64_t memoryHeldBytes = 0;
+    std::uint64_t memoryBudgetBytes = 0;
+    /// Requests refused, and connections closed, because memory was short.
+    std::uint64_t memoryRefusals = 0;
+    std::uint64_t memoryShedConnections = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
--- a/src/edge/peerserver.h
+++ b/src/edge/peerserver.h
@@ -28,8 +28,9 @@
 {
 public:
     /// @param now reads the clock
+    /// @param memory counts what the connections hold; nullptr: memory isn't limited
     PeerServer(event_base *base, const Address &listen, const std::function<Instant()> &now,
-               Logger &logger);
+               Logger &logger, MemoryAccount *memory = nullptr);
 
     /// Registers the handler of a path; requests for other paths are answered with 404.
     auto serve(const std::string &path, PeerHandler handler) -> void;
@@ -42,6 +43,13 @@
     /// Closes connections that exceed a timeout; to be called about twice a second.
     auto sweep() -> void { this->listener.sweep(); }
 
+    /// Closes connections while more memory is held than the budget allows.
+    auto shedExcess() -> void { this->listener.shedExcess(); }
+
+    [[nodiscard]] auto counters() const -> const FrontCounters &
+    {
+        return this->listener.counters();
+    }
     [[nodiscard]] auto connectionCount() const -> std::size_t
     {
         return this->listener.connectionCount();
--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -11,6 +11,12 @@
 constexpr std::string_view lineEnd = "\r\n";
 /// Limit of a chunk's size line including extensions; longer lines are malformed.
 constexpr std::size_t chunkLineLimitBytes = 256;
+/// A body of unknown length that exceeds this size gets room for the largest body at once: while it
+/// is copied into a larger buffer, it is held twice. Memory that isn't written to isn't taken.
+constexpr std::size_t copiedBodyLimitBytes = std::size_t{4} * 1024 * 1024;
+/// Larger buffers are taken from the system and returned to it, so that only their used part
+/// counts.
+constexpr std::size_t pooledBufferBytes = std::size_t{256} * 1024;
 constexpr std::uint64_t lowestStatus = 100;
 constexpr std::uint64_t highestStatus = 599;
 
@@ -143,6 +149,7 @@
         return this->fail(400);
     }
     taken = start + end + 4;
+    this->headBytes = end;
     if (this->kind == Kind::Response && this->message.head.status / 100 == 1) {
         this->message.head = {};
         return Step::NeedMore;
@@ -251,6 +258,7 @@
         this->state = State::ChunkSize;
     } else if (length) {
         this->remaining = *length;
+        this->announced = static_cast<std::size_t>(*length);
         this->state = *length == 0 ? State::Whole : State::Length;
     } else {
         this->state = this->kind == Kind::Request ? State::Whole : State::UntilClose;
@@ -265,7 +273,7 @@
     case State::Length:
     case State::ChunkData: {
         taken = static_cast<std::size_t>(std::min<std::uint64_t>(input.size(), this->remaining));
-        body.append(input.substr(0, taken));
+        this->appendToBody(input.substr(0, taken));
         this->remaining -= taken;
         if (this->remaining == 0) {
             this->state = this->state == State::Length ? State::Whole : State::ChunkEnd;
@@ -274,7 +282,7 @@
     }
     case State::UntilClose:
         taken = input.size();
-        body.append(input);
+        this->appendToBody(input);
         return body.size() > this->limits.bodyBytes ? this->fail(413) : Step::NeedMore;
     case State::ChunkSize:
     case State::ChunkEnd:
@@ -335,6 +343,27 @@
     return true;
 }
 
+auto MessageReader::appendToBody(std::string_view bytes) -> void
+{
+    auto &body = this->message.body;
+    const auto needed = body.size() + bytes.size();
+    if (needed > body.capacity()) {
+        const auto isLarge = needed > copiedBodyLimitBytes;
+        const auto grown = isLarge ? this->limits.bodyBytes : 2 * body.capacity();
+        body.reserve(std::max({needed, this->announced, this->announced > 0 ? 0 : grown}));
+    }
+    body.append(bytes);
+}
+
+auto MessageReader::heldBytes() const -> std::size_t
+{
+    const auto &body = this->message.body;
+    const auto bodyBytes =
+        body.capacity() <= pooledBufferBytes ? body.capacity() : std::size_t{body.size()};
+    // Headers are kept as separate strings.
+    return bodyBytes + 2 * this->headBytes;
+}
+
 auto MessageReader::endOfInput() -> bool
 {
     if (this->state != State::UntilClose) {
@@ -376,6 +405,8 @@
     this->message = {};
     this->state = State::Head;
     this->remaining = 0;
+    this->announced = 0;
+    this->headBytes = 0;
     this->trailerBytes = 0;
     this->expectsNoBody = false;
     this->hasBegun = false;
--- a/src/http1/internal/messagewriter.cpp
+++ b/src/http1/internal/messagewriter.cpp
@@ -29,6 +29,9 @@
     std::pair{504, std::string_view{"Gateway Timeout"}},
 };
 
+/// Enough for most heads.
+constexpr std::size_t headReserveBytes = 512;
+
 auto appendHeader(std::string &text, std::string_view name, std::string_view value) -> void
 {
     text.append(name).append(": ").append(value).append("\r\n");
@@ -63,11 +66,11 @@
               });
 }
 
-auto requestText(const MessageHead &head, std::string_view body,
+auto requestHead(const MessageHead &head, std::size_t bodyBytes,
                  const std::vector<HttpHeader> &extra) -> std::string
 {
     std::string text;
-    text.reserve(512 + body.size());
+    text.reserve(headReserveBytes);
     text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
     for (const auto &header : head.headers) {
         const auto isReplaced = std::any_of(extra.begin(), extra.end(), [&](const HttpHeader &own) {
@@ -82,17 +85,28 @@
     }
     const auto hadBody =
         head.find("Content-Length") != nullptr || head.find("Transfer-Encoding") != nullptr;
-    if (hadBody || !body.empty()) {
-        appendHeader(text, "Content-Length", std::to_string(body.size()));
+    if (hadBody || bodyBytes > 0) {
+        appendHeader(text, "Content-Length", std::to_string(bodyBytes));
     }
-    return text.append("\r\n").append(body);
+    return text.append("\r\n");
 }
 
-auto responseText(const MessageHead &head, std::string_view body, bool isHeadAnswer,
+auto requestText(const MessageHead &head, std::string_view body,
+                 const std::vector<HttpHeader> &extra) -> std::string
+{
+    return requestHead(head, body.size(), extra).append(body);
+}
+
+auto hasResponseBody(const MessageHead &head, bool isHeadAnswer) -> bool
+{
+    return !isHeadAnswer && head.status != 204 && head.status != 304;
+}
+
+auto responseHead(const MessageHead &head, std::size_t bodyBytes, bool isHeadAnswer,
                   bool keepsConnection) -> std::string
 {
     std::string text;
-    text.reserve(256 + body.size());
+    text.reserve(headReserveBytes);
     text.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
     text.append(head.reason.empty() ? reasonPhrase(head.status) : head.reason).append("\r\n");
     for (const auto &header : head.headers) {
@@ -100,22 +114,24 @@
             appendHeader(text, header.name, header.value);
         }
     }
-    const auto isBodyless = head.status == 204 || head.status == 304;
     if (isHeadAnswer) {
         if (const auto *length = head.find("Content-Length")) {
             appendHeader(text, "Content-Length", *length);
         }
-    } else if (!isBodyless) {
-        appendHeader(text, "Content-Length", std::to_string(body.size()));
+    } else if (hasResponseBody(head, isHeadAnswer)) {
+        appendHeader(text, "Content-Length", std::to_string(bodyBytes));
     }
     if (!keepsConnection) {
         appendHeader(text, "Connection", "close");
     }
-    text.append("\r\n");
-    if (!isHeadAnswer && !isBodyless) {
-        text.append(body);
-    }
-    return text;
+    return text.append("\r\n");
+}
+
+auto responseText(const MessageHead &head, std::string_view body, bool isHeadAnswer,
+                  bool keepsConnection) -> std::string
+{
+    auto text = responseHead(head, body.size(), isHeadAnswer, keepsConnection);
+    return hasResponseBody(head, isHeadAnswer) ? text.append(body) : text;
 }
 
 auto reasonPhrase(int status) -> std::string_view
--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -45,6 +45,14 @@
     /// @returns the message that is complete
     [[nodiscard]] auto take() -> WholeMessage;
 
+    /// Drops the message that has begun; the next one starts with the next byte.
+    auto discard() -> void { this->reset(); }
+
+    /// @returns the memory that the message takes which has begun
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
+    /// @returns the length of the body where the head of the message announces it; zero otherwise
+    [[nodiscard]] auto announcedBodyBytes() const -> std::size_t { return this->announced; }
+
     /// @returns the HTTP status with which a malformed request is to be refused
     [[nodiscard]] auto refusalStatus() const -> int { return this->errorStatus; }
     /// @returns whether a message has begun and isn't complete
@@ -76,6 +84,7 @@
     [[nodiscard]] auto readLine(std::string_view input, std::size_t &taken, std::string_view &line)
         -> Step;
     [[nodiscard]] auto readChunkSize(std::string_view line) -> bool;
+    auto appendToBody(std::string_view bytes) -> void;
     auto fail(int status) -> Step;
     auto reset() -> void;
 
@@ -84,6 +93,8 @@
     State state = State::Head;
     WholeMessage message;
     std::uint64_t remaining = 0;
+    std::size_t announced = 0;
+    std::size_t headBytes = 0;
     std::size_t trailerBytes = 0;
     bool expectsNoBody = false;
     bool hasBegun = false;
--- a/src/http1/messagewriter.h
+++ b/src/http1/messagewriter.h
@@ -2,6 +2,7 @@
 
 #include "http1/types/messagehead.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,19 @@
 [[nodiscard]] auto responseText(const MessageHead &head, std::string_view body, bool isHeadAnswer,
                                 bool keepsConnection) -> std::string;
 
+/// Serializes a response without its body, to which the arguments of responseText() apply.
+/// @param bodyBytes the length of the body
+[[nodiscard]] auto responseHead(const MessageHead &head, std::size_t bodyBytes, bool isHeadAnswer,
+                                bool keepsConnection) -> std::string;
+
+/// @returns whether a response with this head has a body
+[[nodiscard]] auto hasResponseBody(const MessageHead &head, bool isHeadAnswer) -> bool;
+
+/// Serializes a request without its body, to which the arguments of requestText() apply.
+/// @param bodyBytes the length of the body
+[[nodiscard]] auto requestHead(const MessageHead &head, std::size_t bodyBytes,
+                               const std::vector<HttpHeader> &extra) -> std::string;
+
 /// @returns the standard reason phrase of a status; "Unknown" for one that isn't listed
 [[nodiscard]] auto reasonPhrase(int status) -> std::string_view;
 
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double thousandth = 0.001;
+constexpr std::size_t bytesPerMegabyte = 1'000'000;
 constexpr std::array<const char *, 4> addressKeys{"caller_listen", "ready_listen", "peer_listen",
                                                   "metrics_listen"};
 
@@ -38,6 +39,9 @@
               "Whether the whole system starts for the first time. If not, a store without a "
               "record of owners has lost it, and keys are granted once earlier grants have run "
               "out."},
+             {"memory_mb", ValueKind::Integer, "MB", 0, 100'000'000, "0", takesEffectAtStart,
+              "Memory of this VM that the daemon may use; 0: what the system reports. Requests and "
+              "answers that it holds may take 70 % of it, large ones 63 %."},
              {"connection_limit", ValueKind::Integer, "", 10, 100'000, "2000", takesEffectAtOnce,
               "Maximum number of open connections from callers; further ones are closed."}}};
 }
@@ -155,6 +159,7 @@
     settings.processorCores = static_cast<double>(daemon.integer("processor_share")) * thousandth
                               * static_cast<double>(daemon.integer("processor_cores")) * thousandth;
     settings.startsWithSystem = daemon.boolean("starts_with_system");
+    settings.memoryBytes = static_cast<std::size_t>(daemon.integer("memory_mb")) * bytesPerMegabyte;
     settings.connectionLimit = static_cast<std::size_t>(daemon.integer("connection_limit"));
     settings.store = Address{store.text("address")};
     settings.retryRatio = static_cast<double>(retries.integer("ratio")) * thousandth;
--- a/src/settings/tests/edgesettingsloader_tests.cpp
+++ b/src/settings/tests/edgesettingsloader_tests.cpp
@@ -23,6 +23,14 @@
         CHECK(settings->logSampleOneIn == 50);
         CHECK(settings->drainTime == Duration{std::chrono::seconds{2}});
     }
+    GIVEN("a file with the memory of the VM, and one without")
+    {
+        const auto settings =
+            loader.load(validEdgeSettings("[store]\n", "memory_mb = 112\n[store]\n"), "edge.ini");
+        REQUIRE(settings.has_value());
+        CHECK(settings->memoryBytes == 112'000'000);
+        CHECK(loader.load(validEdgeSettings(), "edge.ini")->memoryBytes == 0);
+    }
     GIVEN("a file with another drain time")
     {
         const auto settings = loader.load(
--- a/src/settings/types/edgesettings.h
+++ b/src/settings/types/edgesettings.h
@@ -37,6 +37,8 @@
     std::uint64_t logSampleOneIn = 0;
     /// Number of cores that this VM may use; may be below one.
     double processorCores = 0;
+    /// Memory of this VM that the daemon may use; zero: what the system reports.
+    std::size_t memoryBytes = 0;
     /// Maximum number of open connections from callers.
     std::size_t connectionLimit = 0;
     auto operator==(const EdgeSettings &) const -> bool = default;
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -3,6 +3,8 @@
 #include "common/types/ids.h"
 #include "common/types/instant.h"
 #include "http1/messagereader.h"
+#include "memory/memoryaccount.h"
+#include "memory/shedorder.h"
 #include "streams/socketlistener.h"
 #include "streams/socketstream.h"
 
@@ -10,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 struct event_base;
@@ -29,6 +32,14 @@
     /// Requests of one connection that are open at once; further ones stay unread.
     std::size_t pipelineLimit = 16;
     std::size_t connectionLimit = 2000;
+    /// Head of the answer to requests that are refused because memory is short.
+    MessageHead memoryRefusal = unavailable();
+    [[nodiscard]] static auto unavailable() -> MessageHead
+    {
+        MessageHead head;
+        head.status = 503;
+        return head;
+    }
     auto operator==(const FrontSettings &) const -> bool = default;
 };
 
@@ -40,11 +51,16 @@
     std::uint64_t malformed = 0;
     std::uint64_t slowSenders = 0;
     std::uint64_t connectionsRefused = 0;
+    /// Requests that were refused because memory was short.
+    std::uint64_t memoryRefusals = 0;
+    /// Connections that were closed to release memory.
+    std::uint64_t shedConnections = 0;
     auto operator==(const FrontCounters &) const -> bool = default;
 };
 
 /// An HTTP/1.1 server. Accepts pipelined requests: several may be open on one connection, and their
-/// answers are sent in the order of the requests.
+/// answers are sent in the order of the requests. Where memory is short, it refuses requests that
+/// haven't arrived whole, and closes connections that make slow progress.
 class FrontListener
 {
 public:
@@ -53,8 +69,9 @@
 
     /// @param now returns the current time
     /// @param onDisconnect called if the connection ends before the answer was sent
+    /// @param memory counts what the connections hold; nullptr: memory isn't limited
     FrontListener(event_base *base, FrontSettings settings, std::function<Instant()> now,
-                  OnRequest onRequest, OnDisconnect onDisconnect);
+                  OnRequest onRequest, OnDisconnect onDisconnect, MemoryAccount *memory = nullptr);
     ~FrontListener();
     FrontListener(const FrontListener &) = delete;
     auto operator=(const FrontListener &) -> FrontListener & = delete;
@@ -68,6 +85,14 @@
     auto setConnectionLimit(std::size_t limit) -> void { this->settings.connectionLimit = limit; }
     /// Answers an exchange; has no effect if the caller has disconnected.
     auto reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void;
+    auto reply(ExchangeId exchange, WholeMessage answer) -> void;
+    /// Sets the head of the answer to requests that are refused because memory is short.
+    auto setMemoryRefusal(MessageHead head) -> void
+    {
+        this->settings.memoryRefusal = std::move(head);
+    }
+    /// Closes connections while more memory is held than the budget allows.
+    auto shedExcess() -> void;
     /// From now on a connection is closed after the answer to its last open request.
     auto closeAfterReplies() -> void { this->isClosing = true; }
     /// Answers requests of which only a part has arrived, and closes their connections.
@@ -86,14 +111,25 @@
 private:
     class Connection;
 
+    /// After room was looked for in vain, it is looked for again after this time.
+    static constexpr Duration shedInterval = std::chrono::milliseconds{100};
+
     auto accept(int descriptor) -> void;
     auto discard(Connection *connection) -> void;
+    /// Closes connections that make slow progress as far as the message needs their memory.
+    /// @param receiver the connection on which the message arrives; it isn't closed
+    /// @returns whether the message may be taken in
+    [[nodiscard]] auto hasRoomFor(std::size_t bytes, const Connection *receiver) -> bool;
+    /// @param kept isn't closed
+    /// @returns whether a connection was closed
+    auto shedOne(ShedOrder::Urgency urgency, const Connection *kept) -> bool;
 
     event_base *base;
     FrontSettings settings;
     std::function<Instant()> now;
     OnRequest onRequest;
     OnDisconnect onDisconnect;
+    MemoryAccount *memory;
     std::unique_ptr<SocketListener> listener;
     std::map<Connection *, std::unique_ptr<Connection>> connections;
     std::map<ExchangeId, Connection *> exchanges;
@@ -101,6 +137,8 @@
     EventPointer cleanupEvent;
     std::uint64_t nextExchange = 1;
     bool isClosing = false;
+    /// When connections may be closed again to make room.
+    Instant shedDue{};
     FrontCounters counts;
 };
 
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -16,6 +16,8 @@
 constexpr Duration sweepInterval = std::chrono::seconds{2};
 /// Idle connections are discarded this long before the idle timeout that the peer has announced.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds{1200};
+/// Memory of a connection without its messages.
+constexpr std::size_t connectionBytes = 2048;
 /// Answers of other requests that are skipped for one request; a peer that sends more is faulty.
 constexpr int skippedAnswerLimit = 8;
 
@@ -44,6 +46,7 @@
         : pool(pool)
         , address(std::move(address))
         , reader(MessageReader::Kind::Response, pool.settings.limits)
+        , charge(pool.memory)
         , timer(evtimer_new(
               pool.base,
               [](evutil_socket_t, short, void *self) {
@@ -72,9 +75,9 @@
                            ? this->request.timeout
                            : std::min(this->request.timeout, this->pool.settings.connectTimeout));
         if (this->isConnected) {
-            this->isSent = true;
-            this->stream.write(this->request.text);
+            this->sendRequest();
         }
+        this->updateCharge();
     }
 
     /// Separates the connection from its aborted request.
@@ -93,6 +96,30 @@
     Duration idleTimeout{0};
 
 private:
+    auto sendRequest() -> void
+    {
+        this->isSent = true;
+        this->stream.write(this->request.text);
+        if (this->request.body != nullptr) {
+            this->stream.writeShared(this->request.body);
+        }
+    }
+
+    /// Counts what the connection holds, apart from the shared body of its request.
+    auto updateCharge() -> void
+    {
+        this->charge.set(connectionBytes + this->stream.inputCapacity() + this->request.text.size()
+                         + this->reader.heldBytes());
+    }
+
+    /// @returns whether the answer is so large that it can't be held any more
+    [[nodiscard]] auto exceedsMemory() const -> bool
+    {
+        const auto *memory = this->pool.memory;
+        return memory != nullptr && memory->isOver()
+               && this->reader.heldBytes() > MemoryAccount::smallMessageBytes;
+    }
+
     auto armTimer(Duration duration) -> void
     {
         const auto wait = toTimeval(duration);
@@ -107,8 +134,7 @@
             return;
         }
         if (this->id != 0) {
-            this->isSent = true;
-            this->stream.write(this->request.text);
+            this->sendRequest();
             this->armTimer(this->deadline - this->pool.now());
         }
     }
@@ -123,7 +149,9 @@
         std::size_t taken = 0;
         const auto step = this->reader.read(this->stream.input(), taken);
         this->stream.consume(taken);
-        if (step == MessageReader::Step::Malformed) {
+        this->updateCharge();
+        if (step == MessageReader::Step::Malformed
+            || (step == MessageReader::Step::NeedMore && this->exceedsMemory())) {
             this->finish(OutboundResult::End::BadAnswer, {});
         } else if (step == MessageReader::Step::Whole) {
             this->onWholeAnswer(true);
@@ -213,6 +241,8 @@
         auto callback = std::exchange(this->done, {});
         const auto isFirst = this->requestCount == 1;
         this->pool.busy.erase(std::exchange(this->id, 0));
+        this->request = {};
+        this->updateCharge();
         if (this->isReusable) {
             this->isReusable = false;
             this->pool.keep(this);
@@ -235,15 +265,17 @@
     std::uint64_t requestCount = 0;
     /// Answers of other requests that came since the open request was sent.
     int skippedAnswers = 0;
+    MemoryAccount::Charge charge;
     EventPointer timer;
     SocketStream stream;
 };
 
 OutboundPool::OutboundPool(event_base *base, OutboundPoolSettings settings,
-                           std::function<Instant()> now)
+                           std::function<Instant()> now, MemoryAccount *memory)
     : base(base)
     , settings(std::move(settings))
     , now(std::move(now))
+    , memory(memory)
     , cleanupEvent(evtimer_new(
           base,
           [](evutil_socket_t, short, void *self) {
--- a/src/streams/internal/socketstream.cpp
+++ b/src/streams/internal/socketstream.cpp
@@ -16,6 +16,8 @@
 
 /// Large enough to read most requests and answers at once.
 constexpr std::size_t readBufferBytes = std::size_t{32} * 1024;
+/// Larger buffers for received bytes are released once they are empty.
+constexpr std::size_t keptInputBytes = readBufferBytes / 2;
 /// Sent bytes that stay unacknowledged for this long end the connection, so that a broken network
 /// path doesn't delay requests.
 constexpr int userTimeoutMs = 2000;
@@ -109,30 +111,77 @@
     if (this->consumedBytes == this->received.size()) {
         this->received.clear();
         this->consumedBytes = 0;
+        if (this->received.capacity() > keptInputBytes) {
+            this->received.shrink_to_fit();
+        }
     }
 }
 
 auto SocketStream::write(std::string_view bytes) -> void
+{
+    const auto sent = this->sendNow(bytes);
+    if (sent < bytes.size()) {
+        this->queue(std::make_shared<const std::string>(bytes.substr(sent)), 0);
+    }
+}
+
+auto SocketStream::writeShared(std::shared_ptr<const std::string> bytes) -> void
+{
+    const auto sent = this->sendNow(*bytes);
+    if (sent < bytes->size()) {
+        this->queue(std::move(bytes), sent);
+    }
+}
+
+auto SocketStream::sendNow(std::string_view bytes) -> std::size_t
 {
     if (this->hasFailed) {
-        return;
+        return bytes.size();
     }
     if (this->isConnecting || !this->unsent.empty()) {
-        this->unsent.append(bytes);
-        return;
+        return 0;
     }
     const auto sent = send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
         this->fail();
-        return;
+        return bytes.size();
     }
-    const auto taken = sent < 0 ? 0 : static_cast<std::size_t>(sent);
-    if (taken < bytes.size()) {
-        this->unsent.assign(bytes.substr(taken));
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
+auto SocketStream::queue(std::shared_ptr<const std::string> bytes, std::size_t sentBytes) -> void
+{
+    this->unsentByteCount += bytes->size() - sentBytes;
+    this->unsent.push_back(Segment{std::move(bytes), sentBytes});
+    if (!this->isConnecting) {
         event_add(this->writeEvent.get(), nullptr);
     }
 }
 
+auto SocketStream::flush() -> void
+{
+    while (!this->unsent.empty()) {
+        auto &segment = this->unsent.front();
+        const auto rest = std::string_view(*segment.bytes).substr(segment.sentBytes);
+        const auto sent = send(this->descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            this->fail();
+            return;
+        }
+        const auto taken = sent < 0 ? 0 : static_cast<std::size_t>(sent);
+        this->unsentByteCount -= taken;
+        segment.sentBytes += taken;
+        if (taken < rest.size()) {
+            event_add(this->writeEvent.get(), nullptr);
+            return;
+        }
+        this->unsent.pop_front();
+    }
+    if (this->isFinishing) {
+        shutdown(this->descriptor, SHUT_WR);
+    }
+}
+
 auto SocketStream::setReading(bool isReading) -> void
 {
     if (isReading && !this->hasFailed) {
@@ -186,8 +235,7 @@
             return;
         }
         this->setReading(true);
-        const auto pending = std::exchange(this->unsent, {});
-        this->write(pending);
+        this->flush();
         this->handlers.onConnected(true);
         return;
     }
@@ -197,19 +245,9 @@
         this->handlers.onEnd(false);
         return;
     }
-    const auto sent =
-        send(this->descriptor, this->unsent.data(), this->unsent.size(), MSG_NOSIGNAL);
-    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-        this->fail();
-        return;
-    }
-    this->unsent.erase(0, sent < 0 ? 0 : static_cast<std::size_t>(sent));
-    if (!this->unsent.empty()) {
-        event_add(this->writeEvent.get(), nullptr);
-        return;
-    }
-    if (this->isFinishing) {
-        shutdown(this->descriptor, SHUT_WR);
+    this->flush();
+    if (!this->hasFailed && this->handlers.onSent) {
+        this->handlers.onSent();
     }
 }
 
@@ -217,6 +255,7 @@
 {
     this->hasFailed = true;
     this->unsent.clear();
+    this->unsentByteCount = 0;
     event_active(this->writeEvent.get(), EV_WRITE, 0);
 }
 
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http1/messagereader.h"
+#include "memory/memoryaccount.h"
 #include "streams/socketstream.h"
 #include "streams/types/outboundmessages.h"
 
@@ -44,7 +45,10 @@
 
     /// @param base runs the connections; must outlive the pool
     /// @param now returns the current time
-    OutboundPool(event_base *base, OutboundPoolSettings settings, std::function<Instant()> now);
+    /// @param memory counts what the connections hold; large answers end as BadAnswer while it is
+    ///        over its budget. nullptr: nothing is counted
+    OutboundPool(event_base *base, OutboundPoolSettings settings, std::function<Instant()> now,
+                 MemoryAccount *memory = nullptr);
     ~OutboundPool();
     OutboundPool(const OutboundPool &) = delete;
     auto operator=(const OutboundPool &) -> OutboundPool & = delete;
@@ -69,6 +73,7 @@
     event_base *base;
     OutboundPoolSettings settings;
     std::function<Instant()> now;
+    MemoryAccount *memory;
     std::unordered_map<Connection *, std::unique_ptr<Connection>> connections;
     std::unordered_map<Address, std::vector<Connection *>> idle;
     std::unordered_map<std::uint64_t, Connection *> busy;
--- a/src/streams/socketstream.h
+++ b/src/streams/socketstream.h
@@ -3,6 +3,7 @@
 #include "common/types/ids.h"
 #include "http/endpoint.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
         /// The peer has closed its side, or the connection failed or was reset (`isClean` is
         /// false).
         std::function<void(bool isClean)> onEnd;
+        /// The socket has taken written bytes that had to wait; may be empty.
+        std::function<void()> onSent = {};
     };
 
     /// Takes ownership of the descriptor of an accepted connection.
@@ -51,8 +54,12 @@
     }
     auto consume(std::size_t bytes) -> void;
     auto write(std::string_view bytes) -> void;
+    /// Writes bytes that aren't copied, however long they have to wait.
+    auto writeShared(std::shared_ptr<const std::string> bytes) -> void;
     /// @returns the number of written bytes that the socket hasn't accepted yet
-    [[nodiscard]] auto unsentBytes() const -> std::size_t { return this->unsent.size(); }
+    [[nodiscard]] auto unsentBytes() const -> std::size_t { return this->unsentByteCount; }
+    /// @returns the memory that received bytes take
+    [[nodiscard]] auto inputCapacity() const -> std::size_t { return this->received.capacity(); }
     auto setReading(bool isReading) -> void;
     /// Closes the sending side once all written bytes are sent; input is still read.
     auto finishWriting() -> void;
@@ -60,7 +67,19 @@
     auto resetOnClose() -> void { this->resetsOnClose = true; }
 
 private:
+    /// Written bytes that the socket hasn't accepted, up to the end of `bytes`.
+    struct Segment
+    {
+        std::shared_ptr<const std::string> bytes;
+        std::size_t sentBytes = 0;
+    };
+
     auto open(int descriptor) -> void;
+    /// @returns how many of the bytes the socket has accepted; all of them where it has failed
+    [[nodiscard]] auto sendNow(std::string_view bytes) -> std::size_t;
+    auto queue(std::shared_ptr<const std::string> bytes, std::size_t sentBytes) -> void;
+    /// Sends what waits, as far as the socket accepts it.
+    auto flush() -> void;
     auto onReadable() -> void;
     auto onWritable() -> void;
     auto fail() -> void;
@@ -72,7 +91,8 @@
     EventPointer writeEvent;
     std::string received;
     std::size_t consumedBytes = 0;
-    std::string unsent;
+    std::deque<Segment> unsent;
+    std::size_t unsentByteCount = 0;
     bool isConnecting = false;
     bool isFinishing = false;
     bool resetsOnClose = false;
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -5,6 +5,7 @@
 #include "http1/types/messagehead.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -18,6 +19,9 @@
     Address address;
     /// Start line, headers and body as they are sent.
     std::string text;
+    /// Further bytes of the body, sent after `text`; nullptr where there are none. Shared, so that
+    /// a large body isn't held more than once.
+    std::shared_ptr<const std::string> body = nullptr;
     /// A HEAD request: its answer has no body, whatever its headers say.
     bool isHead = false;
     /// Time from send() to the complete answer.
