memory: release memory before an upstream's answer is given up

Where the budget is exceeded while an answer arrives, connections of callers that don't take theirs are closed first; the answer is given up only if that isn't enough.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -93,6 +93,10 @@
                        this->permits, this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
+        this->memory.setRelief([this] {
+            this->entry.listener().shedExcess();
+            this->peerServer.shedExcess();
+        });
         this->roles.setAnnouncedConfiguration([this] {
             return AnnouncedConfiguration{
                 this->configurationSource.revision(),
@@ -311,8 +315,7 @@
             this->hasPending = this->peers.deliverOwn() || this->hasPending;
         } while (this->hasPending);
         this->isProcessing = false;
-        this->entry.listener().shedExcess();
-        this->peerServer.shedExcess();
+        this->memory.relieve();
         this->setTimer();
         this->logger.flushIfDue();
     }
--- a/src/memory/internal/memoryaccount.cpp
+++ b/src/memory/internal/memoryaccount.cpp
@@ -51,6 +51,16 @@
     }
 }
 
+auto MemoryAccount::relieve() -> bool
+{
+    // Closing a connection ends requests, which may ask for relief in turn.
+    if (this->isOver() && this->release && !std::exchange(this->isRelieving, true)) {
+        this->release();
+        this->isRelieving = false;
+    }
+    return !this->isOver();
+}
+
 auto MemoryAccount::hasRoomFor(std::size_t bytes) const -> bool
 {
     return this->missingFor(bytes) == 0;
--- a/src/memory/memoryaccount.h
+++ b/src/memory/memoryaccount.h
@@ -3,6 +3,8 @@
 #include "memory/types/memorybudget.h"
 
 #include <cstddef>
+#include <functional>
+#include <utility>
 
 namespace gooseberrywall {
 
@@ -42,6 +44,11 @@
         std::size_t chargedBytes = 0;
     };
 
+    /// Sets what releases memory where more is held than the budget allows.
+    auto setRelief(std::function<void()> release) -> void { this->release = std::move(release); }
+    /// Releases memory where more is held than the budget allows.
+    /// @returns whether that was enough
+    auto relieve() -> bool;
     /// @returns whether a message of this size may be taken in besides what is held
     [[nodiscard]] auto hasRoomFor(std::size_t bytes) const -> bool;
     /// @returns how many bytes have to be released before hasRoomFor() allows the message; zero
@@ -55,6 +62,8 @@
 private:
     MemoryBudget limits;
     std::size_t held = 0;
+    std::function<void()> release;
+    bool isRelieving = false;
 };
 
 } // namespace gooseberrywall
--- a/src/memory/tests/memoryaccount_tests.cpp
+++ b/src/memory/tests/memoryaccount_tests.cpp
@@ -40,6 +40,31 @@
     CHECK(account.heldBytes() == 0);
 }
 
+SCENARIO("MemoryAccount asks for memory where the budget is exceeded", "[memory]")
+{
+    // Guards against answers that are dropped although callers that don't take theirs hold memory.
+    MemoryAccount account(MemoryBudget{100, 10});
+    MemoryAccount::Charge idle(&account);
+    MemoryAccount::Charge busy(&account);
+    auto calls = 0;
+    account.setRelief([&] {
+        ++calls;
+        idle.set(0);
+        // As where closing a connection ends a request.
+        CHECK(account.relieve() == !account.isOver());
+    });
+    idle.set(60);
+    busy.set(30);
+    CHECK(account.relieve());
+    CHECK(calls == 0);
+    busy.set(60);
+    CHECK(account.relieve());
+    CHECK(calls == 1);
+    busy.set(101);
+    CHECK_FALSE(account.relieve());
+    CHECK(calls == 2);
+}
+
 SCENARIO("MemoryAccount keeps room for small requests while large ones fill the rest", "[memory]")
 {
     // Load: a crowd of large bodies beside ordinary callers.
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -113,11 +113,11 @@
     }
 
     /// @returns whether the answer is so large that it can't be held any more
-    [[nodiscard]] auto exceedsMemory() const -> bool
+    [[nodiscard]] auto exceedsMemory() -> bool
     {
-        const auto *memory = this->pool.memory;
-        return memory != nullptr && memory->isOver()
-               && this->reader.heldBytes() > MemoryAccount::smallMessageBytes;
+        return this->pool.memory != nullptr
+               && this->reader.heldBytes() > MemoryAccount::smallMessageBytes
+               && !this->pool.memory->relieve();
     }
 
     auto armTimer(Duration duration) -> void
@@ -150,8 +150,12 @@
         const auto step = this->reader.read(this->stream.input(), taken);
         this->stream.consume(taken);
         this->updateCharge();
-        if (step == MessageReader::Step::Malformed
-            || (step == MessageReader::Step::NeedMore && this->exceedsMemory())) {
+        const auto isRefused = step == MessageReader::Step::NeedMore && this->exceedsMemory();
+        if (this->id == 0) {
+            // Releasing memory has closed the connection of the request's caller.
+            return;
+        }
+        if (step == MessageReader::Step::Malformed || isRefused) {
             this->finish(OutboundResult::End::BadAnswer, {});
         } else if (step == MessageReader::Step::Whole) {
             this->onWholeAnswer(true);
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -45,8 +45,8 @@
 
     /// @param base runs the connections; must outlive the pool
     /// @param now returns the current time
-    /// @param memory counts what the connections hold; large answers end as BadAnswer while it is
-    ///        over its budget. nullptr: nothing is counted
+    /// @param memory counts what the connections hold; large answers end as BadAnswer while it
+    ///        can't be relieved. nullptr: nothing is counted
     OutboundPool(event_base *base, OutboundPoolSettings settings, std::function<Instant()> now,
                  MemoryAccount *memory = nullptr);
     ~OutboundPool();
