crowd: a daemon process under a crowd of callers, for tests

Change: the module crowd starts gooseberrywall-edge with stand-ins of the store and the upstreams, runs callers that send large or unfinished requests or don't read, and reads the process's peak memory and number of descriptors. The setting memory_mb is written only if the program accepts it, so the same tests run on builds from before it.

--- /dev/null
+++ b/src/crowd/crowdcell.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "crowd/crowdcaller.h"
+#include "crowd/processusage.h"
+#include "crowd/sizedupstream.h"
+#include "crowd/types/crowdcellsettings.h"
+#include "http/clocktimer.h"
+#include "soak/daemonprocess.h"
+#include "stubs/kvplatform/kvstorestub.h"
+#include "tasks/eventloop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gooseberrywall {
+
+/// One edge daemon in a process of its own, with stand-ins of the store and of two upstreams in
+/// this process, on loopback.
+class CrowdCell
+{
+public:
+    /// Path prefix of all requests.
+    static constexpr const char *prefix = "/plain/";
+    /// Path prefix of requests whose answers have `largeAnswerBytes`.
+    static constexpr const char *largeAnswerPrefix = "/plain/large/";
+
+    /// Starts the stand-ins and the process.
+    /// @throws std::runtime_error if the process can't be started
+    explicit CrowdCell(CrowdCellSettings settings);
+
+    /// Adds a caller, which sends in the following runs until the cell ends.
+    auto addCaller(CallerPlan plan) -> void;
+    /// Runs until all callers are settled.
+    /// @param limit how long to run at most
+    auto runUntilSettled(Duration limit) -> void;
+    auto runFor(Duration time) -> void;
+    /// Closes the connections of all callers and runs until the daemon has few descriptors.
+    /// @param descriptors ends the run when the daemon has fewer
+    /// @param limit how long to run at most
+    /// @returns the daemon's descriptors at the end
+    auto dismissCallers(std::size_t descriptors, Duration limit) -> std::size_t;
+    /// Sends one request after the other until one isn't refused with 503.
+    /// @param makeRequest returns a request that asks for the connection to be closed
+    /// @param limit how long to try at most
+    /// @returns the last answer's beginning; empty if there was none
+    auto ask(const std::function<CrowdRequest(const std::string &id)> &makeRequest, Duration limit)
+        -> std::string;
+    /// Waits until the daemon serves a small request, and retries also if it doesn't listen yet.
+    /// @returns whether it did
+    auto waitUntilServed(Duration limit) -> bool;
+
+    [[nodiscard]] auto isRunning() -> bool { return this->daemon->isRunning(); }
+    /// @returns the highest values that were seen while the cell ran
+    [[nodiscard]] auto peakUsage() const -> ProcessUsage { return this->usage; }
+    /// @returns how many callers' last connections are open
+    [[nodiscard]] auto openCallers() const -> std::size_t;
+    /// @returns whether the daemon's settings have the line `memory_mb`
+    [[nodiscard]] auto hasMemorySetting() const -> bool { return this->isMemorySet; }
+
+private:
+    auto onTick() -> void;
+    auto runUntil(const std::function<bool()> &condition, Duration limit) -> void;
+    auto putConfiguration() -> void;
+    [[nodiscard]] auto settingsText(bool withMemory) const -> std::string;
+    /// Writes the line `memory_mb` only if the program accepts it.
+    /// @returns the path of the settings file
+    [[nodiscard]] auto writeSettings() -> std::string;
+    auto updateUsage() -> void;
+
+    CrowdCellSettings settings;
+    EventLoop loop;
+    Address storeAddress;
+    Address callerAddress;
+    Address readyAddress;
+    Address peerAddress;
+    Address metricsAddress;
+    KvStoreStub store;
+    std::vector<std::unique_ptr<SizedUpstream>> upstreams;
+    bool isMemorySet = false;
+    std::unique_ptr<DaemonProcess> daemon;
+    std::vector<std::unique_ptr<CrowdCaller>> callers;
+    /// The highest values so far.
+    ProcessUsage usage;
+    std::size_t currentDescriptors = 0;
+    int nextRequest = 0;
+    ClockTimer tick;
+};
+
+} // namespace gooseberrywall
