permitlink: announce the evacuated failure domains

The operators' evacuations have to reach all daemons without a call of each to the store. Announcements of grantors get the set of evacuated failure domains and the store revision up to which it is known, as fields at the end; a set that doesn't fit into one packet isn't announced at all.

Earlier builds ignore the fields, and their own messages decode to revision zero, which stands for "not known"; tests with the earlier schema cover both directions.

--- a/src/dispatch/types/upstreamentry.h
+++ b/src/dispatch/types/upstreamentry.h
@@ -8,6 +8,11 @@
 
 namespace gooseberrywall {
 
+/// An evacuated upstream serves the keys that it owns for at most this long while they move. With
+/// the time until a daemon learns of an evacuation, this stays below the 5 s after which no request
+/// may reach the upstream.
+inline constexpr Duration evacuatedOwnerTime = std::chrono::milliseconds{2500};
+
 /// An upstream's registration in the store.
 struct UpstreamEntry
 {
@@ -26,6 +31,26 @@
     Duration remainingWarmUp{0};
     /// Differs between successive processes with the same id.
     Incarnation incarnation;
+    /// The operators evacuate its failure domain: it gets no requests but those for keys that it
+    /// owns, see isOwnerServing(), and no further keys. Unlike draining, this can be withdrawn.
+    bool isEvacuated = false;
+    /// When this daemon learned of that evacuation.
+    Instant evacuatedAt{};
+    /// When this daemon learned that the last evacuation of the failure domain had ended; the epoch
+    /// where it has seen none end, or while the next one lasts.
+    Instant evacuationEndedAt{};
+
+    /// @returns whether requests for keys that it owns may be sent to it
+    [[nodiscard]] auto isOwnerServing(Instant now) const -> bool
+    {
+        return !this->isDraining
+               && (!this->isEvacuated || now < this->evacuatedAt + evacuatedOwnerTime);
+    }
+    /// @returns whether requests without a key, and further keys, may be sent to it
+    [[nodiscard]] auto takesNewWork() const -> bool
+    {
+        return !this->isDraining && !this->isEvacuated;
+    }
     auto operator==(const UpstreamEntry &) const -> bool = default;
 };
 
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -21,6 +21,11 @@
 /// About 30 years.
 constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000;
 constexpr std::int32_t maxCount = 1'000'000;
+/// Total size of the names of evacuated failure domains in one message, so that it fits into one
+/// packet; a larger set isn't sent, and receivers read it from the store.
+constexpr std::size_t maxEvacuatedBytes = 1000;
+/// Counted for each name besides its text.
+constexpr std::size_t bytesPerName = 16;
 
 auto writeId(permitwire::PermitId::Builder builder, const PermitId &id) -> void
 {
@@ -118,6 +123,29 @@
     out.setService(cancel.service.value);
 }
 
+auto evacuatedBytes(const EvacuatedDomains &evacuated) -> std::size_t
+{
+    std::size_t bytes = 0;
+    for (const auto &domain : evacuated.domains) {
+        bytes += domain.value.size() + bytesPerName;
+    }
+    return bytes;
+}
+
+auto writeEvacuated(permitwire::Announcement::Builder out, const EvacuatedDomains &evacuated)
+    -> void
+{
+    if (evacuated.revision == 0 || evacuatedBytes(evacuated) > maxEvacuatedBytes) {
+        return;
+    }
+    out.setEvacuationRevision(evacuated.revision);
+    auto list = out.initEvacuated(static_cast<unsigned>(evacuated.domains.size()));
+    unsigned index = 0;
+    for (const auto &domain : evacuated.domains) {
+        list.set(index++, domain.value);
+    }
+}
+
 auto write(permitwire::Message::Builder builder, const GrantorAnnouncement &announcement) -> void
 {
     auto out = builder.initAnnouncement();
@@ -126,6 +154,7 @@
     out.setConfiguration(announcement.configurationRevision);
     out.setConfigurationAge(announcement.configurationAge.count());
     out.setDaemons(announcement.daemonCount);
+    writeEvacuated(out, announcement.evacuated);
 }
 
 auto write(permitwire::Message::Builder builder, const DaemonHello &) -> void
@@ -207,6 +236,20 @@
     return report;
 }
 
+auto readEvacuated(permitwire::Announcement::Reader in) -> EvacuatedDomains
+{
+    EvacuatedDomains evacuated;
+    const auto list = in.getEvacuated();
+    if (in.getEvacuationRevision() == 0 || list.size() > maxEvacuatedBytes / bytesPerName) {
+        return evacuated;
+    }
+    evacuated.revision = in.getEvacuationRevision();
+    for (const auto domain : list) {
+        evacuated.domains.insert(FailureDomain{textOf(domain)});
+    }
+    return evacuated;
+}
+
 auto readMessage(permitwire::Message::Reader in, const Address &sender, const Address &self)
     -> std::optional<PermitMessage>
 {
@@ -225,9 +268,11 @@
     case permitwire::Message::ANNOUNCEMENT: {
         const auto announcement = in.getAnnouncement();
         return GrantorAnnouncement{ServiceName{textOf(announcement.getService())},
-                                   announcement.getTerm(), announcement.getConfiguration(),
+                                   announcement.getTerm(),
+                                   announcement.getConfiguration(),
                                    durationOf(announcement.getConfigurationAge()),
-                                   announcement.getDaemons()};
+                                   announcement.getDaemons(),
+                                   readEvacuated(announcement)};
     }
     case permitwire::Message::HELLO:
         return DaemonHello{};
--- a/src/permitlink/permitmessages.h
+++ b/src/permitlink/permitmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/types/evacuateddomains.h"
 #include "dispatch/types/permits.h"
 
 #include <variant>
@@ -26,6 +27,8 @@
     Duration configurationAge{0};
     /// How many daemons the sender announces itself to.
     std::uint32_t daemonCount = 0;
+    /// As the sender knows them; earlier builds name none at revision zero.
+    EvacuatedDomains evacuated = {};
     auto operator==(const GrantorAnnouncement &) const -> bool = default;
 };
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -65,6 +65,8 @@
   configuration @2 :UInt64;
   configurationAge @3 :Int64;
   daemons @4 :UInt32;
+  evacuationRevision @5 :UInt64;
+  evacuated @6 :List(Text);
 }
 
 struct Hello {}
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -114,7 +114,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e25c50d95b757b6e, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e25c50d95b757b6e, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -844,6 +844,11 @@
 
   inline  ::uint32_t getDaemons() const;
 
+  inline  ::uint64_t getEvacuationRevision() const;
+
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -891,6 +896,17 @@
   inline  ::uint32_t getDaemons();
   inline void setDaemons( ::uint32_t value);
 
+  inline  ::uint64_t getEvacuationRevision();
+  inline void setEvacuationRevision( ::uint64_t value);
+
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2165,6 +2181,58 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Announcement::Reader::getEvacuationRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getEvacuationRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setEvacuationRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Announcement::Reader::hasEvacuated() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Announcement::Builder::hasEvacuated() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Announcement::Reader::getEvacuated() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Announcement::Builder::getEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Announcement::Builder::setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Announcement::Builder::setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Announcement::Builder::initEvacuated(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Announcement::Builder::adoptEvacuated(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Announcement::Builder::disownEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::gooseberrywall::permitwire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -1,6 +1,10 @@
 #include "permitlink/permitcodec.h"
+#include "permitlink/schema/earlierpermit.capnp.h"
 
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
 #include <catch2/catch.hpp>
+#include <kj/io.h>
 #include <limits>
 #include <rapidcheck/catch.h>
 
@@ -72,6 +76,74 @@
     const GrantorAnnouncement announcement{ServiceName{"fitment"}, 42, 4711,
                                            std::chrono::milliseconds{120}, 295};
     CHECK(roundTrip(announcement, sender, self) == PermitMessage{announcement});
+    auto evacuating = announcement;
+    evacuating.evacuated =
+        EvacuatedDomains{{FailureDomain{"north-1"}, FailureDomain{"south-1"}}, 9};
+    CHECK(roundTrip(evacuating, sender, self) == PermitMessage{evacuating});
+    evacuating.evacuated = EvacuatedDomains{{}, 12};
+    CHECK(roundTrip(evacuating, sender, self) == PermitMessage{evacuating});
+}
+
+// Guards against a fleet of two builds in which one side drops the other's announcements, or takes
+// the absence of the new fields for "nothing is evacuated".
+SCENARIO("PermitCodec: given announcements of an earlier build and of this one, each side works "
+         "with the other's",
+         "[permitlink]")
+{
+    GIVEN("a message of an earlier build, which has five fields only")
+    {
+        capnp::MallocMessageBuilder builder;
+        auto root = builder.initRoot<earlierpermitwire::Message>();
+        auto out = root.initAnnouncement();
+        out.setService("fitment");
+        out.setTerm(42);
+        out.setConfiguration(4711);
+        out.setConfigurationAge(120'000);
+        out.setDaemons(295);
+        kj::VectorOutputStream stream;
+        capnp::writePackedMessage(stream, builder);
+        const auto bytes = stream.getArray().asChars();
+        const auto read = decodePermitMessage({bytes.begin(), bytes.size()}, sender, self);
+        THEN("it is read, and it isn't known which failure domains are evacuated")
+        {
+            const GrantorAnnouncement expected{ServiceName{"fitment"}, 42, 4711,
+                                               std::chrono::milliseconds{120}, 295};
+            CHECK(read == PermitMessage{expected});
+            CHECK(std::get<GrantorAnnouncement>(*read).evacuated.revision == 0);
+        }
+    }
+    GIVEN("a message of this build that names evacuated failure domains")
+    {
+        GrantorAnnouncement announcement{ServiceName{"fitment"}, 42, 4711,
+                                         std::chrono::milliseconds{120}, 295};
+        announcement.evacuated = EvacuatedDomains{{FailureDomain{"north-1"}}, 9};
+        const auto bytes = encodePermitMessage(announcement);
+        kj::ArrayInputStream stream(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader reader(stream);
+        const auto in = reader.getRoot<earlierpermitwire::Message>().getAnnouncement();
+        THEN("an earlier build reads all fields that it knows")
+        {
+            CHECK(std::string{in.getService()} == "fitment");
+            CHECK(in.getTerm() == 42);
+            CHECK(in.getConfiguration() == 4711);
+            CHECK(in.getConfigurationAge() == 120'000);
+            CHECK(in.getDaemons() == 295);
+        }
+    }
+}
+
+// Guards against a daemon that takes a part of the evacuated failure domains for all of them.
+TEST_CASE("PermitCodec: given more evacuated failure domains than fit, none are announced",
+          "[permitlink]")
+{
+    GrantorAnnouncement announcement;
+    announcement.evacuated.revision = 9;
+    for (auto number = 0; number < 100; ++number) {
+        announcement.evacuated.domains.insert(FailureDomain{"domain-" + std::to_string(number)});
+    }
+    const auto read = roundTrip(announcement, sender, self);
+    CHECK(std::get<GrantorAnnouncement>(*read).evacuated == EvacuatedDomains{});
 }
 
 TEST_CASE("PermitCodec: given any bytes, decoding returns a message or nothing", "[permitlink]")
