dispatch: keep requests from evacuated upstreams

The broker treats an upstream in an evacuated failure domain as one without room for requests that have no key, as no path to it may be used, and repeats no lost verdict that names it. The owner of keys gets requests for them for 2.5 s after the daemon has learnt of the evacuation, as its ranges need that time to move. Where all upstreams that don't drain are evacuated, requests are refused at once instead of waiting until their deadlines.

Nothing changes for entries that aren't evacuated.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -80,6 +80,7 @@
         }
     }
     this->upstreams = std::move(next);
+    this->updateAllEvacuated();
     this->capacity.recalculateAt = now;
     this->fillQueues();
     this->grantFreeSlots(now);
@@ -148,7 +149,7 @@
         return;
     }
     const auto forecast = this->forecast(waiting, now);
-    if (forecast.wait + forecast.latency > request.remaining
+    if (forecast.wait + forecast.latency > request.remaining || this->isEvacuatedAway(request)
         || this->backlog.size() >= this->settings.backlogLimit) {
         this->refuse(waiting, this->refusalReason(waiting, Reason::QueueFull, now),
                      this->jittered(std::max(forecast.wait / 2, this->meanLatency / 2)), now);
@@ -255,12 +256,13 @@
 {
     std::vector<UpstreamStatus> result;
     for (const auto &[id, upstream] : this->upstreams) {
-        result.push_back(UpstreamStatus{
-            id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
-            this->latencyOf(upstream, now), upstream.health.failureShare(now),
-            !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
-                && !this->isSilent(upstream, now),
-            upstream.entry.isDraining, upstream.limiter.limit(), upstream.grants.perSecond(now)});
+        result.push_back(
+            UpstreamStatus{id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
+                           this->latencyOf(upstream, now), upstream.health.failureShare(now),
+                           upstream.entry.takesNewWork() && !upstream.health.isLimitedToTrials()
+                               && !this->isSilent(upstream, now),
+                           upstream.entry.isDraining, upstream.limiter.limit(),
+                           upstream.grants.perSecond(now), upstream.entry.isEvacuated});
     }
     return result;
 }
@@ -415,7 +417,8 @@
     const auto isIsolated = this->paths.isIsolated(request.id.entry);
     const auto isImpaired = !isIsolated && this->paths.isImpaired(request.id.entry);
     for (auto &[id, upstream] : this->upstreams) {
-        if (!this->hasRoom(upstream, now) || !upstream.pauses.allows(request.id.entry, now)
+        if (upstream.entry.isEvacuated || !this->hasRoom(upstream, now)
+            || !upstream.pauses.allows(request.id.entry, now)
             || (isIsolated && !this->hasForwarder(request.id.entry, upstream, now))) {
             continue;
         }
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -26,7 +26,7 @@
 
 auto SlotBroker::hasRoom(const Upstream &upstream, Instant now) const -> bool
 {
-    if (upstream.entry.isDraining || upstream.health.isBlocked(now)
+    if (!upstream.entry.isOwnerServing(now) || upstream.health.isBlocked(now)
         || !upstream.limiter.allows(now)) {
         return false;
     }
@@ -166,7 +166,7 @@
         const auto left = upstream.pauses.remaining(entry, now);
         if (left == Duration{0}) {
             this->addCapacity(upstream, result, now);
-        } else if (!upstream.entry.isDraining) {
+        } else if (upstream.entry.takesNewWork()) {
             result.pauseLeft = std::min(result.pauseLeft.value_or(left), left);
         }
     }
@@ -176,7 +176,7 @@
 auto SlotBroker::addCapacity(const Upstream &upstream, SharedCapacity &sum, Instant now) const
     -> void
 {
-    if (upstream.entry.isDraining || upstream.health.isLimitedToTrials()
+    if (!upstream.entry.takesNewWork() || upstream.health.isLimitedToTrials()
         || this->isSilent(upstream, now)) {
         return;
     }
@@ -216,7 +216,7 @@
 auto SlotBroker::refusalReason(const WaitingRequest &waiting, Reason otherwise, Instant now)
     -> Reason
 {
-    if (this->hasNoOwnerInTime(waiting, now)) {
+    if (this->hasNoOwnerInTime(waiting, now) || this->isEvacuatedAway(waiting.request)) {
         return Reason::NoOwner;
     }
     if (this->hasNoForwarder(waiting.request.id.entry, now)) {
--- a/src/dispatch/internal/slotbrokerqueues.cpp
+++ b/src/dispatch/internal/slotbrokerqueues.cpp
@@ -23,7 +23,7 @@
         return this->maySend(request.id.entry, upstream, now);
     };
     auto *own = upstream.waiting.first(now, isEligible);
-    auto *shared = this->sharedQueue.first(now, isEligible);
+    auto *shared = upstream.entry.isEvacuated ? nullptr : this->sharedQueue.first(now, isEligible);
     if (own == nullptr || shared == nullptr) {
         return own != nullptr ? own : shared;
     }
@@ -84,7 +84,8 @@
     std::vector<PermitId> refused;
     for (const auto &[id, waiting] : this->backlog) {
         const auto isUnreachable = isLateCheckDue && this->hasNoForwarder(id.entry, now);
-        if (isUnreachable || this->hasNoOwnerInTime(waiting, now)
+        if (isUnreachable || this->isEvacuatedAway(waiting.request)
+            || this->hasNoOwnerInTime(waiting, now)
             || this->isUnservable(waiting, isLateCheckDue, now)
             || (isLateCheckDue && this->hinderingPause(waiting, now))) {
             this->refuse(waiting, this->refusalReason(waiting, Reason::DeadlineTooShort, now),
--- a/src/dispatch/internal/slotbrokerstatements.cpp
+++ b/src/dispatch/internal/slotbrokerstatements.cpp
@@ -65,6 +65,7 @@
     if (statement.isLeaving && !upstream->entry.isDraining) {
         // No later answer ends it: an upstream that leaves stays so until its process has ended.
         upstream->entry.isDraining = true;
+        this->updateAllEvacuated();
         this->capacity.recalculateAt = now;
     }
     if (isPausing) {
@@ -105,11 +106,31 @@
 auto SlotBroker::isRepeatable(const PermitId &id, const Permit &permit, Instant now) const -> bool
 {
     const auto found = this->upstreams.find(permit.upstream);
-    return found != this->upstreams.end() && !found->second.entry.isDraining
+    if (found == this->upstreams.end()) {
+        return false;
+    }
+    const auto &entry = found->second.entry;
+    return (permit.verdict.ownedRange ? entry.isOwnerServing(now) : entry.takesNewWork())
            && found->second.pauses.remaining(id.entry, now) == Duration{0}
            && found->second.pauses.remaining(permit.verdict.forwarder, now) == Duration{0};
 }
 
+auto SlotBroker::updateAllEvacuated() -> void
+{
+    const auto isAny = [this](auto matches) {
+        return std::any_of(this->upstreams.begin(), this->upstreams.end(),
+                           [&](const auto &row) { return matches(row.second.entry); });
+    };
+    this->areAllEvacuated =
+        isAny([](const auto &entry) { return !entry.isDraining && entry.isEvacuated; })
+        && !isAny([](const auto &entry) { return entry.takesNewWork(); });
+}
+
+auto SlotBroker::isEvacuatedAway(const PermitRequest &request) -> bool
+{
+    return this->areAllEvacuated && this->ownerOf(request) == nullptr;
+}
+
 auto SlotBroker::userCount(const Upstream &upstream, Instant now) const -> std::size_t
 {
     return static_cast<std::size_t>(
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -112,14 +112,16 @@
     Duration expectedLatency{0};
     /// Recent share of failed attempts, 0 to 1.
     double failureShare = 0;
-    /// The upstream gets requests as usual: it doesn't drain, isn't silent and its last attempts
-    /// didn't fail.
+    /// The upstream gets requests as usual: it neither drains nor is evacuated, isn't silent and
+    /// its last attempts didn't fail.
     bool isUsable = true;
     bool isDraining = false;
     /// As its answers state it.
     RequestLimit requestLimit;
     /// Permits for it per second, an average over about a second.
     double grantedPerSecond = 0;
+    /// Its failure domain is evacuated.
+    bool isEvacuated = false;
     auto operator==(const UpstreamStatus &) const -> bool = default;
 };
 
@@ -364,8 +366,8 @@
     auto endPauses(Instant now) -> void;
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
-    /// @returns whether the permit may still be used: its upstream is known, and neither drains nor
-    /// pauses for the daemons that send the request
+    /// @returns whether the permit may still be used: its upstream is known, takes such requests,
+    /// and doesn't pause for the daemons that send the request
     [[nodiscard]] auto isRepeatable(const PermitId &id, const Permit &permit, Instant now) const
         -> bool;
     /// @returns whether only the owner of the request's key may run it
@@ -414,6 +416,11 @@
     /// in time; empty where no pause does
     [[nodiscard]] auto hinderingPause(const WaitingRequest &waiting, Instant now)
         -> std::optional<Duration>;
+    /// @returns whether no upstream takes the request because of evacuations, so that waiting is of
+    /// no use
+    [[nodiscard]] auto isEvacuatedAway(const PermitRequest &request) -> bool;
+    /// Updates `areAllEvacuated`.
+    auto updateAllEvacuated() -> void;
     /// @returns whether the request's key has no owner and gets none in time for the deadline
     [[nodiscard]] auto hasNoOwnerInTime(const WaitingRequest &waiting, Instant now) const -> bool;
 
@@ -425,6 +432,8 @@
     EntryPaths paths;
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
+    /// Some upstreams don't drain, and all of them are evacuated.
+    bool areAllEvacuated = false;
     std::vector<OwnedRange> ownedRanges;
     /// Keys that their likely owners have turned away: requests for them aren't sent there again.
     std::set<KeyPosition> turnedAwayKeys;
