entry: choose no evacuated upstream without a grantor

While a grantor is missing, daemons choose by the entries themselves, and would go on sending requests to an evacuated failure domain. The refusal isn't counted among the requests held back by pauses.

--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -55,7 +55,7 @@
 
     /// @param request names the service, the key and the upstreams to avoid
     /// @returns a granted verdict, or a refusal where each upstream that may run the request wants
-    ///          none for a time; empty where no suitable upstream is known
+    ///          none for a time or is evacuated; empty where no suitable upstream is known
     [[nodiscard]] auto choose(const PermitRequest &request, Instant now)
         -> std::optional<PermitVerdict>;
 
@@ -67,6 +67,8 @@
     /// Number of daemons while no grantor has told it.
     static constexpr std::size_t assumedDaemonCount = 30;
 
+    /// @returns whether all upstreams of the service that don't drain are evacuated
+    [[nodiscard]] auto areAllEvacuated(const ServiceName &service) const -> bool;
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
     [[nodiscard]] auto limitAllows(const UpstreamId &id, Instant now) const -> bool;
 
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -11,6 +11,9 @@
 /// An upstream that didn't run or answer an attempt is avoided for this time where there are
 /// others.
 constexpr Duration avoidDuration = std::chrono::milliseconds{500};
+/// How long refused callers wait where all upstreams are evacuated; operators take longer to
+/// withdraw an evacuation, and upstreams elsewhere to start.
+constexpr Duration evacuatedRetryAfter = std::chrono::milliseconds{600};
 /// A larger number of daemons counts for this long.
 constexpr Duration daemonCountMemory = std::chrono::seconds{30};
 /// Costs of upstreams that are chosen only where there are no others, in requests per slot.
@@ -33,6 +36,15 @@
     return verdict;
 }
 
+auto refusedForEvacuation() -> PermitVerdict
+{
+    PermitVerdict verdict;
+    verdict.kind = PermitVerdict::Kind::Refused;
+    verdict.reason = Reason::NoOwner;
+    verdict.retryAfter = evacuatedRetryAfter;
+    return verdict;
+}
+
 auto refusedForPause(Duration remaining) -> std::optional<PermitVerdict>
 {
     PermitVerdict verdict;
@@ -125,7 +137,11 @@
     if (!this->isTrusted) {
         return std::nullopt;
     }
-    return request.key ? this->chooseOwner(request, now) : this->chooseAny(request, now);
+    const auto verdict =
+        request.key ? this->chooseOwner(request, now) : this->chooseAny(request, now);
+    return !verdict && this->areAllEvacuated(request.service)
+               ? std::optional(refusedForEvacuation())
+               : verdict;
 }
 
 auto DirectChoice::chooseOwner(const PermitRequest &request, Instant now) -> Verdict
@@ -144,7 +160,7 @@
     if (const auto known = this->services.find(request.service); known != this->services.end()) {
         const auto &entries = known->second;
         const auto entry = std::find_if(entries.begin(), entries.end(), [&](const auto &each) {
-            return each.id == owned.upstream && !each.isDraining;
+            return each.id == owned.upstream && each.isOwnerServing(now);
         });
         if (entry == entries.end()) {
             return std::nullopt;
@@ -174,7 +190,7 @@
     std::optional<Duration> shortestPause;
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (const auto &entry : known->second) {
-        if (entry.isDraining || isAvoided(request, entry.id)) {
+        if (!entry.takesNewWork() || isAvoided(request, entry.id)) {
             continue;
         }
         const auto hold = this->statements.holdOf(entry.id, entry.incarnation, now);
@@ -203,6 +219,17 @@
     return areAllPaused && shortestPause ? refusedForPause(*shortestPause) : std::nullopt;
 }
 
+auto DirectChoice::areAllEvacuated(const ServiceName &service) const -> bool
+{
+    const auto known = this->services.find(service);
+    const auto isAny = [&](auto matches) {
+        return known != this->services.end()
+               && std::any_of(known->second.begin(), known->second.end(), matches);
+    };
+    return isAny([](const auto &entry) { return !entry.isDraining && entry.isEvacuated; })
+           && !isAny([](const auto &entry) { return entry.takesNewWork(); });
+}
+
 auto DirectChoice::isUsable(const UpstreamId &id, Instant now) const -> bool
 {
     const auto found = this->avoidedUntil.find(id);
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -178,7 +178,7 @@
                              ? std::nullopt
                              : this->direct.choose(this->permitRequest(flow, false, now), now);
     if (verdict && verdict->kind == PermitVerdict::Kind::Refused) {
-        ++this->heldByPause;
+        this->heldByPause += verdict->reason == Reason::UpstreamPaused ? 1 : 0;
         this->failRequest(flow, verdict->reason, verdict->retryAfter, now);
         return;
     }
