keyranges: move ranges away from evacuated upstreams

A draining holder loses its ranges at once, and its keys have no owner while they move. The hottest range is placed and released first. No key is granted to an evacuated upstream, also where a move to it is under way when the evacuation becomes known.

When the evacuation is withdrawn, ranges that haven't moved are served again without an order.

--- a/src/keyranges/internal/rangegrantor.cpp
+++ b/src/keyranges/internal/rangegrantor.cpp
@@ -58,7 +58,7 @@
 {
     for (const auto &move : moves) {
         const auto *target = this->entryOf(move.target);
-        if (target == nullptr || target->isDraining) {
+        if (target == nullptr || !target->takesNewWork()) {
             continue;
         }
         const auto canMove = std::all_of(
@@ -86,6 +86,11 @@
                 // Also of a held range: where its holder is lost, it is granted without a release.
                 state.requiredRecordVersion = this->markRecordChanged();
             }
+            // The others start in the order of their keys.
+            if (move.range.contains(state.range.first) && state.holder
+                && this->isRunning(*state.holder) && !this->isUsable(*state.holder)) {
+                this->advanceRange(state, now);
+            }
         }
     }
     this->advance(now);
@@ -269,7 +274,7 @@
         }
         // A grant that is on its way could be carried out after a release. This can't happen once
         // the holder has accepted a higher fence, so it is renewed before its keys move.
-        if (this->isRenewalDue(state, now) && (state.target || this->isUsable(*state.holder))) {
+        if (this->isRenewalDue(state, now) && (state.target || this->isRunning(*state.holder))) {
             this->renew(state, this->currentHoldTime(), now);
         }
         return;
@@ -318,7 +323,7 @@
 auto RangeGrantor::grantToTarget(RangeState &state, Instant now) -> void
 {
     const auto *target = state.target ? this->entryOf(*state.target) : nullptr;
-    if (target == nullptr || target->isDraining) {
+    if (target == nullptr || !target->takesNewWork()) {
         state.target.reset();
         return;
     }
@@ -457,12 +462,6 @@
            && !isLater(entry->incarnation, holder.incarnation);
 }
 
-auto RangeGrantor::isUsable(const RangeHolder &holder) const -> bool
-{
-    const auto *entry = this->entryOf(holder.id);
-    return entry != nullptr && !entry->isDraining && entry->incarnation == holder.incarnation;
-}
-
 auto RangeGrantor::latestEndOfHold(Instant now, Duration holdTime) const -> Instant
 {
     const auto drift = static_cast<double>(holdTime.count()) * this->settings.clockDriftShare;
--- a/src/keyranges/internal/rangegrantorviews.cpp
+++ b/src/keyranges/internal/rangegrantorviews.cpp
@@ -82,7 +82,7 @@
         // The likely owner of an outdated range rejects requests for it without running them where
         // it isn't the owner any more.
         const auto isLikely = state.phase == Phase::Outdated && state.holder.has_value();
-        if ((isConfirmed || isLikely) && this->isUsable(*state.holder)) {
+        if ((isConfirmed || isLikely) && this->isServing(*state.holder, now)) {
             owned.owner = state.holder->id;
             owned.isLikely = isLikely;
             owned.readyAt = isLikely ? outdatedReadyAt(state) : Instant{};
@@ -106,6 +106,22 @@
     return ownedRanges;
 }
 
+auto RangeGrantor::isRunning(const RangeHolder &holder) const -> bool
+{
+    const auto *entry = this->entryOf(holder.id);
+    return entry != nullptr && !entry->isDraining && entry->incarnation == holder.incarnation;
+}
+
+auto RangeGrantor::isUsable(const RangeHolder &holder) const -> bool
+{
+    return this->isRunning(holder) && !this->entryOf(holder.id)->isEvacuated;
+}
+
+auto RangeGrantor::isServing(const RangeHolder &holder, Instant now) const -> bool
+{
+    return this->isRunning(holder) && this->entryOf(holder.id)->isOwnerServing(now);
+}
+
 auto RangeGrantor::plannedOwner(const RangeState &state) const -> const UpstreamId *
 {
     if (state.target) {
@@ -131,6 +147,8 @@
         if (const auto *owner = this->plannedOwner(state)) {
             view.owner = *owner;
         }
+        view.isEvacuated = state.phase == Phase::Held && this->isRunning(*state.holder)
+                           && !this->isUsable(*state.holder);
         view.isMovable = state.call.value == 0 && state.phase == Phase::Held && !state.target
                          && !state.needsNewFence && !state.isUnconfirmedInTerm;
         result.push_back(view);
--- a/src/keyranges/internal/rangeplanner.cpp
+++ b/src/keyranges/internal/rangeplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 #include <optional>
 
@@ -92,7 +93,7 @@
     }
     // An upstream is found to have recovered only by requests, and keys without an owner get none.
     for (auto &[id, candidate] : candidates) {
-        candidate.isUsable = !candidate.isDraining;
+        candidate.isUsable = !candidate.isLeaving;
     }
     if (hasUsable()) {
         this->placeUnowned(views, candidates, moves);
@@ -145,7 +146,7 @@
         candidate.capacity =
             std::max(0.1, std::min(slotsPerSecond, upstream.requestLimit.perSecond));
         candidate.isUsable = upstream.isUsable;
-        candidate.isDraining = upstream.isDraining;
+        candidate.isLeaving = upstream.isDraining || upstream.isEvacuated;
         result.emplace(upstream.id, candidate);
     }
     for (const auto &view : views) {
@@ -158,6 +159,23 @@
     return result;
 }
 
+auto RangePlanner::inPlacingOrder(const std::vector<RangeView> &views) const
+    -> std::vector<RangeView>
+{
+    std::vector<RangeView> result;
+    std::copy_if(views.begin(), views.end(), std::back_inserter(result),
+                 [](const RangeView &view) { return !view.owner; });
+    // Evacuated upstreams serve their ranges for a short time only, so the hottest ones go first.
+    if (std::any_of(result.begin(), result.end(),
+                    [](const RangeView &view) { return view.isEvacuated; })) {
+        std::stable_sort(result.begin(), result.end(),
+                         [this](const RangeView &left, const RangeView &right) {
+                             return this->loadOf(left.range) > this->loadOf(right.range);
+                         });
+    }
+    return result;
+}
+
 auto RangePlanner::placeUnowned(const std::vector<RangeView> &views,
                                 std::map<UpstreamId, Candidate> &candidates,
                                 std::vector<RangeMove> &moves) const -> void
@@ -167,10 +185,7 @@
         capacity += candidate.isUsable ? candidate.capacity : 0;
     }
     const auto meanUtilisation = this->loadPrefixSums.back() / capacity;
-    for (const auto &view : views) {
-        if (view.owner) {
-            continue;
-        }
+    for (const auto &view : this->inPlacingOrder(views)) {
         const auto meanLoad = this->loadPrefixSums.back()
                               / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
         const auto isWholeSpace = view.range.size() == keyCount;
--- a/src/keyranges/rangegrantor.h
+++ b/src/keyranges/rangegrantor.h
@@ -58,6 +58,8 @@
     bool isMovable = false;
     /// When its owner got it.
     Instant ownedSince{};
+    /// Its holder is evacuated and serves it until it moves or the time for that has passed.
+    bool isEvacuated = false;
     auto operator==(const RangeView &) const -> bool = default;
 };
 
@@ -103,8 +105,9 @@
     }
     /// @param end no order is issued from then on
     auto setAuthorityEnd(Instant end) -> void { this->authorityEnd = end; }
-    /// Starts moves. A move is left out where an order about its range is open, where the range is
-    /// changing its owner, or where the target is unknown or draining.
+    /// Starts moves; those of evacuated holders in the order of the list. A move is left out where
+    /// an order about its range is open, where the range is changing its owner, or where the target
+    /// is unknown, draining or evacuated.
     auto move(const std::vector<RangeMove> &moves, Instant now) -> void;
     /// While set, grants are renewed for the longest hold time, and shorter ones at once.
     auto setGrantsProlonged(bool areProlonged) -> void { this->areGrantsProlonged = areProlonged; }
@@ -248,7 +251,11 @@
     /// a while: neither proves that the holder has ended
     [[nodiscard]] auto isContradicted(const RangeHolder &holder) const -> bool;
     /// @returns whether the upstream still runs as this incarnation and isn't draining
+    [[nodiscard]] auto isRunning(const RangeHolder &holder) const -> bool;
+    /// @returns whether the holder runs and isn't evacuated, so that it may keep its ranges
     [[nodiscard]] auto isUsable(const RangeHolder &holder) const -> bool;
+    /// @returns whether the holder runs, and requests for its keys may be sent to it
+    [[nodiscard]] auto isServing(const RangeHolder &holder, Instant now) const -> bool;
     /// @returns when a grant that has arrived by `now` ends at the latest
     [[nodiscard]] auto latestEndOfHold(Instant now, Duration holdTime) const -> Instant;
     /// @returns when work has ended that began by `now`, even by the slowest clock
--- a/src/keyranges/rangeplanner.h
+++ b/src/keyranges/rangeplanner.h
@@ -30,8 +30,8 @@
 
 /// Decides which upstream owns which keys, by the request rate of each key. Handles three cases: a
 /// hot range of keys is split over several upstreams within one or two rounds; keys of lost or
-/// draining upstreams are spread over the least utilised ones; upstreams that have joined get keys
-/// from the busiest one.
+/// draining upstreams are spread over the least utilised ones, and so are those of evacuated ones,
+/// hottest range first; upstreams that have joined get keys from the busiest one.
 class RangePlanner
 {
 public:
@@ -60,7 +60,8 @@
         double load = 0;
         int rangeCount = 0;
         bool isUsable = false;
-        bool isDraining = false;
+        /// It drains or is evacuated.
+        bool isLeaving = false;
         [[nodiscard]] auto utilisation() const -> double { return this->load / this->capacity; }
     };
 
@@ -79,6 +80,9 @@
     [[nodiscard]] auto candidatesOf(const std::vector<RangeView> &views,
                                     const std::vector<UpstreamStatus> &upstreams) const
         -> std::map<UpstreamId, Candidate>;
+    /// @returns the ranges that an owner has to be chosen for, in the order in which they get one
+    [[nodiscard]] auto inPlacingOrder(const std::vector<RangeView> &views) const
+        -> std::vector<RangeView>;
     auto placeUnowned(const std::vector<RangeView> &views,
                       std::map<UpstreamId, Candidate> &candidates,
                       std::vector<RangeMove> &moves) const -> void;
