edge: evacuate failure domains

Change: ConfigurationSource reads and watches the operators' prefix instead of the one key, so the store gets no further calls. A daemon keeps the set of evacuated failure domains with the highest store revision that it has heard of, from the store or from a grantor's announcement, and grantors announce a change at once. UpstreamWatch marks the entries where it publishes them. Daemons that send requests without a grantor follow the store also where the grantors that they hear are of a build that announces no evacuations. Owners of keys get no time to serve on where a daemon learns of the evacuation with its first reading, as it may have lasted for long.

--- a/src/dispatch/types/upstreamentry.h
+++ b/src/dispatch/types/upstreamentry.h
@@ -34,7 +34,8 @@
     /// The operators evacuate its failure domain: it gets no requests but those for keys that it
     /// owns, see isOwnerServing(), and no further keys. Unlike draining, this can be withdrawn.
     bool isEvacuated = false;
-    /// When this daemon learned of that evacuation.
+    /// When this daemon learned of that evacuation; earlier where it may have begun before the
+    /// daemon's start.
     Instant evacuatedAt{};
     /// When this daemon learned that the last evacuation of the failure domain had ended; the epoch
     /// where it has seen none end, or while the next one lasts.
--- a/src/edge/componentsettings.h
+++ b/src/edge/componentsettings.h
@@ -25,7 +25,9 @@
                                 bool doReleasesRaiseFences) -> GrantorRoleSettings;
 [[nodiscard]] auto grantorWatchSettings(const EdgeSettings &settings) -> GrantorWatchSettings;
 /// @param key the store key of the operators' configuration
+/// @param prefix of all keys of the operators
 [[nodiscard]] auto configurationSettings(const EdgeSettings &settings, const std::string &key,
-                                         std::uint64_t incarnation) -> ConfigurationSourceSettings;
+                                         const std::string &prefix, std::uint64_t incarnation)
+    -> ConfigurationSourceSettings;
 
 } // namespace gooseberrywall
--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -54,6 +54,12 @@
     [[nodiscard]] auto fetchSource(Instant now) const -> std::optional<Address>;
     /// @returns whether this daemon has to follow the store itself
     [[nodiscard]] auto isStoreNeeded(Instant now) const -> bool;
+    /// @returns whether a grantor that tells which failure domains are evacuated is up to date
+    [[nodiscard]] auto areEvacuationsConfirmed(Instant now) const -> bool
+    {
+        return this->evacuationsConfirmedAt
+               && now - *this->evacuationsConfirmedAt < this->settings.confirmationTimeout;
+    }
     /// @param ownContact when this daemon last reached the store
     /// @returns whether this daemon, a grantor, can't reach the store while another grantor can:
     /// what it knows of upstreams is out of date then
@@ -78,6 +84,8 @@
     bool isOwnStale = false;
     /// When a grantor last knew that its configuration was the newest.
     std::optional<Instant> confirmedAt;
+    /// The same, of grantors that also announce the evacuated failure domains.
+    std::optional<Instant> evacuationsConfirmedAt;
     /// Since when a newer configuration is known than this daemon has.
     std::optional<Instant> newerKnownSince;
     Instant fetchDue{};
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -19,6 +19,8 @@
 {
     /// The store key that holds the configuration.
     std::string key;
+    /// All keys with this prefix are read and watched, among them `key`; empty: only that one.
+    std::string prefix;
     /// Where other daemons fetch the configuration from this one; isn't fetched from there itself.
     Address listen;
     /// Differs between daemons; spreads their calls.
@@ -36,25 +38,34 @@
 };
 
 /// Gets the operators' configuration, from the store or from another daemon as ConfigurationRelay
-/// decides, and serves it to other daemons over HTTP.
+/// decides, and serves it to other daemons over HTTP. Passes on what the operators' other keys in
+/// the store are while this daemon follows the store.
 class ConfigurationSource
 {
 public:
     /// @returns whether the text is the newest configuration known; others aren't passed on
     using OnText = std::function<bool(const std::string &text, StoreRevision revision)>;
+    /// @param items all keys of the operators
+    /// @param revision the store revision up to which they are known
+    /// @param isStale they may be seconds old, also where the revision says otherwise
+    using OnKeys =
+        std::function<void(const PrefixView::Items &items, StoreRevision revision, bool isStale)>;
 
     /// @param server serves the configuration to other daemons; must outlive the source
     /// @param now reads the clock
     /// @param onText receives each configuration of a newer revision
     /// @param onWork called after each event for which advance() may be due earlier
+    /// @param onKeys receives the operators' keys whenever they are known up to a later revision
     ConfigurationSource(event_base *base, PeerServer &server, ConfigurationSourceSettings settings,
                         SendStoreCall store, const std::function<Instant()> &now, Logger &logger,
-                        OnText onText, std::function<void()> onWork);
+                        OnText onText, std::function<void()> onWork, OnKeys onKeys = {});
 
     auto onAnnouncement(const Address &from, const GrantorAnnouncement &announcement) -> void;
     /// Starts the call or fetch that is due.
     /// @param isGrantor grantors follow the store
-    auto advance(bool isGrantor) -> void;
+    /// @param isDirect this daemon sends requests without a grantor, so it follows the store where
+    ///        no grantor tells which failure domains are evacuated, as earlier builds don't
+    auto advance(bool isGrantor, bool isDirect = false) -> void;
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void { this->view.onStoreEra(era); }
     /// Takes in the answer to any call to the store. Where the store answers again after a failure,
@@ -82,7 +93,10 @@
     auto adopt(const std::string &newText, StoreRevision revision, bool isStale) -> void;
     /// @returns whether a configuration of this revision replaces the present one
     [[nodiscard]] auto isNewer(StoreRevision revision) const -> bool;
+    /// Passes on the view's keys if they are known up to a later revision than before.
+    auto passKeys() -> void;
     auto poll() -> void;
+    auto onPolled(const StoreAnswer &answer) -> void;
     auto fetch(const Address &from) -> void;
     auto onFetched(const Address &from, const OutboundResult &result) -> void;
     auto onAsked(ExchangeId exchange, const MessageHead &request) -> void;
@@ -96,6 +110,7 @@
     Logger &logger;
     OnText onText;
     std::function<void()> onWork;
+    OnKeys onKeys;
     ConfigurationRelay relay;
     PrefixView view;
     StoreOutage outage;
@@ -104,6 +119,8 @@
     StoreRevision textRevision;
     /// As in ConfigurationRelay::onAdopted().
     bool isTextStale = false;
+    /// Up to which the view's keys have been passed on.
+    StoreRevision passedRevision;
     Instant startedAt;
     Instant pollDue{};
     bool isPolling = false;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -4,6 +4,7 @@
 #include "edge/componentsettings.h"
 #include "edge/edgepages.h"
 #include "edge/entryservice.h"
+#include "edge/evacuationkeys.h"
 #include "edge/forwardrole.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
@@ -68,7 +69,8 @@
                   this->deliver(from, message);
               },
               [this] { this->processPending(); })
-        , upstreamWatch(wire, this->storeSender(), now, logger, this->direct,
+        , evacuations(logger)
+        , upstreamWatch(wire, this->storeSender(), now, logger, this->evacuations, this->direct,
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
@@ -77,12 +79,17 @@
                     [this] { this->processPending(); })
         , configurationSource(
               loop.base(), this->peerServer,
-              configurationSettings(this->settings, wire.configurationKey(), incarnation),
+              configurationSettings(this->settings, wire.configurationKey(), wire.operatorPrefix(),
+                                    incarnation),
               this->storeSender(), now, logger,
               [this](const std::string &text, StoreRevision revision) {
                   return this->onConfiguration(text, revision);
               },
-              [this] { this->processPending(); })
+              [this] { this->processPending(); },
+              [this](const PrefixView::Items &items, StoreRevision revision, bool isStale) {
+                  this->onEvacuations(
+                      readEvacuations(this->wire, items, revision, this->evacuations), isStale);
+              })
         , roles(roleSettings(this->settings, incarnation, wire.doReleasesRaiseFences()),
                 this->storeSender(), this->links.observed(this->orderSender()), now, logger,
                 this->requestLog)
@@ -93,7 +100,8 @@
         this->roles.setAnnouncedConfiguration([this] {
             return AnnouncedConfiguration{
                 this->configurationSource.revision(),
-                this->configurationSource.age(this->store.lastContactAt())};
+                this->configurationSource.age(this->store.lastContactAt()),
+                this->evacuations.announced()};
         });
     }
 
@@ -224,6 +232,15 @@
         return true;
     }
 
+    /// Takes in which failure domains are evacuated, as the store or a grantor tells.
+    auto onEvacuations(const EvacuatedDomains &known, bool isStale) -> void
+    {
+        if (this->evacuations.update(known, isStale, this->upstreamWatch.entries(), this->now())) {
+            this->upstreamWatch.onEvacuations();
+            this->roles.announceSoon();
+        }
+    }
+
     /// Takes in an era of the store, as the store or another daemon names it. Copies of what the
     /// store had in an earlier one are read anew.
     auto onStoreEra(std::uint64_t era) -> void
@@ -253,7 +270,8 @@
         if (const auto due = this->roles.listingDue()) {
             this->upstreamWatch.listAnewAfter(*due);
         }
-        this->upstreamWatch.advance(isServing, isGrantorMissing || isRecent(this->directSentAt));
+        this->isDirect = isGrantorMissing || isRecent(this->directSentAt);
+        this->upstreamWatch.advance(isServing, this->isDirect);
         this->roles.onUpstreamsListed(this->upstreamWatch.listedAt());
         if (isGrantorMissing && moment >= this->ownersReadDue) {
             this->ownersReadDue = moment + ownersReadEvery;
@@ -276,6 +294,7 @@
             this->onStoreEra(eraOf(StoreRevision{announcement->term}));
             this->grantorWatch.onAnnouncement(from, *announcement);
             this->configurationSource.onAnnouncement(from, *announcement);
+            this->onEvacuations(announcement->evacuated, false);
             this->direct.onDaemonCount(announcement->daemonCount, this->now());
             return;
         }
@@ -315,7 +334,7 @@
     auto onTimer() -> void
     {
         const auto moment = this->now();
-        this->configurationSource.advance(this->roles.servingCount() > 0);
+        this->configurationSource.advance(this->roles.servingCount() > 0, this->isDirect);
         this->grantorWatch.advance();
         this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
         this->links.advance();
@@ -426,6 +445,8 @@
         metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
         metrics.forwardedRequests = this->flow.forwardedCount();
         metrics.servedForwards = this->forwarder.sentCount();
+        metrics.evacuatedDomains = this->evacuations.domainCount();
+        metrics.evacuatedUpstreams = this->upstreamWatch.evacuatedCount();
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
     }
 
@@ -452,6 +473,7 @@
     EntryService<Wire> entry;
     EdgePages pages;
     PeerMessages peers;
+    Evacuations evacuations;
     UpstreamWatch<Wire> upstreamWatch;
     PeerServer peerServer;
     ForwardRole<Wire> forwarder;
@@ -463,6 +485,8 @@
     Instant startedAt{};
     Instant housekeepingDue{};
     std::optional<Instant> directSentAt;
+    /// Requests are sent without a grantor, or were lately.
+    bool isDirect = false;
     Instant ownersReadDue{};
     std::uint64_t seenDirectSends = 0;
     /// The highest era of the store that is known.
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -63,12 +63,14 @@
     auto operator==(const GrantorRoleSettings &) const -> bool = default;
 };
 
-/// The configuration that this daemon announces as grantor.
+/// What this daemon announces as grantor about the operators' keys.
 struct AnnouncedConfiguration
 {
+    /// Of the configuration.
     StoreRevision revision;
     /// Time since it was known to be the newest.
     Duration age{0};
+    EvacuatedDomains evacuated = {};
     auto operator==(const AnnouncedConfiguration &) const -> bool = default;
 };
 
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -57,10 +57,12 @@
 }
 
 auto configurationSettings(const EdgeSettings &settings, const std::string &key,
-                           std::uint64_t incarnation) -> ConfigurationSourceSettings
+                           const std::string &prefix, std::uint64_t incarnation)
+    -> ConfigurationSourceSettings
 {
     ConfigurationSourceSettings result;
     result.key = key;
+    result.prefix = prefix;
     result.listen = settings.peerListen;
     result.seed = incarnation;
     return result;
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -29,6 +29,10 @@
     source.heardAt = now;
     const auto confirmed = now - std::max(Duration{0}, announcement.configurationAge);
     this->confirmedAt = std::max(this->confirmedAt.value_or(confirmed), confirmed);
+    if (announcement.evacuated.revision != 0) {
+        this->evacuationsConfirmedAt =
+            std::max(this->evacuationsConfirmedAt.value_or(confirmed), confirmed);
+    }
     if (this->isNewer(revision) && !this->newerKnownSince) {
         this->newerKnownSince = now;
         this->fetchDue = now + this->delay;
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -28,6 +28,11 @@
     return result;
 }
 
+auto prefixOf(const ConfigurationSourceSettings &settings) -> std::string
+{
+    return settings.prefix.empty() ? settings.key : settings.prefix;
+}
+
 auto fetchDelay(const ConfigurationSourceSettings &settings) -> Duration
 {
     return Duration{static_cast<Duration::rep>(
@@ -51,7 +56,7 @@
 ConfigurationSource::ConfigurationSource(event_base *base, PeerServer &server,
                                          ConfigurationSourceSettings settings, SendStoreCall store,
                                          const std::function<Instant()> &now, Logger &logger,
-                                         OnText onText, std::function<void()> onWork)
+                                         OnText onText, std::function<void()> onWork, OnKeys onKeys)
     : server(server)
     , settings(std::move(settings))
     , store(std::move(store))
@@ -59,9 +64,11 @@
     , logger(logger)
     , onText(std::move(onText))
     , onWork(std::move(onWork))
+    , onKeys(std::move(onKeys))
     , relay(ConfigurationRelaySettings{}, fetchDelay(this->settings))
-    , view(this->settings.key, viewSettings(this->settings), this->store, now,
+    , view(prefixOf(this->settings), viewSettings(this->settings), this->store, now,
            [this](const PrefixView::Items &items) {
+               this->passKeys();
                const auto found = items.find(this->settings.key);
                if (found != items.end()) {
                    this->adopt(found->second.value, found->second.revision, false);
@@ -85,14 +92,18 @@
     }
 }
 
-auto ConfigurationSource::advance(bool isGrantor) -> void
+auto ConfigurationSource::advance(bool isGrantor, bool isDirect) -> void
 {
     const auto moment = this->now();
     const auto isStarting = moment - this->startedAt < this->settings.startTime;
-    const auto isFollowing = isGrantor || (!isStarting && this->relay.isStoreNeeded(moment));
+    const auto isNeeded = this->relay.isStoreNeeded(moment)
+                          || (isDirect && !this->relay.areEvacuationsConfirmed(moment));
+    const auto isFollowing = isGrantor || (!isStarting && isNeeded);
     this->logMode(isFollowing, isGrantor);
     this->view.setPaused(!isFollowing);
     this->view.advance();
+    // A restored store may show the same keys as before, in a later era.
+    this->passKeys();
     if (!isFollowing && isStarting && this->textRevision.value == 0) {
         this->poll();
     }
@@ -169,17 +180,40 @@
         return;
     }
     this->isPolling = true;
-    this->store(StoreGet{this->settings.key, true}, this->settings.fetchTimeout,
+    this->store(StoreRange{prefixOf(this->settings), "", true}, this->settings.fetchTimeout,
                 [this](const StoreAnswer &answer) {
                     this->isPolling = false;
                     this->pollDue = this->now() + this->settings.pollInterval;
-                    if (answer.kind == StoreAnswer::Kind::Ok && !answer.items.empty()) {
-                        this->adopt(answer.items.front().value, answer.items.front().revision,
-                                    true);
-                    }
+                    this->onPolled(answer);
                 });
 }
 
+auto ConfigurationSource::onPolled(const StoreAnswer &answer) -> void
+{
+    if (answer.kind != StoreAnswer::Kind::Ok) {
+        return;
+    }
+    PrefixView::Items items;
+    for (const auto &item : answer.items) {
+        items.emplace(item.key, item);
+    }
+    // Where there are more pages, the view reads them all.
+    if (this->onKeys && !answer.hasMore) {
+        this->onKeys(items, answer.revision, true);
+    }
+    if (const auto found = items.find(this->settings.key); found != items.end()) {
+        this->adopt(found->second.value, found->second.revision, true);
+    }
+}
+
+auto ConfigurationSource::passKeys() -> void
+{
+    if (this->onKeys && this->view.isLoaded() && this->view.revision() > this->passedRevision) {
+        this->passedRevision = this->view.revision();
+        this->onKeys(this->view.items(), this->passedRevision, false);
+    }
+}
+
 auto ConfigurationSource::fetch(const Address &from) -> void
 {
     OutboundRequest request;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -300,9 +300,12 @@
 {
     const auto configuration =
         this->announcedConfiguration ? this->announcedConfiguration() : AnnouncedConfiguration{};
-    return GrantorAnnouncement{this->spec.name, this->term->value, configuration.revision.value,
+    return GrantorAnnouncement{this->spec.name,
+                               this->term->value,
+                               configuration.revision.value,
                                configuration.age,
-                               static_cast<std::uint32_t>(this->daemons.count())};
+                               static_cast<std::uint32_t>(this->daemons.count()),
+                               configuration.evacuated};
 }
 
 auto GrantorRole::announce() -> void
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 23> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 25> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -34,7 +34,9 @@
          {"held_by_pause_total", metrics.heldByPause},
          {"upstreams_unreachable", metrics.isIsolated},
          {"forwarded_requests_total", metrics.forwardedRequests},
-         {"served_forwards_total", metrics.servedForwards}}};
+         {"served_forwards_total", metrics.servedForwards},
+         {"evacuated_domains", metrics.evacuatedDomains},
+         {"evacuated_upstreams", metrics.evacuatedUpstreams}}};
     for (const auto &[name, value] : rows) {
         page += "gooseberrywall_" + std::string(name) + " " + std::to_string(value) + "\n";
     }
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -42,6 +42,9 @@
     std::uint64_t forwardedRequests = 0;
     /// Requests that this daemon has forwarded for other daemons.
     std::uint64_t servedForwards = 0;
+    std::uint64_t evacuatedDomains = 0;
+    /// Upstreams in these failure domains; zero while this daemon doesn't watch the entries.
+    std::uint64_t evacuatedUpstreams = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
--- a/src/edge/tests/leavingcell.cpp
+++ b/src/edge/tests/leavingcell.cpp
@@ -36,6 +36,9 @@
     static auto storeCall(const StoreCall &) -> WireCall { return {}; }
     static auto storeAnswer(const StoreCall &, const WholeMessage &) -> StoreAnswer { return {}; }
     static auto configurationKey() -> std::string { return "configuration"; }
+    static auto operatorPrefix() -> std::string { return "operators/"; }
+    static auto isEvacuationKey(const std::string &) -> bool { return false; }
+    static auto evacuatedDomain(const StoreItem &) -> std::optional<FailureDomain> { return {}; }
     static auto configuration(const std::string &) -> std::optional<RouteConfiguration>
     {
         return {};
@@ -94,6 +97,7 @@
     DirectChoice direct;
     GrantorRoles roles;
     GrantorWatch grantors;
+    Evacuations evacuations{this->logger};
     UpstreamWatch<TextWire> upstreams;
     std::vector<UpstreamEntry> entries;
     std::vector<Running> running;
@@ -108,8 +112,8 @@
               this->logger, this->log)
         , grantors(watchSettings(settings), this->senderOf(store, now), now, this->permits,
                    this->roles, this->logger)
-        , upstreams(this->wire, this->senderOf(store, now), now, this->logger, this->direct,
-                    [this](const std::vector<UpstreamEntry> &entries) {
+        , upstreams(this->wire, this->senderOf(store, now), now, this->logger, this->evacuations,
+                    this->direct, [this](const std::vector<UpstreamEntry> &entries) {
                         this->entries = entries;
                         this->roles.onUpstreams(entries);
                     })
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/evacuations.h"
 #include "edge/upstreamdirectory.h"
 #include "edge/upstreamentrylog.h"
 #include "edge/wireadapter.h"
@@ -28,14 +29,17 @@
     using OnEntries = std::function<void(const std::vector<UpstreamEntry> &entries)>;
 
     /// @param now reads the clock
+    /// @param evacuations marks the entries
     /// @param direct receives entries and owners
     /// @param onEntries called after each change of the entries
     UpstreamWatch(const Wire &wire, SendStoreCall store, std::function<Instant()> now,
-                  Logger &logger, DirectChoice &direct, OnEntries onEntries)
+                  Logger &logger, Evacuations &evacuations, DirectChoice &direct,
+                  OnEntries onEntries)
         : wire(wire)
         , store(std::move(store))
         , now(std::move(now))
         , log(logger)
+        , evacuations(evacuations)
         , direct(direct)
         , onEntries(std::move(onEntries))
         , directory(UpstreamDirectorySettings{})
@@ -68,6 +72,36 @@
         }
     }
 
+    /// Publishes the entries anew after a change of the evacuated failure domains.
+    auto onEvacuations() -> void
+    {
+        if (this->view) {
+            this->publish("evacuation");
+            return;
+        }
+        // They are used again until the next watch has listed the entries.
+        if (!this->lastEntries.empty()) {
+            this->evacuations.mark(this->lastEntries);
+            this->direct.setUpstreams(this->lastEntries);
+            this->onEntries(this->lastEntries);
+        }
+    }
+
+    /// @returns the entries in use now; none while they aren't watched
+    [[nodiscard]] auto entries() const -> std::vector<UpstreamEntry>
+    {
+        return this->directory.entries();
+    }
+
+    /// @returns how many of the entries in use now are evacuated
+    [[nodiscard]] auto evacuatedCount() const -> std::uint64_t
+    {
+        return this->view ? static_cast<std::uint64_t>(
+                   std::count_if(this->lastEntries.begin(), this->lastEntries.end(),
+                                 [](const auto &entry) { return entry.isEvacuated; }))
+                          : 0;
+    }
+
     /// @returns which process has the address as this upstream; empty where that isn't known
     [[nodiscard]] auto incarnationOf(const UpstreamId &upstream, const Address &address) const
         -> std::optional<Incarnation>
@@ -179,7 +213,8 @@
     /// @param cause what has brought the change, as it is logged
     auto publish(std::string_view cause) -> void
     {
-        const auto entries = this->directory.entries();
+        auto entries = this->directory.entries();
+        this->evacuations.mark(entries);
         UpstreamEntryOrigin origin;
         origin.cause = cause;
         if (this->view) {
@@ -190,6 +225,7 @@
         origin.sinceFailure = this->now() - this->outage.failedAt();
         this->log.update(entries, origin);
         this->direct.setUpstreams(entries);
+        this->lastEntries = entries;
         this->onEntries(entries);
     }
 
@@ -212,9 +248,12 @@
     SendStoreCall store;
     std::function<Instant()> now;
     UpstreamEntryLog log;
+    Evacuations &evacuations;
     DirectChoice &direct;
     OnEntries onEntries;
     UpstreamDirectory directory;
+    /// As last published.
+    std::vector<UpstreamEntry> lastEntries;
     std::unique_ptr<PrefixView> view;
     bool isForGrantor = false;
     Instant viewStartedAt{};
--- a/src/edge/wireadapter.h
+++ b/src/edge/wireadapter.h
@@ -35,6 +35,17 @@
     {
         wire.configuration(item.value)
         } -> std::same_as<std::optional<RouteConfiguration>>;
+    {
+        // Of all keys that the operators write.
+        wire.operatorPrefix()
+        } -> std::same_as<std::string>;
+    {
+        wire.isEvacuationKey(item.key)
+        } -> std::same_as<bool>;
+    {
+        // The failure domain that an evacuation key evacuates; nothing if it can't be read.
+        wire.evacuatedDomain(item)
+        } -> std::same_as<std::optional<FailureDomain>>;
     {
         wire.upstreamPrefix()
         } -> std::same_as<std::string>;
