tests: cover slots of evacuated owners, forecasts and restored stores

Trials with one line changed each showed two places of the evacuation that no test covered: the slot of an evacuated owner while a more urgent request without a key waits, and the capacity in forecasts. Each has a test now that fails with that change. A third one showed code without use: the operators' keys were passed on again with each later revision of the store, but a view changes with each era by itself, as the revisions of its keys contain it. The code is removed, and a test shows the set of the later era.

--- a/src/dispatch/tests/evacuatedupstreams_tests.cpp
+++ b/src/dispatch/tests/evacuatedupstreams_tests.cpp
@@ -185,6 +185,44 @@
     }
 }
 
+// Guards against a request without a key that ranks first and keeps the slot of an evacuated owner
+// from requests for its keys, as it may not run there.
+SCENARIO(
+    "SlotBroker: given an evacuated owner and a more urgent request without a key, the owner's "
+    "slot goes to its keys",
+    "[dispatch][evacuation]")
+{
+    EvacuationFixture fixture(true);
+    fixture.own("n1", start);
+    fixture.setEvacuated({"north"}, start);
+    const auto atOwner = fixture.ask(fixture.request(7), start);
+    REQUIRE(atOwner.verdict.upstream == UpstreamId{"n1"});
+    REQUIRE(fixture.ask(fixture.request(), start).verdict.upstream == UpstreamId{"s1"});
+    REQUIRE(fixture.ask(fixture.request(), start).verdict.kind == Kind::Queued);
+    const auto keyed = fixture.request(7);
+    REQUIRE(fixture.ask(keyed, start).verdict.kind == Kind::Queued);
+    fixture.broker.cancel(atOwner.id, start + milliseconds{10});
+    const auto verdicts = fixture.broker.takeVerdicts();
+    REQUIRE(verdicts.size() == 1);
+    CHECK(verdicts.front().id == keyed.id);
+    CHECK(verdicts.front().verdict.upstream == UpstreamId{"n1"});
+}
+
+// Guards against requests that wait for the capacity of evacuated upstreams until their deadline.
+SCENARIO("SlotBroker: given an evacuation, requests beyond the capacity elsewhere are refused at "
+         "once",
+         "[dispatch][evacuation]")
+{
+    EvacuationFixture fixture;
+    fixture.setEvacuated({"north"}, start);
+    auto refused = 0;
+    for (auto number = 0; number < 40; ++number) {
+        refused += fixture.ask(fixture.request(), start).verdict.kind == Kind::Refused ? 1 : 0;
+    }
+    // One slot serves ten requests of 80 ms within the 800 ms until the deadline.
+    CHECK(refused >= 29);
+}
+
 // Guards against requests that wait until their deadline though no upstream may take them.
 SCENARIO("SlotBroker: given that all failure domains are evacuated, requests are refused at once",
          "[dispatch][evacuation]")
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -55,7 +55,7 @@
     /// @param now reads the clock
     /// @param onText receives each configuration of a newer revision
     /// @param onWork called after each event for which advance() may be due earlier
-    /// @param onKeys receives the operators' keys whenever they are known up to a later revision
+    /// @param onKeys receives the operators' keys after each change, also of the store's era
     ConfigurationSource(event_base *base, PeerServer &server, ConfigurationSourceSettings settings,
                         SendStoreCall store, const std::function<Instant()> &now, Logger &logger,
                         OnText onText, std::function<void()> onWork, OnKeys onKeys = {});
@@ -93,8 +93,6 @@
     auto adopt(const std::string &newText, StoreRevision revision, bool isStale) -> void;
     /// @returns whether a configuration of this revision replaces the present one
     [[nodiscard]] auto isNewer(StoreRevision revision) const -> bool;
-    /// Passes on the view's keys if they are known up to a later revision than before.
-    auto passKeys() -> void;
     auto poll() -> void;
     auto onPolled(const StoreAnswer &answer) -> void;
     auto fetch(const Address &from) -> void;
@@ -119,8 +117,6 @@
     StoreRevision textRevision;
     /// As in ConfigurationRelay::onAdopted().
     bool isTextStale = false;
-    /// Up to which the view's keys have been passed on.
-    StoreRevision passedRevision;
     Instant startedAt;
     Instant pollDue{};
     bool isPolling = false;
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -68,7 +68,9 @@
     , relay(ConfigurationRelaySettings{}, fetchDelay(this->settings))
     , view(prefixOf(this->settings), viewSettings(this->settings), this->store, now,
            [this](const PrefixView::Items &items) {
-               this->passKeys();
+               if (this->onKeys) {
+                   this->onKeys(items, this->view.revision(), false);
+               }
                const auto found = items.find(this->settings.key);
                if (found != items.end()) {
                    this->adopt(found->second.value, found->second.revision, false);
@@ -102,8 +104,6 @@
     this->logMode(isFollowing, isGrantor);
     this->view.setPaused(!isFollowing);
     this->view.advance();
-    // A restored store may show the same keys as before, in a later era.
-    this->passKeys();
     if (!isFollowing && isStarting && this->textRevision.value == 0) {
         this->poll();
     }
@@ -206,14 +206,6 @@
     }
 }
 
-auto ConfigurationSource::passKeys() -> void
-{
-    if (this->onKeys && this->view.isLoaded() && this->view.revision() > this->passedRevision) {
-        this->passedRevision = this->view.revision();
-        this->onKeys(this->view.items(), this->passedRevision, false);
-    }
-}
-
 auto ConfigurationSource::fetch(const Address &from) -> void
 {
     OutboundRequest request;
--- a/src/edge/tests/evacuationfleet_tests.cpp
+++ b/src/edge/tests/evacuationfleet_tests.cpp
@@ -73,6 +73,10 @@
     {
         return this->daemons.at(daemon)->evacuations.known().domains.contains(north);
     }
+    [[nodiscard]] auto revisionOf(std::size_t daemon) const -> StoreRevision
+    {
+        return StoreRevision{this->daemons.at(daemon)->evacuations.known().revision};
+    }
     [[nodiscard]] auto callCount(std::size_t daemon) const -> int
     {
         return this->daemons.at(daemon)->calls;
@@ -264,6 +268,20 @@
     CHECK(fleet.isEvacuated(2) == isInCopy);
 }
 
+// Guards against a set of an earlier era that a daemon has heard of last, and that its own reading
+// of a restored store doesn't replace because the keys there are the same as in its reading before.
+SCENARIO("Evacuations: given a restored store with the same keys, the set of the later era counts",
+         "[edge][evacuation]")
+{
+    EvacuationFleet fleet(2);
+    fleet.run(seconds{5});
+    fleet.store.keepCopy();
+    fleet.store.restoreCopy();
+    fleet.run(seconds{35});
+    CHECK(eraOf(fleet.revisionOf(0)) == 1);
+    CHECK(eraOf(fleet.revisionOf(1)) == 1);
+}
+
 // Guards against a daemon of this build that sends requests without a grantor to an evacuated
 // failure domain because the grantors that it hears are of an earlier build.
 SCENARIO("Evacuations: given grantors of an earlier build, daemons that send requests without a "
