tests: simulate evacuations under load and random faults

The simulation of upstreams, store and successive grantors can evacuate upstreams. Half of eight under load: the others own all keys within 2.5 s.

--- a/src/keyranges/tests/evacuatedholders_tests.cpp
+++ b/src/keyranges/tests/evacuatedholders_tests.cpp
@@ -1,8 +1,10 @@
 #include "keyranges/rangeplanner.h"
 #include "keyranges/tests/grantorofthree.h"
+#include "keyranges/tests/rangesimulation.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 using namespace gooseberrywall;
 using std::chrono::milliseconds;
@@ -220,3 +222,79 @@
         }
     }
 }
+
+// Guards against an evacuation under load in which some ranges move too late or nobody gets them.
+SCENARIO("RangeGrantor: given the evacuation of half of the upstreams, the others own all keys "
+         "before 2.5 s have passed",
+         "[keyranges][evacuation]")
+{
+    RangeSimulation simulation(7, 8, {});
+    simulation.setHotKeys(KeyRange{20'000, 20'199}, 100);
+    simulation.run(seconds{5});
+    REQUIRE(simulation.servedKeyCount() == allKeys.size());
+    for (auto index = 0; index < 4; ++index) {
+        simulation.setEvacuated(index, true);
+    }
+    CHECK(simulation.servedKeyCount() == allKeys.size());
+    simulation.run(milliseconds{2500});
+    CHECK(simulation.servedKeyCount() == allKeys.size());
+    CHECK(simulation.ownerCountOf(allKeys) <= 4);
+    for (auto index = 0; index < 4; ++index) {
+        simulation.setEvacuated(index, false);
+    }
+    simulation.run(seconds{10});
+    CHECK(simulation.servedKeyCount() == allKeys.size());
+    CHECK(simulation.ownerCountOf(allKeys) > 4);
+    CHECK(simulation.doubleOwnerCount() == 0);
+}
+
+// Guards against a key with two owners where evacuations begin and end while orders are lost,
+// upstreams restart and grantors are replaced.
+SCENARIO("RangeGrantor: given evacuations under random faults, no key ever has two owners",
+         "[keyranges][evacuation]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        GIVEN("seed " + std::to_string(seed))
+        {
+            RangeSimulation simulation(seed, 8, {0.2, 0.2});
+            std::mt19937_64 random(seed * 77);
+            simulation.run(seconds{3});
+            for (auto round = 0; round < 12; ++round) {
+                switch (random() % 5) {
+                case 0:
+                    simulation.replaceGrantor(milliseconds{random() % 3000});
+                    break;
+                case 1:
+                    simulation.crash(static_cast<int>(random() % 8), milliseconds{random() % 4000});
+                    break;
+                case 2:
+                    simulation.setHotKeys(KeyRange{20'000, 20'199}, 200);
+                    break;
+                default: {
+                    const auto isEvacuated = random() % 3 != 0;
+                    const auto first = static_cast<int>(random() % 2) * 4;
+                    for (auto index = first; index < first + 4; ++index) {
+                        simulation.setEvacuated(index, isEvacuated);
+                    }
+                    break;
+                }
+                }
+                simulation.run(milliseconds{500 + random() % 2500});
+            }
+            simulation.setFaults({});
+            simulation.setHotKeys(KeyRange{0, 0}, 0);
+            for (auto index = 0; index < 8; ++index) {
+                simulation.setEvacuated(index, index < 4);
+            }
+            // The longest grant of an earlier grantor, and the time limit for a lost upstream.
+            simulation.run(seconds{20});
+            THEN("no key ever had two owners, fences rose, and the others own all keys at the end")
+            {
+                CHECK(simulation.doubleOwnerCount() == 0);
+                CHECK(simulation.lowFenceCount() == 0);
+                CHECK(simulation.servedKeyCount() == allKeys.size());
+                CHECK(simulation.ownerCountOf(allKeys) <= 4);
+            }
+        }
+    }
+}
--- a/src/keyranges/tests/rangesimulation.cpp
+++ b/src/keyranges/tests/rangesimulation.cpp
@@ -107,6 +107,14 @@
     this->grantor->setUpstreams(this->entries(), this->moment);
 }
 
+auto RangeSimulation::setEvacuated(int index, bool isEvacuated) -> void
+{
+    auto &entry = this->upstreams.at(static_cast<std::size_t>(index)).entry;
+    entry.isEvacuated = isEvacuated;
+    entry.evacuatedAt = isEvacuated ? this->moment : Instant{};
+    this->grantor->setUpstreams(this->entries(), this->moment);
+}
+
 auto RangeSimulation::setHotKeys(KeyRange range, std::uint32_t requestsPerSecond) -> void
 {
     this->hotRange = range;
@@ -176,7 +184,8 @@
                 status.id = upstream.entry.id;
                 status.slots = upstream.entry.slots;
                 status.expectedLatency = std::chrono::milliseconds{80};
-                status.isUsable = upstream.isUp && !upstream.entry.isDraining;
+                status.isUsable = upstream.isUp && upstream.entry.takesNewWork();
+                status.isEvacuated = upstream.entry.isEvacuated;
                 demand.push_back(status);
             }
             this->grantor->move(this->planner.plan(this->grantor->views(), demand, this->moment),
--- a/src/keyranges/tests/rangesimulation.h
+++ b/src/keyranges/tests/rangesimulation.h
@@ -39,6 +39,8 @@
     auto crash(int index, std::optional<Duration> restartAfter, Duration registrationDelay = {})
         -> void;
     auto drain(int index) -> void;
+    /// Begins or ends the evacuation of an upstream's failure domain.
+    auto setEvacuated(int index, bool isEvacuated) -> void;
     /// Suspends an upstream: it carries out orders only afterwards, while its grants run on.
     auto freeze(int index, Duration time) -> void;
     /// Upstreams that have answered a release refuse grants with lower fences, or don't; the
