edge: give owners no time where an evacuation may have begun before the start

Cause: a daemon whose first reading comes from an old copy of the store may learn of an evacuation only 3 s after its start, where no grantor is heard. With 2.5 s for owners of keys, requests would reach them after 5 s. Change: the set that replaces a stale one is treated as the first one is. Result: such a daemon sends owners no requests; a test has both cases.

--- a/src/edge/evacuations.h
+++ b/src/edge/evacuations.h
@@ -24,7 +24,7 @@
 
     /// Takes in a set of evacuated failure domains unless the present one is of the same revision
     /// or a later one. Owners of keys get no time to serve them where the evacuation is in the
-    /// first set that this daemon knows.
+    /// first set that this daemon knows, or in the one that replaces a stale set.
     /// @param isStale the set was read from a copy of the store that may be seconds old, also where
     ///        its revision says otherwise; any other set replaces it, and it replaces no other
     /// @param entries the upstreams that this daemon knows at present, for the log; empty where it
--- a/src/edge/internal/evacuations.cpp
+++ b/src/edge/internal/evacuations.cpp
@@ -34,10 +34,10 @@
         || (newSet.revision <= this->current.revision && !isFresher)) {
         return false;
     }
+    // What this daemon learns soon after its start may have been evacuated for long.
+    const auto since = isFirst || this->isCurrentStale ? now - evacuatedOwnerTime : now;
     const auto former = std::exchange(this->current, newSet);
     this->isCurrentStale = isStale;
-    // What is evacuated when this daemon starts may have been for long.
-    const auto since = isFirst ? now - evacuatedOwnerTime : now;
     for (const auto &domain : newSet.domains) {
         if (!former.domains.contains(domain)) {
             this->startedAt[domain] = since;
--- a/src/edge/tests/evacuations_tests.cpp
+++ b/src/edge/tests/evacuations_tests.cpp
@@ -136,6 +136,9 @@
          "[edge][evacuation]")
 {
     EvacuationTrial trial(false);
+    if (GENERATE(false, true)) {
+        trial.update({}, 45, true);
+    }
     trial.update({north}, 50);
     trial.evacuations.mark(trial.entries);
     CHECK(trial.entries[0].isEvacuated);
