edge: publish no empty list when an evacuation becomes known during a read

Cause: where the entries were still being read when the set of evacuated failure domains changed, UpstreamWatch published its empty directory, so a grantor would have taken all upstreams for gone. Change: the entries are published anew only where some are known; otherwise those published last are marked. Result: a test of the watch, which also covers an evacuation that begins and ends while the entries aren't watched.

--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -75,11 +75,11 @@
     /// Publishes the entries anew after a change of the evacuated failure domains.
     auto onEvacuations() -> void
     {
-        if (this->view) {
+        if (this->view && !this->directory.entries().empty()) {
             this->publish("evacuation");
             return;
         }
-        // They are used again until the next watch has listed the entries.
+        // Those published last are in use again until the next watch has listed the entries.
         if (!this->lastEntries.empty()) {
             this->evacuations.mark(this->lastEntries);
             this->direct.setUpstreams(this->lastEntries);
