--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -2,8 +2,8 @@
 
 #include "insight/metricspage.h"
 
-#include <array>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 27> rows{
+    const std::vector<std::pair<const char *, std::uint64_t>> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -38,7 +38,9 @@
          {"memory_held_bytes", metrics.memoryHeldBytes},
          {"memory_budget_bytes", metrics.memoryBudgetBytes},
          {"memory_refusals_total", metrics.memoryRefusals},
-         {"memory_shed_connections_total", metrics.memoryShedConnections}}};
+         {"memory_shed_connections_total", metrics.memoryShedConnections},
+         {"evacuated_domains", metrics.evacuatedDomains},
+         {"evacuated_upstreams", metrics.evacuatedUpstreams}}};
     for (const auto &[name, value] : rows) {
         page += "gooseberrywall_" + std::string(name) + " " + std::to_string(value) + "\n";
     }
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -48,6 +48,9 @@
     /// Requests refused, and connections closed, because memory was short.
     std::uint64_t memoryRefusals = 0;
     std::uint64_t memoryShedConnections = 0;
+    std::uint64_t evacuatedDomains = 0;
+    /// Upstreams in these failure domains; zero while this daemon doesn't watch the entries.
+    std::uint64_t evacuatedUpstreams = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
