platform: read a service's rate for cold upstreams

Cause: warmup_per_s of a service was not read, and an entry that states the same warm-up time anew could not be told from the one before. Change: ServiceSpec gets the rate. A value that is negative, too large or not a number counts as missing, and a log line names the field; all other fields apply. Entries with a warm-up carry their store revision.

--- a/src/dispatch/types/upstreamentry.h
+++ b/src/dispatch/types/upstreamentry.h
@@ -24,6 +24,9 @@
     /// Time until it has warmed up after its start, counted from the arrival of this entry; it is
     /// slower until then.
     Duration remainingWarmUp{0};
+    /// Store revision of the entry that states remainingWarmUp, so that an entry which states the
+    /// same time anew differs from the one before; 0 where there is no warm-up.
+    std::uint64_t warmUpRevision = 0;
     /// Differs between successive processes with the same id.
     Incarnation incarnation;
     auto operator==(const UpstreamEntry &) const -> bool = default;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -217,6 +217,10 @@
                 .with("malformed", static_cast<std::int64_t>(configuration->malformedRoutes))
                 .with("revision", static_cast<std::int64_t>(revision.value))
                 .text());
+        for (const auto &field : configuration->malformedServiceFields) {
+            this->logger.write(LogLevel::Warning,
+                               LogLine("configuration_field_ignored").with("field", field).text());
+        }
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
         this->roles.setConfiguration(this->routes->configuration());
--- a/src/routing/types/routeconfiguration.h
+++ b/src/routing/types/routeconfiguration.h
@@ -53,6 +53,9 @@
     /// Time for which an upstream is slow on keys that it got without a handover from the last
     /// owner.
     Duration warmUp{0};
+    /// Requests per second that an upstream takes from all daemons together while it is cold; 0: no
+    /// bound.
+    double warmUpPerSecond = 0;
     /// Path of the upstreams' health check.
     std::string healthPath;
     auto operator==(const ServiceSpec &) const -> bool = default;
@@ -80,6 +83,8 @@
     /// Number of routes that were left out because they couldn't be read.
     std::size_t malformedRoutes = 0;
     std::vector<ServiceSpec> services;
+    /// Fields of services that have impossible values and count as missing, as "SERVICE.FIELD".
+    std::vector<std::string> malformedServiceFields;
     CallerLimits limits;
     auto operator==(const RouteConfiguration &) const -> bool = default;
 };
