dispatch: bound the requests to cold upstreams

Cause: a cold upstream got as many requests as it has slots for, and crashes at rates well above its service's rate. Change: the broker keeps a token bucket of about one request per cold upstream, in addition to the limit that the upstream states; the lower one applies, also in forecasts, refusal reasons and the planner's capacity. An upstream that is back after its entry was missing, or after it was not reached, counts as cold for 2 s unless its entry states another time. suspectCold() does the same for other causes.

--- a/src/dispatch/healthchanges.h
+++ b/src/dispatch/healthchanges.h
@@ -27,6 +27,10 @@
         Unlimited,
         /// It is granted clearly more requests than its limit.
         OverLimit,
+        /// The upstream begins to count as cold.
+        Cold,
+        /// It ceases to count as cold.
+        Warm,
     };
 
     Kind kind = Kind::Joined;
--- a/src/dispatch/internal/healthchanges.cpp
+++ b/src/dispatch/internal/healthchanges.cpp
@@ -15,8 +15,10 @@
 
 auto isOverLimit(const UpstreamStatus &upstream) -> bool
 {
-    return upstream.grantedPerSecond
-           > overLimitFactor * upstream.requestLimit.perSecond + overLimitSlack;
+    // The average goes back to the time before the upstream became cold.
+    return !upstream.isCold
+           && upstream.grantedPerSecond
+                  > overLimitFactor * upstream.requestLimit.perSecond + overLimitSlack;
 }
 
 } // namespace
@@ -38,6 +40,10 @@
         return "unlimited";
     case HealthChange::Kind::OverLimit:
         return "over_limit";
+    case HealthChange::Kind::Cold:
+        return "cold";
+    case HealthChange::Kind::Warm:
+        return "warm";
     }
     return "unusable";
 }
@@ -56,6 +62,10 @@
             result.push_back(
                 HealthChange{upstream.isUsable ? Kind::Usable : Kind::Unusable, upstream});
         }
+        const auto wasCold = before != this->lastStatuses.end() && before->second.isCold;
+        if (wasCold != upstream.isCold) {
+            result.push_back(HealthChange{upstream.isCold ? Kind::Cold : Kind::Warm, upstream});
+        }
         if (const auto kind = this->limitChange(upstream)) {
             result.push_back(HealthChange{*kind, upstream});
         }
@@ -77,6 +87,10 @@
 
 auto HealthChanges::limitChange(const UpstreamStatus &upstream) -> std::optional<HealthChange::Kind>
 {
+    if (upstream.isCold) {
+        // The limit may be the bound for cold upstreams.
+        return std::nullopt;
+    }
     const auto known = this->returnedLimits.find(upstream.id);
     const auto wasLimited = known != this->returnedLimits.end();
     if (!upstream.requestLimit.isLimited()) {
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -66,15 +66,16 @@
         const auto isSameIncarnation =
             known != this->upstreams.end() && known->second.entry.incarnation == entry.incarnation;
         Upstream upstream = isSameIncarnation ? std::move(known->second) : Upstream{};
-        if (!isSameIncarnation || upstream.entry.remainingWarmUp != entry.remainingWarmUp) {
-            upstream.warmUpEnd = now + entry.remainingWarmUp;
-        }
+        this->takeInWarmUp(upstream, entry, now);
         upstream.entry = entry;
         upstream.process = UpstreamProcess{entry.id, entry.incarnation};
         next.emplace(entry.id, std::move(upstream));
     }
     for (const auto &[id, incarnation] : former) {
         const auto found = next.find(id);
+        if (found == next.end()) {
+            this->rememberGone(id);
+        }
         if (found == next.end() || found->second.entry.incarnation != incarnation) {
             this->quarantine.onUpstreamLost(id, incarnation, now);
         }
@@ -255,12 +256,13 @@
 {
     std::vector<UpstreamStatus> result;
     for (const auto &[id, upstream] : this->upstreams) {
-        result.push_back(UpstreamStatus{
-            id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
-            this->latencyOf(upstream, now), upstream.health.failureShare(now),
-            !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
-                && !this->isSilent(upstream, now),
-            upstream.entry.isDraining, upstream.limiter.limit(), upstream.grants.perSecond(now)});
+        result.push_back(
+            UpstreamStatus{id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
+                           this->latencyOf(upstream, now), upstream.health.failureShare(now),
+                           !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
+                               && !this->isSilent(upstream, now),
+                           upstream.entry.isDraining, upstream.limiter.limit(now),
+                           upstream.grants.perSecond(now), upstream.limiter.isCold(now)});
     }
     return result;
 }
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -188,18 +188,19 @@
 {
     const auto seconds = std::chrono::duration<double>(this->latencyOf(upstream, now)).count();
     const auto slots = upstream.slotReduction.slotsOf(upstream.entry.slots, now);
-    return std::min(slots / std::max(minLatencySeconds, seconds), upstream.limiter.ratePerSecond());
+    return std::min(slots / std::max(minLatencySeconds, seconds),
+                    upstream.limiter.ratePerSecond(now));
 }
 
 auto SlotBroker::isHeldByLimit(const Upstream &upstream, Instant now) const -> bool
 {
-    return this->servedPerSecond(upstream, now) >= upstream.limiter.ratePerSecond();
+    return this->servedPerSecond(upstream, now) >= upstream.limiter.ratePerSecond(now);
 }
 
 auto SlotBroker::limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
                              std::size_t ahead, Instant now) const -> Duration
 {
-    const auto perSecond = upstream.limiter.ratePerSecond();
+    const auto perSecond = upstream.limiter.ratePerSecond(now);
     const auto next = upstream.limiter.timeToNext(now);
     const auto wait = ahead == 0 ? next : next + this->queueTime(ahead - 1, perSecond, 0);
     // A request that is late by then is overtaken by those that aren't.
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -36,6 +36,7 @@
     }
     if (evidence == Evidence::Full) {
         upstream.health.onAttemptEnd(report.end, report.latency, now);
+        this->updateReach(upstream, report.end, now);
     } else if (evidence == Evidence::Uncertain) {
         upstream.health.onUncertainFailure(now);
     }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -116,10 +116,12 @@
     /// didn't fail.
     bool isUsable = true;
     bool isDraining = false;
-    /// As its answers state it.
+    /// As its answers state it; while it is cold, the bound for cold upstreams if that is lower.
     RequestLimit requestLimit;
     /// Permits for it per second, an average over about a second.
     double grantedPerSecond = 0;
+    /// It counts as cold, and its service has a bound for cold upstreams.
+    bool isCold = false;
     auto operator==(const UpstreamStatus &) const -> bool = default;
 };
 
@@ -147,6 +149,12 @@
         this->retryWindow.setAllowance(ratio, extra);
     }
 
+    /// Sets how many requests per second a cold upstream gets at most; 0: no bound.
+    auto setWarmUpRate(double perSecond, Instant now) -> void;
+    /// Counts an upstream as cold, as it may have become cold: until its entry states another time,
+    /// and 2 s at most.
+    auto suspectCold(const UpstreamId &id, Instant now) -> void;
+
     /// Grants, queues or refuses a permit; a repeated request for a granted permit gets the same
     /// verdict. takeVerdicts() returns the result.
     auto ask(const PermitRequest &request, Instant now) -> void;
@@ -199,6 +207,10 @@
         /// was none since the last answer. The upstream gets one request at a time until then.
         Address suspectedBy;
         Instant warmUpEnd{};
+        /// It may have become cold, and counts as cold until then.
+        Instant suspectedColdUntil{};
+        /// The last attempts didn't reach it.
+        bool isUnreached = false;
         int inFlight = 0;
         /// Permits out that were sent by daemons which have stated since that they are isolated.
         /// They hold their slots, as the upstream may run the requests, but no report is expected.
@@ -281,6 +293,15 @@
         Duration latency{0};
     };
 
+    auto suspectCold(Upstream &upstream, Instant now) -> void;
+    /// Applies the bound for cold upstreams after a change.
+    auto updateWarmUp(Upstream &upstream, Instant now) const -> void;
+    /// Takes in what a new entry tells about the warm-up, before it replaces the former one.
+    auto takeInWarmUp(Upstream &upstream, const UpstreamEntry &entry, Instant now) -> void;
+    /// Remembers an upstream whose entry has disappeared.
+    auto rememberGone(const UpstreamId &id) -> void;
+    /// Counts the upstream as cold where an attempt didn't reach it, or is the first one that did.
+    auto updateReach(Upstream &upstream, AttemptEnd end, Instant now) -> void;
     /// Grants the free slots of all upstreams to waiting requests.
     auto grantFreeSlots(Instant now) -> void;
     auto learn(const PermitReport &report, Upstream &upstream, Instant now) -> void;
@@ -425,6 +446,9 @@
     EntryPaths paths;
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
+    /// Upstreams whose entries have disappeared, which may be cold when they are back.
+    std::set<UpstreamId> goneUpstreams;
+    double warmUpPerSecond = 0;
     std::vector<OwnedRange> ownedRanges;
     /// Keys that their likely owners have turned away: requests for them aren't sent there again.
     std::set<KeyPosition> turnedAwayKeys;
