entry: bound the requests to cold upstreams without a grantor

Cause: daemons that send without a grantor did not know a service's rate for cold upstreams. Change: DirectChoice gives each daemon a share of the rate. The period logic of RequestLimitShare is shared. Result: entry_tests pass.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -224,6 +224,7 @@
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
         this->roles.setConfiguration(this->routes->configuration());
+        this->direct.setServices(this->routes->configuration().services);
         this->grantorWatch.setServices(this->routes->configuration().services);
         return true;
     }
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -189,7 +189,7 @@
         }
         origin.sinceFailure = this->now() - this->outage.failedAt();
         this->log.update(entries, origin);
-        this->direct.setUpstreams(entries);
+        this->direct.setUpstreams(entries, this->now());
         this->onEntries(entries);
     }
 
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
+#include "entry/coldshares.h"
 #include "entry/requestlimitshare.h"
 #include "entry/upstreamstatements.h"
 
@@ -34,7 +35,18 @@
     DirectChoice(std::uint64_t seed, UpstreamStatements &statements);
 
     /// Replaces the known upstreams of all services.
-    auto setUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
+    /// Sets the services' rates for cold upstreams.
+    auto setServices(const std::vector<ServiceSpec> &services) -> void
+    {
+        this->coldShares.setServices(services);
+    }
+    /// Counts an upstream as cold, as it may have become cold: until its entry states another time,
+    /// and 2 s at most.
+    auto suspectCold(const UpstreamId &upstream, Instant now) -> void
+    {
+        this->coldShares.suspectCold(upstream, now);
+    }
     /// Sets whether the known upstreams are trusted; initially they aren't. While they aren't,
     /// none is chosen, because an upstream may have started draining since they were read.
     auto setTrusted(bool trusted) -> void { this->isTrusted = trusted; }
@@ -66,6 +78,9 @@
     [[nodiscard]] auto chooseAny(const PermitRequest &request, Instant now) -> Verdict;
     /// Number of daemons while no grantor has told it.
     static constexpr std::size_t assumedDaemonCount = 30;
+    /// The same for cold upstreams, which crash at rates above their bound: that of the largest
+    /// known deployment.
+    static constexpr std::size_t maxDaemonCount = 144;
 
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
     [[nodiscard]] auto limitAllows(const UpstreamId &id, Instant now) const -> bool;
@@ -83,6 +98,7 @@
     Instant daemonCountAt{};
     /// Of upstreams that have named a request limit.
     std::map<UpstreamId, RequestLimitShare> limitShares;
+    ColdShares coldShares;
 };
 
 } // namespace gooseberrywall
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -48,11 +48,13 @@
     : seed(seed)
     , statements(statements)
     , random(seed)
+    , coldShares(seed)
 {
 }
 
-auto DirectChoice::setUpstreams(const std::vector<UpstreamEntry> &entries) -> void
+auto DirectChoice::setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void
 {
+    this->coldShares.setUpstreams(entries, now);
     this->services.clear();
     for (const auto &entry : entries) {
         this->services[entry.service].push_back(entry);
@@ -92,6 +94,7 @@
 auto DirectChoice::onSent(const UpstreamId &upstream, Instant now) -> void
 {
     ++this->inFlight[upstream];
+    this->coldShares.onSent(upstream, now);
     if (const auto share = this->limitShares.find(upstream); share != this->limitShares.end()) {
         share->second.onSent(now);
     }
@@ -115,6 +118,7 @@
 {
     auto &count = this->inFlight[upstream];
     count = std::max(0, count - 1);
+    this->coldShares.onEnd(upstream, end, now);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NoAnswer || end == AttemptEnd::NotRun) {
         this->avoidedUntil[upstream] = now + avoidDuration;
     }
@@ -219,6 +223,10 @@
 
 auto DirectChoice::limitAllows(const UpstreamId &id, Instant now) const -> bool
 {
+    const auto isCountKnown = this->daemonCountAt != Instant{};
+    if (!this->coldShares.allows(id, isCountKnown ? this->daemonCount : maxDaemonCount, now)) {
+        return false;
+    }
     const auto share = this->limitShares.find(id);
     return share == this->limitShares.end() || share->second.allows(this->daemonCount, now);
 }
--- a/src/entry/internal/requestlimitshare.cpp
+++ b/src/entry/internal/requestlimitshare.cpp
@@ -16,22 +16,30 @@
 
 } // namespace
 
-RequestLimitShare::RequestLimitShare(std::uint64_t seed)
+PeriodShare::PeriodShare(std::uint64_t seed)
     : phase(static_cast<double>(seed % 1000) / 1000)
 {
 }
 
-auto RequestLimitShare::allows(std::size_t daemonCount, Instant now) const -> bool
+auto PeriodShare::allows(double perSecond, double usableSeconds, std::size_t daemonCount,
+                         Instant now) const -> bool
 {
-    const auto limit = this->stated.value();
-    if (!limit.isLimited() || now - this->stated.statedAt() > limitMemory) {
-        return true;
-    }
-    const auto period =
-        static_cast<double>(std::max<std::size_t>(1, daemonCount)) / limit.sendingRate();
+    const auto period = static_cast<double>(std::max<std::size_t>(1, daemonCount)) / perSecond;
     const auto periods = Seconds(now.time_since_epoch()).count() / period - this->phase;
     const auto sinceStart = (periods - std::floor(periods)) * period;
     return sinceStart < usableSeconds && Seconds(now - this->sentAt).count() > sinceStart;
 }
 
+RequestLimitShare::RequestLimitShare(std::uint64_t seed)
+    : share(seed)
+{
+}
+
+auto RequestLimitShare::allows(std::size_t daemonCount, Instant now) const -> bool
+{
+    const auto limit = this->stated.value();
+    return !limit.isLimited() || now - this->stated.statedAt() > limitMemory
+           || this->share.allows(limit.sendingRate(), usableSeconds, daemonCount, now);
+}
+
 } // namespace gooseberrywall
--- a/src/entry/tests/directlimit_tests.cpp
+++ b/src/entry/tests/directlimit_tests.cpp
@@ -28,7 +28,7 @@
         entry.service = service;
         for (std::size_t index = 0; index < daemonCount; ++index) {
             auto &daemon = this->daemons.emplace_back(index, this->statements);
-            daemon.setUpstreams({entry});
+            daemon.setUpstreams({entry}, start);
             daemon.setOwners(service, {DirectOwner{KeyRange{0, 65535}, limited, Address{}}});
             daemon.setTrusted(true);
             daemon.onDaemonCount(daemonCount, start);
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -270,7 +270,7 @@
     request.service = service;
     GIVEN("another upstream, though it is busier")
     {
-        direct.setUpstreams({missing, shown});
+        direct.setUpstreams({missing, shown}, now);
         for (auto count = 0; count < 20; ++count) {
             CHECK(direct.choose(request, now)->upstream == shown.id);
             direct.onSent(shown.id, now);
@@ -278,7 +278,7 @@
     }
     GIVEN("no other upstream")
     {
-        direct.setUpstreams({missing});
+        direct.setUpstreams({missing}, now);
         CHECK(direct.choose(request, now)->upstream == missing.id);
     }
 }
--- a/src/entry/tests/requestflowforward_tests.cpp
+++ b/src/entry/tests/requestflowforward_tests.cpp
@@ -190,7 +190,7 @@
     entry.service = service;
     entry.address = upstreamAddress;
     entry.slots = 3;
-    fixture.direct.setUpstreams({entry});
+    fixture.direct.setUpstreams({entry}, fixture.now);
     loseLinks(fixture);
     GIVEN("a forwarder that was named lately")
     {
--- a/src/entry/tests/requestflowstatements_tests.cpp
+++ b/src/entry/tests/requestflowstatements_tests.cpp
@@ -73,7 +73,7 @@
 /// Lets the grantor fall silent, with the store's entry of "u" still ready.
 auto loseGrantor(RequestFlowFixture &fixture, const std::vector<UpstreamEntry> &entries) -> void
 {
-    fixture.direct.setUpstreams(entries);
+    fixture.direct.setUpstreams(entries, fixture.now);
     fixture.direct.setOwners(
         service, {DirectOwner{KeyRange{0, 65535}, UpstreamId{"u"}, Address{"10.1.0.1:80"}, first}});
 }
--- a/src/entry/tests/requestflowwithoutgrantor_tests.cpp
+++ b/src/entry/tests/requestflowwithoutgrantor_tests.cpp
@@ -14,7 +14,7 @@
         entry.id = UpstreamId{"u"};
         entry.service = service;
         entry.address = Address{"10.1.0.1:80"};
-        fixture.direct.setUpstreams({entry});
+        fixture.direct.setUpstreams({entry}, fixture.now);
         fixture.begin(false);
         fixture.advance(milliseconds{200});
         THEN("the request is sent directly after 150 ms without an answer, half of its target "
@@ -40,7 +40,7 @@
         entry.id = UpstreamId{"u"};
         entry.service = service;
         entry.address = Address{"10.1.0.1:80"};
-        fixture.direct.setUpstreams({entry});
+        fixture.direct.setUpstreams({entry}, fixture.now);
         fixture.direct.setTrusted(false);
         fixture.begin(false);
         fixture.advance(milliseconds{200});
@@ -48,7 +48,7 @@
         {
             CHECK(fixture.count<FlowSend>() == 0);
             entry.id = UpstreamId{"v"};
-            fixture.direct.setUpstreams({entry});
+            fixture.direct.setUpstreams({entry}, fixture.now);
             fixture.direct.setTrusted(true);
             fixture.advance(milliseconds{200});
             REQUIRE(fixture.count<FlowSend>() == 1);
--- a/src/entry/tests/statementsproperty_tests.cpp
+++ b/src/entry/tests/statementsproperty_tests.cpp
@@ -149,7 +149,7 @@
             owners.push_back(DirectOwner{KeyRange{key, key}, entry.id, entry.address,
                                          this->chance(0.5) ? entry.incarnation : Incarnation{}});
         }
-        this->fixture.direct.setUpstreams(entries);
+        this->fixture.direct.setUpstreams(entries, this->fixture.now);
         this->fixture.direct.setOwners(service, owners);
     }
 
