edge: pass the rate for cold upstreams to the grantors

Cause: the grantors' brokers did not know the rate, and a former grantor that still serves could grant it a second time. Change: GrantorRole passes the rate to its broker, also when a new configuration changes it, and a tenth of it while its lease may have ended.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -421,6 +421,7 @@
         metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
         metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
+        metrics.coldUpstreams = this->roles.coldUpstreamCount();
         metrics.leavingUpstreams = this->statements.leavingCount();
         metrics.pausedUpstreams = this->statements.pausedCount();
         metrics.heldByLeaving = this->flow.heldByLeavingCount();
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -110,6 +110,8 @@
     /// @param ratio retries allowed for each request in the retry window
     /// @param extra retries allowed besides
     auto setRetryAllowance(double ratio, double extra) -> void;
+    /// Sets how many requests per second a cold upstream gets at most; 0: no bound.
+    auto setWarmUpRate(double perSecond) -> void;
     /// Sets what the announcements tell about the operators' configuration.
     auto setAnnouncedConfiguration(std::function<AnnouncedConfiguration()> source) -> void
     {
@@ -141,6 +143,8 @@
     [[nodiscard]] auto isSharded() const -> bool { return this->spec.isSharded; }
     /// @returns how many upstreams name a request limit; zero while this daemon isn't grantor
     [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
+    /// @returns how many upstreams count as cold, if the service has a bound for them
+    [[nodiscard]] auto coldUpstreamCount() const -> std::uint64_t;
     /// @returns how many upstreams have stated in their answers that they leave, and still exist
     [[nodiscard]] auto leavingUpstreamCount() const -> std::uint64_t
     {
@@ -207,6 +211,8 @@
     auto endLeaving() -> void;
     /// @returns whether this daemon leads, and its lease surely lasts
     [[nodiscard]] auto hasAuthority(Instant moment) const -> bool;
+    /// Passes the bound for cold upstreams to the broker; it is lower without authority.
+    auto updateWarmUpRate(Instant moment) -> void;
     auto flushVerdicts() -> void;
     /// Answers all verdicts of the broker with NotGrantor, and takes their permits back.
     auto declineVerdicts() -> void;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -64,6 +64,8 @@
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
     /// @returns how many upstreams of the services that this daemon grants name a request limit
     [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
+    /// @returns how many upstreams of the granted services count as cold
+    [[nodiscard]] auto coldUpstreamCount() const -> std::uint64_t;
     /// @returns how many upstreams have stated in their answers that they leave, and still exist
     [[nodiscard]] auto leavingUpstreamCount() const -> std::uint64_t;
     /// @returns how many upstreams want no requests from some entry daemon for a time
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -17,6 +17,10 @@
 /// How often the upstreams' health is checked for changes to log.
 constexpr Duration healthEvery = std::chrono::milliseconds{500};
 
+/// Share of the bound for cold upstreams that a grantor uses whose lease may have ended: its
+/// successor may grant the whole rate at the same time, and bounds.warmup_overage is 1.5.
+constexpr double shareWithoutAuthority = 0.1;
+
 } // namespace
 
 GrantorRole::GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
@@ -103,6 +107,7 @@
             return;
         }
         this->daemons.onHeard(from, moment);
+        this->updateWarmUpRate(moment);
         this->broker->ask(*request, moment);
     } else if (const auto *report = std::get_if<PermitReport>(&message)) {
         this->broker->report(*report, moment);
@@ -136,6 +141,7 @@
     if (!this->serving) {
         return;
     }
+    this->updateWarmUpRate(moment);
     this->broker->advance(moment);
     this->takeInChanges();
     this->flushVerdicts();
@@ -344,8 +350,28 @@
 {
     const auto statuses = this->broker->upstreamStatuses(this->now());
     return static_cast<std::uint64_t>(
-        std::count_if(statuses.begin(), statuses.end(),
-                      [](const auto &each) { return each.requestLimit.isLimited(); }));
+        std::count_if(statuses.begin(), statuses.end(), [](const auto &each) {
+            return each.requestLimit.isLimited() && !each.isCold;
+        }));
+}
+
+auto GrantorRole::coldUpstreamCount() const -> std::uint64_t
+{
+    const auto statuses = this->broker->upstreamStatuses(this->now());
+    return static_cast<std::uint64_t>(std::count_if(statuses.begin(), statuses.end(),
+                                                    [](const auto &each) { return each.isCold; }));
+}
+
+auto GrantorRole::setWarmUpRate(double perSecond) -> void
+{
+    this->spec.warmUpPerSecond = perSecond;
+    this->updateWarmUpRate(this->now());
+}
+
+auto GrantorRole::updateWarmUpRate(Instant moment) -> void
+{
+    const auto share = this->hasAuthority(moment) ? 1.0 : shareWithoutAuthority;
+    this->broker->setWarmUpRate(share * this->spec.warmUpPerSecond, moment);
 }
 
 auto GrantorRole::movedKeys() const -> std::uint64_t
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -19,7 +19,8 @@
 auto GrantorRoles::setServices(const std::vector<ServiceSpec> &specs) -> void
 {
     for (const auto &spec : specs) {
-        if (this->roles.contains(spec.name)) {
+        if (const auto known = this->roles.find(spec.name); known != this->roles.end()) {
+            known->second->setWarmUpRate(spec.warmUpPerSecond);
             continue;
         }
         auto role =
@@ -250,6 +251,15 @@
     return count;
 }
 
+auto GrantorRoles::coldUpstreamCount() const -> std::uint64_t
+{
+    std::uint64_t count = 0;
+    for (const auto &[name, role] : this->roles) {
+        count += role->coldUpstreamCount();
+    }
+    return count;
+}
+
 auto GrantorRoles::leavingUpstreamCount() const -> std::uint64_t
 {
     std::uint64_t count = 0;
--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -81,6 +81,7 @@
     this->unwrittenRecord.reset();
     this->isRecordUncertain = false;
     this->recordDue = moment;
+    this->updateWarmUpRate(moment);
     this->broker->setUpstreams(this->upstreams, moment);
     LogLine line("grantor_elected");
     line.with("service", this->spec.name.value).with("term", static_cast<std::int64_t>(term.value));
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 23> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 24> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -25,6 +25,7 @@
          {"moved_keys_total", metrics.movedKeys},
          {"configuration_fetches_total", metrics.configurationFetches},
          {"limited_upstreams", metrics.limitedUpstreams},
+         {"cold_upstreams", metrics.coldUpstreams},
          {"store_era", metrics.storeEra},
          {"leaving_upstreams", metrics.leavingUpstreams},
          {"paused_upstreams", metrics.pausedUpstreams},
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -25,6 +25,8 @@
     std::uint64_t movedKeys = 0;
     std::uint64_t configurationFetches = 0;
     std::uint64_t limitedUpstreams = 0;
+    /// Upstreams of the granted services that count as cold, where there is a bound for them.
+    std::uint64_t coldUpstreams = 0;
     /// Upstreams of the granted services that have stated that they are about to stop.
     std::uint64_t grantedLeavingUpstreams = 0;
     /// Upstreams of the granted services that want no requests from some daemon at present.
--- a/src/edge/tests/grantorrole_tests.cpp
+++ b/src/edge/tests/grantorrole_tests.cpp
@@ -18,6 +18,8 @@
 /// A GrantorRole of a sharded service, with upstreams that accept all orders.
 struct GrantorRoleFixture
 {
+    static constexpr std::size_t upstreamCount = 2;
+
     FakeStore store;
     Logger logger{"error", 1};
     RequestLog log{this->logger, 0};
@@ -33,14 +35,20 @@
             },
             [this] { return this->store.now(); }, this->logger, this->log)
     {
-        std::vector<UpstreamEntry> entries(2);
-        for (std::size_t index = 0; index < entries.size(); ++index) {
-            entries[index].id = UpstreamId{"u" + std::to_string(index)};
-            entries[index].service = spec().name;
-            entries[index].address = Address{"10.1.0." + std::to_string(index) + ":80"};
-            entries[index].slots = 3;
+        this->role.onUpstreams(entries(Duration{0}));
+    }
+
+    static auto entries(Duration remainingWarmUp) -> std::vector<UpstreamEntry>
+    {
+        std::vector<UpstreamEntry> result(upstreamCount);
+        for (std::size_t index = 0; index < result.size(); ++index) {
+            result[index].id = UpstreamId{"u" + std::to_string(index)};
+            result[index].service = spec().name;
+            result[index].address = Address{"10.1.0." + std::to_string(index) + ":80"};
+            result[index].slots = 3;
+            result[index].remainingWarmUp = remainingWarmUp;
         }
-        this->role.onUpstreams(entries);
+        return result;
     }
 
     static auto spec() -> ServiceSpec
@@ -81,26 +89,63 @@
         }
     }
 
-    /// @returns whether a permit request for a key is granted at once
-    auto isServed(KeyPosition key) -> bool
+    /// Asks for a permit for a key.
+    /// @returns the id of the request
+    auto ask(KeyPosition key) -> PermitId
     {
-        const Address entry{"10.0.0.2:7000"};
         PermitRequest request;
         request.id = PermitId{entry, 1, ++this->sequence};
         request.service = spec().name;
         request.key = key;
         request.remaining = seconds{1};
         request.untilTarget = seconds{1};
-        (void) this->role.takeDatagrams();
         this->role.onMessage(entry, request);
+        return request.id;
+    }
+
+    /// @returns whether a permit request for a key is granted at once
+    auto isServed(KeyPosition key) -> bool
+    {
+        (void) this->role.takeDatagrams();
+        const auto id = this->ask(key);
         for (const auto &datagram : this->role.takeDatagrams()) {
             const auto *answer = std::get_if<PermitAnswer>(&datagram.message);
-            if (answer != nullptr && answer->id == request.id) {
+            if (answer != nullptr && answer->id == id) {
                 return answer->verdict.kind == PermitVerdict::Kind::Granted;
             }
         }
         return false;
     }
+
+    /// Lets a request for a random key arrive each 10 ms. Granted ones are answered at once.
+    /// @returns the number of permits granted per upstream and second
+    auto grantsPerSecond(Duration time) -> double
+    {
+        auto count = 0;
+        (void) this->role.takeDatagrams();
+        for (auto passed = Duration{0}; passed < time; passed += milliseconds{10}) {
+            this->run(milliseconds{10});
+            this->ask(static_cast<KeyPosition>(this->sequence * 7919));
+            for (const auto &datagram : this->role.takeDatagrams()) {
+                const auto *answer = std::get_if<PermitAnswer>(&datagram.message);
+                if (answer == nullptr || answer->verdict.kind != PermitVerdict::Kind::Granted) {
+                    continue;
+                }
+                PermitReport report;
+                report.id = answer->id;
+                report.service = spec().name;
+                report.upstream = answer->verdict.upstream;
+                report.end = AttemptEnd::Answered;
+                report.latency = milliseconds{5};
+                this->role.onMessage(entry, report);
+                ++count;
+            }
+        }
+        return count / std::chrono::duration<double>(time).count() / upstreamCount;
+    }
+
+private:
+    inline static const Address entry{"10.0.0.2:7000"};
 };
 
 } // namespace
@@ -225,3 +270,34 @@
         }
     }
 }
+
+// Guards against two grantors that each grant the whole rate for a cold upstream, as the former one
+// hasn't heard of its successor.
+SCENARIO("GrantorRole bounds the requests to cold upstreams, and more so without authority",
+         "[grantorrole][cold]")
+{
+    constexpr double rate = 20;
+    GrantorRoleFixture fixture;
+    fixture.run(seconds{5});
+    GIVEN("cold upstreams of a service without a rate")
+    {
+        fixture.role.onUpstreams(GrantorRoleFixture::entries(seconds{600}));
+        CHECK(fixture.grantsPerSecond(seconds{2}) > 2 * rate);
+        CHECK(fixture.role.coldUpstreamCount() == 0);
+        WHEN("a new configuration sets one")
+        {
+            fixture.role.setWarmUpRate(rate);
+            CHECK(fixture.role.coldUpstreamCount() == GrantorRoleFixture::upstreamCount);
+            CHECK(fixture.role.limitedUpstreamCount() == 0);
+            CHECK(fixture.grantsPerSecond(seconds{5}) <= rate + 0.2);
+            CHECK(fixture.grantsPerSecond(seconds{5}) > 0.5 * rate);
+            AND_WHEN("the grantor can't renew its lease")
+            {
+                fixture.store.mode = FakeStore::Mode::Silent;
+                fixture.run(seconds{4});
+                REQUIRE(fixture.role.isServing());
+                CHECK(fixture.grantsPerSecond(seconds{4}) <= 0.1 * rate + 0.3);
+            }
+        }
+    }
+}
