edge: check the grantor's authority before each message

Cause: a report or a cancelled request may let the broker grant a waiting request with the whole rate for cold upstreams, although the grantor's lease has just ended. Change: the rate follows the authority before each message, not only before requests for permits. The broker's test runs for sharded services, too, and checks the reason of refusals.

--- a/src/dispatch/tests/coldupstream_tests.cpp
+++ b/src/dispatch/tests/coldupstream_tests.cpp
@@ -24,13 +24,19 @@
 class LoadedBroker
 {
 public:
-    explicit LoadedBroker(double warmUpRate = warmUpPerSecond)
+    /// @param isSharded the upstream owns all keys
+    explicit LoadedBroker(double warmUpRate = warmUpPerSecond, bool isSharded = false)
+        : broker(service, isSharded, SlotBrokerSettings{}, RetryWindowSettings{}, 1)
     {
         this->entry.id = upstream;
         this->entry.service = service;
         this->entry.slots = 3;
         this->broker.setWarmUpRate(warmUpRate, this->now);
         this->publish();
+        OwnedRange owned;
+        owned.keys = KeyRange{0, 65535};
+        owned.owner = upstream;
+        this->broker.setOwners({owned}, this->now);
     }
 
     UpstreamEntry entry;
@@ -128,7 +134,7 @@
         }
     }
 
-    SlotBroker broker{service, false, SlotBrokerSettings{}, RetryWindowSettings{}, 1};
+    SlotBroker broker;
     Instant now{seconds{50}};
     std::deque<std::pair<Instant, PermitReport>> attempts;
     std::vector<Instant> sends;
@@ -148,7 +154,8 @@
     "bound in any second",
     "[dispatch][cold]")
 {
-    LoadedBroker loaded;
+    const auto isSharded = GENERATE(false, true);
+    LoadedBroker loaded(warmUpPerSecond, isSharded);
     GIVEN("an upstream that is cold after its start")
     {
         loaded.publishCold(seconds{3});
@@ -313,3 +320,15 @@
     REQUIRE(warm.size() == 1);
     CHECK(toString(warm.front().kind) == "warm");
 }
+
+SCENARIO(
+    "SlotBroker: given requests for keys of a cold owner, those that it can't serve in time are "
+    "refused for its limit",
+    "[dispatch][cold]")
+{
+    LoadedBroker loaded(warmUpPerSecond, true);
+    loaded.publishCold(seconds{10});
+    loaded.run(seconds{5});
+    CHECK(loaded.refusals(Reason::RequestLimitReached) > 800);
+    CHECK(loaded.refusals(Reason::QueueFull) == 0);
+}
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -100,6 +100,7 @@
 auto GrantorRole::onMessage(const Address &from, const PermitMessage &message) -> void
 {
     const auto moment = this->now();
+    this->updateWarmUpRate(moment);
     if (const auto *request = std::get_if<PermitRequest>(&message)) {
         if (!this->serving || this->isCutOff) {
             this->datagrams.push_back(
@@ -107,7 +108,6 @@
             return;
         }
         this->daemons.onHeard(from, moment);
-        this->updateWarmUpRate(moment);
         this->broker->ask(*request, moment);
     } else if (const auto *report = std::get_if<PermitReport>(&message)) {
         this->broker->report(*report, moment);
