dispatch: leave latency guesses alone where a warm-up is stated anew

Cause: an entry that stated the same warm-up time anew prolonged the guess that the upstream is slow, also for services without a rate, which nothing should change. Change: the bound has a time of its own, which the entry sets and a suspicion extends; the guess at latencies follows the time as before.

--- a/src/dispatch/internal/slotbrokerwarmup.cpp
+++ b/src/dispatch/internal/slotbrokerwarmup.cpp
@@ -35,30 +35,31 @@
 
 auto SlotBroker::suspectCold(Upstream &upstream, Instant now) -> void
 {
-    upstream.suspectedColdUntil = now + suspicionTime;
+    upstream.coldUntil = std::max(upstream.coldUntil, now + suspicionTime);
     this->updateWarmUp(upstream, now);
     this->capacity.recalculateAt = now;
 }
 
 auto SlotBroker::updateWarmUp(Upstream &upstream, Instant now) const -> void
 {
-    upstream.limiter.setWarmUp(this->warmUpPerSecond,
-                               std::max(upstream.warmUpEnd, upstream.suspectedColdUntil), now);
+    upstream.limiter.setWarmUp(this->warmUpPerSecond, upstream.coldUntil, now);
 }
 
 auto SlotBroker::takeInWarmUp(Upstream &upstream, const UpstreamEntry &entry, Instant now) -> void
 {
     const auto &former = upstream.entry;
     const auto isKnown = former.id == entry.id;
-    if (!isKnown || former.remainingWarmUp != entry.remainingWarmUp
-        || former.warmUpRevision != entry.warmUpRevision) {
+    const auto hasChanged = !isKnown || former.remainingWarmUp != entry.remainingWarmUp;
+    if (hasChanged) {
         upstream.warmUpEnd = now + entry.remainingWarmUp;
-        upstream.suspectedColdUntil = now;
+    }
+    if (hasChanged || former.warmUpRevision != entry.warmUpRevision) {
+        upstream.coldUntil = now + entry.remainingWarmUp;
     }
     const auto isBack =
         isKnown ? former.isMissing && !entry.isMissing : this->goneUpstreams.erase(entry.id) > 0;
     if (isBack) {
-        upstream.suspectedColdUntil = now + suspicionTime;
+        upstream.coldUntil = std::max(upstream.coldUntil, now + suspicionTime);
     }
     this->updateWarmUp(upstream, now);
 }
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -207,8 +207,8 @@
         /// was none since the last answer. The upstream gets one request at a time until then.
         Address suspectedBy;
         Instant warmUpEnd{};
-        /// It may have become cold, and counts as cold until then.
-        Instant suspectedColdUntil{};
+        /// Until when it counts as cold, as its entry states or because it may have become cold.
+        Instant coldUntil{};
         /// The last attempts didn't reach it.
         bool isUnreached = false;
         int inFlight = 0;
--- a/src/dispatch/tests/coldupstream_tests.cpp
+++ b/src/dispatch/tests/coldupstream_tests.cpp
@@ -289,6 +289,12 @@
     loaded.run(seconds{3});
     CHECK(static_cast<double>(loaded.sentCount()) >= 0.8 * warmPerSecond * 3);
     CHECK_FALSE(loaded.status().isCold);
+    THEN("an entry that states the same warm-up anew doesn't prolong it")
+    {
+        loaded.publishCold(seconds{3});
+        loaded.run(milliseconds{100});
+        CHECK(loaded.status().expectedLatency < milliseconds{60});
+    }
     THEN("a rate that is set during the warm-up applies at once")
     {
         loaded.publishCold(seconds{3});
