--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -232,9 +232,14 @@
                 .with("malformed", static_cast<std::int64_t>(configuration->malformedRoutes))
                 .with("revision", static_cast<std::int64_t>(revision.value))
                 .text());
+        for (const auto &field : configuration->malformedServiceFields) {
+            this->logger.write(LogLevel::Warning,
+                               LogLine("configuration_field_ignored").with("field", field).text());
+        }
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
         this->roles.setConfiguration(this->routes->configuration());
+        this->direct.setServices(this->routes->configuration().services);
         this->grantorWatch.setServices(this->routes->configuration().services);
         return true;
     }
@@ -445,6 +450,7 @@
         metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
         metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
+        metrics.coldUpstreams = this->roles.coldUpstreamCount();
         metrics.leavingUpstreams = this->statements.leavingCount();
         metrics.pausedUpstreams = this->statements.pausedCount();
         metrics.heldByLeaving = this->flow.heldByLeavingCount();
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -25,6 +25,7 @@
          {"moved_keys_total", metrics.movedKeys},
          {"configuration_fetches_total", metrics.configurationFetches},
          {"limited_upstreams", metrics.limitedUpstreams},
+         {"cold_upstreams", metrics.coldUpstreams},
          {"store_era", metrics.storeEra},
          {"leaving_upstreams", metrics.leavingUpstreams},
          {"paused_upstreams", metrics.pausedUpstreams},
