--- a/src/dispatch/tests/coldupstream_tests.cpp
+++ b/src/dispatch/tests/coldupstream_tests.cpp
@@ -55,6 +55,18 @@
         this->entry.warmUpRevision = ++this->revision;
         this->publish();
     }
+    auto publishEvacuated() -> void
+    {
+        this->entry.isEvacuated = true;
+        this->entry.evacuatedAt = this->now;
+        this->publish();
+    }
+    auto publishTakenBack() -> void
+    {
+        this->entry.isEvacuated = false;
+        this->entry.evacuationEndedAt = this->now;
+        this->publish();
+    }
     auto suspectCold() -> void { this->broker.suspectCold(upstream, this->now); }
     auto setWarmUpRate(double rate) -> void { this->broker.setWarmUpRate(rate, this->now); }
 
@@ -345,14 +357,10 @@
 {
     LoadedBroker loaded;
     loaded.run(seconds{1});
-    loaded.entry.isEvacuated = true;
-    loaded.entry.evacuatedAt = loaded.now;
-    loaded.publish();
+    loaded.publishEvacuated();
     loaded.run(seconds{2});
     loaded.forgetSends();
-    loaded.entry.isEvacuated = false;
-    loaded.entry.evacuationEndedAt = loaded.now;
-    loaded.publish();
+    loaded.publishTakenBack();
     CHECK(loaded.status().isCold);
     loaded.run(milliseconds{1900});
     CHECK(loaded.mostInSecond() <= warmUpPerSecond + 1);
