--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -128,6 +128,8 @@
     int waiting = 0;
     /// Requests that it can run at once.
     int slots = 0;
+    /// How many times as long as usual work takes there at the moment; empty where not reported.
+    std::optional<double> slowdown = std::nullopt;
     auto operator==(const ReportedLoad &) const -> bool = default;
 };
 
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -21,6 +21,8 @@
 /// About 30 years.
 constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000;
 constexpr std::int32_t maxCount = 1'000'000;
+/// Larger factors are implausible and count as unknown.
+constexpr double maxSlowdown = 10'000;
 
 auto writeId(permitwire::PermitId::Builder builder, const PermitId &id) -> void
 {
@@ -45,6 +47,13 @@
     return std::clamp(number, 0, maxCount);
 }
 
+/// @returns the factor; nothing where it is unknown, as in messages of builds without the field
+auto slowdownOf(double factor) -> std::optional<double>
+{
+    // Also refuses NaN.
+    return factor > 0 && factor <= maxSlowdown ? std::optional(factor) : std::nullopt;
+}
+
 auto textOf(capnp::Text::Reader text) -> std::string
 {
     return {text.begin(), text.size()};
@@ -103,6 +112,7 @@
     out.setRunning(load.running);
     out.setWaiting(load.waiting);
     out.setSlots(load.slots);
+    out.setSlowdown(load.slowdown.value_or(0));
     out.setHasLimit(report.requestLimit.has_value());
     out.setLimitPerSecond(report.requestLimit.value_or(RequestLimit{}).perSecond);
     out.setLeaving(report.isLeaving);
@@ -193,7 +203,7 @@
     report.latency = durationOf(in.getLatency());
     if (in.getHasLoad()) {
         report.load = ReportedLoad{countOf(in.getRunning()), countOf(in.getWaiting()),
-                                   countOf(in.getSlots())};
+                                   countOf(in.getSlots()), slowdownOf(in.getSlowdown())};
     }
     // Also refuses NaN.
     if (in.getHasLimit() && in.getLimitPerSecond() >= 0) {
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -55,6 +55,8 @@
   hasPause @12 :Bool;
   pause @13 :Int64;
   forwarder @14 :Text;
+  # How many times as long as usual work takes at the upstream; 0: unknown.
+  slowdown @15 :Float64;
 }
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a35b5886d75dce60, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -608,6 +608,8 @@
   inline bool hasForwarder() const;
   inline  ::capnp::Text::Reader getForwarder() const;
 
+  inline double getSlowdown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -697,6 +699,9 @@
   inline void adoptForwarder(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownForwarder();
 
+  inline double getSlowdown();
+  inline void setSlowdown(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2002,6 +2007,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline double Report::Reader::getSlowdown() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double Report::Builder::getSlowdown() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setSlowdown(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Cancel::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -1,6 +1,12 @@
 #include "permitlink/permitcodec.h"
+#include "permitlink/schema/permit.capnp.h"
 
+#include <algorithm>
+#include <array>
+#include <capnp/any.h>
+#include <capnp/serialize-packed.h>
 #include <catch2/catch.hpp>
+#include <kj/io.h>
 #include <limits>
 #include <rapidcheck/catch.h>
 
@@ -17,8 +23,75 @@
     return decodePermitMessage(encodePermitMessage(message), from, to);
 }
 
+/// @returns the data of a report, without the word that holds the slowdown, and its texts
+auto knownDataOf(const PermitReport &report) -> std::vector<std::string>
+{
+    const auto bytes = encodePermitMessage(report);
+    kj::ArrayInputStream stream(
+        kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+    capnp::PackedMessageReader reader(stream);
+    const auto in = reader.getRoot<permitwire::Message>().getReport();
+    // Size of the struct's data before the field was added.
+    constexpr std::size_t knownBytes = 5 * sizeof(std::uint64_t);
+    const auto data = capnp::AnyStruct::Reader(in).getDataSection();
+    std::vector<std::string> known{
+        std::string(data.begin(), data.begin() + std::min(knownBytes, data.size()))};
+    for (const auto text : {in.getService(), in.getUpstream(), in.getForwarder()}) {
+        known.emplace_back(text.begin(), text.size());
+    }
+    return known;
+}
+
 } // namespace
 
+// Guards against fields at other positions, by which daemons of different builds misread each
+// other.
+SCENARIO("PermitCodec: given builds with and without the slowdown, each reads the other's reports",
+         "[permitlink][mixedversions]")
+{
+    PermitReport report;
+    report.id = PermitId{sender, 5, 6};
+    report.service = ServiceName{"fitment"};
+    report.upstream = UpstreamId{"a"};
+    report.end = AttemptEnd::Answered;
+    report.latency = std::chrono::milliseconds{80};
+    report.load = ReportedLoad{3, 1, 3};
+    report.pause = std::chrono::milliseconds{700};
+    GIVEN("a report that a build without the field has encoded")
+    {
+        // Encoded by `capnp encode --packed` with the schema before the field was added.
+        constexpr std::array<std::uint8_t, 51> bytes{
+            0x10, 0x10, 0x50, 0x01, 0x01, 0x01, 0x02, 0x50, 0x05, 0x04, 0x12, 0x09, 0x03,
+            0x07, 0x80, 0x38, 0x01, 0x11, 0x01, 0x03, 0x00, 0x00, 0x07, 0x60, 0xae, 0x0a,
+            0x11, 0x0c, 0x02, 0x11, 0x11, 0x42, 0x11, 0x11, 0x12, 0x00, 0x00, 0x01, 0x05,
+            0x01, 0x06, 0x7f, 0x66, 0x69, 0x74, 0x6d, 0x65, 0x6e, 0x74, 0x01, 0x61};
+        const std::string text(bytes.begin(), bytes.end());
+        THEN("its other fields are read, and the slowdown is unknown")
+        {
+            CHECK(decodePermitMessage(text, sender, self) == PermitMessage{report});
+        }
+    }
+    GIVEN("reports with the field")
+    {
+        THEN("a build without it finds the fields that it knows unchanged")
+        {
+            const auto before = knownDataOf(report);
+            report.load->slowdown = 2.5;
+            CHECK(knownDataOf(report) == before);
+        }
+    }
+    THEN("factors that no upstream can have are unknown")
+    {
+        for (const auto factor : {0.0, -1.0, std::numeric_limits<double>::quiet_NaN(),
+                                  std::numeric_limits<double>::infinity(), 1e9}) {
+            report.load->slowdown = factor;
+            const auto read = std::get<PermitReport>(
+                *decodePermitMessage(encodePermitMessage(report), sender, self));
+            CHECK(read.load == ReportedLoad{3, 1, 3});
+        }
+    }
+}
+
 SCENARIO("PermitCodec: given any kind of message, decoding the encoded message restores it",
          "[permitlink]")
 {
@@ -66,6 +139,9 @@
     report.requestLimit = RequestLimit{};
     CHECK(roundTrip(report, sender, self) == PermitMessage{report});
 
+    report.load = ReportedLoad{3, 1, 3, 2.5};
+    CHECK(roundTrip(report, sender, self) == PermitMessage{report});
+
     CHECK(roundTrip(DaemonHello{}, sender, self) == PermitMessage{DaemonHello{}});
     const PermitCancel cancel{PermitId{sender, 5, 6}, ServiceName{"fitment"}};
     CHECK(roundTrip(cancel, sender, self) == PermitMessage{cancel});
