dispatch: choose upstreams by utilisation as well as by latency

Cause: the grantor chose by measured latency, on which the load had an influence of a tenth only.

Change: LoadEstimate estimates the requests at an upstream from the last report, its age and the broker's own requests, and the momentary slowdown, which counts for 300 ms. SlotBroker::costOf weights the expected time to the response with exp(3 x utilisation).

--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -37,8 +37,7 @@
     if (!upstream.suspectedBy.empty() && upstream.trials > 0) {
         return false;
     }
-    const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
-    return upstream.inFlight + otherRequests
+    return upstream.inFlight + upstream.load.recentOthers(now)
            < upstream.slotReduction.slotsOf(upstream.entry.slots, now);
 }
 
@@ -76,8 +75,10 @@
         || now - lastUse->second.grantedAt > this->settings.connectionKeepAlive) {
         cost += static_cast<double>(this->settings.connectionPenalty.count());
     }
-    // Upstreams slow down as they fill.
-    cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
+    // All requests without a key pass through this grantor, so none of others are usual.
+    const auto requests = upstream.load.requests(upstream.inFlight, 0, now) + 1;
+    cost = weightedResponseTime(cost, upstream.load.slowdown(now),
+                                requests / std::max(1, upstream.entry.slots));
     cost *= upstream.entry.isMissing ? 100 : 1;
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -11,8 +11,6 @@
 
 /// Weight of one answer in the moving average of the service's latency.
 constexpr double meanLatencyWeight = 0.02;
-/// Time for which the load in an answer counts.
-constexpr Duration otherRequestsValidity = milliseconds{200};
 /// An upstream that has answered another daemon within this time isn't lost because one daemon
 /// can't connect.
 constexpr Duration answerRelevance = milliseconds{500};
@@ -41,9 +39,7 @@
     }
     upstream.noReportSince = now;
     if (report.load) {
-        const auto others = report.load->running + report.load->waiting - upstream.inFlight;
-        upstream.otherRequests = std::max(0, others);
-        upstream.otherRequestsValidUntil = now + otherRequestsValidity;
+        upstream.load.onReported(*report.load, upstream.inFlight, now);
     }
     if (report.requestLimit) {
         upstream.limiter.onStated(*report.requestLimit, permit.grantedAt, now);
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/entrypaths.h"
+#include "dispatch/loadestimate.h"
 #include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
@@ -207,9 +208,7 @@
         int trials = 0;
         /// Of the daemons, by address, that have sent requests to this upstream.
         std::unordered_map<Address, UpstreamUse> lastUse;
-        /// Requests at the upstream beyond this broker's permits, by the load in its last answer.
-        int otherRequests = 0;
-        Instant otherRequestsValidUntil{};
+        LoadEstimate load;
         /// Requests for its keys that could still meet their target when they arrived.
         ArrivalRate onTimeArrivals;
         ArrivalRate grants;
@@ -393,7 +392,8 @@
     /// @returns the time until an upstream's request limit allows a request behind `ahead` others
     [[nodiscard]] auto limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
                                    std::size_t ahead, Instant now) const -> Duration;
-    /// @returns the expected latency in microseconds plus penalties; lower is better
+    /// @returns the expected time to the response in microseconds, weighted with the upstream's
+    /// utilisation and with penalties; lower is better
     [[nodiscard]] auto costOf(const Upstream &upstream, const PermitRequest &request,
                               Instant now) const -> double;
     [[nodiscard]] auto forecast(const WaitingRequest &waiting, Instant now) -> Forecast;
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -37,9 +37,12 @@
     , results(this->classes.size())
     , sentRequests(this->speeds.size(), 0)
     , running(this->speeds.size(), 0)
+    , busyTimes(this->speeds.size(), Duration{0})
+    , busyUntil(this->speeds.size())
     , isSharded(isSharded)
     , seed(seed)
 {
+    this->resetCounts();
     this->setUpBroker();
     for (std::size_t classIndex = 0; classIndex < this->classes.size(); ++classIndex) {
         this->scheduleArrival(classIndex);
@@ -194,12 +197,32 @@
     for (auto &vm : this->vms) {
         vm.firstTries = FirstTries{};
     }
+    std::fill(this->busyTimes.begin(), this->busyTimes.end(), Duration{0});
+    std::fill(this->busyUntil.begin(), this->busyUntil.end(), this->now);
+    this->countedSince = this->now;
     this->worstForwarded = 0;
     this->lostPathSends = 0;
     this->forwards = 0;
     this->abroadForwards = 0;
 }
 
+auto BrokerSimulation::addBusyTime(std::size_t upstream) -> void
+{
+    this->busyTimes[upstream] += this->running[upstream] * (this->now - this->busyUntil[upstream]);
+    this->busyUntil[upstream] = this->now;
+}
+
+auto BrokerSimulation::utilisations() -> std::vector<double>
+{
+    std::vector<double> result;
+    for (std::size_t upstream = 0; upstream < this->speeds.size(); ++upstream) {
+        this->addBusyTime(upstream);
+        result.push_back(static_cast<double>(this->busyTimes[upstream].count()) / slots
+                         / static_cast<double>((this->now - this->countedSince).count()));
+    }
+    return result;
+}
+
 auto BrokerSimulation::run(Duration time) -> void
 {
     const auto end = this->now + time;
@@ -280,6 +303,7 @@
     this->results[caller.classIndex].grantedWait += this->now - this->askedAt.at(request);
     ++this->sentRequests[index];
     this->onSent(index);
+    this->addBusyTime(index);
     ++this->running[index];
     this->worstOvercommit = std::max(this->worstOvercommit, this->running[index] - slots);
     auto &vm = this->vms[caller.vm];
@@ -396,9 +420,14 @@
     const auto attemptEnd = isCutShort ? AttemptEnd::NoAnswer : event.end;
     const auto caller = this->callers.at(event.request);
     const auto &requestClass = this->classes[caller.classIndex];
+    PermitReport report;
+    if (this->areLoadsReported && attemptEnd == AttemptEnd::Answered) {
+        report.load = ReportedLoad{this->running[event.upstream], 0, slots,
+                                   std::max(1.0, this->slowdowns[event.upstream])};
+    }
+    this->addBusyTime(event.upstream);
     --this->running[event.upstream];
     auto &vm = this->vms[caller.vm];
-    PermitReport report;
     report.id = PermitId{vm.address, 1, event.request};
     report.service = service;
     report.upstream = upstreamId(event.upstream);
@@ -418,6 +447,7 @@
         }
         report.requestLimit = this->limits[event.upstream];
         auto &result = this->results[caller.classIndex];
+        result.responseTime += this->now - caller.arrivedAt;
         const auto isInTarget = this->now <= caller.arrivedAt + requestClass.target;
         result.inTarget += isInTarget ? 1 : 0;
         result.late += isInTarget ? 0 : 1;
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -58,6 +58,8 @@
     Duration refusedWait{0};
     /// Sum of the times from request to grant.
     Duration grantedWait{0};
+    /// Sum of the times from request to answer.
+    Duration responseTime{0};
     [[nodiscard]] auto served() const -> int { return this->inTarget + this->late; }
 };
 
@@ -89,6 +91,8 @@
     auto setRate(std::size_t index, double perSecond) -> void;
     /// Makes the upstream's work take this many times as long; with 0 it never answers.
     auto setSlowdown(std::size_t upstream, double factor) -> void;
+    /// Makes all upstreams report their loads, with their momentary slowdowns.
+    auto reportLoads() -> void { this->areLoadsReported = true; }
     /// Makes the upstream refuse all connections.
     auto stopUpstream(std::size_t upstream) -> void { this->stopped.insert(upstream); }
     /// Makes the upstream name this limit in its answers.
@@ -138,6 +142,9 @@
         return this->sentRequests.at(upstream);
     }
 
+    /// @returns the requests that ran at each upstream per slot, a mean since the last reset
+    [[nodiscard]] auto utilisations() -> std::vector<double>;
+
 private:
     struct Caller
     {
@@ -190,6 +197,8 @@
     [[nodiscard]] auto vmAt(const Address &address) const -> std::size_t;
     auto setUpBroker() -> void;
     auto onSent(std::size_t upstream) -> void;
+    /// Adds the time since the last call that the upstream's requests have run.
+    auto addBusyTime(std::size_t upstream) -> void;
     auto scheduleArrival(std::size_t classIndex) -> void;
 
     std::mt19937_64 random;
@@ -204,6 +213,11 @@
     std::vector<ClassCounts> results;
     std::vector<int> sentRequests;
     std::vector<int> running;
+    /// Sums over the requests at each upstream, up to `busyUntil`.
+    std::vector<Duration> busyTimes;
+    std::vector<Instant> busyUntil;
+    Instant countedSince;
+    bool areLoadsReported = false;
     bool isSharded;
     std::uint64_t seed;
     std::unique_ptr<SlotBroker> broker;
