entry: take the better of two drawn upstreams without a grantor

Cause: DirectChoice compared its own requests per slot and knew neither the upstreams' loads nor their speeds. Each upstream got the same share, so slow ones were overloaded: with speeds of 0.5 to 1.6 at 60 % the busiest had 1.51 times the mean utilisation, and requests took 228 ms.

Change: DirectLoads learns from the daemon's own answers. Upstreams are drawn in proportion to slots and measured speed, and the one of two with the lower estimate is chosen. All upstreams are compared only where the draws find no two without a flaw; there, avoided, leaving and missing upstreams have ranks, as the weight of the utilisation may exceed any penalty. Entries that vanish are forgotten.

--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
+#include "entry/directloads.h"
 #include "entry/requestlimitshare.h"
 #include "entry/upstreamstatements.h"
 
@@ -52,6 +53,11 @@
     auto onLimitStated(const UpstreamId &upstream, RequestLimit limit, Instant sentAt, Instant now)
         -> void;
     auto onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void;
+    /// Takes in what an answer tells about the upstream's load and speed; called after onEnd().
+    /// @param load as the answer reports it; empty where it reports none
+    /// @param latency from sending the request to its answer
+    auto onAnswered(const ServiceName &service, const UpstreamId &upstream,
+                    const std::optional<ReportedLoad> &load, Duration latency, Instant now) -> void;
 
     /// @param request names the service, the key and the upstreams to avoid
     /// @returns a granted verdict, or a refusal where each upstream that may run the request wants
@@ -61,9 +67,20 @@
 
 private:
     using Verdict = std::optional<PermitVerdict>;
+    /// An upstream that may be chosen, and its cost; without an entry where there is none.
+    struct Candidate
+    {
+        const UpstreamEntry *entry = nullptr;
+        double cost = 0;
+    };
 
     [[nodiscard]] auto chooseOwner(const PermitRequest &request, Instant now) -> Verdict;
     [[nodiscard]] auto chooseAny(const PermitRequest &request, Instant now) -> Verdict;
+    /// @returns the better of two upstreams that are drawn at random; without an entry where the
+    /// draws find no two that may be chosen without a penalty
+    [[nodiscard]] auto drawBetterOfTwo(const PermitRequest &request,
+                                       const std::vector<UpstreamEntry> &entries, Instant now)
+        -> Candidate;
     /// Number of daemons while no grantor has told it.
     static constexpr std::size_t assumedDaemonCount = 30;
 
@@ -77,7 +94,7 @@
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
     /// By the first key of the range; a newer range replaces those that it overlaps.
     std::map<ServiceName, std::map<KeyPosition, DirectOwner>> owners;
-    std::map<UpstreamId, int> inFlight;
+    DirectLoads loads;
     std::map<UpstreamId, Instant> avoidedUntil;
     std::size_t daemonCount = assumedDaemonCount;
     Instant daemonCountAt{};
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -3,6 +3,8 @@
 #include "common/hash.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace gooseberrywall {
 
@@ -13,9 +15,12 @@
 constexpr Duration avoidDuration = std::chrono::milliseconds{500};
 /// A larger number of daemons counts for this long.
 constexpr Duration daemonCountMemory = std::chrono::seconds{30};
-/// Costs of upstreams that are chosen only where there are no others, in requests per slot.
-constexpr double avoidedPenalty = 100;
-constexpr double leavingPenalty = 10'000;
+/// Ranks of upstreams that are chosen only where there are none of a lower rank.
+constexpr int avoidedRank = 1;
+constexpr int leavingRank = 2;
+/// Draws after which all upstreams are compared: each draw finds a usable one with a probability of
+/// about a third where most are usable.
+constexpr int maxDraws = 32;
 
 auto isAvoided(const PermitRequest &request, const UpstreamId &id) -> bool
 {
@@ -54,9 +59,12 @@
 auto DirectChoice::setUpstreams(const std::vector<UpstreamEntry> &entries) -> void
 {
     this->services.clear();
+    std::set<UpstreamId> listed;
     for (const auto &entry : entries) {
         this->services[entry.service].push_back(entry);
+        listed.insert(entry.id);
     }
+    this->loads.retain(listed);
 }
 
 auto DirectChoice::onGranted(const ServiceName &service, const PermitVerdict &verdict) -> void
@@ -91,7 +99,7 @@
 
 auto DirectChoice::onSent(const UpstreamId &upstream, Instant now) -> void
 {
-    ++this->inFlight[upstream];
+    this->loads.onSent(upstream);
     if (const auto share = this->limitShares.find(upstream); share != this->limitShares.end()) {
         share->second.onSent(now);
     }
@@ -113,13 +121,19 @@
 
 auto DirectChoice::onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void
 {
-    auto &count = this->inFlight[upstream];
-    count = std::max(0, count - 1);
+    this->loads.onEnd(upstream);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NoAnswer || end == AttemptEnd::NotRun) {
         this->avoidedUntil[upstream] = now + avoidDuration;
     }
 }
 
+auto DirectChoice::onAnswered(const ServiceName &service, const UpstreamId &upstream,
+                              const std::optional<ReportedLoad> &load, Duration latency,
+                              Instant now) -> void
+{
+    this->loads.onAnswered(service, upstream, load, latency, now);
+}
+
 auto DirectChoice::choose(const PermitRequest &request, Instant now) -> Verdict
 {
     if (!this->isTrusted) {
@@ -168,8 +182,12 @@
     if (known == this->services.end()) {
         return std::nullopt;
     }
+    const auto drawn = this->drawBetterOfTwo(request, known->second, now);
+    if (drawn.entry != nullptr) {
+        return granted(drawn.entry->id, drawn.entry->incarnation, drawn.entry->address);
+    }
     const UpstreamEntry *best = nullptr;
-    double bestCost = 0;
+    std::pair<int, double> bestCost;
     auto areAllPaused = true;
     std::optional<Duration> shortestPause;
     std::uniform_real_distribution<double> tieBreak(0, 1);
@@ -186,12 +204,10 @@
         if ((hold && !hold->allowsLastResort) || !this->limitAllows(entry.id, now)) {
             continue;
         }
-        const auto found = this->inFlight.find(entry.id);
-        const auto count = found == this->inFlight.end() ? 0 : found->second;
-        const auto penalty = (this->isUsable(entry.id, now) ? 0 : avoidedPenalty)
-                             + (hold || entry.isMissing ? leavingPenalty : 0);
-        const auto cost = static_cast<double>(count) / std::max(1, entry.slots) + penalty
-                          + tieBreak(this->random);
+        const std::pair cost{(this->isUsable(entry.id, now) ? 0 : avoidedRank)
+                                 + (hold || entry.isMissing ? leavingRank : 0),
+                             this->loads.cost(entry.service, entry.id, entry.slots, now)
+                                 * (1 + tieBreak(this->random))};
         if (best == nullptr || cost < bestCost) {
             best = &entry;
             bestCost = cost;
@@ -203,6 +219,36 @@
     return areAllPaused && shortestPause ? refusedForPause(*shortestPause) : std::nullopt;
 }
 
+auto DirectChoice::drawBetterOfTwo(const PermitRequest &request,
+                                   const std::vector<UpstreamEntry> &entries, Instant now)
+    -> Candidate
+{
+    if (entries.size() < 2) {
+        return {};
+    }
+    Candidate better;
+    const UpstreamEntry *first = nullptr;
+    std::uniform_int_distribution<std::size_t> position(0, entries.size() - 1);
+    std::uniform_real_distribution<double> share(0, 1);
+    for (auto draw = 0; draw < maxDraws; ++draw) {
+        const auto &entry = entries[position(this->random)];
+        if (&entry == first || entry.isDraining || entry.isMissing
+            || share(this->random) >= this->loads.drawWeight(entry.service, entry.id, entry.slots)
+            || isAvoided(request, entry.id) || !this->isUsable(entry.id, now)
+            || !this->limitAllows(entry.id, now)
+            || this->statements.holdOf(entry.id, entry.incarnation, now)) {
+            continue;
+        }
+        const auto cost = this->loads.cost(entry.service, entry.id, entry.slots, now);
+        if (first != nullptr) {
+            return cost < better.cost ? Candidate{&entry, cost} : better;
+        }
+        first = &entry;
+        better = Candidate{&entry, cost};
+    }
+    return {};
+}
+
 auto DirectChoice::isUsable(const UpstreamId &id, Instant now) const -> bool
 {
     const auto found = this->avoidedUntil.find(id);
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -283,6 +283,10 @@
 {
     flow.isSent = false;
     this->noteWay(flow, end.end, now);
+    if (end.end == AttemptEnd::Answered) {
+        this->direct.onAnswered(flow.request.service, flow.upstream, end.load, now - flow.sentAt,
+                                now);
+    }
     if (end.requestLimit) {
         this->direct.onLimitStated(flow.upstream, *end.requestLimit, flow.sentAt, now);
     }
--- a/src/entry/tests/requestflowwithoutgrantor_tests.cpp
+++ b/src/entry/tests/requestflowwithoutgrantor_tests.cpp
@@ -153,3 +153,38 @@
         }
     }
 }
+
+// Guards against reports that the flow doesn't pass on to the choice without a grantor.
+SCENARIO("RequestFlow learns the loads of upstreams for the time without a grantor",
+         "[entry][even]")
+{
+    GIVEN("two upstreams, one of which has reported a load and a slowdown in an answer")
+    {
+        RequestFlowFixture fixture;
+        std::vector<UpstreamEntry> entries;
+        for (const auto *id : {"u", "v"}) {
+            UpstreamEntry entry;
+            entry.id = UpstreamId{id};
+            entry.service = service;
+            entry.address = Address{"10.1.0.1:80"};
+            entry.slots = 3;
+            entries.push_back(entry);
+        }
+        fixture.direct.setUpstreams(entries);
+        fixture.begin(false);
+        fixture.grant("u");
+        FlowAttemptEnd end;
+        end.exchange = ExchangeId{1};
+        end.end = AttemptEnd::Answered;
+        end.load = ReportedLoad{3, 2, 3, 3.0};
+        fixture.end(end);
+        THEN("the other one is chosen")
+        {
+            PermitRequest request;
+            request.service = service;
+            for (auto count = 0; count < 20; ++count) {
+                CHECK(fixture.direct.choose(request, fixture.now)->upstream.value == "v");
+            }
+        }
+    }
+}
