edge: show how even the load of the granted services is

Cause: an operator couldn't see that upstreams are overloaded while others idle.

Change: SlotBroker keeps the mean utilisation of each upstream over about 10 s; the metric granted_busiest_upstream_percent is the busiest one in percent of the mean of its service. It is 0 below a mean of 10 %, where single requests determine it.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -311,7 +311,7 @@
     if (upstream.inFlight == upstream.stranded) {
         upstream.noReportSince = now;
     }
-    ++upstream.inFlight;
+    upstream.usage.onChange(++upstream.inFlight, now);
     const auto isTrial = !upstream.suspectedBy.empty();
     upstream.trials += isTrial ? 1 : 0;
     upstream.grants.record(now);
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -19,6 +19,8 @@
 constexpr double warmUpLatencyFactor = 2.0;
 /// Lower bound of latencies where rates are reckoned from them.
 constexpr double minLatencySeconds = 0.001;
+/// With a lower mean utilisation, single requests determine which upstream is the busiest.
+constexpr double minComparedUtilisation = 0.1;
 /// How often the capacity of all upstreams is calculated; it changes little in this time.
 constexpr Duration capacityInterval = std::chrono::milliseconds{10};
 
@@ -85,6 +87,24 @@
     return isAvoided ? cost * 100 : cost;
 }
 
+auto SlotBroker::busiestShare(Instant now) const -> std::optional<double>
+{
+    auto busiest = 0.0;
+    auto sum = 0.0;
+    auto count = 0;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.entry.isDraining || upstream.entry.isMissing) {
+            continue;
+        }
+        const auto utilisation = upstream.usage.mean(now) / std::max(1, upstream.entry.slots);
+        busiest = std::max(busiest, utilisation);
+        sum += utilisation;
+        ++count;
+    }
+    return count > 0 && sum / count >= minComparedUtilisation ? std::optional(busiest * count / sum)
+                                                              : std::nullopt;
+}
+
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
 {
     const auto *owner = this->ownerOf(waiting.request);
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -282,6 +282,7 @@
     upstream->pauses.onReturned(id.entry, permit.grantedAt);
     upstream->pauses.onReturned(forwarder, permit.grantedAt);
     upstream->inFlight = std::max(0, upstream->inFlight - 1);
+    upstream->usage.onChange(upstream->inFlight, now);
     upstream->stranded -= permit.isStranded ? 1 : 0;
     upstream->trials -= permit.isTrial ? 1 : 0;
     if (upstream->inFlight == upstream->stranded) {
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -12,6 +12,7 @@
 #include "dispatch/upstreamanswers.h"
 #include "dispatch/upstreamhealth.h"
 #include "dispatch/upstreampauses.h"
+#include "dispatch/utilisationaverage.h"
 #include "dispatch/waitingqueue.h"
 
 #include <cstddef>
@@ -173,6 +174,9 @@
     /// @returns the number of requests per key since the last call
     [[nodiscard]] auto takeKeyCounts() -> std::map<KeyPosition, std::uint32_t>;
     [[nodiscard]] auto upstreamStatuses(Instant now) const -> std::vector<UpstreamStatus>;
+    /// @returns the utilisation of the busiest upstream in relation to the mean of all, over about
+    /// the last 10 s; empty where there is too little load to tell
+    [[nodiscard]] auto busiestShare(Instant now) const -> std::optional<double>;
     /// @returns how many upstreams want no requests from some entry daemon
     [[nodiscard]] auto pausedUpstreamCount(Instant now) const -> std::size_t;
     /// @returns the number of daemons that have stated that they are isolated
@@ -209,6 +213,7 @@
         /// Of the daemons, by address, that have sent requests to this upstream.
         std::unordered_map<Address, UpstreamUse> lastUse;
         LoadEstimate load;
+        UtilisationAverage usage;
         /// Requests for its keys that could still meet their target when they arrived.
         ArrivalRate onTimeArrivals;
         ArrivalRate grants;
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -145,6 +145,11 @@
 
     /// @returns the requests that ran at each upstream per slot, a mean since the last reset
     [[nodiscard]] auto utilisations() -> std::vector<double>;
+    /// @returns what the broker states about the evenness of the load
+    [[nodiscard]] auto statedBusiestShare() const -> std::optional<double>
+    {
+        return this->broker->busiestShare(this->now);
+    }
     /// @returns the sum of the times from request to answer, and the number of answers, of the
     /// first class
     [[nodiscard]] auto answerTimes() const -> std::pair<Duration, int>
--- a/src/dispatch/tests/evenload_tests.cpp
+++ b/src/dispatch/tests/evenload_tests.cpp
@@ -83,3 +83,40 @@
     UNSCOPED_INFO("a fifth slow, requests for " << utilisation << ": " << evenness);
     CHECK(evenness.busiest <= evenGoal);
 }
+
+// Guards against a metric that shows even load where it isn't, or that single requests determine.
+SCENARIO("SlotBroker states how even the load is", "[dispatch][even]")
+{
+    const std::vector<double> speeds(upstreamCount, 1.0);
+    GIVEN("even load")
+    {
+        BrokerSimulation simulation(23, speeds, {RequestClass{rateFor(speeds, 0.5)}});
+        simulation.run(seconds{40});
+        THEN("the stated share is near to one")
+        {
+            REQUIRE(simulation.statedBusiestShare().has_value());
+            CHECK(*simulation.statedBusiestShare() >= 1);
+            CHECK(*simulation.statedBusiestShare() < evenGoal);
+        }
+    }
+    GIVEN("keys of equal shares, and an owner that is slow by a factor of 3")
+    {
+        BrokerSimulation simulation(23, speeds, {RequestClass{rateFor(speeds, 0.25)}}, true);
+        simulation.setSlowdown(0, 3);
+        simulation.run(seconds{40});
+        THEN("the stated share shows its load")
+        {
+            REQUIRE(simulation.statedBusiestShare().has_value());
+            CHECK(*simulation.statedBusiestShare() > 2);
+        }
+    }
+    GIVEN("little load")
+    {
+        BrokerSimulation simulation(23, speeds, {RequestClass{rateFor(speeds, 0.01)}});
+        simulation.run(seconds{40});
+        THEN("none is stated")
+        {
+            CHECK_FALSE(simulation.statedBusiestShare().has_value());
+        }
+    }
+}
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -422,6 +422,7 @@
         metrics.heldByPause = this->flow.heldByPauseCount();
         metrics.grantedLeavingUpstreams = this->roles.leavingUpstreamCount();
         metrics.grantedPausedUpstreams = this->roles.pausedUpstreamCount();
+        metrics.grantedBusiestPercent = this->roles.busiestSharePercent();
         metrics.storeEra = this->store.currentEra();
         metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
         metrics.forwardedRequests = this->flow.forwardedCount();
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -148,6 +148,9 @@
     }
     /// @returns how many upstreams want no requests from some entry daemon for a time
     [[nodiscard]] auto pausedUpstreamCount() const -> std::uint64_t;
+    /// @returns the utilisation of the busiest upstream in relation to the mean, in percent; zero
+    /// where there is too little load to tell, or this daemon isn't grantor
+    [[nodiscard]] auto busiestSharePercent() const -> std::uint64_t;
     /// @returns the time after which this grantor needs a list of all upstreams; nothing where it
     /// has one, or needs none
     [[nodiscard]] auto listingDue() const -> std::optional<Instant>;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -68,6 +68,9 @@
     [[nodiscard]] auto leavingUpstreamCount() const -> std::uint64_t;
     /// @returns how many upstreams want no requests from some entry daemon for a time
     [[nodiscard]] auto pausedUpstreamCount() const -> std::uint64_t;
+    /// @returns the utilisation of the busiest upstream in relation to the mean of its service, in
+    /// percent, of the granted service where this is the highest; zero where there is little load
+    [[nodiscard]] auto busiestSharePercent() const -> std::uint64_t;
     [[nodiscard]] auto settings() const -> const GrantorRoleSettings &
     {
         return this->roleSettings;
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -268,6 +268,15 @@
     return count;
 }
 
+auto GrantorRoles::busiestSharePercent() const -> std::uint64_t
+{
+    std::uint64_t highest = 0;
+    for (const auto &[name, role] : this->roles) {
+        highest = std::max(highest, role->busiestSharePercent());
+    }
+    return highest;
+}
+
 auto GrantorRoles::movedKeys() const -> std::uint64_t
 {
     std::uint64_t moved = 0;
--- a/src/edge/internal/grantorstatements.cpp
+++ b/src/edge/internal/grantorstatements.cpp
@@ -2,6 +2,7 @@
 #include "edge/grantorrole.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gooseberrywall {
@@ -69,4 +70,11 @@
     return this->serving ? this->broker->pausedUpstreamCount(this->now()) : 0;
 }
 
+auto GrantorRole::busiestSharePercent() const -> std::uint64_t
+{
+    constexpr double percent = 100;
+    const auto share = this->serving ? this->broker->busiestShare(this->now()) : std::nullopt;
+    return static_cast<std::uint64_t>(std::llround(percent * share.value_or(0)));
+}
+
 } // namespace gooseberrywall
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 23> rows{
+    const std::array<std::pair<const char *, std::uint64_t>, 24> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -30,6 +30,7 @@
          {"paused_upstreams", metrics.pausedUpstreams},
          {"granted_leaving_upstreams", metrics.grantedLeavingUpstreams},
          {"granted_paused_upstreams", metrics.grantedPausedUpstreams},
+         {"granted_busiest_upstream_percent", metrics.grantedBusiestPercent},
          {"held_by_leaving_total", metrics.heldByLeaving},
          {"held_by_pause_total", metrics.heldByPause},
          {"upstreams_unreachable", metrics.isIsolated},
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -29,6 +29,9 @@
     std::uint64_t grantedLeavingUpstreams = 0;
     /// Upstreams of the granted services that want no requests from some daemon at present.
     std::uint64_t grantedPausedUpstreams = 0;
+    /// Utilisation of the busiest upstream in percent of its service's mean, of the granted service
+    /// where this is the highest; 0 where there is too little load to tell.
+    std::uint64_t grantedBusiestPercent = 0;
     std::uint64_t storeEra = 0;
     /// Upstreams that have stated to this daemon that they are about to stop.
     std::uint64_t leavingUpstreams = 0;
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -206,6 +206,7 @@
 {
     EdgeMetrics metrics;
     metrics.grantedServices = 2;
+    metrics.grantedBusiestPercent = 119;
     const auto text = metricsText(CounterSnapshot{}, {}, metrics);
     CHECK(text.find("gooseberrywall_limited_upstreams 0\n") != std::string::npos);
     for (const auto *name :
@@ -214,4 +215,5 @@
         CHECK(text.find("gooseberrywall_" + std::string(name) + " 0\n") != std::string::npos);
     }
     CHECK(text.find("gooseberrywall_granted_services 2\n") != std::string::npos);
+    CHECK(text.find("gooseberrywall_granted_busiest_upstream_percent 119\n") != std::string::npos);
 }
