dispatch, entry: test even load with few or no reports

Cause: the tests covered reports in every answer only.

Change: the cases with speeds of 0.5 to 1.6 run with no reports too, and without a grantor with reports in a fifth of the answers.

--- a/src/dispatch/tests/evenload_tests.cpp
+++ b/src/dispatch/tests/evenload_tests.cpp
@@ -39,13 +39,17 @@
          "[dispatch][even]")
 {
     const auto utilisation = GENERATE(0.6, 0.85);
+    const auto hasReports = GENERATE(true, false);
     const auto speeds = unevenSpeeds();
     BrokerSimulation simulation(21, speeds, {RequestClass{rateFor(speeds, utilisation)}});
     simulation.setVms(30);
-    simulation.reportLoads();
+    if (hasReports) {
+        simulation.reportLoads();
+    }
     simulation.run(seconds{10});
     const auto evenness = measureEvenness(simulation, 30, [&] { simulation.run(seconds{1}); });
-    UNSCOPED_INFO("speeds 0.5 to 1.6 at " << utilisation << ": " << evenness);
+    UNSCOPED_INFO("speeds 0.5 to 1.6 at " << utilisation << (hasReports ? "" : " without reports")
+                                          << ": " << evenness);
     CHECK(evenness.busiest <= evenGoal);
     THEN("the fast upstreams get more requests than the slow ones")
     {
--- a/src/entry/tests/directload_tests.cpp
+++ b/src/entry/tests/directload_tests.cpp
@@ -53,6 +53,9 @@
         }
     }
 
+    /// Makes only this share of the answers report the upstream's load.
+    auto setReportedShare(double share) -> void { this->reportedShare = share; }
+
     auto setSlowdown(std::size_t upstream, double factor) -> void
     {
         this->slowdowns.at(upstream) = factor;
@@ -171,7 +174,10 @@
             auto &daemon = this->daemons[event.request.daemon];
             const UpstreamId id{std::to_string(event.upstream)};
             daemon.onEnd(id, AttemptEnd::Answered, event.at);
-            daemon.onAnswered(service, id, event.load, event.at - event.request.sentAt, event.at);
+            std::bernoulli_distribution isReported(this->reportedShare);
+            daemon.onAnswered(service, id,
+                              isReported(this->random) ? std::optional(event.load) : std::nullopt,
+                              event.at - event.request.sentAt, event.at);
             this->responseTime += event.at - event.request.sentAt;
             ++this->answered;
         }
@@ -197,6 +203,7 @@
     std::vector<double> slowdowns;
     std::vector<Upstream> states;
     double perBatch = 0;
+    double reportedShare = 1;
     UpstreamStatements statements{UpstreamStatementSettings{}};
     std::vector<DirectChoice> daemons;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
@@ -207,6 +214,16 @@
     int answered = 0;
 };
 
+/// @returns speeds of 0.5 to 1.6 in equal steps
+auto unevenSpeeds() -> std::vector<double>
+{
+    std::vector<double> speeds;
+    for (std::size_t index = 0; index < upstreamCount; ++index) {
+        speeds.push_back(0.5 + 1.1 * static_cast<double>(index) / (upstreamCount - 1));
+    }
+    return speeds;
+}
+
 } // namespace
 
 // Guards against daemons that all choose the same upstreams because their reports are equally old.
@@ -227,17 +244,27 @@
          "[entry][even]")
 {
     const auto utilisation = GENERATE(0.6, 0.85);
-    std::vector<double> speeds;
-    for (std::size_t index = 0; index < upstreamCount; ++index) {
-        speeds.push_back(0.5 + 1.1 * static_cast<double>(index) / (upstreamCount - 1));
-    }
-    DaemonsAndUpstreams fleet(speeds, utilisation);
+    DaemonsAndUpstreams fleet(unevenSpeeds(), utilisation);
     fleet.run(seconds{60});
     const auto evenness = measureEvenness(fleet, 30, [&] { fleet.run(seconds{1}); });
     UNSCOPED_INFO("speeds 0.5 to 1.6 at " << utilisation << ": " << evenness);
     CHECK(evenness.busiest <= evenGoal);
 }
 
+// Guards against a choice that needs reports to keep the slow upstreams from being overloaded.
+SCENARIO("DirectChoice: given few or no reports of upstreams with speeds of 0.5 to 1.6, they are "
+         "evenly used",
+         "[entry][even]")
+{
+    const auto reportedShare = GENERATE(0.0, 0.2);
+    DaemonsAndUpstreams fleet(unevenSpeeds(), 0.6);
+    fleet.setReportedShare(reportedShare);
+    fleet.run(seconds{60});
+    const auto evenness = measureEvenness(fleet, 30, [&] { fleet.run(seconds{1}); });
+    UNSCOPED_INFO("reports in a share of " << reportedShare << ": " << evenness);
+    CHECK(evenness.busiest <= evenGoal);
+}
+
 // Guards against a slowdown that counts for longer than it lasts.
 SCENARIO("DirectChoice: given a fifth of the upstreams slow by a factor of 3 for 400 ms at a time, "
          "they are evenly used",
