dispatch: keep the weight of load below the penalties

Cause: an old report of many waiting requests could weigh more than the penalty of 100 for an upstream that had failed the request, so the request went back there.

Change: the utilisation in SlotBroker::costOf is 1 at most; the upstream has a free slot where it is compared.

--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -79,8 +79,9 @@
     }
     // All requests without a key pass through this grantor, so none of others are usual.
     const auto requests = upstream.load.requests(upstream.inFlight, 0, now) + 1;
-    cost = weightedResponseTime(cost, upstream.load.slowdown(now),
-                                requests / std::max(1, upstream.entry.slots));
+    // At most full, so that the weight stays below the penalties for failing and avoided upstreams.
+    const auto utilisation = std::min(1.0, requests / std::max(1, upstream.entry.slots));
+    cost = weightedResponseTime(cost, upstream.load.slowdown(now), utilisation);
     cost *= upstream.entry.isMissing ? 100 : 1;
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
--- a/src/dispatch/tests/evenload_tests.cpp
+++ b/src/dispatch/tests/evenload_tests.cpp
@@ -124,3 +124,43 @@
         }
     }
 }
+
+// Guards against a load whose weight exceeds the penalty for an upstream that failed the request.
+SCENARIO(
+    "SlotBroker: given an old report of a high load, an upstream that failed the request isn't "
+    "preferred",
+    "[dispatch][even]")
+{
+    const Instant start{seconds{100}};
+    const ServiceName service{"service"};
+    SlotBroker broker(service, false, SlotBrokerSettings{}, RetryWindowSettings{}, 1);
+    std::vector<UpstreamEntry> entries;
+    for (const auto *id : {"failed", "loaded"}) {
+        UpstreamEntry entry;
+        entry.id = UpstreamId{id};
+        entry.service = service;
+        entry.slots = 3;
+        entries.push_back(entry);
+    }
+    broker.setUpstreams(entries, start);
+    PermitRequest request;
+    request.service = service;
+    request.remaining = seconds{2};
+    request.untilTarget = seconds{1};
+    request.avoid = {UpstreamId{"failed"}};
+    const auto ask = [&](std::uint64_t sequence, Instant now) {
+        request.id = PermitId{Address{"entry"}, 1, sequence};
+        broker.ask(request, now);
+        return broker.takeVerdicts().back().verdict.upstream;
+    };
+    REQUIRE(ask(1, start).value == "loaded");
+    PermitReport report;
+    report.id = request.id;
+    report.service = service;
+    report.upstream = UpstreamId{"loaded"};
+    report.end = AttemptEnd::Answered;
+    report.latency = milliseconds{80};
+    report.load = ReportedLoad{3, 30, 3};
+    broker.report(report, start);
+    CHECK(ask(2, start + milliseconds{210}).value == "loaded");
+}
