--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -19,6 +19,8 @@
 constexpr double warmUpLatencyFactor = 2.0;
 /// Lower bound of latencies where rates are reckoned from them.
 constexpr double minLatencySeconds = 0.001;
+/// With a lower mean utilisation, single requests determine which upstream is the busiest.
+constexpr double minComparedUtilisation = 0.1;
 /// How often the capacity of all upstreams is calculated; it changes little in this time.
 constexpr Duration capacityInterval = std::chrono::milliseconds{10};
 
@@ -37,8 +39,7 @@
     if (!upstream.suspectedBy.empty() && upstream.trials > 0) {
         return false;
     }
-    const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
-    return upstream.inFlight + otherRequests
+    return upstream.inFlight + upstream.load.recentOthers(now)
            < upstream.slotReduction.slotsOf(upstream.entry.slots, now);
 }
 
@@ -76,14 +77,35 @@
         || now - lastUse->second.grantedAt > this->settings.connectionKeepAlive) {
         cost += static_cast<double>(this->settings.connectionPenalty.count());
     }
-    // Upstreams slow down as they fill.
-    cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
+    // All requests without a key pass through this grantor, so none of others are usual.
+    const auto requests = upstream.load.requests(upstream.inFlight, 0, now) + 1;
+    // At most full, so that the weight stays below the penalties for failing and avoided upstreams.
+    const auto utilisation = std::min(1.0, requests / std::max(1, upstream.entry.slots));
+    cost = weightedResponseTime(cost, upstream.load.slowdown(now), utilisation);
     cost *= upstream.entry.isMissing ? 100 : 1;
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
     return isAvoided ? cost * 100 : cost;
 }
 
+auto SlotBroker::busiestShare(Instant now) const -> std::optional<double>
+{
+    auto busiest = 0.0;
+    auto sum = 0.0;
+    auto count = 0;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.entry.isDraining || upstream.entry.isMissing) {
+            continue;
+        }
+        const auto utilisation = upstream.usage.mean(now) / std::max(1, upstream.entry.slots);
+        busiest = std::max(busiest, utilisation);
+        sum += utilisation;
+        ++count;
+    }
+    return count > 0 && sum / count >= minComparedUtilisation ? std::optional(busiest * count / sum)
+                                                              : std::nullopt;
+}
+
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
 {
     const auto *owner = this->ownerOf(waiting.request);
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/entrypaths.h"
+#include "dispatch/loadestimate.h"
 #include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
@@ -11,6 +12,7 @@
 #include "dispatch/upstreamanswers.h"
 #include "dispatch/upstreamhealth.h"
 #include "dispatch/upstreampauses.h"
+#include "dispatch/utilisationaverage.h"
 #include "dispatch/waitingqueue.h"
 
 #include <cstddef>
@@ -182,6 +184,9 @@
     /// @returns the number of requests per key since the last call
     [[nodiscard]] auto takeKeyCounts() -> std::map<KeyPosition, std::uint32_t>;
     [[nodiscard]] auto upstreamStatuses(Instant now) const -> std::vector<UpstreamStatus>;
+    /// @returns the utilisation of the busiest upstream in relation to the mean of all, over about
+    /// the last 10 s; empty where there is too little load to tell
+    [[nodiscard]] auto busiestShare(Instant now) const -> std::optional<double>;
     /// @returns how many upstreams want no requests from some entry daemon
     [[nodiscard]] auto pausedUpstreamCount(Instant now) const -> std::size_t;
     /// @returns the number of daemons that have stated that they are isolated
@@ -221,9 +226,8 @@
         int trials = 0;
         /// Of the daemons, by address, that have sent requests to this upstream.
         std::unordered_map<Address, UpstreamUse> lastUse;
-        /// Requests at the upstream beyond this broker's permits, by the load in its last answer.
-        int otherRequests = 0;
-        Instant otherRequestsValidUntil{};
+        LoadEstimate load;
+        UtilisationAverage usage;
         /// Requests for its keys that could still meet their target when they arrived.
         ArrivalRate onTimeArrivals;
         ArrivalRate grants;
@@ -416,7 +420,8 @@
     /// @returns the time until an upstream's request limit allows a request behind `ahead` others
     [[nodiscard]] auto limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
                                    std::size_t ahead, Instant now) const -> Duration;
-    /// @returns the expected latency in microseconds plus penalties; lower is better
+    /// @returns the expected time to the response in microseconds, weighted with the upstream's
+    /// utilisation and with penalties; lower is better
     [[nodiscard]] auto costOf(const Upstream &upstream, const PermitRequest &request,
                               Instant now) const -> double;
     [[nodiscard]] auto forecast(const WaitingRequest &waiting, Instant now) -> Forecast;
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -31,6 +31,7 @@
          {"paused_upstreams", metrics.pausedUpstreams},
          {"granted_leaving_upstreams", metrics.grantedLeavingUpstreams},
          {"granted_paused_upstreams", metrics.grantedPausedUpstreams},
+         {"granted_busiest_upstream_percent", metrics.grantedBusiestPercent},
          {"held_by_leaving_total", metrics.heldByLeaving},
          {"held_by_pause_total", metrics.heldByPause},
          {"upstreams_unreachable", metrics.isIsolated},
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -82,7 +82,7 @@
         // Those published last are in use again until the next watch has listed the entries.
         if (!this->lastEntries.empty()) {
             this->evacuations.mark(this->lastEntries);
-            this->direct.setUpstreams(this->lastEntries);
+            this->direct.setUpstreams(this->lastEntries, this->now());
             this->onEntries(this->lastEntries);
         }
     }
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t maxEvacuatedBytes = 1000;
 /// Counted for each name besides its text.
 constexpr std::size_t bytesPerName = 16;
+/// Larger factors are implausible and count as unknown.
+constexpr double maxSlowdown = 10'000;
 
 auto writeId(permitwire::PermitId::Builder builder, const PermitId &id) -> void
 {
@@ -50,6 +52,13 @@
     return std::clamp(number, 0, maxCount);
 }
 
+/// @returns the factor; nothing where it is unknown, as in messages of builds without the field
+auto slowdownOf(double factor) -> std::optional<double>
+{
+    // Also refuses NaN.
+    return factor > 0 && factor <= maxSlowdown ? std::optional(factor) : std::nullopt;
+}
+
 auto textOf(capnp::Text::Reader text) -> std::string
 {
     return {text.begin(), text.size()};
@@ -108,6 +117,7 @@
     out.setRunning(load.running);
     out.setWaiting(load.waiting);
     out.setSlots(load.slots);
+    out.setSlowdown(load.slowdown.value_or(0));
     out.setHasLimit(report.requestLimit.has_value());
     out.setLimitPerSecond(report.requestLimit.value_or(RequestLimit{}).perSecond);
     out.setLeaving(report.isLeaving);
@@ -222,7 +232,7 @@
     report.latency = durationOf(in.getLatency());
     if (in.getHasLoad()) {
         report.load = ReportedLoad{countOf(in.getRunning()), countOf(in.getWaiting()),
-                                   countOf(in.getSlots())};
+                                   countOf(in.getSlots()), slowdownOf(in.getSlowdown())};
     }
     // Also refuses NaN.
     if (in.getHasLimit() && in.getLimitPerSecond() >= 0) {
