--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -2,6 +2,8 @@
 
 #include "edge/callclients.h"
 #include "edge/componentsettings.h"
+#include "edge/configurationlog.h"
+#include "edge/edgemetrics.h"
 #include "edge/edgepages.h"
 #include "edge/entryservice.h"
 #include "edge/evacuationkeys.h"
@@ -9,7 +11,6 @@
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
 #include "edge/memorylog.h"
-#include "edge/metricstext.h"
 #include "edge/peermessages.h"
 #include "edge/shutdownplan.h"
 #include "edge/upstreamlinks.h"
@@ -216,26 +217,10 @@
         auto configuration = this->wire.configuration(text);
         const auto known = this->routes ? this->routes->configuration().version : 0;
         if (!configuration || configuration->version <= known) {
-            const auto *const reason = configuration ? "version not newer" : "unreadable";
-            this->logger.write(LogLevel::Warning,
-                               LogLine("configuration_ignored")
-                                   .with("reason", reason)
-                                   .with("known", static_cast<std::int64_t>(known))
-                                   .text());
+            logIgnoredConfiguration(this->logger, configuration.has_value(), known);
             return false;
         }
-        this->logger.write(
-            LogLevel::Info,
-            LogLine("configuration_adopted")
-                .with("version", static_cast<std::int64_t>(configuration->version))
-                .with("routes", static_cast<std::int64_t>(configuration->routes.size()))
-                .with("malformed", static_cast<std::int64_t>(configuration->malformedRoutes))
-                .with("revision", static_cast<std::int64_t>(revision.value))
-                .text());
-        for (const auto &field : configuration->malformedServiceFields) {
-            this->logger.write(LogLevel::Warning,
-                               LogLine("configuration_field_ignored").with("field", field).text());
-        }
+        logAdoptedConfiguration(this->logger, *configuration, revision);
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
         this->roles.setConfiguration(this->routes->configuration());
@@ -436,38 +421,22 @@
     [[nodiscard]] auto metricsPage() const -> std::string
     {
         EdgeMetrics metrics;
-        metrics.openRequests = this->flow.openCount();
-        metrics.directRequests = this->flow.directSendCount();
+        addGrantorMetrics(metrics, this->roles);
+        addRequestMetrics(metrics, this->flow, this->statements);
+        addMemoryMetrics(metrics, this->memory, this->entry.listenerCounters(),
+                         this->peerServer.counters());
         metrics.storeCalls = this->store.callCount();
         metrics.storeFailures = this->store.failureCount();
+        metrics.storeEra = this->store.currentEra();
         metrics.upstreamConnections =
             this->upstreamPool.openedCount() + this->orderPool.openedCount();
         metrics.badDatagrams = this->peers.malformedCount();
         metrics.unsentDatagrams = this->peers.unsentCount();
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         metrics.configurationVersion = this->routes ? this->routes->configuration().version : 0;
-        metrics.grantedServices = this->roles.servingCount();
-        metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
-        metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
-        metrics.coldUpstreams = this->roles.coldUpstreamCount();
-        metrics.leavingUpstreams = this->statements.leavingCount();
-        metrics.pausedUpstreams = this->statements.pausedCount();
-        metrics.heldByLeaving = this->flow.heldByLeavingCount();
-        metrics.heldByPause = this->flow.heldByPauseCount();
-        metrics.grantedLeavingUpstreams = this->roles.leavingUpstreamCount();
-        metrics.grantedPausedUpstreams = this->roles.pausedUpstreamCount();
-        metrics.grantedBusiestPercent = this->roles.busiestSharePercent();
-        metrics.storeEra = this->store.currentEra();
         metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
-        metrics.forwardedRequests = this->flow.forwardedCount();
         metrics.servedForwards = this->forwarder.sentCount();
-        metrics.memoryHeldBytes = this->memory.heldBytes();
-        metrics.memoryBudgetBytes = this->memory.budget().totalBytes;
-        const auto &callers = this->entry.listenerCounters();
-        const auto &peerCounters = this->peerServer.counters();
-        metrics.memoryRefusals = callers.memoryRefusals + peerCounters.memoryRefusals;
-        metrics.memoryShedConnections = callers.shedConnections + peerCounters.shedConnections;
         metrics.evacuatedDomains = this->evacuations.domainCount();
         metrics.evacuatedUpstreams = this->upstreamWatch.evacuatedCount();
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
--- /dev/null
+++ b/src/edge/internal/edgemetrics.cpp
@@ -0,0 +1,37 @@
+#include "edge/edgemetrics.h"
+
+namespace gooseberrywall {
+
+auto addGrantorMetrics(EdgeMetrics &metrics, const GrantorRoles &roles) -> void
+{
+    metrics.grantedServices = roles.servingCount();
+    metrics.movedKeys = roles.movedKeys();
+    metrics.limitedUpstreams = roles.limitedUpstreamCount();
+    metrics.coldUpstreams = roles.coldUpstreamCount();
+    metrics.grantedLeavingUpstreams = roles.leavingUpstreamCount();
+    metrics.grantedPausedUpstreams = roles.pausedUpstreamCount();
+    metrics.grantedBusiestPercent = roles.busiestSharePercent();
+}
+
+auto addRequestMetrics(EdgeMetrics &metrics, const RequestFlow &flow,
+                       const UpstreamStatements &statements) -> void
+{
+    metrics.openRequests = flow.openCount();
+    metrics.directRequests = flow.directSendCount();
+    metrics.heldByLeaving = flow.heldByLeavingCount();
+    metrics.heldByPause = flow.heldByPauseCount();
+    metrics.forwardedRequests = flow.forwardedCount();
+    metrics.leavingUpstreams = statements.leavingCount();
+    metrics.pausedUpstreams = statements.pausedCount();
+}
+
+auto addMemoryMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
+                      const FrontCounters &callers, const FrontCounters &peers) -> void
+{
+    metrics.memoryHeldBytes = memory.heldBytes();
+    metrics.memoryBudgetBytes = memory.budget().totalBytes;
+    metrics.memoryRefusals = callers.memoryRefusals + peers.memoryRefusals;
+    metrics.memoryShedConnections = callers.shedConnections + peers.shedConnections;
+}
+
+} // namespace gooseberrywall
--- a/src/entry/tests/directevacuation_tests.cpp
+++ b/src/entry/tests/directevacuation_tests.cpp
@@ -40,7 +40,7 @@
             entry.isEvacuated = evacuated.contains(entry.id);
             entry.evacuatedAt = entry.isEvacuated ? start : Instant{};
         }
-        this->direct.setUpstreams(entries);
+        this->direct.setUpstreams(entries, start);
     }
 
     auto choose(std::optional<KeyPosition> key, Instant now) -> std::optional<PermitVerdict>
