dispatch: limit reported slowdowns

Cause: an upstream that reports a very small slowdown would draw all requests to itself, and one that reports a huge one would weigh more than upstreams that fail.

Change: a slowdown counts as 0.5 to 10.

Result: dispatch_tests, entry_tests, permitlink_tests, platform_tests and edge_tests pass.

--- a/src/dispatch/internal/loadestimate.cpp
+++ b/src/dispatch/internal/loadestimate.cpp
@@ -15,6 +15,10 @@
 constexpr Duration reportTime = milliseconds{400};
 /// Age at which a reported slowdown has no weight: it changes several times per second.
 constexpr Duration slowdownTime = milliseconds{300};
+/// Limits of a reported slowdown. A lower one would draw all requests to an upstream that reports
+/// it; a higher one would exceed the penalties for failing upstreams.
+constexpr double minSlowdown = 0.5;
+constexpr double maxSlowdown = 10;
 /// Exponent per unit of utilisation. With speeds of 0.5 to 1.6 times the mean at 60 % utilisation,
 /// an exponent of 2 gave the busiest upstream 1.32 times the mean utilisation, 3 gave 1.19; 4 and
 /// more hardly lowered it, and requests took longer at upstreams that were slow for a moment.
@@ -34,7 +38,7 @@
     this->others = std::max(0, load.running + load.waiting - own);
     this->reportedAt = now;
     if (load.slowdown) {
-        this->reportedSlowdown = *load.slowdown;
+        this->reportedSlowdown = std::clamp(*load.slowdown, minSlowdown, maxSlowdown);
         this->slowdownReportedAt = now;
     }
 }
--- a/src/dispatch/tests/loadestimate_tests.cpp
+++ b/src/dispatch/tests/loadestimate_tests.cpp
@@ -52,6 +52,14 @@
             }
         }
     }
+    // Guards against an upstream that draws all requests to itself, or seems lost, by its reports.
+    GIVEN("slowdowns that are implausible")
+    {
+        estimate.onReported(ReportedLoad{0, 0, 3, 0.01}, 0, start);
+        CHECK(estimate.slowdown(start) >= 0.5);
+        estimate.onReported(ReportedLoad{0, 0, 3, 5000.0}, 0, start);
+        CHECK(estimate.slowdown(start) <= 10);
+    }
     GIVEN("more own requests than the upstream reports")
     {
         estimate.onReported(ReportedLoad{0, 0, 3}, 2, start);
