--- a/src/entry/tests/directload_tests.cpp
+++ b/src/entry/tests/directload_tests.cpp
@@ -48,7 +48,7 @@
         }
         for (std::size_t index = 0; index < daemonCount; ++index) {
             this->daemons.emplace_back(index + 1, this->statements);
-            this->daemons.back().setUpstreams(entries);
+            this->daemons.back().setUpstreams(entries, start);
             this->daemons.back().setTrusted(true);
         }
     }
@@ -308,7 +308,7 @@
     }
     UpstreamStatements statements{UpstreamStatementSettings{}};
     DirectChoice direct(1, statements);
-    direct.setUpstreams(entries);
+    direct.setUpstreams(entries, start);
     direct.setTrusted(true);
     PermitRequest request;
     request.service = service;
