--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -175,7 +175,7 @@
     auto endOf(const RangeOrder &order, const OutboundResult &result) -> RangeOrderEnd
     {
         if (result.end == OutboundResult::End::Answered) {
-            const auto answered = this->wire.orderEnd(order, result.answer);
+            auto answered = this->wire.orderEnd(order, result.answer);
             if (result.isFirstOnConnection || answered.kind == RangeOrderEnd::Kind::Accepted) {
                 return answered;
             }
--- a/src/entry/tests/requestflowwithoutgrantor_tests.cpp
+++ b/src/entry/tests/requestflowwithoutgrantor_tests.cpp
@@ -170,7 +170,7 @@
             entry.slots = 3;
             entries.push_back(entry);
         }
-        fixture.direct.setUpstreams(entries);
+        fixture.direct.setUpstreams(entries, fixture.now);
         fixture.begin(false);
         fixture.grant("u");
         FlowAttemptEnd end;
