streams: test the listener's admission and shedding

The tests of the memory account and of the order of shedding have no listener, and the crowd tests check the process only from outside.

The new tests name the load and check that a request which is refused for memory gets the configured head and is never passed on, that stalled connections and callers that don't take their answers are closed, and that small requests are served while large ones fill the budget. They pass on the existing code.

--- /dev/null
+++ b/src/streams/tests/admission_tests.cpp
@@ -0,0 +1,261 @@
+#include "http/clocktimer.h"
+#include "streams/frontlistener.h"
+#include "streams/socketstream.h"
+#include "testing/freeaddress.h"
+#include "testing/testloop.h"
+
+#include <catch2/catch.hpp>
+
+using namespace gooseberrywall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kilobyte = 1024;
+constexpr MemoryBudget budget{512 * kilobyte, 128 * kilobyte};
+/// More than the sockets' buffers take.
+constexpr std::size_t largeAnswerBytes = 24 * kilobyte * kilobyte;
+
+const std::string getRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+auto post(std::size_t announced, std::size_t sent) -> std::string
+{
+    return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(announced)
+           + "\r\n\r\n" + std::string(sent, 'b');
+}
+
+auto okHead() -> MessageHead
+{
+    MessageHead head;
+    head.status = 200;
+    return head;
+}
+
+class Caller
+{
+public:
+    Caller(const TestLoop &loop, const Address &address)
+        : stream(loop.base(), parseEndpoint(address).value_or(Endpoint{}),
+                 SocketStream::Handlers{[](bool) {}, [this] { this->onInput(); },
+                                        [this](bool) { this->isEnded = true; }})
+    {
+    }
+
+    auto send(const std::string &text) -> void { this->stream.write(text); }
+    [[nodiscard]] auto has(const std::string &text) const -> bool
+    {
+        return this->received.find(text) != std::string::npos;
+    }
+    auto resume() -> void
+    {
+        this->pausesAt = std::string::npos;
+        this->stream.setReading(true);
+    }
+
+    std::string received;
+    /// Reading pauses once this many bytes have arrived.
+    std::size_t pausesAt = std::string::npos;
+    bool isEnded = false;
+
+private:
+    auto onInput() -> void
+    {
+        this->received += this->stream.input();
+        this->stream.consume(this->stream.input().size());
+        this->stream.setReading(this->received.size() < this->pausesAt);
+    }
+
+    SocketStream stream;
+};
+
+struct Fixture
+{
+    Fixture() { this->front.start(); }
+
+    auto connect() -> std::unique_ptr<Caller>
+    {
+        const auto count = this->front.connectionCount();
+        auto caller = std::make_unique<Caller>(this->loop, this->address);
+        REQUIRE(this->loop.runUntil([&] { return this->front.connectionCount() > count; }));
+        return caller;
+    }
+
+    static auto settings(const Address &address) -> FrontSettings
+    {
+        FrontSettings result;
+        result.listen = address;
+        result.memoryRefusal.headers.push_back(HttpHeader{"X-Reason", "memory_short"});
+        return result;
+    }
+
+    auto waitRequests(std::size_t count) -> bool
+    {
+        return this->loop.runUntil([&] { return this->requests.size() >= count; }, seconds{2});
+    }
+
+    /// Waits until a caller's bytes have arrived.
+    auto settle() -> void { this->loop.runFor(milliseconds{50}); }
+
+    TestLoop loop;
+    Instant moment = monotonicNow();
+    MemoryAccount memory{budget};
+    MemoryAccount::Charge others{&this->memory};
+    Address address = freeAddress();
+    std::vector<ExchangeId> requests;
+    std::vector<ExchangeId> disconnected;
+    std::function<void(ExchangeId)> onRequest = [](ExchangeId) {};
+    std::function<void(ExchangeId)> onDisconnect = [](ExchangeId) {};
+    FrontListener front{this->loop.base(),
+                        settings(this->address),
+                        [this] { return this->moment; },
+                        [this](ExchangeId exchange, const WholeMessage &) {
+                            this->requests.push_back(exchange);
+                            this->onRequest(exchange);
+                        },
+                        [this](ExchangeId exchange) {
+                            this->disconnected.push_back(exchange);
+                            this->onDisconnect(exchange);
+                        },
+                        &this->memory};
+};
+
+} // namespace
+
+SCENARIO("FrontListener refuses requests that memory is short for", "[admission]")
+{
+    // Guards against a process that runs out of memory, and against a request that runs although
+    // its caller was told that it hasn't.
+    Fixture fixture;
+    fixture.others.set(budget.totalBytes - 32 * kilobyte);
+    auto caller = fixture.connect();
+    GIVEN("a request whose announced length doesn't fit")
+    {
+        caller->send(post(64 * kilobyte, 0));
+        REQUIRE(fixture.loop.runUntil([&] { return caller->isEnded; }));
+        THEN("it is answered with the configured head, and never passed on")
+        {
+            CHECK(caller->has("HTTP/1.1 503 "));
+            CHECK(caller->has("X-Reason: memory_short\r\n"));
+            CHECK(caller->has("Connection: close\r\n"));
+            caller->send(std::string(64 * kilobyte, 'b') + getRequest);
+            fixture.settle();
+            CHECK(fixture.requests.empty());
+            CHECK(fixture.front.counters().memoryRefusals == 1);
+        }
+    }
+    GIVEN("a chunked request that arrives whole")
+    {
+        caller->send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n"
+                     + std::string(64 * kilobyte, 'b') + "\r\n0\r\n\r\n");
+        REQUIRE(fixture.loop.runUntil([&] { return caller->isEnded; }));
+        THEN("it is refused, too")
+        {
+            CHECK(caller->has("HTTP/1.1 503 "));
+            CHECK(fixture.requests.empty());
+        }
+    }
+    GIVEN("such a request behind one that waits for its answer")
+    {
+        // Input that came with the first request counts, too.
+        fixture.others.set(budget.totalBytes - 80 * kilobyte);
+        caller->send(getRequest + post(64 * kilobyte, 64 * kilobyte));
+        REQUIRE(fixture.waitRequests(1));
+        fixture.settle();
+        CHECK(caller->received.empty());
+        fixture.front.reply(fixture.requests.front(), okHead(), "first");
+        REQUIRE(fixture.loop.runUntil([&] { return caller->isEnded; }));
+        THEN("the answer comes first, and the other request is refused")
+        {
+            CHECK(caller->received.find("first") < caller->received.find("HTTP/1.1 503 "));
+            CHECK(caller->has("HTTP/1.1 503 "));
+            CHECK(fixture.requests.size() == 1);
+        }
+    }
+    GIVEN("memory that was released in the meantime")
+    {
+        fixture.others.set(0);
+        caller->send(post(64 * kilobyte, 64 * kilobyte));
+        THEN("the request is passed on")
+        {
+            CHECK(fixture.waitRequests(1));
+        }
+    }
+}
+
+SCENARIO("FrontListener closes stalled connections in favour of new requests", "[admission]")
+{
+    // Load: a large body that stops short of its end, and another caller's large body.
+    Fixture fixture;
+    auto first = fixture.connect();
+    first->send(post(300 * kilobyte, 100 * kilobyte));
+    fixture.settle();
+    auto second = fixture.connect();
+    GIVEN("a first caller that has sent nothing for two seconds")
+    {
+        fixture.moment += seconds{2};
+        second->send(post(300 * kilobyte, 300 * kilobyte));
+        THEN("its request is refused, and the new one is passed on")
+        {
+            CHECK(fixture.waitRequests(1));
+            CHECK(fixture.loop.runUntil([&] { return first->isEnded; }));
+            CHECK(first->has("HTTP/1.1 503 "));
+            CHECK(second->received.empty());
+            CHECK(fixture.front.counters().shedConnections == 1);
+        }
+    }
+    GIVEN("a first caller that has just sent bytes")
+    {
+        second->send(post(300 * kilobyte, 0));
+        THEN("the new request is refused, and the first one is passed on")
+        {
+            CHECK(fixture.loop.runUntil([&] { return second->isEnded; }));
+            CHECK(second->has("HTTP/1.1 503 "));
+            first->send(std::string(200 * kilobyte, 'b'));
+            CHECK(fixture.waitRequests(1));
+            CHECK(first->received.empty());
+        }
+    }
+}
+
+SCENARIO("FrontListener serves small requests while large ones fill the budget", "[admission]")
+{
+    // Guards against ordinary callers who are refused because of a few large bodies.
+    Fixture fixture;
+    auto large = fixture.connect();
+    large->send(post(370 * kilobyte, 100 * kilobyte));
+    fixture.settle();
+    auto other = fixture.connect();
+    other->send(post(65 * kilobyte, 0));
+    auto ordinary = fixture.connect();
+    ordinary->send(post(20 * kilobyte, 20 * kilobyte));
+    THEN("the small request is passed on, and another large one is refused")
+    {
+        CHECK(fixture.waitRequests(1));
+        CHECK(fixture.loop.runUntil([&] { return other->isEnded; }));
+        CHECK(other->has("HTTP/1.1 503 "));
+        CHECK_FALSE(large->isEnded);
+    }
+}
+
+SCENARIO("FrontListener closes callers that don't take their answers", "[admission]")
+{
+    // Guards against answers that fill the memory because nobody reads them.
+    Fixture fixture;
+    auto caller = fixture.connect();
+    caller->pausesAt = kilobyte;
+    caller->send(getRequest);
+    REQUIRE(fixture.waitRequests(1));
+    fixture.front.reply(fixture.requests.front(), okHead(), std::string(largeAnswerBytes, 'a'));
+    REQUIRE(fixture.memory.isOver());
+    fixture.front.shedExcess();
+    fixture.settle();
+    THEN("the connection is closed, and its memory is released")
+    {
+        CHECK(fixture.front.connectionCount() == 0);
+        CHECK(fixture.memory.heldBytes() == 0);
+        CHECK(fixture.front.counters().shedConnections == 1);
+        caller->resume();
+        CHECK(fixture.loop.runUntil([&] { return caller->isEnded; }));
+    }
+}
