streams: read no further requests of a discarded connection

A connection that was shed, or whose caller had disconnected, wasn't marked as ending. It went on with pipelined requests where that happened within its own code, or where answers to its other requests came from within onDisconnect. The exchanges of these requests then referred to a destroyed connection.

A connection is now marked before it is discarded, its exchanges are removed before the first callback, and it charges nothing any more. Two tests that failed before pass.

--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -89,7 +89,7 @@
         this->lastUsedAt = moment;
     }
     if (moment - this->lastUsedAt > (unsent > 0 ? answerStallTimeout : closeTimeout)) {
-        this->front.discard(this);
+        this->discard();
     }
 }
 
@@ -115,9 +115,7 @@
         return;
     }
     this->stream.resetOnClose();
-    this->abandonReplies();
-    this->charge.set(0);
-    this->front.discard(this);
+    this->discard();
 }
 
 auto FrontListener::Connection::load() const -> std::optional<ConnectionLoad>
@@ -334,17 +332,29 @@
 
 auto FrontListener::Connection::abandonReplies() -> void
 {
-    auto open = std::exchange(this->pendingReplies, {});
+    const auto open = std::exchange(this->pendingReplies, {});
     for (const auto &pending : open) {
         this->front.exchanges.erase(pending.exchange);
+    }
+    for (const auto &pending : open) {
         this->front.onDisconnect(pending.exchange);
     }
 }
 
-auto FrontListener::Connection::onEnd() -> void
+auto FrontListener::Connection::discard() -> void
 {
-    this->abandonReplies();
+    // Events that are already due, and code of the connection that still runs, must not read
+    // further requests: the connection is destroyed soon.
+    this->isEnding = true;
+    this->isDiscarded = true;
+    this->charge.set(0);
     this->front.discard(this);
+    this->abandonReplies();
+}
+
+auto FrontListener::Connection::onEnd() -> void
+{
+    this->discard();
 }
 
 auto FrontListener::Connection::requestBytes() const -> std::size_t
@@ -363,6 +373,9 @@
 
 auto FrontListener::Connection::updateCharge() -> void
 {
+    if (this->isDiscarded) {
+        return;
+    }
     this->charge.set(this->heldBesidesRequest() + this->requestBytes());
 }
 
--- a/src/streams/internal/frontconnection.h
+++ b/src/streams/internal/frontconnection.h
@@ -60,6 +60,9 @@
     /// haven't run.
     auto end() -> void;
     auto abandonReplies() -> void;
+    /// Ends the connection at once, and its open requests with it. It is destroyed from the event
+    /// loop.
+    auto discard() -> void;
     /// @returns the memory that the connection holds apart from the request that is arriving
     [[nodiscard]] auto heldBesidesRequest() const -> std::size_t;
     /// @returns the memory that the open request needs once it has arrived, as far as that is known
@@ -86,6 +89,7 @@
     bool hasSentContinue = false;
     bool isLastRequestRead = false;
     bool isEnding = false;
+    bool isDiscarded = false;
     /// Of a closing connection: the unsent bytes when it was last swept.
     std::size_t sweptUnsentBytes = 0;
     /// The announced length of the open request was admitted.
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -71,7 +71,11 @@
 
 struct Fixture
 {
-    Fixture() { this->front.start(); }
+    explicit Fixture(MemoryBudget limits = budget)
+        : memory(limits)
+    {
+        this->front.start();
+    }
 
     auto connect() -> std::unique_ptr<Caller>
     {
@@ -99,7 +103,7 @@
 
     TestLoop loop;
     Instant moment = monotonicNow();
-    MemoryAccount memory{budget};
+    MemoryAccount memory;
     MemoryAccount::Charge others{&this->memory};
     Address address = freeAddress();
     std::vector<ExchangeId> requests;
@@ -259,3 +263,57 @@
         CHECK(fixture.loop.runUntil([&] { return caller->isEnded; }));
     }
 }
+
+SCENARIO("FrontListener passes on no requests of a connection that it has closed", "[admission]")
+{
+    // Guards against exchanges that refer to a connection which is destroyed.
+    constexpr MemoryBudget ample{4 * largeAnswerBytes, 0};
+    Fixture fixture(ample);
+    auto caller = fixture.connect();
+    GIVEN("a connection that is shed while its pipelined requests are passed on")
+    {
+        caller->pausesAt = 1;
+        fixture.onRequest = [&](ExchangeId exchange) {
+            fixture.front.reply(exchange, okHead(), std::string(largeAnswerBytes, 'a'));
+            fixture.others.set(ample.totalBytes);
+            fixture.front.shedExcess();
+            fixture.others.set(0);
+        };
+        caller->send(getRequest + getRequest + getRequest);
+        REQUIRE(fixture.waitRequests(1));
+        fixture.settle();
+        THEN("its further requests aren't passed on")
+        {
+            CHECK(fixture.requests.size() == 1);
+            CHECK(fixture.front.openExchanges() == 0);
+            CHECK(fixture.front.connectionCount() == 0);
+            CHECK(fixture.front.counters().shedConnections == 1);
+        }
+    }
+    GIVEN("a caller that disconnects, where the end of one request brings the answers to others")
+    {
+        fixture.onDisconnect = [&](ExchangeId ended) {
+            for (const auto exchange : std::vector(fixture.requests)) {
+                if (exchange != ended) {
+                    fixture.front.reply(exchange, okHead(), "late");
+                }
+            }
+        };
+        const auto limit = FrontSettings{}.pipelineLimit;
+        std::string pipeline;
+        for (std::size_t count = 0; count < limit + 1; ++count) {
+            pipeline += getRequest;
+        }
+        caller->send(pipeline);
+        REQUIRE(fixture.waitRequests(limit));
+        caller.reset();
+        fixture.settle();
+        THEN("its further requests aren't passed on")
+        {
+            CHECK(fixture.requests.size() == limit);
+            CHECK(fixture.disconnected.size() == limit);
+            CHECK(fixture.front.openExchanges() == 0);
+            CHECK(fixture.front.connectionCount() == 0);
+        }
+    }
+}
