http1: count the memory that headers take

A head was counted as twice its length. One with 4,000 short headers of 4 bytes takes 16 times its length, as each is kept as two text objects, and an open request was counted as 2 KB, whatever the size of its head. Callers could so hold several times the budget with heads of permitted size.

MessageHead now states its memory; the reader, answers that wait for earlier ones and open requests are counted with it.

--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -101,7 +101,7 @@
     /// Larger bodies are sent from where they are held; smaller ones are copied behind the head,
     /// which saves a system call.
     static constexpr std::size_t copiedBodyBytes = std::size_t{16} * 1024;
-    /// Memory of an open request without its body.
+    /// Memory of an open request without its message.
     static constexpr std::size_t exchangeBytes = 2048;
     /// Retry-After where memory is short; a caller that stalls is disconnected after that time.
     static constexpr Duration memoryRetryAfter = std::chrono::seconds{1};
@@ -165,7 +165,7 @@
         entry.head = std::move(request.head);
         entry.body = std::make_shared<const std::string>(std::move(request.body));
         entry.charge = MemoryAccount::Charge(&this->memory);
-        entry.charge.set(exchangeBytes + entry.body->size());
+        entry.charge.set(exchangeBytes + entry.head.heldBytes() + entry.body->size());
         entry.isRepeatable = route->isIdempotent;
         FlowRequest flowRequest;
         flowRequest.exchange = exchange;
--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -18,6 +18,8 @@
 /// Larger buffers are taken from the system and returned to it, so that only their used part
 /// counts.
 constexpr std::size_t pooledBufferBytes = std::size_t{256} * 1024;
+/// Overhead of a text that is allocated apart.
+constexpr std::size_t allocationBytes = 16;
 constexpr std::uint64_t lowestStatus = 100;
 constexpr std::uint64_t highestStatus = 599;
 
@@ -85,6 +87,21 @@
     return found == this->headers.end() ? nullptr : &found->value;
 }
 
+auto MessageHead::heldBytes() const -> std::size_t
+{
+    const auto textBytes = [](const std::string &text) {
+        // Short texts are kept within the object.
+        const auto isApart = text.capacity() > std::string().capacity();
+        return isApart ? text.capacity() + allocationBytes : 0;
+    };
+    auto bytes = textBytes(this->method) + textBytes(this->target) + textBytes(this->reason)
+                 + this->headers.capacity() * sizeof(HttpHeader);
+    for (const auto &header : this->headers) {
+        bytes += textBytes(header.name) + textBytes(header.value);
+    }
+    return bytes;
+}
+
 auto MessageHead::keepsConnection() const -> bool
 {
     auto keeps = this->minorVersion > 0;
@@ -150,7 +167,7 @@
         return this->fail(400);
     }
     taken = start + end + 4;
-    this->headBytes = end;
+    this->headBytes = this->message.head.heldBytes();
     if (this->kind == Kind::Response && this->message.head.status / 100 == 1) {
         this->message.head = {};
         return Step::NeedMore;
@@ -361,8 +378,7 @@
     const auto &body = this->message.body;
     const auto bodyBytes =
         body.capacity() <= pooledBufferBytes ? body.capacity() : std::size_t{body.size()};
-    // Headers are kept as separate strings.
-    return bodyBytes + 2 * this->headBytes;
+    return bodyBytes + this->headBytes;
 }
 
 auto MessageReader::endOfInput() -> bool
--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -94,6 +94,7 @@
     WholeMessage message;
     std::uint64_t remaining = 0;
     std::size_t announced = 0;
+    /// Memory of the head, once that is complete.
     std::size_t headBytes = 0;
     std::size_t trailerBytes = 0;
     bool expectsNoBody = false;
--- a/src/http1/tests/http1_tests.cpp
+++ b/src/http1/tests/http1_tests.cpp
@@ -276,3 +276,25 @@
               == Step::Malformed);
     }
 }
+
+SCENARIO("MessageReader counts the memory of headers", "[http1]")
+{
+    // Guards against heads of many short headers, which take many times their length.
+    std::string head = "POST /x HTTP/1.1\r\nContent-Length: 1\r\n";
+    for (auto count = 0; count < 3000; ++count) {
+        head += "a:\r\n";
+    }
+    MessageReader reader(Kind::Request, MessageLimits{});
+    std::size_t taken = 0;
+    CHECK(reader.read(head + "\r\n", taken) == Step::NeedMore);
+    CHECK(reader.hasHead());
+    CHECK(reader.heldBytes() >= 3000 * sizeof(HttpHeader));
+    GIVEN("long headers")
+    {
+        constexpr std::size_t valueBytes = 4000;
+        MessageHead longHead;
+        longHead.headers.push_back(HttpHeader{"Name", std::string(valueBytes, 'v')});
+        CHECK(longHead.heldBytes() >= valueBytes);
+        CHECK(longHead.heldBytes() < 2 * valueBytes);
+    }
+}
--- a/src/http1/types/messagehead.h
+++ b/src/http1/types/messagehead.h
@@ -2,6 +2,7 @@
 
 #include "http/types/httpmessage.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     [[nodiscard]] auto find(std::string_view name) const -> const std::string *;
     /// @returns whether the peer keeps the connection open after this message
     [[nodiscard]] auto keepsConnection() const -> bool;
+    /// @returns the memory that the texts and the headers take
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
 };
 
 /// A message with its complete body.
--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -366,7 +366,9 @@
 {
     auto bytes = connectionBytes + this->stream.inputCapacity() + this->stream.unsentBytes();
     for (const auto &pending : this->pendingReplies) {
-        bytes += pending.answer ? pending.answer->body.size() : 0;
+        if (pending.answer) {
+            bytes += pending.answer->head.heldBytes() + pending.answer->body.size();
+        }
     }
     return bytes;
 }
