http1: drop empty lines before a request

Empty lines before a request stayed unparsed until its head was complete.

They are taken from the input at once. The new test failed before.

--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -158,6 +158,7 @@
     this->hasBegun = !text.empty();
     const auto end = text.find("\r\n\r\n");
     if (end == std::string_view::npos) {
+        taken = start;
         return text.size() > this->limits.headBytes ? this->fail(431) : Step::NeedMore;
     }
     if (end > this->limits.headBytes) {
--- a/src/http1/tests/http1_tests.cpp
+++ b/src/http1/tests/http1_tests.cpp
@@ -277,6 +277,23 @@
     }
 }
 
+SCENARIO("MessageReader holds no empty lines before a request", "[http1]")
+{
+    // Guards against callers that fill the memory of an idle connection with empty lines.
+    MessageReader reader(Kind::Request, MessageLimits{});
+    std::string lines;
+    for (auto count = 0; count < 1000; ++count) {
+        lines += "\r\n";
+    }
+    std::size_t taken = 0;
+    CHECK(reader.read(lines, taken) == Step::NeedMore);
+    CHECK(taken == lines.size());
+    CHECK_FALSE(reader.isMidMessage());
+    std::string rest;
+    CHECK(readAll(reader, "\r\nGET /x HTTP/1.1\r\n\r\n", 1, rest) == Step::Whole);
+    CHECK(reader.take().head.target == "/x");
+}
+
 SCENARIO("MessageReader counts the memory of headers", "[http1]")
 {
     // Guards against heads of many short headers, which take many times their length.
