streams: count an unsent text until all of it is released

Only the unsent part of an answer was counted, but its buffer is kept whole until the last byte is sent. A caller that took all but the end of large answers held many times what the account showed. Neither did the account count the objects that hold each of many small answers.

SocketStream states the memory of what waits, and connections charge it.

--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -364,7 +364,7 @@
 
 auto FrontListener::Connection::heldBesidesRequest() const -> std::size_t
 {
-    auto bytes = connectionBytes + this->stream.inputCapacity() + this->stream.unsentBytes();
+    auto bytes = connectionBytes + this->stream.inputCapacity() + this->stream.unsentMemory();
     for (const auto &pending : this->pendingReplies) {
         if (pending.answer) {
             bytes += pending.answer->head.heldBytes() + pending.answer->body.size();
--- a/src/streams/internal/socketstream.cpp
+++ b/src/streams/internal/socketstream.cpp
@@ -153,6 +153,7 @@
 {
     this->unsentByteCount += bytes->size() - sentBytes;
     this->unsent.push_back(Segment{std::move(bytes), sentBytes});
+    this->queuedByteCount += this->unsent.back().memory();
     if (!this->isConnecting) {
         event_add(this->writeEvent.get(), nullptr);
     }
@@ -175,6 +176,7 @@
             event_add(this->writeEvent.get(), nullptr);
             return;
         }
+        this->queuedByteCount -= segment.memory();
         this->unsent.pop_front();
     }
     if (this->isFinishing) {
@@ -256,6 +258,7 @@
     this->hasFailed = true;
     this->unsent.clear();
     this->unsentByteCount = 0;
+    this->queuedByteCount = 0;
     event_active(this->writeEvent.get(), EV_WRITE, 0);
 }
 
--- a/src/streams/socketstream.h
+++ b/src/streams/socketstream.h
@@ -58,6 +58,8 @@
     auto writeShared(std::shared_ptr<const std::string> bytes) -> void;
     /// @returns the number of written bytes that the socket hasn't accepted yet
     [[nodiscard]] auto unsentBytes() const -> std::size_t { return this->unsentByteCount; }
+    /// @returns the memory that unsent bytes take; a text is kept until all of it is sent
+    [[nodiscard]] auto unsentMemory() const -> std::size_t { return this->queuedByteCount; }
     /// @returns the memory that received bytes take
     [[nodiscard]] auto inputCapacity() const -> std::size_t { return this->received.capacity(); }
     auto setReading(bool isReading) -> void;
@@ -72,6 +74,11 @@
     {
         std::shared_ptr<const std::string> bytes;
         std::size_t sentBytes = 0;
+
+        [[nodiscard]] auto memory() const -> std::size_t
+        {
+            return this->bytes->size() + sizeof(Segment) + sizeof(std::string);
+        }
     };
 
     auto open(int descriptor) -> void;
@@ -93,6 +100,7 @@
     std::size_t consumedBytes = 0;
     std::deque<Segment> unsent;
     std::size_t unsentByteCount = 0;
+    std::size_t queuedByteCount = 0;
     bool isConnecting = false;
     bool isFinishing = false;
     bool resetsOnClose = false;
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -317,3 +317,20 @@
         }
     }
 }
+
+SCENARIO("SocketStream counts a partly sent text until it is released", "[admission]")
+{
+    // Guards against callers that take all but the end of large answers, which stay in memory.
+    Fixture fixture;
+    auto caller = fixture.connect();
+    caller->pausesAt = largeAnswerBytes / 2;
+    caller->send(getRequest);
+    REQUIRE(fixture.waitRequests(1));
+    fixture.front.reply(fixture.requests.front(), okHead(), std::string(largeAnswerBytes, 'a'));
+    REQUIRE(fixture.loop.runUntil([&] { return caller->received.size() >= largeAnswerBytes / 2; }));
+    CHECK(fixture.front.unsentBytes() < largeAnswerBytes / 2);
+    CHECK(fixture.memory.heldBytes() > largeAnswerBytes);
+    caller->resume();
+    REQUIRE(fixture.loop.runUntil([&] { return caller->received.size() > largeAnswerBytes; }));
+    CHECK(fixture.memory.heldBytes() < budget.reservedBytes);
+}
