streams: count received bytes anew where an answer starts the reading

Requests are also read when an answer makes room for them in the pipeline. What was left of the input then wasn't recorded, and the next bytes were counted as too few, or as 2^64 less a few, for the open request. A caller that sent 40 KB per second was closed as slow; others were never taken for slow.

The size of the input is recorded after each reading. The new test failed before.

--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -149,7 +149,6 @@
     this->receivedAt = this->front.now();
     this->receivedBytes += this->stream.input().size() - this->unparsedBytes;
     this->readRequests();
-    this->unparsedBytes = this->stream.input().size();
     this->updateCharge();
 }
 
@@ -171,6 +170,7 @@
     this->isReading = true;
     this->readWithinLimit();
     this->isReading = false;
+    this->unparsedBytes = this->stream.input().size();
     if (!this->isEnding) {
         this->stream.setReading(this->stream.input().size() < unreadLimitBytes);
     }
--- a/src/streams/internal/frontconnection.h
+++ b/src/streams/internal/frontconnection.h
@@ -77,7 +77,7 @@
     /// When bytes last arrived, and how many since the open request began.
     Instant receivedAt{};
     std::size_t receivedBytes = 0;
-    /// Unparsed input when bytes last arrived.
+    /// Input that was left when requests were last read.
     std::size_t unparsedBytes = 0;
     /// Since when answers wait for the caller to take them, when it last took a part, and how much.
     Instant sendingSince{};
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -334,3 +334,33 @@
     REQUIRE(fixture.loop.runUntil([&] { return caller->received.size() > largeAnswerBytes; }));
     CHECK(fixture.memory.heldBytes() < budget.reservedBytes);
 }
+
+SCENARIO("FrontListener measures the rate of a request behind others", "[admission]")
+{
+    // Guards against callers that are closed as slow because bytes of a request that arrived
+    // while earlier ones waited for their answers weren't counted.
+    Fixture fixture;
+    const auto limit = FrontSettings{}.pipelineLimit;
+    auto first = fixture.connect();
+    std::string pipeline;
+    for (std::size_t count = 0; count < limit; ++count) {
+        pipeline += getRequest;
+    }
+    first->send(pipeline + post(300 * kilobyte, 60 * kilobyte));
+    REQUIRE(fixture.waitRequests(limit));
+    fixture.settle();
+    for (const auto exchange : std::vector(fixture.requests)) {
+        fixture.front.reply(exchange, okHead(), "");
+    }
+    fixture.moment += milliseconds{1500};
+    first->send("b");
+    fixture.settle();
+    auto second = fixture.connect();
+    second->send(post(300 * kilobyte, 0));
+    THEN("a caller that sends 40 KB per second isn't closed")
+    {
+        CHECK(fixture.loop.runUntil([&] { return second->isEnded; }));
+        CHECK_FALSE(first->isEnded);
+        CHECK_FALSE(first->has("HTTP/1.1 503 "));
+    }
+}
