streams: bound the input behind requests that wait

A connection whose requests waited for their answers was never closed.

Where the budget is exceeded and no other connection can be closed, those with further input or with answers that wait for others are closed, the one that holds the most first. Connections that only wait stay open. As such input causes no other event, it asks for relief itself. The new tests failed before.

--- a/src/memory/internal/shedorder.cpp
+++ b/src/memory/internal/shedorder.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Rank of a connection among those to close; the highest goes first.
-enum class Class : std::uint8_t { Kept, Largest, Slow, Stalled };
+enum class Class : std::uint8_t { Kept, Waiting, Largest, Slow, Stalled };
 using Rank = std::tuple<Class, double>;
 
 /// @returns bytes moved per second; the first second counts in full, so that a connection that has
@@ -33,6 +33,11 @@
         if (connection.heldBytes < this->settings.minHeldBytes) {
             return {Class::Kept, 0};
         }
+        if (connection.activity == ConnectionLoad::Activity::Waiting) {
+            return urgency == Urgency::OverBudget
+                       ? Rank{Class::Waiting, static_cast<double>(connection.heldBytes)}
+                       : Rank{Class::Kept, 0};
+        }
         const auto stalled = now - connection.progressAt;
         if (stalled >= this->settings.stallTime) {
             return {Class::Stalled, static_cast<double>(stalled.count())};
--- a/src/memory/shedorder.h
+++ b/src/memory/shedorder.h
@@ -22,7 +22,8 @@
 
 /// Decides which connections are closed where memory is short: those whose peers make it last the
 /// longest. Stalled ones go first, the longest stalled before others; then slow ones, the slowest
-/// first; then, only where the budget is exceeded, the one that holds the most.
+/// first; then, only where the budget is exceeded, the one that holds the most. The last are
+/// connections whose requests wait for their answers, as these requests may be running.
 class ShedOrder
 {
 public:
--- a/src/memory/tests/shedorder_tests.cpp
+++ b/src/memory/tests/shedorder_tests.cpp
@@ -62,6 +62,17 @@
             CHECK(order.next({fast, begun}, Urgency::OverBudget, now) == 1);
         }
     }
+    GIVEN("a connection whose requests wait for their answers")
+    {
+        // Guards against input behind such requests that nothing bounds.
+        const auto waiting = load(9 * megabyte, 0, seconds{9}, seconds{9}, Activity::Waiting);
+        THEN("it is closed where the budget is exceeded and nothing else can be closed")
+        {
+            CHECK_FALSE(order.next({waiting, small}, Urgency::RoomWanted, now));
+            CHECK(order.next({waiting, begun}, Urgency::OverBudget, now) == 1);
+            CHECK(order.next({waiting, small}, Urgency::OverBudget, now) == 0);
+        }
+    }
     GIVEN("connections that hold next to nothing, or none")
     {
         const auto urgency = GENERATE(Urgency::RoomWanted, Urgency::OverBudget);
--- a/src/memory/types/connectionload.h
+++ b/src/memory/types/connectionload.h
@@ -15,6 +15,9 @@
         Receiving,
         /// Answers that the peer hasn't taken yet.
         Sending,
+        /// Requests that wait for their answers, further input behind them, and answers that are to
+        /// be sent after others. The peer can't make progress.
+        Waiting,
     };
 
     Activity activity = Activity::Receiving;
--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -129,8 +129,17 @@
         load.progressAt = this->sentAt;
         return load;
     }
-    // A caller whose requests wait for their answers can't make progress.
-    if (this->isEnding || !this->pendingReplies.empty() || !this->reader.isMidMessage()) {
+    if (!this->pendingReplies.empty()) {
+        const auto hasAnswer =
+            std::any_of(this->pendingReplies.begin(), this->pendingReplies.end(),
+                        [](const PendingReply &pending) { return pending.answer.has_value(); });
+        if (!hasAnswer && !this->reader.isMidMessage() && this->stream.input().empty()) {
+            return std::nullopt;
+        }
+        load.activity = ConnectionLoad::Activity::Waiting;
+        return load;
+    }
+    if (this->isEnding || !this->reader.isMidMessage()) {
         return std::nullopt;
     }
     load.activity = ConnectionLoad::Activity::Receiving;
@@ -150,6 +159,10 @@
     this->receivedBytes += this->stream.input().size() - this->unparsedBytes;
     this->readRequests();
     this->updateCharge();
+    // Input behind requests that wait isn't admitted, and brings about no other event.
+    if (this->front.memory != nullptr) {
+        this->front.memory->relieve();
+    }
 }
 
 auto FrontListener::Connection::onSent() -> void
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -364,3 +364,27 @@
         CHECK_FALSE(first->has("HTTP/1.1 503 "));
     }
 }
+
+SCENARIO("FrontListener closes waiting callers where the budget is exceeded", "[admission]")
+{
+    // Load: callers whose requests wait for their answers, and that go on sending. Guards against
+    // input that nothing bounds but the number of connections.
+    Fixture fixture;
+    fixture.memory.setRelief([&] { fixture.front.shedExcess(); });
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (std::size_t count = 0; count < 20; ++count) {
+        callers.push_back(fixture.connect());
+        callers.back()->send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        REQUIRE(fixture.waitRequests(count + 1));
+    }
+    for (auto &caller : callers) {
+        caller->send(std::string(100 * kilobyte, 'x'));
+    }
+    fixture.settle();
+    THEN("the account stays within the budget, and the closed callers' requests end")
+    {
+        CHECK_FALSE(fixture.memory.isOver());
+        CHECK(fixture.front.connectionCount() > 0);
+        CHECK(fixture.disconnected.size() == fixture.front.counters().shedConnections);
+    }
+}
