streams: close no connections for a request that never fits

A caller that announced a body larger than the whole budget was refused, but only after all stalled and slow connections had been closed for it; it could repeat that every 100 ms.

Such a request is now refused at once. The new test failed before.

--- a/src/memory/internal/memoryaccount.cpp
+++ b/src/memory/internal/memoryaccount.cpp
@@ -66,10 +66,20 @@
     return this->missingFor(bytes) == 0;
 }
 
-auto MemoryAccount::missingFor(std::size_t bytes) const -> std::size_t
+auto MemoryAccount::canEverHold(std::size_t bytes) const -> bool
+{
+    return bytes <= this->usableFor(bytes);
+}
+
+auto MemoryAccount::usableFor(std::size_t bytes) const -> std::size_t
 {
     const auto isLarge = bytes > smallMessageBytes;
-    const auto usable = this->limits.totalBytes - (isLarge ? this->limits.reservedBytes : 0);
+    return this->limits.totalBytes - (isLarge ? this->limits.reservedBytes : 0);
+}
+
+auto MemoryAccount::missingFor(std::size_t bytes) const -> std::size_t
+{
+    const auto usable = this->usableFor(bytes);
     const auto needed = this->held + bytes;
     return needed > usable ? needed - usable : 0;
 }
--- a/src/memory/memoryaccount.h
+++ b/src/memory/memoryaccount.h
@@ -51,6 +51,8 @@
     auto relieve() -> bool;
     /// @returns whether a message of this size may be taken in besides what is held
     [[nodiscard]] auto hasRoomFor(std::size_t bytes) const -> bool;
+    /// @returns whether a message of this size could be taken in if nothing else were held
+    [[nodiscard]] auto canEverHold(std::size_t bytes) const -> bool;
     /// @returns how many bytes have to be released before hasRoomFor() allows the message; zero
     ///          where it does
     [[nodiscard]] auto missingFor(std::size_t bytes) const -> std::size_t;
@@ -60,6 +62,9 @@
     [[nodiscard]] auto budget() const -> const MemoryBudget & { return this->limits; }
 
 private:
+    /// @returns what messages of this size may use of the budget
+    [[nodiscard]] auto usableFor(std::size_t bytes) const -> std::size_t;
+
     MemoryBudget limits;
     std::size_t held = 0;
     std::function<void()> release;
--- a/src/memory/tests/memoryaccount_tests.cpp
+++ b/src/memory/tests/memoryaccount_tests.cpp
@@ -77,6 +77,8 @@
             constexpr std::size_t largestBody = 67'108'864;
             CHECK(account.hasRoomFor(largestBody));
             CHECK_FALSE(account.hasRoomFor(2 * largestBody));
+            CHECK(account.canEverHold(largestBody));
+            CHECK_FALSE(account.canEverHold(2 * largestBody));
         }
         THEN("a quarter of the VM's memory is left to the process itself")
         {
--- a/src/streams/internal/frontlistener.cpp
+++ b/src/streams/internal/frontlistener.cpp
@@ -70,6 +70,9 @@
     if (this->memory == nullptr || this->memory->hasRoomFor(bytes)) {
         return true;
     }
+    if (!this->memory->canEverHold(bytes)) {
+        return false;
+    }
     const auto moment = this->now();
     if (!this->memory->isOver() && moment < this->shedDue) {
         return false;
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -388,3 +388,21 @@
         CHECK(fixture.disconnected.size() == fixture.front.counters().shedConnections);
     }
 }
+
+SCENARIO("FrontListener closes no connections for a request that never fits", "[admission]")
+{
+    // Guards against callers that end others' requests by announcing large bodies.
+    Fixture fixture;
+    auto first = fixture.connect();
+    first->send(post(200 * kilobyte, 100 * kilobyte));
+    fixture.settle();
+    fixture.moment += seconds{2};
+    auto second = fixture.connect();
+    second->send(post(budget.totalBytes, 0));
+    THEN("it is refused, and a stalled connection stays open")
+    {
+        CHECK(fixture.loop.runUntil([&] { return second->isEnded; }));
+        CHECK(second->has("HTTP/1.1 503 "));
+        CHECK_FALSE(first->isEnded);
+    }
+}
