streams: release a refused request before its answer can be sent

A body over the limit, or one that came too slowly, stayed in memory and in the account until the requests before it were answered.

The reader discards it as soon as it is refused. The new test failed before (395 KB held).

--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -311,6 +311,7 @@
 {
     this->refusal = std::move(head);
     this->isLastRequestRead = true;
+    this->reader.discard();
     if (this->pendingReplies.empty()) {
         this->sendRefusal();
     }
@@ -319,7 +320,6 @@
 auto FrontListener::Connection::refuseForMemory() -> void
 {
     ++this->front.counts.memoryRefusals;
-    this->reader.discard();
     this->refuse(this->front.settings.memoryRefusal);
     this->updateCharge();
 }
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -406,3 +406,21 @@
         CHECK_FALSE(first->isEnded);
     }
 }
+
+SCENARIO("FrontListener releases a refused request before its answer can be sent", "[admission]")
+{
+    // Guards against bodies over the limit that are held while an earlier request runs.
+    Fixture fixture;
+    fixture.front.setLimits(MessageLimits{16 * kilobyte, 200 * kilobyte}, seconds{10}, seconds{10});
+    auto caller = fixture.connect();
+    const std::string chunk = "2dc00\r\n" + std::string(183 * kilobyte, 'b') + "\r\n";
+    caller->send(getRequest + "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 + chunk + chunk);
+    REQUIRE(fixture.waitRequests(1));
+    fixture.settle();
+    CHECK(fixture.memory.heldBytes() < 160 * kilobyte);
+    fixture.front.reply(fixture.requests.front(), okHead(), "first");
+    CHECK(fixture.loop.runUntil([&] { return caller->isEnded; }));
+    CHECK(caller->has("first"));
+    CHECK(caller->has("HTTP/1.1 413 "));
+}
