streams: hold the text of a request once, and only until it is sent

The text of a request was kept until its answer, and the part that the socket didn't accept was copied besides. A forwarded request has its whole body in the text, so that it was held twice and counted once.

The text is moved into the queue of the socket and counted until it is sent. The new test failed before (25 MB held after sending).

--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -56,7 +56,8 @@
         , stream(pool.base, endpoint,
                  SocketStream::Handlers{[this](bool isOpen) { this->onConnected(isOpen); },
                                         [this] { this->onInput(); },
-                                        [this](bool isClean) { this->onEnd(isClean); }})
+                                        [this](bool isClean) { this->onEnd(isClean); },
+                                        [this] { this->updateCharge(); }})
     {
     }
 
@@ -99,7 +100,9 @@
     auto sendRequest() -> void
     {
         this->isSent = true;
-        this->stream.write(this->request.text);
+        auto text = std::make_shared<const std::string>(std::move(this->request.text));
+        this->sentText = text;
+        this->stream.writeShared(std::move(text));
         if (this->request.body != nullptr) {
             this->stream.writeShared(this->request.body);
         }
@@ -108,7 +111,9 @@
     /// Counts what the connection holds, apart from the shared body of its request.
     auto updateCharge() -> void
     {
-        this->charge.set(connectionBytes + this->stream.inputCapacity() + this->request.text.size()
+        const auto sending = this->sentText.lock();
+        const auto textBytes = this->request.text.size() + (sending ? sending->size() : 0);
+        this->charge.set(connectionBytes + this->stream.inputCapacity() + textBytes
                          + this->reader.heldBytes());
     }
 
@@ -261,6 +266,8 @@
 
     MessageReader reader;
     OutboundRequest request;
+    /// The request's text while the stream holds it.
+    std::weak_ptr<const std::string> sentText;
     Done done;
     Instant deadline{};
     bool isConnected = false;
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -1,10 +1,13 @@
 #include "http/clocktimer.h"
 #include "streams/frontlistener.h"
+#include "streams/outboundpool.h"
+#include "streams/socketlistener.h"
 #include "streams/socketstream.h"
 #include "testing/freeaddress.h"
 #include "testing/testloop.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 using namespace gooseberrywall;
 using std::chrono::milliseconds;
@@ -424,3 +427,44 @@
     CHECK(caller->has("first"));
     CHECK(caller->has("HTTP/1.1 413 "));
 }
+
+SCENARIO("OutboundPool holds a request's text once, and only until it is sent", "[admission]")
+{
+    // Guards against large forwarded requests that are held in the request and in the socket's
+    // queue, and stay until they are answered.
+    TestLoop loop;
+    MemoryAccount memory(MemoryBudget{4 * largeAnswerBytes, 0});
+    const auto address = freeAddress();
+    std::unique_ptr<SocketStream> peer;
+    std::size_t received = 0;
+    const SocketListener listener(loop.base(), address, [&](int descriptor) {
+        peer = std::make_unique<SocketStream>(
+            loop.base(), descriptor,
+            SocketStream::Handlers{[](bool) {},
+                                   [&] {
+                                       received += peer->input().size();
+                                       peer->consume(peer->input().size());
+                                   },
+                                   [](bool) {}});
+        peer->setReading(false);
+    });
+    OutboundPool pool(loop.base(), OutboundPoolSettings{}, monotonicNow, &memory);
+    OutboundRequest request;
+    request.address = address;
+    request.text = std::string(largeAnswerBytes, 't');
+    request.body = std::make_shared<const std::string>(largeAnswerBytes, 'b');
+    request.timeout = seconds{20};
+    std::optional<OutboundResult> result;
+    pool.send(std::move(request), [&](OutboundResult ended) { result = std::move(ended); });
+    REQUIRE(loop.runUntil([&] { return peer != nullptr; }));
+    loop.runFor(milliseconds{50});
+    CHECK(memory.heldBytes() >= largeAnswerBytes);
+    CHECK(memory.heldBytes() < largeAnswerBytes + 64 * kilobyte);
+    peer->setReading(true);
+    REQUIRE(loop.runUntil([&] { return received == 2 * largeAnswerBytes; }));
+    loop.runFor(milliseconds{50});
+    CHECK(memory.heldBytes() < 64 * kilobyte);
+    peer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(loop.runUntil([&] { return result.has_value(); }));
+    CHECK(result->end == OutboundResult::End::Answered);
+}
