forwarding: count the requests that are passed on to other daemons

The client that passes requests on to other daemons had no account. With a body of 64 MiB, as much again was held and not counted. The new test failed to count it before, as there was no account to give.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -57,7 +57,7 @@
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
                this->statements, this->links.reach(),
                FlowRecords{this->requestLog, this->counters, this->stages})
-        , forwardClient(loop.base(), now)
+        , forwardClient(loop.base(), now, &this->memory)
         , entry(
               loop.base(), wire, this->settings, this->memory, this->upstreamPool,
               this->forwardClient, this->flow, this->counters, now,
--- a/src/forwarding/forwardclient.h
+++ b/src/forwarding/forwardclient.h
@@ -19,7 +19,9 @@
 
     /// @param base runs the connections; must outlive the client
     /// @param now returns the current time
-    ForwardClient(event_base *base, const std::function<Instant()> &now);
+    /// @param memory counts what the connections hold; nullptr: nothing is counted
+    ForwardClient(event_base *base, const std::function<Instant()> &now,
+                  MemoryAccount *memory = nullptr);
 
     /// @param forwarder the address at which the forwarder serves its peers
     /// @param done called once, never from within send(), and not after abort(). NotSent only where
--- a/src/forwarding/internal/forwardclient.cpp
+++ b/src/forwarding/internal/forwardclient.cpp
@@ -45,8 +45,9 @@
 
 } // namespace
 
-ForwardClient::ForwardClient(event_base *base, const std::function<Instant()> &now)
-    : pool(base, poolSettings(), now)
+ForwardClient::ForwardClient(event_base *base, const std::function<Instant()> &now,
+                             MemoryAccount *memory)
+    : pool(base, poolSettings(), now, memory)
 {
 }
 
--- a/src/forwarding/tests/forwardclient_tests.cpp
+++ b/src/forwarding/tests/forwardclient_tests.cpp
@@ -83,6 +83,22 @@
     CHECK(fixture.forwarder.connections == 1);
 }
 
+SCENARIO("ForwardClient counts the requests that it passes on", "[forwarding]")
+{
+    // Guards against forwarded bodies that the memory account forgets.
+    constexpr std::size_t bodyBytes = 1'000'000;
+    TestLoop loop;
+    MemoryAccount memory(MemoryBudget{10 * bodyBytes, 0});
+    ForwardClient client(loop.base(), monotonicNow, &memory);
+    auto request = sampleRequest(Address{"10.0.0.1:80"});
+    request.text = std::string(bodyBytes, 'b');
+    const auto id = client.send(freeAddress(), request, [](const ForwardAnswer &) {});
+    CHECK(memory.heldBytes() > bodyBytes);
+    client.abort(id);
+    loop.runFor(milliseconds{20});
+    CHECK(memory.heldBytes() == 0);
+}
+
 SCENARIO("ForwardClient calls only those requests not sent that can't be sent any more",
          "[forwarding]")
 {
