edge: count answers that are kept during another attempt

The answer of an attempt was counted by no one from its end to the delivery, which comes late where another attempt is made first. The open request now counts it. It is released before its answer is passed on, which may admit the next request of the connection; so nothing is counted twice. No test of its own: the entry service has none without a whole daemon.

--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -130,6 +130,12 @@
         bool isCallerGone = false;
     };
 
+    /// @returns the memory that an open request takes
+    [[nodiscard]] static auto requestBytes(const Exchange &entry) -> std::size_t
+    {
+        return exchangeBytes + entry.head.heldBytes() + entry.body->size();
+    }
+
     [[nodiscard]] static auto frontSettings(const EdgeSettings &settings) -> FrontSettings
     {
         FrontSettings result;
@@ -165,7 +171,7 @@
         entry.head = std::move(request.head);
         entry.body = std::make_shared<const std::string>(std::move(request.body));
         entry.charge = MemoryAccount::Charge(&this->memory);
-        entry.charge.set(exchangeBytes + entry.head.heldBytes() + entry.body->size());
+        entry.charge.set(requestBytes(entry));
         entry.isRepeatable = route->isIdempotent;
         FlowRequest flowRequest;
         flowRequest.exchange = exchange;
@@ -281,9 +287,10 @@
         if (found == this->exchanges.end()) {
             return;
         }
-        auto entry = std::move(found->second);
+        // The request is released first: answering may lead to the admission of another one.
+        auto answer = std::move(found->second.answer);
         this->exchanges.erase(found);
-        this->front.reply(command.exchange, std::move(entry.answer));
+        this->front.reply(command.exchange, std::move(answer));
     }
 
     auto execute(const FlowRefuse &command) -> void
@@ -292,10 +299,9 @@
         if (found == this->exchanges.end()) {
             return;
         }
-        const auto entry = std::move(found->second);
+        const auto id = found->second.fields.id;
         this->exchanges.erase(found);
-        this->refuse(command.exchange, entry.fields.id, command.status, command.reason,
-                     command.retryAfter);
+        this->refuse(command.exchange, id, command.status, command.reason, command.retryAfter);
     }
 
     /// @param hold why a forwarder hasn't sent the request, if the upstream wants none
@@ -319,6 +325,8 @@
             end.isLeaving = fields.isLeaving;
             end.pause = fields.pause;
             entry.answer = std::move(result.answer);
+            entry.charge.set(requestBytes(entry) + entry.answer.head.heldBytes()
+                             + entry.answer.body.size());
             break;
         }
         case OutboundResult::End::NotSent:
