streams: refuse no request that hasn't begun

After a request was passed on, the listener asked for room for the next one, even if none of its bytes had arrived. Where that request had used up the budget, its caller got a refusal with 503 behind its answer, and its connection was closed.

Room is only asked for once a request has begun. The new test failed before.

--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -210,7 +210,8 @@
             this->refuse(headOf(this->reader.refusalStatus()));
             return;
         }
-        if (!this->admit()) {
+        // Without input, there is no request that could be refused.
+        if (!this->reader.isMidMessage() || !this->admit()) {
             return;
         }
         if (step == MessageReader::Step::NeedMore) {
--- a/src/streams/tests/admission_tests.cpp
+++ b/src/streams/tests/admission_tests.cpp
@@ -468,3 +468,20 @@
     REQUIRE(loop.runUntil([&] { return result.has_value(); }));
     CHECK(result->end == OutboundResult::End::Answered);
 }
+
+SCENARIO("FrontListener refuses no request that hasn't begun", "[admission]")
+{
+    // Guards against a second answer, a refusal, behind the answer to a caller's only request.
+    Fixture fixture;
+    fixture.onRequest = [&](ExchangeId) { fixture.others.set(budget.totalBytes); };
+    auto caller = fixture.connect();
+    caller->send(getRequest);
+    REQUIRE(fixture.waitRequests(1));
+    fixture.settle();
+    fixture.front.reply(fixture.requests.front(), okHead(), "only");
+    fixture.settle();
+    CHECK(caller->has("only"));
+    CHECK_FALSE(caller->has("HTTP/1.1 503 "));
+    CHECK_FALSE(caller->isEnded);
+    CHECK(fixture.front.counters().memoryRefusals == 0);
+}
