--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -89,7 +89,7 @@
         this->lastUsedAt = moment;
     }
     if (moment - this->lastUsedAt > (unsent > 0 ? answerStallTimeout : closeTimeout)) {
-        this->front.discard(this);
+        this->discard();
     }
 }
 
@@ -115,9 +115,7 @@
         return;
     }
     this->stream.resetOnClose();
-    this->abandonReplies();
-    this->charge.set(0);
-    this->front.discard(this);
+    this->discard();
 }
 
 auto FrontListener::Connection::load() const -> std::optional<ConnectionLoad>
@@ -131,8 +129,17 @@
         load.progressAt = this->sentAt;
         return load;
     }
-    // A caller whose requests wait for their answers can't make progress.
-    if (this->isEnding || !this->pendingReplies.empty() || !this->reader.isMidMessage()) {
+    if (!this->pendingReplies.empty()) {
+        const auto hasAnswer =
+            std::any_of(this->pendingReplies.begin(), this->pendingReplies.end(),
+                        [](const PendingReply &pending) { return pending.answer.has_value(); });
+        if (!hasAnswer && !this->reader.isMidMessage() && this->stream.input().empty()) {
+            return std::nullopt;
+        }
+        load.activity = ConnectionLoad::Activity::Waiting;
+        return load;
+    }
+    if (this->isEnding || !this->reader.isMidMessage()) {
         return std::nullopt;
     }
     load.activity = ConnectionLoad::Activity::Receiving;
@@ -151,8 +158,11 @@
     this->receivedAt = this->front.now();
     this->receivedBytes += this->stream.input().size() - this->unparsedBytes;
     this->readRequests();
-    this->unparsedBytes = this->stream.input().size();
     this->updateCharge();
+    // Input behind requests that wait isn't admitted, and brings about no other event.
+    if (this->front.memory != nullptr) {
+        this->front.memory->relieve();
+    }
 }
 
 auto FrontListener::Connection::onSent() -> void
@@ -173,6 +183,7 @@
     this->isReading = true;
     this->readWithinLimit();
     this->isReading = false;
+    this->unparsedBytes = this->stream.input().size();
     if (!this->isEnding) {
         this->stream.setReading(this->stream.input().size() < unreadLimitBytes);
     }
@@ -199,7 +210,8 @@
             this->refuse(headOf(this->reader.refusalStatus()));
             return;
         }
-        if (!this->admit()) {
+        // Without input, there is no request that could be refused.
+        if (!this->reader.isMidMessage() || !this->admit()) {
             return;
         }
         if (step == MessageReader::Step::NeedMore) {
@@ -300,6 +312,7 @@
 {
     this->refusal = std::move(head);
     this->isLastRequestRead = true;
+    this->reader.discard();
     if (this->pendingReplies.empty()) {
         this->sendRefusal();
     }
@@ -308,7 +321,6 @@
 auto FrontListener::Connection::refuseForMemory() -> void
 {
     ++this->front.counts.memoryRefusals;
-    this->reader.discard();
     this->refuse(this->front.settings.memoryRefusal);
     this->updateCharge();
 }
@@ -334,17 +346,29 @@
 
 auto FrontListener::Connection::abandonReplies() -> void
 {
-    auto open = std::exchange(this->pendingReplies, {});
+    const auto open = std::exchange(this->pendingReplies, {});
     for (const auto &pending : open) {
         this->front.exchanges.erase(pending.exchange);
+    }
+    for (const auto &pending : open) {
         this->front.onDisconnect(pending.exchange);
     }
 }
 
-auto FrontListener::Connection::onEnd() -> void
+auto FrontListener::Connection::discard() -> void
 {
-    this->abandonReplies();
+    // Events that are already due, and code of the connection that still runs, must not read
+    // further requests: the connection is destroyed soon.
+    this->isEnding = true;
+    this->isDiscarded = true;
+    this->charge.set(0);
     this->front.discard(this);
+    this->abandonReplies();
+}
+
+auto FrontListener::Connection::onEnd() -> void
+{
+    this->discard();
 }
 
 auto FrontListener::Connection::requestBytes() const -> std::size_t
@@ -354,15 +378,20 @@
 
 auto FrontListener::Connection::heldBesidesRequest() const -> std::size_t
 {
-    auto bytes = connectionBytes + this->stream.inputCapacity() + this->stream.unsentBytes();
+    auto bytes = connectionBytes + this->stream.inputCapacity() + this->stream.unsentMemory();
     for (const auto &pending : this->pendingReplies) {
-        bytes += pending.answer ? pending.answer->body.size() : 0;
+        if (pending.answer) {
+            bytes += pending.answer->head.heldBytes() + pending.answer->body.size();
+        }
     }
     return bytes;
 }
 
 auto FrontListener::Connection::updateCharge() -> void
 {
+    if (this->isDiscarded) {
+        return;
+    }
     this->charge.set(this->heldBesidesRequest() + this->requestBytes());
 }
 
