--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -66,20 +66,22 @@
         const auto isSameIncarnation =
             known != this->upstreams.end() && known->second.entry.incarnation == entry.incarnation;
         Upstream upstream = isSameIncarnation ? std::move(known->second) : Upstream{};
-        if (!isSameIncarnation || upstream.entry.remainingWarmUp != entry.remainingWarmUp) {
-            upstream.warmUpEnd = now + entry.remainingWarmUp;
-        }
+        this->takeInWarmUp(upstream, entry, now);
         upstream.entry = entry;
         upstream.process = UpstreamProcess{entry.id, entry.incarnation};
         next.emplace(entry.id, std::move(upstream));
     }
     for (const auto &[id, incarnation] : former) {
         const auto found = next.find(id);
+        if (found == next.end()) {
+            this->rememberGone(id);
+        }
         if (found == next.end() || found->second.entry.incarnation != incarnation) {
             this->quarantine.onUpstreamLost(id, incarnation, now);
         }
     }
     this->upstreams = std::move(next);
+    this->updateAllEvacuated();
     this->capacity.recalculateAt = now;
     this->fillQueues();
     this->grantFreeSlots(now);
@@ -148,7 +150,7 @@
         return;
     }
     const auto forecast = this->forecast(waiting, now);
-    if (forecast.wait + forecast.latency > request.remaining
+    if (forecast.wait + forecast.latency > request.remaining || this->isEvacuatedAway(request)
         || this->backlog.size() >= this->settings.backlogLimit) {
         this->refuse(waiting, this->refusalReason(waiting, Reason::QueueFull, now),
                      this->jittered(std::max(forecast.wait / 2, this->meanLatency / 2)), now);
@@ -258,9 +260,10 @@
         result.push_back(UpstreamStatus{
             id, upstream.slotReduction.slotsOf(upstream.entry.slots, now),
             this->latencyOf(upstream, now), upstream.health.failureShare(now),
-            !upstream.entry.isDraining && !upstream.health.isLimitedToTrials()
+            upstream.entry.takesNewWork() && !upstream.health.isLimitedToTrials()
                 && !this->isSilent(upstream, now),
-            upstream.entry.isDraining, upstream.limiter.limit(), upstream.grants.perSecond(now)});
+            upstream.entry.isDraining, upstream.limiter.limit(now), upstream.grants.perSecond(now),
+            upstream.entry.isEvacuated, upstream.limiter.isCold(now)});
     }
     return result;
 }
@@ -311,7 +314,7 @@
     if (upstream.inFlight == upstream.stranded) {
         upstream.noReportSince = now;
     }
-    ++upstream.inFlight;
+    upstream.usage.onChange(++upstream.inFlight, now);
     const auto isTrial = !upstream.suspectedBy.empty();
     upstream.trials += isTrial ? 1 : 0;
     upstream.grants.record(now);
@@ -415,7 +418,8 @@
     const auto isIsolated = this->paths.isIsolated(request.id.entry);
     const auto isImpaired = !isIsolated && this->paths.isImpaired(request.id.entry);
     for (auto &[id, upstream] : this->upstreams) {
-        if (!this->hasRoom(upstream, now) || !upstream.pauses.allows(request.id.entry, now)
+        if (upstream.entry.isEvacuated || !this->hasRoom(upstream, now)
+            || !upstream.pauses.allows(request.id.entry, now)
             || (isIsolated && !this->hasForwarder(request.id.entry, upstream, now))) {
             continue;
         }
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -19,6 +19,8 @@
 constexpr double warmUpLatencyFactor = 2.0;
 /// Lower bound of latencies where rates are reckoned from them.
 constexpr double minLatencySeconds = 0.001;
+/// With a lower mean utilisation, single requests determine which upstream is the busiest.
+constexpr double minComparedUtilisation = 0.1;
 /// How often the capacity of all upstreams is calculated; it changes little in this time.
 constexpr Duration capacityInterval = std::chrono::milliseconds{10};
 
@@ -26,7 +28,7 @@
 
 auto SlotBroker::hasRoom(const Upstream &upstream, Instant now) const -> bool
 {
-    if (upstream.entry.isDraining || upstream.health.isBlocked(now)
+    if (!upstream.entry.isOwnerServing(now) || upstream.health.isBlocked(now)
         || !upstream.limiter.allows(now)) {
         return false;
     }
@@ -37,8 +39,7 @@
     if (!upstream.suspectedBy.empty() && upstream.trials > 0) {
         return false;
     }
-    const auto otherRequests = now < upstream.otherRequestsValidUntil ? upstream.otherRequests : 0;
-    return upstream.inFlight + otherRequests
+    return upstream.inFlight + upstream.load.recentOthers(now)
            < upstream.slotReduction.slotsOf(upstream.entry.slots, now);
 }
 
@@ -76,14 +77,35 @@
         || now - lastUse->second.grantedAt > this->settings.connectionKeepAlive) {
         cost += static_cast<double>(this->settings.connectionPenalty.count());
     }
-    // Upstreams slow down as they fill.
-    cost *= 1 + 0.1 * upstream.inFlight / std::max(1, upstream.entry.slots);
+    // All requests without a key pass through this grantor, so none of others are usual.
+    const auto requests = upstream.load.requests(upstream.inFlight, 0, now) + 1;
+    // At most full, so that the weight stays below the penalties for failing and avoided upstreams.
+    const auto utilisation = std::min(1.0, requests / std::max(1, upstream.entry.slots));
+    cost = weightedResponseTime(cost, upstream.load.slowdown(now), utilisation);
     cost *= upstream.entry.isMissing ? 100 : 1;
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
     return isAvoided ? cost * 100 : cost;
 }
 
+auto SlotBroker::busiestShare(Instant now) const -> std::optional<double>
+{
+    auto busiest = 0.0;
+    auto sum = 0.0;
+    auto count = 0;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.entry.isDraining || upstream.entry.isMissing) {
+            continue;
+        }
+        const auto utilisation = upstream.usage.mean(now) / std::max(1, upstream.entry.slots);
+        busiest = std::max(busiest, utilisation);
+        sum += utilisation;
+        ++count;
+    }
+    return count > 0 && sum / count >= minComparedUtilisation ? std::optional(busiest * count / sum)
+                                                              : std::nullopt;
+}
+
 auto SlotBroker::forecast(const WaitingRequest &waiting, Instant now) -> Forecast
 {
     const auto *owner = this->ownerOf(waiting.request);
@@ -166,7 +188,7 @@
         const auto left = upstream.pauses.remaining(entry, now);
         if (left == Duration{0}) {
             this->addCapacity(upstream, result, now);
-        } else if (!upstream.entry.isDraining) {
+        } else if (upstream.entry.takesNewWork()) {
             result.pauseLeft = std::min(result.pauseLeft.value_or(left), left);
         }
     }
@@ -176,7 +198,7 @@
 auto SlotBroker::addCapacity(const Upstream &upstream, SharedCapacity &sum, Instant now) const
     -> void
 {
-    if (upstream.entry.isDraining || upstream.health.isLimitedToTrials()
+    if (!upstream.entry.takesNewWork() || upstream.health.isLimitedToTrials()
         || this->isSilent(upstream, now)) {
         return;
     }
@@ -188,18 +210,19 @@
 {
     const auto seconds = std::chrono::duration<double>(this->latencyOf(upstream, now)).count();
     const auto slots = upstream.slotReduction.slotsOf(upstream.entry.slots, now);
-    return std::min(slots / std::max(minLatencySeconds, seconds), upstream.limiter.ratePerSecond());
+    return std::min(slots / std::max(minLatencySeconds, seconds),
+                    upstream.limiter.ratePerSecond(now));
 }
 
 auto SlotBroker::isHeldByLimit(const Upstream &upstream, Instant now) const -> bool
 {
-    return this->servedPerSecond(upstream, now) >= upstream.limiter.ratePerSecond();
+    return this->servedPerSecond(upstream, now) >= upstream.limiter.ratePerSecond(now);
 }
 
 auto SlotBroker::limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
                              std::size_t ahead, Instant now) const -> Duration
 {
-    const auto perSecond = upstream.limiter.ratePerSecond();
+    const auto perSecond = upstream.limiter.ratePerSecond(now);
     const auto next = upstream.limiter.timeToNext(now);
     const auto wait = ahead == 0 ? next : next + this->queueTime(ahead - 1, perSecond, 0);
     // A request that is late by then is overtaken by those that aren't.
@@ -216,7 +239,7 @@
 auto SlotBroker::refusalReason(const WaitingRequest &waiting, Reason otherwise, Instant now)
     -> Reason
 {
-    if (this->hasNoOwnerInTime(waiting, now)) {
+    if (this->hasNoOwnerInTime(waiting, now) || this->isEvacuatedAway(waiting.request)) {
         return Reason::NoOwner;
     }
     if (this->hasNoForwarder(waiting.request.id.entry, now)) {
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/entrypaths.h"
+#include "dispatch/loadestimate.h"
 #include "dispatch/requestlimiter.h"
 #include "dispatch/requestquarantine.h"
 #include "dispatch/retrywindow.h"
@@ -11,6 +12,7 @@
 #include "dispatch/upstreamanswers.h"
 #include "dispatch/upstreamhealth.h"
 #include "dispatch/upstreampauses.h"
+#include "dispatch/utilisationaverage.h"
 #include "dispatch/waitingqueue.h"
 
 #include <cstddef>
@@ -112,14 +114,18 @@
     Duration expectedLatency{0};
     /// Recent share of failed attempts, 0 to 1.
     double failureShare = 0;
-    /// The upstream gets requests as usual: it doesn't drain, isn't silent and its last attempts
-    /// didn't fail.
+    /// The upstream gets requests as usual: it neither drains nor is evacuated, isn't silent and
+    /// its last attempts didn't fail.
     bool isUsable = true;
     bool isDraining = false;
-    /// As its answers state it.
+    /// As its answers state it; while it is cold, the bound for cold upstreams if that is lower.
     RequestLimit requestLimit;
     /// Permits for it per second, an average over about a second.
     double grantedPerSecond = 0;
+    /// Its failure domain is evacuated.
+    bool isEvacuated = false;
+    /// It counts as cold, and its service has a bound for cold upstreams.
+    bool isCold = false;
     auto operator==(const UpstreamStatus &) const -> bool = default;
 };
 
@@ -147,6 +153,12 @@
         this->retryWindow.setAllowance(ratio, extra);
     }
 
+    /// Sets how many requests per second a cold upstream gets at most; 0: no bound.
+    auto setWarmUpRate(double perSecond, Instant now) -> void;
+    /// Counts an upstream as cold, as it may have become cold: until its entry states another time,
+    /// and 2 s at most.
+    auto suspectCold(const UpstreamId &id, Instant now) -> void;
+
     /// Grants, queues or refuses a permit; a repeated request for a granted permit gets the same
     /// verdict. takeVerdicts() returns the result.
     auto ask(const PermitRequest &request, Instant now) -> void;
@@ -172,6 +184,9 @@
     /// @returns the number of requests per key since the last call
     [[nodiscard]] auto takeKeyCounts() -> std::map<KeyPosition, std::uint32_t>;
     [[nodiscard]] auto upstreamStatuses(Instant now) const -> std::vector<UpstreamStatus>;
+    /// @returns the utilisation of the busiest upstream in relation to the mean of all, over about
+    /// the last 10 s; empty where there is too little load to tell
+    [[nodiscard]] auto busiestShare(Instant now) const -> std::optional<double>;
     /// @returns how many upstreams want no requests from some entry daemon
     [[nodiscard]] auto pausedUpstreamCount(Instant now) const -> std::size_t;
     /// @returns the number of daemons that have stated that they are isolated
@@ -199,6 +214,10 @@
         /// was none since the last answer. The upstream gets one request at a time until then.
         Address suspectedBy;
         Instant warmUpEnd{};
+        /// Until when it counts as cold, as its entry states or because it may have become cold.
+        Instant coldUntil{};
+        /// The last attempts didn't reach it.
+        bool isUnreached = false;
         int inFlight = 0;
         /// Permits out that were sent by daemons which have stated since that they are isolated.
         /// They hold their slots, as the upstream may run the requests, but no report is expected.
@@ -207,9 +226,8 @@
         int trials = 0;
         /// Of the daemons, by address, that have sent requests to this upstream.
         std::unordered_map<Address, UpstreamUse> lastUse;
-        /// Requests at the upstream beyond this broker's permits, by the load in its last answer.
-        int otherRequests = 0;
-        Instant otherRequestsValidUntil{};
+        LoadEstimate load;
+        UtilisationAverage usage;
         /// Requests for its keys that could still meet their target when they arrived.
         ArrivalRate onTimeArrivals;
         ArrivalRate grants;
@@ -281,6 +299,15 @@
         Duration latency{0};
     };
 
+    auto suspectCold(Upstream &upstream, Instant now) -> void;
+    /// Applies the bound for cold upstreams after a change.
+    auto updateWarmUp(Upstream &upstream, Instant now) const -> void;
+    /// Takes in what a new entry tells about the warm-up, before it replaces the former one.
+    auto takeInWarmUp(Upstream &upstream, const UpstreamEntry &entry, Instant now) -> void;
+    /// Remembers an upstream whose entry has disappeared.
+    auto rememberGone(const UpstreamId &id) -> void;
+    /// Counts the upstream as cold where an attempt didn't reach it, or is the first one that did.
+    auto updateReach(Upstream &upstream, AttemptEnd end, Instant now) -> void;
     /// Grants the free slots of all upstreams to waiting requests.
     auto grantFreeSlots(Instant now) -> void;
     auto learn(const PermitReport &report, Upstream &upstream, Instant now) -> void;
@@ -364,8 +391,8 @@
     auto endPauses(Instant now) -> void;
     /// Takes back expired permits, and repeats the verdicts of those without a report.
     auto checkPermits(Instant now) -> void;
-    /// @returns whether the permit may still be used: its upstream is known, and neither drains nor
-    /// pauses for the daemons that send the request
+    /// @returns whether the permit may still be used: its upstream is known, takes such requests,
+    /// and doesn't pause for the daemons that send the request
     [[nodiscard]] auto isRepeatable(const PermitId &id, const Permit &permit, Instant now) const
         -> bool;
     /// @returns whether only the owner of the request's key may run it
@@ -393,7 +420,8 @@
     /// @returns the time until an upstream's request limit allows a request behind `ahead` others
     [[nodiscard]] auto limitedWait(const WaitingRequest &waiting, const Upstream &upstream,
                                    std::size_t ahead, Instant now) const -> Duration;
-    /// @returns the expected latency in microseconds plus penalties; lower is better
+    /// @returns the expected time to the response in microseconds, weighted with the upstream's
+    /// utilisation and with penalties; lower is better
     [[nodiscard]] auto costOf(const Upstream &upstream, const PermitRequest &request,
                               Instant now) const -> double;
     [[nodiscard]] auto forecast(const WaitingRequest &waiting, Instant now) -> Forecast;
@@ -414,6 +442,11 @@
     /// in time; empty where no pause does
     [[nodiscard]] auto hinderingPause(const WaitingRequest &waiting, Instant now)
         -> std::optional<Duration>;
+    /// @returns whether no upstream takes the request because of evacuations, so that waiting is of
+    /// no use
+    [[nodiscard]] auto isEvacuatedAway(const PermitRequest &request) -> bool;
+    /// Updates `areAllEvacuated`.
+    auto updateAllEvacuated() -> void;
     /// @returns whether the request's key has no owner and gets none in time for the deadline
     [[nodiscard]] auto hasNoOwnerInTime(const WaitingRequest &waiting, Instant now) const -> bool;
 
@@ -425,6 +458,11 @@
     EntryPaths paths;
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
+    /// Some upstreams don't drain, and all of them are evacuated.
+    bool areAllEvacuated = false;
+    /// Upstreams whose entries have disappeared, which may be cold when they are back.
+    std::set<UpstreamId> goneUpstreams;
+    double warmUpPerSecond = 0;
     std::vector<OwnedRange> ownedRanges;
     /// Keys that their likely owners have turned away: requests for them aren't sent there again.
     std::set<KeyPosition> turnedAwayKeys;
--- a/src/edge/componentsettings.h
+++ b/src/edge/componentsettings.h
@@ -3,6 +3,7 @@
 #include "edge/configurationsource.h"
 #include "edge/grantorrole.h"
 #include "edge/grantorwatch.h"
+#include "memory/types/memorybudget.h"
 #include "settings/types/edgesettings.h"
 #include "streams/frontlistener.h"
 #include "streams/outboundpool.h"
@@ -12,6 +13,8 @@
 /// The settings of the edge daemon's components, derived from those of the daemon.
 namespace gooseberrywall {
 
+/// @returns the budget for the requests and answers that the daemon holds
+[[nodiscard]] auto memoryBudget(const EdgeSettings &settings) -> MemoryBudget;
 /// @param echoHeader header in which upstreams repeat the id of a request
 [[nodiscard]] auto upstreamPoolSettings(const std::string &echoHeader) -> OutboundPoolSettings;
 [[nodiscard]] auto storePoolSettings() -> OutboundPoolSettings;
@@ -25,7 +28,9 @@
                                 bool doReleasesRaiseFences) -> GrantorRoleSettings;
 [[nodiscard]] auto grantorWatchSettings(const EdgeSettings &settings) -> GrantorWatchSettings;
 /// @param key the store key of the operators' configuration
+/// @param prefix of all keys of the operators
 [[nodiscard]] auto configurationSettings(const EdgeSettings &settings, const std::string &key,
-                                         std::uint64_t incarnation) -> ConfigurationSourceSettings;
+                                         const std::string &prefix, std::uint64_t incarnation)
+    -> ConfigurationSourceSettings;
 
 } // namespace gooseberrywall
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -2,12 +2,15 @@
 
 #include "edge/callclients.h"
 #include "edge/componentsettings.h"
+#include "edge/configurationlog.h"
+#include "edge/edgemetrics.h"
 #include "edge/edgepages.h"
 #include "edge/entryservice.h"
+#include "edge/evacuationkeys.h"
 #include "edge/forwardrole.h"
 #include "edge/grantorroles.h"
 #include "edge/grantorwatch.h"
-#include "edge/metricstext.h"
+#include "edge/memorylog.h"
 #include "edge/peermessages.h"
 #include "edge/shutdownplan.h"
 #include "edge/upstreamlinks.h"
@@ -42,7 +45,9 @@
         , now(now)
         , logger(logger)
         , requestLog(logger, this->settings.logSampleOneIn)
-        , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now)
+        , memory(memoryBudget(this->settings))
+        , memoryLog(logger)
+        , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now, &this->memory)
         , storePool(loop.base(), storePoolSettings(), now)
         , store(wire, this->storePool, this->settings.store, now, logger)
         , orderPool(loop.base(), orderPoolSettings(), now)
@@ -54,11 +59,11 @@
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
                this->statements, this->links.reach(),
                FlowRecords{this->requestLog, this->counters, this->stages})
-        , forwardClient(loop.base(), now)
+        , forwardClient(loop.base(), now, &this->memory)
         , entry(
-              loop.base(), wire, this->settings, this->upstreamPool, this->forwardClient,
-              this->flow, this->counters, now, [this] { this->processPending(); },
-              static_cast<double>(incarnation % 1000) / 1000)
+              loop.base(), wire, this->settings, this->memory, this->upstreamPool,
+              this->forwardClient, this->flow, this->counters, now,
+              [this] { this->processPending(); }, static_cast<double>(incarnation % 1000) / 1000)
         , pages(
               loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
               [this] { return this->isReady(); }, [this] { return this->metricsPage(); })
@@ -68,21 +73,27 @@
                   this->deliver(from, message);
               },
               [this] { this->processPending(); })
-        , upstreamWatch(wire, this->storeSender(), now, logger, this->direct,
+        , evacuations(logger)
+        , upstreamWatch(wire, this->storeSender(), now, logger, this->evacuations, this->direct,
                         [this](const std::vector<UpstreamEntry> &entries) {
                             this->roles.onUpstreams(entries);
                         })
-        , peerServer(loop.base(), this->settings.peerListen, now, logger)
+        , peerServer(loop.base(), this->settings.peerListen, now, logger, &this->memory)
         , forwarder(wire, this->peerServer, this->upstreamPool, this->statements, now,
                     [this] { this->processPending(); })
         , configurationSource(
               loop.base(), this->peerServer,
-              configurationSettings(this->settings, wire.configurationKey(), incarnation),
+              configurationSettings(this->settings, wire.configurationKey(), wire.operatorPrefix(),
+                                    incarnation),
               this->storeSender(), now, logger,
               [this](const std::string &text, StoreRevision revision) {
                   return this->onConfiguration(text, revision);
               },
-              [this] { this->processPending(); })
+              [this] { this->processPending(); },
+              [this](const PrefixView::Items &items, StoreRevision revision, bool isStale) {
+                  this->onEvacuations(
+                      readEvacuations(this->wire, items, revision, this->evacuations), isStale);
+              })
         , roles(roleSettings(this->settings, incarnation, wire.doReleasesRaiseFences()),
                 this->storeSender(), this->links.observed(this->orderSender()), now, logger,
                 this->requestLog)
@@ -90,10 +101,15 @@
                        this->permits, this->roles, logger)
         , timer(loop.base(), [this] { this->onTimer(); })
     {
+        this->memory.setRelief([this] {
+            this->entry.listener().shedExcess();
+            this->peerServer.shedExcess();
+        });
         this->roles.setAnnouncedConfiguration([this] {
             return AnnouncedConfiguration{
                 this->configurationSource.revision(),
-                this->configurationSource.age(this->store.lastContactAt())};
+                this->configurationSource.age(this->store.lastContactAt()),
+                this->evacuations.announced()};
         });
     }
 
@@ -201,29 +217,27 @@
         auto configuration = this->wire.configuration(text);
         const auto known = this->routes ? this->routes->configuration().version : 0;
         if (!configuration || configuration->version <= known) {
-            const auto *const reason = configuration ? "version not newer" : "unreadable";
-            this->logger.write(LogLevel::Warning,
-                               LogLine("configuration_ignored")
-                                   .with("reason", reason)
-                                   .with("known", static_cast<std::int64_t>(known))
-                                   .text());
+            logIgnoredConfiguration(this->logger, configuration.has_value(), known);
             return false;
         }
-        this->logger.write(
-            LogLevel::Info,
-            LogLine("configuration_adopted")
-                .with("version", static_cast<std::int64_t>(configuration->version))
-                .with("routes", static_cast<std::int64_t>(configuration->routes.size()))
-                .with("malformed", static_cast<std::int64_t>(configuration->malformedRoutes))
-                .with("revision", static_cast<std::int64_t>(revision.value))
-                .text());
+        logAdoptedConfiguration(this->logger, *configuration, revision);
         this->routes = std::make_shared<const RouteTable>(std::move(*configuration));
         this->entry.setRoutes(this->routes);
         this->roles.setConfiguration(this->routes->configuration());
+        this->direct.setServices(this->routes->configuration().services);
         this->grantorWatch.setServices(this->routes->configuration().services);
         return true;
     }
 
+    /// Takes in which failure domains are evacuated, as the store or a grantor tells.
+    auto onEvacuations(const EvacuatedDomains &known, bool isStale) -> void
+    {
+        if (this->evacuations.update(known, isStale, this->upstreamWatch.entries(), this->now())) {
+            this->upstreamWatch.onEvacuations();
+            this->roles.announceSoon();
+        }
+    }
+
     /// Takes in an era of the store, as the store or another daemon names it. Copies of what the
     /// store had in an earlier one are read anew.
     auto onStoreEra(std::uint64_t era) -> void
@@ -253,7 +267,8 @@
         if (const auto due = this->roles.listingDue()) {
             this->upstreamWatch.listAnewAfter(*due);
         }
-        this->upstreamWatch.advance(isServing, isGrantorMissing || isRecent(this->directSentAt));
+        this->isDirect = isGrantorMissing || isRecent(this->directSentAt);
+        this->upstreamWatch.advance(isServing, this->isDirect);
         this->roles.onUpstreamsListed(this->upstreamWatch.listedAt());
         if (isGrantorMissing && moment >= this->ownersReadDue) {
             this->ownersReadDue = moment + ownersReadEvery;
@@ -276,6 +291,7 @@
             this->onStoreEra(eraOf(StoreRevision{announcement->term}));
             this->grantorWatch.onAnnouncement(from, *announcement);
             this->configurationSource.onAnnouncement(from, *announcement);
+            this->onEvacuations(announcement->evacuated, false);
             this->direct.onDaemonCount(announcement->daemonCount, this->now());
             return;
         }
@@ -308,6 +324,7 @@
             this->hasPending = this->peers.deliverOwn() || this->hasPending;
         } while (this->hasPending);
         this->isProcessing = false;
+        this->memory.relieve();
         this->setTimer();
         this->logger.flushIfDue();
     }
@@ -315,7 +332,7 @@
     auto onTimer() -> void
     {
         const auto moment = this->now();
-        this->configurationSource.advance(this->roles.servingCount() > 0);
+        this->configurationSource.advance(this->roles.servingCount() > 0, this->isDirect);
         this->grantorWatch.advance();
         this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
         this->links.advance();
@@ -329,6 +346,8 @@
             this->entry.listener().sweep();
             this->pages.sweep();
             this->peerServer.sweep();
+            this->memoryLog.update(this->entry.listener().counters(), this->peerServer.counters(),
+                                   this->memory, moment);
         }
         if (this->stoppingSince) {
             this->advanceShutdown(moment);
@@ -402,30 +421,24 @@
     [[nodiscard]] auto metricsPage() const -> std::string
     {
         EdgeMetrics metrics;
-        metrics.openRequests = this->flow.openCount();
-        metrics.directRequests = this->flow.directSendCount();
+        addGrantorMetrics(metrics, this->roles);
+        addRequestMetrics(metrics, this->flow, this->statements);
+        addMemoryMetrics(metrics, this->memory, this->entry.listenerCounters(),
+                         this->peerServer.counters());
         metrics.storeCalls = this->store.callCount();
         metrics.storeFailures = this->store.failureCount();
+        metrics.storeEra = this->store.currentEra();
         metrics.upstreamConnections =
             this->upstreamPool.openedCount() + this->orderPool.openedCount();
         metrics.badDatagrams = this->peers.malformedCount();
         metrics.unsentDatagrams = this->peers.unsentCount();
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         metrics.configurationVersion = this->routes ? this->routes->configuration().version : 0;
-        metrics.grantedServices = this->roles.servingCount();
-        metrics.movedKeys = this->roles.movedKeys();
         metrics.configurationFetches = this->configurationSource.fetchCount();
-        metrics.limitedUpstreams = this->roles.limitedUpstreamCount();
-        metrics.leavingUpstreams = this->statements.leavingCount();
-        metrics.pausedUpstreams = this->statements.pausedCount();
-        metrics.heldByLeaving = this->flow.heldByLeavingCount();
-        metrics.heldByPause = this->flow.heldByPauseCount();
-        metrics.grantedLeavingUpstreams = this->roles.leavingUpstreamCount();
-        metrics.grantedPausedUpstreams = this->roles.pausedUpstreamCount();
-        metrics.storeEra = this->store.currentEra();
         metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
-        metrics.forwardedRequests = this->flow.forwardedCount();
         metrics.servedForwards = this->forwarder.sentCount();
+        metrics.evacuatedDomains = this->evacuations.domainCount();
+        metrics.evacuatedUpstreams = this->upstreamWatch.evacuatedCount();
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
     }
 
@@ -438,6 +451,8 @@
     RequestLog requestLog;
     Counters counters;
     StageHistograms stages;
+    MemoryAccount memory;
+    MemoryLog memoryLog;
     OutboundPool upstreamPool;
     OutboundPool storePool;
     StoreClient<Wire> store;
@@ -452,6 +467,7 @@
     EntryService<Wire> entry;
     EdgePages pages;
     PeerMessages peers;
+    Evacuations evacuations;
     UpstreamWatch<Wire> upstreamWatch;
     PeerServer peerServer;
     ForwardRole<Wire> forwarder;
@@ -463,6 +479,8 @@
     Instant startedAt{};
     Instant housekeepingDue{};
     std::optional<Instant> directSentAt;
+    /// Requests are sent without a grantor, or were lately.
+    bool isDirect = false;
     Instant ownersReadDue{};
     std::uint64_t seenDirectSends = 0;
     /// The highest era of the store that is known.
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -64,10 +64,15 @@
     [[nodiscard]] auto movedKeys() const -> std::uint64_t;
     /// @returns how many upstreams of the services that this daemon grants name a request limit
     [[nodiscard]] auto limitedUpstreamCount() const -> std::uint64_t;
+    /// @returns how many upstreams of the granted services count as cold
+    [[nodiscard]] auto coldUpstreamCount() const -> std::uint64_t;
     /// @returns how many upstreams have stated in their answers that they leave, and still exist
     [[nodiscard]] auto leavingUpstreamCount() const -> std::uint64_t;
     /// @returns how many upstreams want no requests from some entry daemon for a time
     [[nodiscard]] auto pausedUpstreamCount() const -> std::uint64_t;
+    /// @returns the utilisation of the busiest upstream in relation to the mean of its service, in
+    /// percent, of the granted service where this is the highest; zero where there is little load
+    [[nodiscard]] auto busiestSharePercent() const -> std::uint64_t;
     [[nodiscard]] auto settings() const -> const GrantorRoleSettings &
     {
         return this->roleSettings;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -17,6 +17,10 @@
 /// How often the upstreams' health is checked for changes to log.
 constexpr Duration healthEvery = std::chrono::milliseconds{500};
 
+/// Share of the bound for cold upstreams that a grantor uses whose lease may have ended: its
+/// successor may grant the whole rate at the same time, and bounds.warmup_overage is 1.5.
+constexpr double shareWithoutAuthority = 0.1;
+
 } // namespace
 
 GrantorRole::GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
@@ -96,6 +100,7 @@
 auto GrantorRole::onMessage(const Address &from, const PermitMessage &message) -> void
 {
     const auto moment = this->now();
+    this->updateWarmUpRate(moment);
     if (const auto *request = std::get_if<PermitRequest>(&message)) {
         if (!this->serving || this->isCutOff) {
             this->datagrams.push_back(
@@ -136,6 +141,7 @@
     if (!this->serving) {
         return;
     }
+    this->updateWarmUpRate(moment);
     this->broker->advance(moment);
     this->takeInChanges();
     this->flushVerdicts();
@@ -300,9 +306,12 @@
 {
     const auto configuration =
         this->announcedConfiguration ? this->announcedConfiguration() : AnnouncedConfiguration{};
-    return GrantorAnnouncement{this->spec.name, this->term->value, configuration.revision.value,
+    return GrantorAnnouncement{this->spec.name,
+                               this->term->value,
+                               configuration.revision.value,
                                configuration.age,
-                               static_cast<std::uint32_t>(this->daemons.count())};
+                               static_cast<std::uint32_t>(this->daemons.count()),
+                               configuration.evacuated};
 }
 
 auto GrantorRole::announce() -> void
@@ -344,8 +353,28 @@
 {
     const auto statuses = this->broker->upstreamStatuses(this->now());
     return static_cast<std::uint64_t>(
-        std::count_if(statuses.begin(), statuses.end(),
-                      [](const auto &each) { return each.requestLimit.isLimited(); }));
+        std::count_if(statuses.begin(), statuses.end(), [](const auto &each) {
+            return each.requestLimit.isLimited() && !each.isCold;
+        }));
+}
+
+auto GrantorRole::coldUpstreamCount() const -> std::uint64_t
+{
+    const auto statuses = this->broker->upstreamStatuses(this->now());
+    return static_cast<std::uint64_t>(std::count_if(statuses.begin(), statuses.end(),
+                                                    [](const auto &each) { return each.isCold; }));
+}
+
+auto GrantorRole::setWarmUpRate(double perSecond) -> void
+{
+    this->spec.warmUpPerSecond = perSecond;
+    this->updateWarmUpRate(this->now());
+}
+
+auto GrantorRole::updateWarmUpRate(Instant moment) -> void
+{
+    const auto share = this->hasAuthority(moment) ? 1.0 : shareWithoutAuthority;
+    this->broker->setWarmUpRate(share * this->spec.warmUpPerSecond, moment);
 }
 
 auto GrantorRole::movedKeys() const -> std::uint64_t
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -2,8 +2,8 @@
 
 #include "insight/metricspage.h"
 
-#include <array>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -11,7 +11,7 @@
                  const EdgeMetrics &metrics) -> std::string
 {
     auto page = metricsPage(snapshot) + metricsPage(stages);
-    const std::array<std::pair<const char *, std::uint64_t>, 23> rows{
+    const std::vector<std::pair<const char *, std::uint64_t>> rows{
         {{"open_requests", metrics.openRequests},
          {"direct_requests_total", metrics.directRequests},
          {"store_calls_total", metrics.storeCalls},
@@ -25,16 +25,24 @@
          {"moved_keys_total", metrics.movedKeys},
          {"configuration_fetches_total", metrics.configurationFetches},
          {"limited_upstreams", metrics.limitedUpstreams},
+         {"cold_upstreams", metrics.coldUpstreams},
          {"store_era", metrics.storeEra},
          {"leaving_upstreams", metrics.leavingUpstreams},
          {"paused_upstreams", metrics.pausedUpstreams},
          {"granted_leaving_upstreams", metrics.grantedLeavingUpstreams},
          {"granted_paused_upstreams", metrics.grantedPausedUpstreams},
+         {"granted_busiest_upstream_percent", metrics.grantedBusiestPercent},
          {"held_by_leaving_total", metrics.heldByLeaving},
          {"held_by_pause_total", metrics.heldByPause},
          {"upstreams_unreachable", metrics.isIsolated},
          {"forwarded_requests_total", metrics.forwardedRequests},
-         {"served_forwards_total", metrics.servedForwards}}};
+         {"served_forwards_total", metrics.servedForwards},
+         {"memory_held_bytes", metrics.memoryHeldBytes},
+         {"memory_budget_bytes", metrics.memoryBudgetBytes},
+         {"memory_refusals_total", metrics.memoryRefusals},
+         {"memory_shed_connections_total", metrics.memoryShedConnections},
+         {"evacuated_domains", metrics.evacuatedDomains},
+         {"evacuated_upstreams", metrics.evacuatedUpstreams}}};
     for (const auto &[name, value] : rows) {
         page += "gooseberrywall_" + std::string(name) + " " + std::to_string(value) + "\n";
     }
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -25,10 +25,15 @@
     std::uint64_t movedKeys = 0;
     std::uint64_t configurationFetches = 0;
     std::uint64_t limitedUpstreams = 0;
+    /// Upstreams of the granted services that count as cold, where there is a bound for them.
+    std::uint64_t coldUpstreams = 0;
     /// Upstreams of the granted services that have stated that they are about to stop.
     std::uint64_t grantedLeavingUpstreams = 0;
     /// Upstreams of the granted services that want no requests from some daemon at present.
     std::uint64_t grantedPausedUpstreams = 0;
+    /// Utilisation of the busiest upstream in percent of its service's mean, of the granted service
+    /// where this is the highest; 0 where there is too little load to tell.
+    std::uint64_t grantedBusiestPercent = 0;
     std::uint64_t storeEra = 0;
     /// Upstreams that have stated to this daemon that they are about to stop.
     std::uint64_t leavingUpstreams = 0;
@@ -42,6 +47,15 @@
     std::uint64_t forwardedRequests = 0;
     /// Requests that this daemon has forwarded for other daemons.
     std::uint64_t servedForwards = 0;
+    /// Bytes held for callers and upstreams, and the budget for them.
+    std::uint64_t memoryHeldBytes = 0;
+    std::uint64_t memoryBudgetBytes = 0;
+    /// Requests refused, and connections closed, because memory was short.
+    std::uint64_t memoryRefusals = 0;
+    std::uint64_t memoryShedConnections = 0;
+    std::uint64_t evacuatedDomains = 0;
+    /// Upstreams in these failure domains; zero while this daemon doesn't watch the entries.
+    std::uint64_t evacuatedUpstreams = 0;
     auto operator==(const EdgeMetrics &) const -> bool = default;
 };
 
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -2,6 +2,8 @@
 
 #include "dispatch/types/permits.h"
 #include "dispatch/types/upstreamentry.h"
+#include "entry/coldshares.h"
+#include "entry/directloads.h"
 #include "entry/requestlimitshare.h"
 #include "entry/upstreamstatements.h"
 
@@ -34,7 +36,18 @@
     DirectChoice(std::uint64_t seed, UpstreamStatements &statements);
 
     /// Replaces the known upstreams of all services.
-    auto setUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
+    auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
+    /// Sets the services' rates for cold upstreams.
+    auto setServices(const std::vector<ServiceSpec> &services) -> void
+    {
+        this->coldShares.setServices(services);
+    }
+    /// Counts an upstream as cold, as it may have become cold: until its entry states another time,
+    /// and 2 s at most.
+    auto suspectCold(const UpstreamId &upstream, Instant now) -> void
+    {
+        this->coldShares.suspectCold(upstream, now);
+    }
     /// Sets whether the known upstreams are trusted; initially they aren't. While they aren't,
     /// none is chosen, because an upstream may have started draining since they were read.
     auto setTrusted(bool trusted) -> void { this->isTrusted = trusted; }
@@ -52,21 +65,42 @@
     auto onLimitStated(const UpstreamId &upstream, RequestLimit limit, Instant sentAt, Instant now)
         -> void;
     auto onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void;
+    /// Takes in what an answer tells about the upstream's load and speed; called after onEnd().
+    /// @param load as the answer reports it; empty where it reports none
+    /// @param latency from sending the request to its answer
+    auto onAnswered(const ServiceName &service, const UpstreamId &upstream,
+                    const std::optional<ReportedLoad> &load, Duration latency, Instant now) -> void;
 
     /// @param request names the service, the key and the upstreams to avoid
     /// @returns a granted verdict, or a refusal where each upstream that may run the request wants
-    ///          none for a time; empty where no suitable upstream is known
+    ///          none for a time or is evacuated; empty where no suitable upstream is known
     [[nodiscard]] auto choose(const PermitRequest &request, Instant now)
         -> std::optional<PermitVerdict>;
 
 private:
     using Verdict = std::optional<PermitVerdict>;
+    /// An upstream that may be chosen, and its cost; without an entry where there is none.
+    struct Candidate
+    {
+        const UpstreamEntry *entry = nullptr;
+        double cost = 0;
+    };
 
     [[nodiscard]] auto chooseOwner(const PermitRequest &request, Instant now) -> Verdict;
     [[nodiscard]] auto chooseAny(const PermitRequest &request, Instant now) -> Verdict;
+    /// @returns the better of two upstreams that are drawn at random; without an entry where the
+    /// draws find no two that may be chosen without a penalty
+    [[nodiscard]] auto drawBetterOfTwo(const PermitRequest &request,
+                                       const std::vector<UpstreamEntry> &entries, Instant now)
+        -> Candidate;
     /// Number of daemons while no grantor has told it.
     static constexpr std::size_t assumedDaemonCount = 30;
+    /// The same for cold upstreams, which crash at rates above their bound: that of the largest
+    /// known deployment.
+    static constexpr std::size_t maxDaemonCount = 144;
 
+    /// @returns whether all upstreams of the service that don't drain are evacuated
+    [[nodiscard]] auto areAllEvacuated(const ServiceName &service) const -> bool;
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
     [[nodiscard]] auto limitAllows(const UpstreamId &id, Instant now) const -> bool;
 
@@ -77,12 +111,13 @@
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
     /// By the first key of the range; a newer range replaces those that it overlaps.
     std::map<ServiceName, std::map<KeyPosition, DirectOwner>> owners;
-    std::map<UpstreamId, int> inFlight;
+    DirectLoads loads;
     std::map<UpstreamId, Instant> avoidedUntil;
     std::size_t daemonCount = assumedDaemonCount;
     Instant daemonCountAt{};
     /// Of upstreams that have named a request limit.
     std::map<UpstreamId, RequestLimitShare> limitShares;
+    ColdShares coldShares;
 };
 
 } // namespace gooseberrywall
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -3,6 +3,8 @@
 #include "common/hash.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace gooseberrywall {
 
@@ -11,11 +13,17 @@
 /// An upstream that didn't run or answer an attempt is avoided for this time where there are
 /// others.
 constexpr Duration avoidDuration = std::chrono::milliseconds{500};
+/// How long refused callers wait where all upstreams are evacuated; operators take longer to
+/// withdraw an evacuation, and upstreams elsewhere to start.
+constexpr Duration evacuatedRetryAfter = std::chrono::milliseconds{600};
 /// A larger number of daemons counts for this long.
 constexpr Duration daemonCountMemory = std::chrono::seconds{30};
-/// Costs of upstreams that are chosen only where there are no others, in requests per slot.
-constexpr double avoidedPenalty = 100;
-constexpr double leavingPenalty = 10'000;
+/// Ranks of upstreams that are chosen only where there are none of a lower rank.
+constexpr int avoidedRank = 1;
+constexpr int leavingRank = 2;
+/// Draws after which all upstreams are compared: each draw finds a usable one with a probability of
+/// about a third where most are usable.
+constexpr int maxDraws = 32;
 
 auto isAvoided(const PermitRequest &request, const UpstreamId &id) -> bool
 {
@@ -33,6 +41,15 @@
     return verdict;
 }
 
+auto refusedForEvacuation() -> PermitVerdict
+{
+    PermitVerdict verdict;
+    verdict.kind = PermitVerdict::Kind::Refused;
+    verdict.reason = Reason::NoOwner;
+    verdict.retryAfter = evacuatedRetryAfter;
+    return verdict;
+}
+
 auto refusedForPause(Duration remaining) -> std::optional<PermitVerdict>
 {
     PermitVerdict verdict;
@@ -48,15 +65,20 @@
     : seed(seed)
     , statements(statements)
     , random(seed)
+    , coldShares(seed)
 {
 }
 
-auto DirectChoice::setUpstreams(const std::vector<UpstreamEntry> &entries) -> void
+auto DirectChoice::setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void
 {
+    this->coldShares.setUpstreams(entries, now);
     this->services.clear();
+    std::set<UpstreamId> listed;
     for (const auto &entry : entries) {
         this->services[entry.service].push_back(entry);
+        listed.insert(entry.id);
     }
+    this->loads.retain(listed);
 }
 
 auto DirectChoice::onGranted(const ServiceName &service, const PermitVerdict &verdict) -> void
@@ -91,7 +113,8 @@
 
 auto DirectChoice::onSent(const UpstreamId &upstream, Instant now) -> void
 {
-    ++this->inFlight[upstream];
+    this->loads.onSent(upstream);
+    this->coldShares.onSent(upstream, now);
     if (const auto share = this->limitShares.find(upstream); share != this->limitShares.end()) {
         share->second.onSent(now);
     }
@@ -113,19 +136,30 @@
 
 auto DirectChoice::onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void
 {
-    auto &count = this->inFlight[upstream];
-    count = std::max(0, count - 1);
+    this->loads.onEnd(upstream);
+    this->coldShares.onEnd(upstream, end, now);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NoAnswer || end == AttemptEnd::NotRun) {
         this->avoidedUntil[upstream] = now + avoidDuration;
     }
 }
 
+auto DirectChoice::onAnswered(const ServiceName &service, const UpstreamId &upstream,
+                              const std::optional<ReportedLoad> &load, Duration latency,
+                              Instant now) -> void
+{
+    this->loads.onAnswered(service, upstream, load, latency, now);
+}
+
 auto DirectChoice::choose(const PermitRequest &request, Instant now) -> Verdict
 {
     if (!this->isTrusted) {
         return std::nullopt;
     }
-    return request.key ? this->chooseOwner(request, now) : this->chooseAny(request, now);
+    const auto verdict =
+        request.key ? this->chooseOwner(request, now) : this->chooseAny(request, now);
+    return !verdict && this->areAllEvacuated(request.service)
+               ? std::optional(refusedForEvacuation())
+               : verdict;
 }
 
 auto DirectChoice::chooseOwner(const PermitRequest &request, Instant now) -> Verdict
@@ -144,7 +178,7 @@
     if (const auto known = this->services.find(request.service); known != this->services.end()) {
         const auto &entries = known->second;
         const auto entry = std::find_if(entries.begin(), entries.end(), [&](const auto &each) {
-            return each.id == owned.upstream && !each.isDraining;
+            return each.id == owned.upstream && each.isOwnerServing(now);
         });
         if (entry == entries.end()) {
             return std::nullopt;
@@ -168,13 +202,17 @@
     if (known == this->services.end()) {
         return std::nullopt;
     }
+    const auto drawn = this->drawBetterOfTwo(request, known->second, now);
+    if (drawn.entry != nullptr) {
+        return granted(drawn.entry->id, drawn.entry->incarnation, drawn.entry->address);
+    }
     const UpstreamEntry *best = nullptr;
-    double bestCost = 0;
+    std::pair<int, double> bestCost;
     auto areAllPaused = true;
     std::optional<Duration> shortestPause;
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (const auto &entry : known->second) {
-        if (entry.isDraining || isAvoided(request, entry.id)) {
+        if (!entry.takesNewWork() || isAvoided(request, entry.id)) {
             continue;
         }
         const auto hold = this->statements.holdOf(entry.id, entry.incarnation, now);
@@ -186,12 +224,10 @@
         if ((hold && !hold->allowsLastResort) || !this->limitAllows(entry.id, now)) {
             continue;
         }
-        const auto found = this->inFlight.find(entry.id);
-        const auto count = found == this->inFlight.end() ? 0 : found->second;
-        const auto penalty = (this->isUsable(entry.id, now) ? 0 : avoidedPenalty)
-                             + (hold || entry.isMissing ? leavingPenalty : 0);
-        const auto cost = static_cast<double>(count) / std::max(1, entry.slots) + penalty
-                          + tieBreak(this->random);
+        const std::pair cost{(this->isUsable(entry.id, now) ? 0 : avoidedRank)
+                                 + (hold || entry.isMissing ? leavingRank : 0),
+                             this->loads.cost(entry.service, entry.id, entry.slots, now)
+                                 * (1 + tieBreak(this->random))};
         if (best == nullptr || cost < bestCost) {
             best = &entry;
             bestCost = cost;
@@ -203,6 +239,47 @@
     return areAllPaused && shortestPause ? refusedForPause(*shortestPause) : std::nullopt;
 }
 
+auto DirectChoice::areAllEvacuated(const ServiceName &service) const -> bool
+{
+    const auto known = this->services.find(service);
+    const auto isAny = [&](auto matches) {
+        return known != this->services.end()
+               && std::any_of(known->second.begin(), known->second.end(), matches);
+    };
+    return isAny([](const auto &entry) { return !entry.isDraining && entry.isEvacuated; })
+           && !isAny([](const auto &entry) { return entry.takesNewWork(); });
+}
+
+auto DirectChoice::drawBetterOfTwo(const PermitRequest &request,
+                                   const std::vector<UpstreamEntry> &entries, Instant now)
+    -> Candidate
+{
+    if (entries.size() < 2) {
+        return {};
+    }
+    Candidate better;
+    const UpstreamEntry *first = nullptr;
+    std::uniform_int_distribution<std::size_t> position(0, entries.size() - 1);
+    std::uniform_real_distribution<double> share(0, 1);
+    for (auto draw = 0; draw < maxDraws; ++draw) {
+        const auto &entry = entries[position(this->random)];
+        if (&entry == first || !entry.takesNewWork() || entry.isMissing
+            || share(this->random) >= this->loads.drawWeight(entry.service, entry.id, entry.slots)
+            || isAvoided(request, entry.id) || !this->isUsable(entry.id, now)
+            || !this->limitAllows(entry.id, now)
+            || this->statements.holdOf(entry.id, entry.incarnation, now)) {
+            continue;
+        }
+        const auto cost = this->loads.cost(entry.service, entry.id, entry.slots, now);
+        if (first != nullptr) {
+            return cost < better.cost ? Candidate{&entry, cost} : better;
+        }
+        first = &entry;
+        better = Candidate{&entry, cost};
+    }
+    return {};
+}
+
 auto DirectChoice::isUsable(const UpstreamId &id, Instant now) const -> bool
 {
     const auto found = this->avoidedUntil.find(id);
@@ -219,6 +296,10 @@
 
 auto DirectChoice::limitAllows(const UpstreamId &id, Instant now) const -> bool
 {
+    const auto isCountKnown = this->daemonCountAt != Instant{};
+    if (!this->coldShares.allows(id, isCountKnown ? this->daemonCount : maxDaemonCount, now)) {
+        return false;
+    }
     const auto share = this->limitShares.find(id);
     return share == this->limitShares.end() || share->second.allows(this->daemonCount, now);
 }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -178,7 +178,7 @@
                              ? std::nullopt
                              : this->direct.choose(this->permitRequest(flow, false, now), now);
     if (verdict && verdict->kind == PermitVerdict::Kind::Refused) {
-        ++this->heldByPause;
+        this->heldByPause += verdict->reason == Reason::UpstreamPaused ? 1 : 0;
         this->failRequest(flow, verdict->reason, verdict->retryAfter, now);
         return;
     }
@@ -283,6 +283,10 @@
 {
     flow.isSent = false;
     this->noteWay(flow, end.end, now);
+    if (end.end == AttemptEnd::Answered) {
+        this->direct.onAnswered(flow.request.service, flow.upstream, end.load, now - flow.sentAt,
+                                now);
+    }
     if (end.requestLimit) {
         this->direct.onLimitStated(flow.upstream, *end.requestLimit, flow.sentAt, now);
     }
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -55,6 +55,8 @@
   hasPause @12 :Bool;
   pause @13 :Int64;
   forwarder @14 :Text;
+  # How many times as long as usual work takes at the upstream; 0: unknown.
+  slowdown @15 :Float64;
 }
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
@@ -65,6 +67,8 @@
   configuration @2 :UInt64;
   configurationAge @3 :Int64;
   daemons @4 :UInt32;
+  evacuationRevision @5 :UInt64;
+  evacuated @6 :List(Text);
 }
 
 struct Hello {}
