--- a/src/dispatch/internal/loadestimate.cpp
+++ b/src/dispatch/internal/loadestimate.cpp
@@ -19,10 +19,6 @@
 /// it; a higher one would exceed the penalties for failing upstreams.
 constexpr double minSlowdown = 0.5;
 constexpr double maxSlowdown = 10;
-/// Exponent per unit of utilisation. With speeds of 0.5 to 1.6 times the mean at 60 % utilisation,
-/// an exponent of 2 gave the busiest upstream 1.32 times the mean utilisation, 3 gave 1.19; 4 and
-/// more hardly lowered it, and requests took longer at upstreams that were slow for a moment.
-constexpr double utilisationExponent = 3;
 
 /// @returns 1 for a new report, and less the older it is; 0 from the limit on
 auto weightAt(Duration age, Duration limit) -> double
@@ -60,9 +56,10 @@
     return 1 + weight * (this->reportedSlowdown - 1);
 }
 
-auto weightedResponseTime(double latency, double slowdown, double utilisation) -> double
+auto weightedResponseTime(double latency, double slowdown, double utilisation, double weight)
+    -> double
 {
-    return latency * slowdown * std::exp(utilisationExponent * utilisation);
+    return latency * slowdown * std::exp(weight * utilisation);
 }
 
 } // namespace gooseberrywall
--- a/src/dispatch/internal/slotbrokerforecast.cpp
+++ b/src/dispatch/internal/slotbrokerforecast.cpp
@@ -81,7 +81,8 @@
     const auto requests = upstream.load.requests(upstream.inFlight, 0, now) + 1;
     // At most full, so that the weight stays below the penalties for failing and avoided upstreams.
     const auto utilisation = std::min(1.0, requests / std::max(1, upstream.entry.slots));
-    cost = weightedResponseTime(cost, upstream.load.slowdown(now), utilisation);
+    cost = weightedResponseTime(cost, upstream.load.slowdown(now), utilisation,
+                                this->settings.loadWeight);
     cost *= upstream.entry.isMissing ? 100 : 1;
     const auto isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.entry.id)
                            != request.avoid.end();
--- a/src/dispatch/loadestimate.h
+++ b/src/dispatch/loadestimate.h
@@ -34,13 +34,18 @@
     Instant slowdownReportedAt{};
 };
 
+/// Weight of the utilisation with which the busiest upstream of a service stays below 1.25 times
+/// the mean load, also where the speeds differ by a factor of three.
+inline constexpr double evenLoadWeight = 3;
+
 /// @param latency expected latency of a request at an upstream that is free
 /// @param slowdown how many times as long as usual work takes there at the moment
 /// @param utilisation requests per slot, including the one that is to be sent
-/// @returns the expected time to the response in the unit of the latency, with a weight that grows
-/// with the utilisation: an upstream may be filled by a third more than another one only if it is
-/// several times as fast
-[[nodiscard]] auto weightedResponseTime(double latency, double slowdown, double utilisation)
-    -> double;
+/// @param weight of the utilisation: with evenLoadWeight, an upstream may be filled by a third more
+///        than another one only if it is several times as fast; with zero, the faster one is filled
+/// @returns the expected time to the response in the unit of the latency, which grows with the
+///          utilisation by its weight
+[[nodiscard]] auto weightedResponseTime(double latency, double slowdown, double utilisation,
+                                        double weight) -> double;
 
 } // namespace gooseberrywall
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -48,6 +48,8 @@
     /// An upstream with a larger share of failed attempts gets requests only if no other upstream
     /// has a free slot or all others cost far more.
     double unhealthyFailureShare = 0.25;
+    /// Weight of an upstream's utilisation against its latency, as in weightedResponseTime().
+    double loadWeight = 0.1;
     EntryPathsSettings paths = {};
     auto operator==(const SlotBrokerSettings &) const -> bool = default;
 };
--- a/src/dispatch/tests/brokersimulation.cpp
+++ b/src/dispatch/tests/brokersimulation.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 BrokerSimulation::BrokerSimulation(std::uint64_t seed, std::vector<double> speeds,
-                                   std::vector<RequestClass> classes, bool isSharded)
+                                   std::vector<RequestClass> classes, bool isSharded,
+                                   SlotBrokerSettings settings)
     : random(seed)
     , speeds(std::move(speeds))
     , slowdowns(this->speeds.size(), 1.0)
@@ -40,6 +41,7 @@
     , busyTimes(this->speeds.size(), Duration{0})
     , busyUntil(this->speeds.size())
     , isSharded(isSharded)
+    , settings(settings)
     , seed(seed)
 {
     this->resetCounts();
@@ -52,7 +54,7 @@
 
 auto BrokerSimulation::setUpBroker() -> void
 {
-    this->broker = std::make_unique<SlotBroker>(service, this->isSharded, SlotBrokerSettings{},
+    this->broker = std::make_unique<SlotBroker>(service, this->isSharded, this->settings,
                                                 RetryWindowSettings{}, this->seed);
     std::vector<UpstreamEntry> entries;
     std::vector<OwnedRange> owners;
--- a/src/dispatch/tests/brokersimulation.h
+++ b/src/dispatch/tests/brokersimulation.h
@@ -86,7 +86,8 @@
 public:
     /// @param isSharded each request has a key; each upstream owns an equal part of the keys
     BrokerSimulation(std::uint64_t seed, std::vector<double> speeds,
-                     std::vector<RequestClass> classes, bool isSharded = false);
+                     std::vector<RequestClass> classes, bool isSharded = false,
+                     SlotBrokerSettings settings = {});
 
     auto run(Duration time) -> void;
     auto setRate(std::size_t index, double perSecond) -> void;
@@ -231,6 +232,7 @@
     Instant countedSince;
     bool areLoadsReported = false;
     bool isSharded;
+    SlotBrokerSettings settings;
     std::uint64_t seed;
     std::unique_ptr<SlotBroker> broker;
     double worstLimitExcess = 0;
--- a/src/dispatch/tests/evenload_tests.cpp
+++ b/src/dispatch/tests/evenload_tests.cpp
@@ -11,6 +11,14 @@
 
 namespace {
 
+/// @returns the settings with which operators ask for even load
+auto evenLoad() -> SlotBrokerSettings
+{
+    SlotBrokerSettings settings;
+    settings.loadWeight = evenLoadWeight;
+    return settings;
+}
+
 constexpr std::size_t upstreamCount = 40;
 constexpr double slotsPerUpstream = 3;
 constexpr double workSeconds = 0.08;
@@ -41,7 +49,8 @@
     const auto utilisation = GENERATE(0.6, 0.85);
     const auto hasReports = GENERATE(true, false);
     const auto speeds = unevenSpeeds();
-    BrokerSimulation simulation(21, speeds, {RequestClass{rateFor(speeds, utilisation)}});
+    BrokerSimulation simulation(21, speeds, {RequestClass{rateFor(speeds, utilisation)}}, false,
+                                evenLoad());
     simulation.setVms(30);
     if (hasReports) {
         simulation.reportLoads();
@@ -67,7 +76,8 @@
 {
     const std::vector<double> speeds(upstreamCount, 1.0);
     const auto utilisation = GENERATE(0.4, 0.6);
-    BrokerSimulation simulation(22, speeds, {RequestClass{rateFor(speeds, utilisation)}});
+    BrokerSimulation simulation(22, speeds, {RequestClass{rateFor(speeds, utilisation)}}, false,
+                                evenLoad());
     simulation.setVms(30);
     simulation.reportLoads();
     std::mt19937_64 random(7);
@@ -94,7 +104,8 @@
     const std::vector<double> speeds(upstreamCount, 1.0);
     GIVEN("even load")
     {
-        BrokerSimulation simulation(23, speeds, {RequestClass{rateFor(speeds, 0.5)}});
+        BrokerSimulation simulation(23, speeds, {RequestClass{rateFor(speeds, 0.5)}}, false,
+                                    evenLoad());
         simulation.run(seconds{40});
         THEN("the stated share is near to one")
         {
@@ -133,7 +144,7 @@
 {
     const Instant start{seconds{100}};
     const ServiceName service{"service"};
-    SlotBroker broker(service, false, SlotBrokerSettings{}, RetryWindowSettings{}, 1);
+    SlotBroker broker(service, false, evenLoad(), RetryWindowSettings{}, 1);
     std::vector<UpstreamEntry> entries;
     for (const auto *id : {"failed", "loaded"}) {
         UpstreamEntry entry;
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -60,6 +60,7 @@
     result.incarnation = incarnation;
     result.processorCores = settings.processorCores;
     result.startsWithSystem = settings.startsWithSystem;
+    result.broker.loadWeight = settings.loadWeight;
     result.retries.ratio = settings.retryRatio;
     result.retries.extra = settings.retryExtra;
     result.retries.window = settings.retryWindow;
--- a/src/entry/internal/directloads.cpp
+++ b/src/entry/internal/directloads.cpp
@@ -88,12 +88,13 @@
     const auto mean = this->findService(service);
     const auto usableSlots = std::max(1, slots);
     if (known == nullptr) {
-        return weightedResponseTime(1, 1, mean.utilisation + 1.0 / usableSlots);
+        return weightedResponseTime(1, 1, mean.utilisation + 1.0 / usableSlots, evenLoadWeight);
     }
     const auto usual = known->usualOthers.value_or(mean.utilisation) * usableSlots;
     const auto requests = known->estimate.requests(known->inFlight, usual, now) + 1;
     // The draws already take the measured speed into account.
-    return weightedResponseTime(1, known->estimate.slowdown(now), requests / usableSlots);
+    return weightedResponseTime(1, known->estimate.slowdown(now), requests / usableSlots,
+                                evenLoadWeight);
 }
 
 } // namespace gooseberrywall
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -80,12 +80,16 @@
 
 auto upstreamsSection() -> SectionDescription
 {
-    return {"upstreams",
-            SectionCount::Optional,
-            "Requests to upstreams.",
-            {{"drain_time_s", ValueKind::Seconds, "s", 500, 600'000, "2", takesEffectAtStart,
-              "From an upstream's first statement that it is about to stop until no request may "
-              "reach it; only requests that no other can serve use this time."}}};
+    return {
+        "upstreams",
+        SectionCount::Optional,
+        "Requests to upstreams.",
+        {{"drain_time_s", ValueKind::Seconds, "s", 500, 600'000, "2", takesEffectAtStart,
+          "From an upstream's first statement that it is about to stop until no request may "
+          "reach it; only requests that no other can serve use this time."},
+         {"load_weight", ValueKind::Decimal, "", 0, 10'000, "0.1", takesEffectAtStart,
+          "Weight of an upstream's utilisation against its latency where a grantor chooses one. "
+          "Low: fast upstreams are filled first; 3: the load is even."}}};
 }
 
 auto logSection() -> SectionDescription
@@ -167,7 +171,9 @@
     settings.retryExtra = static_cast<double>(retries.integer("extra"));
     settings.retryWindow = retries.duration("window_s");
     settings.longestHold = values->find("grants")->duration("longest_hold_s");
-    settings.drainTime = values->find("upstreams")->duration("drain_time_s");
+    const auto &upstreams = *values->find("upstreams");
+    settings.drainTime = upstreams.duration("drain_time_s");
+    settings.loadWeight = static_cast<double>(upstreams.integer("load_weight")) * thousandth;
     settings.logLevel = log.text("level");
     settings.logLinesPerSecond = log.integer("lines_per_second");
     settings.logSampleOneIn = static_cast<std::uint64_t>(log.integer("sample_one_in"));
--- a/src/settings/tests/edgesettingsloader_tests.cpp
+++ b/src/settings/tests/edgesettingsloader_tests.cpp
@@ -38,6 +38,7 @@
             "edge.ini");
         REQUIRE(settings.has_value());
         CHECK(settings->drainTime == Duration{std::chrono::milliseconds{2500}});
+        CHECK(settings->loadWeight == Approx(0.1));
     }
     GIVEN("files with one error each")
     {
