streams: report no clean end after a failure of the connection

Cause: a reset sets the socket's error once. While bytes wait to be sent, the writable event comes first, and send() takes the error; recv() then returns 0 as after a close, and onReadable reported a clean end. The failed write also ended the stream after one more read, so that a whole answer of more than 32 KiB was lost, and the end could be reported twice.

A failed stream now reads what had arrived before, then reports its end once and never as clean. Callers' connections read no further requests once they have failed.

--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -151,7 +151,8 @@
 
 auto FrontListener::Connection::onInput() -> void
 {
-    if (this->isEnding) {
+    // A caller that can't be answered any more has no use for its requests.
+    if (this->isEnding || this->stream.isFailed()) {
         this->stream.consume(this->stream.input().size());
         return;
     }
--- a/src/streams/internal/socketstream.cpp
+++ b/src/streams/internal/socketstream.cpp
@@ -203,23 +203,63 @@
 
 auto SocketStream::onReadable() -> void
 {
-    static std::array<char, readBufferBytes> buffer;
-    const auto count = recv(this->descriptor, buffer.data(), buffer.size(), 0);
-    if (count > 0) {
-        if (this->consumedBytes > 0) {
-            this->received.erase(0, this->consumedBytes);
-            this->consumedBytes = 0;
-        }
-        this->received.append(buffer.data(), static_cast<std::size_t>(count));
+    if (this->hasFailed) {
+        this->readRest();
+        return;
+    }
+    switch (this->receive()) {
+    case Received::Bytes:
         this->handlers.onInput();
         return;
+    case Received::Nothing:
+        return;
+    case Received::End:
+        this->reportEnd(true);
+        return;
+    case Received::Failure:
+        this->hasFailed = true;
+        this->reportEnd(false);
+        return;
+    }
+}
+
+auto SocketStream::receive() -> Received
+{
+    static std::array<char, readBufferBytes> buffer;
+    const auto count = recv(this->descriptor, buffer.data(), buffer.size(), 0);
+    if (count == 0) {
+        return Received::End;
     }
-    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    if (count < 0) {
+        const auto mayFollow = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+        return mayFollow ? Received::Nothing : Received::Failure;
+    }
+    if (this->consumedBytes > 0) {
+        this->received.erase(0, this->consumedBytes);
+        this->consumedBytes = 0;
+    }
+    this->received.append(buffer.data(), static_cast<std::size_t>(count));
+    return Received::Bytes;
+}
+
+auto SocketStream::readRest() -> void
+{
+    // send() has taken the socket's error, so recv() reports a reset like a close of the peer.
+    const auto isReading = event_pending(this->readEvent.get(), EV_READ, nullptr) != 0;
+    if (!isReading || this->receive() != Received::Bytes) {
+        this->reportEnd(false);
         return;
     }
+    event_active(this->writeEvent.get(), EV_WRITE, 0);
+    this->handlers.onInput();
+}
+
+auto SocketStream::reportEnd(bool isClean) -> void
+{
     event_del(this->readEvent.get());
-    this->hasFailed = this->hasFailed || count < 0;
-    this->handlers.onEnd(count == 0);
+    if (!std::exchange(this->hasEnded, true)) {
+        this->handlers.onEnd(isClean);
+    }
 }
 
 auto SocketStream::onWritable() -> void
@@ -243,8 +283,7 @@
     }
     if (this->hasFailed) {
         // write() fails by way of this event, so that onEnd isn't called from within it.
-        event_del(this->readEvent.get());
-        this->handlers.onEnd(false);
+        this->readRest();
         return;
     }
     this->flush();
--- a/src/streams/socketstream.h
+++ b/src/streams/socketstream.h
@@ -3,6 +3,7 @@
 #include "common/types/ids.h"
 #include "http/endpoint.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -33,7 +34,7 @@
         /// More bytes are available from input().
         std::function<void()> onInput;
         /// The peer has closed its side, or the connection failed or was reset (`isClean` is
-        /// false).
+        /// false). Called once, after onInput for the bytes that had arrived before.
         std::function<void(bool isClean)> onEnd;
         /// The socket has taken written bytes that had to wait; may be empty.
         std::function<void()> onSent = {};
@@ -65,6 +66,8 @@
     auto setReading(bool isReading) -> void;
     /// Closes the sending side once all written bytes are sent; input is still read.
     auto finishWriting() -> void;
+    /// @returns whether the connection has failed; what arrived before may still be read
+    [[nodiscard]] auto isFailed() const -> bool { return this->hasFailed; }
     /// Makes the destructor reset the connection, which discards bytes in transit.
     auto resetOnClose() -> void { this->resetsOnClose = true; }
 
@@ -81,7 +84,14 @@
         }
     };
 
+    enum class Received : std::uint8_t { Bytes, Nothing, End, Failure };
+
     auto open(int descriptor) -> void;
+    /// Appends what has arrived to the input.
+    auto receive() -> Received;
+    /// Reads on after a failed write: the peer may have sent a whole answer before the failure.
+    auto readRest() -> void;
+    auto reportEnd(bool isClean) -> void;
     /// @returns how many of the bytes the socket has accepted; all of them where it has failed
     [[nodiscard]] auto sendNow(std::string_view bytes) -> std::size_t;
     auto queue(std::shared_ptr<const std::string> bytes, std::size_t sentBytes) -> void;
@@ -105,6 +115,7 @@
     bool isFinishing = false;
     bool resetsOnClose = false;
     bool hasFailed = false;
+    bool hasEnded = false;
 };
 
 } // namespace gooseberrywall
