streams: don't take a peer that reads slowly for a broken path

Cause: TCP_USER_TIMEOUT of 2 s on each connection. It was set for sent bytes that stay unacknowledged, as keep-alive probes aren't sent then; Linux also applies it while a peer's window is closed, although the peer's system answers each probe.

Callers' connections have no TCP_USER_TIMEOUT any more. Requests of up to 4,096 bytes to upstreams keep the option, as any receive buffer takes them unread; larger ones are checked like callers.

Ruled out: idle and stall limits of the listener, memory, the SIGHUP.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -423,8 +423,8 @@
         EdgeMetrics metrics;
         addGrantorMetrics(metrics, this->roles);
         addRequestMetrics(metrics, this->flow, this->statements);
-        addMemoryMetrics(metrics, this->memory, this->entry.listenerCounters(),
-                         this->peerServer.counters());
+        addListenerMetrics(metrics, this->memory, this->entry.listenerCounters(),
+                           this->peerServer.counters());
         metrics.storeCalls = this->store.callCount();
         metrics.storeFailures = this->store.failureCount();
         metrics.storeEra = this->store.currentEra();
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -19,7 +19,7 @@
 /// Adds the metrics of the bytes that this daemon holds.
 /// @param callers counts of the callers' listener
 /// @param peers counts of the peers' listener
-auto addMemoryMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
-                      const FrontCounters &callers, const FrontCounters &peers) -> void;
+auto addListenerMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
+                        const FrontCounters &callers, const FrontCounters &peers) -> void;
 
 } // namespace gooseberrywall
--- a/src/edge/internal/edgemetrics.cpp
+++ b/src/edge/internal/edgemetrics.cpp
@@ -25,13 +25,14 @@
     metrics.pausedUpstreams = statements.pausedCount();
 }
 
-auto addMemoryMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
-                      const FrontCounters &callers, const FrontCounters &peers) -> void
+auto addListenerMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
+                        const FrontCounters &callers, const FrontCounters &peers) -> void
 {
     metrics.memoryHeldBytes = memory.heldBytes();
     metrics.memoryBudgetBytes = memory.budget().totalBytes;
     metrics.memoryRefusals = callers.memoryRefusals + peers.memoryRefusals;
     metrics.memoryShedConnections = callers.shedConnections + peers.shedConnections;
+    metrics.silentCallers = callers.silentCallers + peers.silentCallers;
 }
 
 } // namespace gooseberrywall
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -29,6 +29,9 @@
     Duration headerTimeout = std::chrono::seconds{10};
     /// Time from a request's first byte to its last.
     Duration bodyTimeout = std::chrono::seconds{30};
+    /// A connection whose caller doesn't acknowledge sent bytes for this long is reset, so that
+    /// callers behind a broken network path hold no memory. Callers that don't read acknowledge.
+    Duration silenceTimeout = std::chrono::seconds{2};
     /// Requests of one connection that are open at once; further ones stay unread.
     std::size_t pipelineLimit = 16;
     std::size_t connectionLimit = 2000;
@@ -50,6 +53,8 @@
     std::uint64_t requests = 0;
     std::uint64_t malformed = 0;
     std::uint64_t slowSenders = 0;
+    /// Connections whose caller didn't acknowledge its answers.
+    std::uint64_t silentCallers = 0;
     std::uint64_t connectionsRefused = 0;
     /// Requests that were refused because memory was short.
     std::uint64_t memoryRefusals = 0;
--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -39,6 +39,7 @@
     , reader(MessageReader::Kind::Request, front.settings.limits)
     , lastUsedAt(front.now())
     , charge(front.memory)
+    , silence(front.settings.silenceTimeout)
     , stream(front.base, descriptor,
              SocketStream::Handlers{[](bool) {}, [this] { this->onInput(); },
                                     [this](bool) { this->onEnd(); }, [this] { this->onSent(); }})
@@ -58,8 +59,20 @@
     this->updateCharge();
 }
 
+auto FrontListener::Connection::isCallerSilent(Instant moment) -> bool
+{
+    return this->stream.mayHaveUndelivered()
+           && this->silence.observe(this->stream.readSendQueue(), moment);
+}
+
 auto FrontListener::Connection::sweep(Instant moment) -> void
 {
+    if (this->isCallerSilent(moment)) {
+        ++this->front.counts.silentCallers;
+        this->stream.resetOnClose();
+        this->discard();
+        return;
+    }
     if (this->isEnding) {
         this->sweepEnding(moment);
         return;
--- a/src/streams/internal/frontconnection.h
+++ b/src/streams/internal/frontconnection.h
@@ -2,6 +2,7 @@
 
 #include "memory/types/connectionload.h"
 #include "streams/frontlistener.h"
+#include "streams/peersilence.h"
 
 #include <deque>
 #include <optional>
@@ -39,6 +40,8 @@
         std::optional<WholeMessage> answer;
     };
 
+    /// @returns whether the caller doesn't acknowledge what it was sent
+    [[nodiscard]] auto isCallerSilent(Instant moment) -> bool;
     /// Discards a closing connection once its caller has had time to take the answers.
     auto sweepEnding(Instant moment) -> void;
     auto onInput() -> void;
@@ -96,6 +99,7 @@
     bool isAdmitted = false;
     std::optional<MessageHead> refusal;
     MemoryAccount::Charge charge;
+    PeerSilence silence;
     SocketStream stream;
 };
 
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -1,6 +1,7 @@
 #include "streams/outboundpool.h"
 
 #include "http/timeval.h"
+#include "streams/peersilence.h"
 #include "streams/socketstream.h"
 
 #include <algorithm>
@@ -18,6 +19,15 @@
 constexpr Duration keepAliveMargin = std::chrono::milliseconds{1200};
 /// Memory of a connection without its messages.
 constexpr std::size_t connectionBytes = 2048;
+/// The smallest receive buffer of a connection that systems have by default. A request of this size
+/// is acknowledged by a peer that doesn't read, so that only a broken path leaves it
+/// unacknowledged.
+constexpr std::size_t smallestReceiveBufferBytes = 4096;
+/// Sent bytes that stay unacknowledged for this long end the connection, so that a broken network
+/// path doesn't delay requests.
+constexpr Duration unacknowledgedTimeLimit = std::chrono::milliseconds{2000};
+/// How often a connection with a larger request is checked for a broken path.
+constexpr Duration silenceCheckInterval = std::chrono::milliseconds{500};
 /// Answers of other requests that are skipped for one request; a peer that sends more is faulty.
 constexpr int skippedAnswerLimit = 8;
 
@@ -47,6 +57,7 @@
         , address(std::move(address))
         , reader(MessageReader::Kind::Response, pool.settings.limits)
         , charge(pool.memory)
+        , silence(unacknowledgedTimeLimit)
         , timer(evtimer_new(
               pool.base,
               [](evutil_socket_t, short, void *self) {
@@ -72,11 +83,12 @@
         if (this->request.isHead) {
             this->reader.expectNoBody();
         }
-        this->armTimer(this->isConnected
-                           ? this->request.timeout
-                           : std::min(this->request.timeout, this->pool.settings.connectTimeout));
+        this->chooseSilenceDetection();
         if (this->isConnected) {
+            this->armAnswerTimer();
             this->sendRequest();
+        } else {
+            this->armTimer(std::min(this->request.timeout, this->pool.settings.connectTimeout));
         }
         this->updateCharge();
     }
@@ -97,6 +109,30 @@
     Duration idleTimeout{0};
 
 private:
+    /// A peer that is slow to read a large request must not be taken for one behind a broken path.
+    auto chooseSilenceDetection() -> void
+    {
+        const auto bodyBytes = this->request.body == nullptr ? 0 : this->request.body->size();
+        const auto isLarge = this->request.text.size() + bodyBytes > smallestReceiveBufferBytes;
+        // A peer that has answered a large request early may still have to read it.
+        this->checksSilence =
+            isLarge || (this->checksSilence && this->stream.readSendQueue().queuedBytes > 0);
+        this->stream.limitUnacknowledgedTime(this->checksSilence ? Duration{0}
+                                                                 : unacknowledgedTimeLimit);
+    }
+
+    [[nodiscard]] auto isPeerSilent() -> bool
+    {
+        return this->checksSilence && this->isSent && this->stream.mayHaveUndelivered()
+               && this->silence.observe(this->stream.readSendQueue(), this->pool.now());
+    }
+
+    auto armAnswerTimer() -> void
+    {
+        const auto left = this->deadline - this->pool.now();
+        this->armTimer(this->checksSilence ? std::min(left, silenceCheckInterval) : left);
+    }
+
     auto sendRequest() -> void
     {
         this->isSent = true;
@@ -106,6 +142,8 @@
         if (this->request.body != nullptr) {
             this->stream.writeShared(this->request.body);
         }
+        // The time without an acknowledgement begins now.
+        static_cast<void>(this->isPeerSilent());
     }
 
     /// Counts what the connection holds, apart from the shared body of its request.
@@ -140,7 +178,7 @@
         }
         if (this->id != 0) {
             this->sendRequest();
-            this->armTimer(this->deadline - this->pool.now());
+            this->armAnswerTimer();
         }
     }
 
@@ -239,6 +277,11 @@
 
     auto onTimeout() -> void
     {
+        const auto mayWait = this->isSent && this->pool.now() < this->deadline;
+        if (mayWait && !this->isPeerSilent()) {
+            this->armAnswerTimer();
+            return;
+        }
         this->stream.resetOnClose();
         this->finish(this->isSent ? OutboundResult::End::NoAnswer : OutboundResult::End::NotSent,
                      {});
@@ -273,11 +316,15 @@
     bool isConnected = false;
     bool isSent = false;
     bool isReusable = false;
+    /// Whether the connection is checked for a peer that acknowledges nothing; otherwise the
+    /// kernel does that.
+    bool checksSilence = false;
     /// Requests that were sent on the connection, the open one included.
     std::uint64_t requestCount = 0;
     /// Answers of other requests that came since the open request was sent.
     int skippedAnswers = 0;
     MemoryAccount::Charge charge;
+    PeerSilence silence;
     EventPointer timer;
     SocketStream stream;
 };
--- a/src/streams/internal/socketstream.cpp
+++ b/src/streams/internal/socketstream.cpp
@@ -1,11 +1,15 @@
 #include "streams/socketstream.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -18,14 +22,11 @@
 constexpr std::size_t readBufferBytes = std::size_t{32} * 1024;
 /// Larger buffers for received bytes are released once they are empty.
 constexpr std::size_t keptInputBytes = readBufferBytes / 2;
-/// Sent bytes that stay unacknowledged for this long end the connection, so that a broken network
-/// path doesn't delay requests.
-constexpr int userTimeoutMs = 2000;
-/// An idle connection is probed after one second and given up after two unanswered probes, so that
-/// dead connections are found within a few seconds.
+/// An idle connection is probed after one second and given up one second later, so that dead
+/// connections are found before many requests are sent on them.
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbeCount = 2;
+constexpr int keepAliveProbeCount = 1;
 
 auto setOption(int descriptor, int level, int name, int value) -> void
 {
@@ -90,7 +91,6 @@
 {
     this->descriptor = descriptor;
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -105,6 +105,42 @@
         this));
 }
 
+auto SocketStream::limitUnacknowledgedTime(Duration timeout) -> void
+{
+    if (std::exchange(this->unacknowledgedTimeLimit, timeout) == timeout) {
+        return;
+    }
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    setOption(this->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(milliseconds.count()));
+}
+
+auto SocketStream::readSendQueue() -> SendQueueState
+{
+    SendQueueState state;
+    auto queuedBytes = 0;
+    if (ioctl(this->descriptor, SIOCOUTQ, &queuedBytes) != 0) {
+        return state;
+    }
+    state.queuedBytes = static_cast<std::uint64_t>(std::max(queuedBytes, 0));
+    state.acknowledgedBytes =
+        this->acceptedByteCount - std::min(this->acceptedByteCount, state.queuedBytes);
+    this->isDelivered = state.queuedBytes == 0 && this->unsent.empty();
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (state.queuedBytes == 0
+        || getsockopt(this->descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return state;
+    }
+    state.unacknowledgedSegments = info.tcpi_unacked;
+    state.unansweredProbes = info.tcpi_probes;
+    // Systems that don't keep these times report zeros.
+    if (info.tcpi_last_ack_recv > 0 || info.tcpi_last_data_sent > 0) {
+        state.isLastSegmentAnswered = info.tcpi_last_ack_recv <= info.tcpi_last_data_sent;
+    }
+    return state;
+}
+
 auto SocketStream::consume(std::size_t bytes) -> void
 {
     this->consumedBytes += bytes;
@@ -141,7 +177,7 @@
     if (this->isConnecting || !this->unsent.empty()) {
         return 0;
     }
-    const auto sent = send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const auto sent = this->sendSome(bytes);
     if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
         this->fail();
         return bytes.size();
@@ -149,6 +185,16 @@
     return sent < 0 ? 0 : static_cast<std::size_t>(sent);
 }
 
+auto SocketStream::sendSome(std::string_view bytes) -> ssize_t
+{
+    const auto sent = send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent > 0) {
+        this->acceptedByteCount += static_cast<std::uint64_t>(sent);
+        this->isDelivered = false;
+    }
+    return sent;
+}
+
 auto SocketStream::queue(std::shared_ptr<const std::string> bytes, std::size_t sentBytes) -> void
 {
     this->unsentByteCount += bytes->size() - sentBytes;
@@ -164,7 +210,7 @@
     while (!this->unsent.empty()) {
         auto &segment = this->unsent.front();
         const auto rest = std::string_view(*segment.bytes).substr(segment.sentBytes);
-        const auto sent = send(this->descriptor, rest.data(), rest.size(), MSG_NOSIGNAL);
+        const auto sent = this->sendSome(rest);
         if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
             this->fail();
             return;
--- a/src/streams/socketstream.h
+++ b/src/streams/socketstream.h
@@ -2,6 +2,7 @@
 
 #include "common/types/ids.h"
 #include "http/endpoint.h"
+#include "streams/types/sendqueuestate.h"
 
 #include <cstdint>
 #include <deque>
@@ -9,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 
 struct event;
 struct event_base;
@@ -66,6 +68,16 @@
     auto setReading(bool isReading) -> void;
     /// Closes the sending side once all written bytes are sent; input is still read.
     auto finishWriting() -> void;
+    /// Ends the connection as failed once sent bytes stay unacknowledged for this long. Linux also
+    /// ends it then if the peer's window is closed, however alive the peer is: only for messages
+    /// that fit into a receive buffer that is empty.
+    /// @param timeout zero: no limit, as at the start
+    auto limitUnacknowledgedTime(Duration timeout) -> void;
+    /// @returns whether the peer's system may not have acknowledged all that was written, without
+    ///          a system call
+    [[nodiscard]] auto mayHaveUndelivered() const -> bool { return !this->isDelivered; }
+    /// Asks the kernel for the state of the bytes that were written.
+    [[nodiscard]] auto readSendQueue() -> SendQueueState;
     /// @returns whether the connection has failed; what arrived before may still be read
     [[nodiscard]] auto isFailed() const -> bool { return this->hasFailed; }
     /// Makes the destructor reset the connection, which discards bytes in transit.
@@ -92,6 +104,8 @@
     /// Reads on after a failed write: the peer may have sent a whole answer before the failure.
     auto readRest() -> void;
     auto reportEnd(bool isClean) -> void;
+    /// @returns what send() returns
+    auto sendSome(std::string_view bytes) -> ssize_t;
     /// @returns how many of the bytes the socket has accepted; all of them where it has failed
     [[nodiscard]] auto sendNow(std::string_view bytes) -> std::size_t;
     auto queue(std::shared_ptr<const std::string> bytes, std::size_t sentBytes) -> void;
@@ -111,6 +125,10 @@
     std::deque<Segment> unsent;
     std::size_t unsentByteCount = 0;
     std::size_t queuedByteCount = 0;
+    /// Bytes that the socket has accepted.
+    std::uint64_t acceptedByteCount = 0;
+    Duration unacknowledgedTimeLimit{0};
+    bool isDelivered = true;
     bool isConnecting = false;
     bool isFinishing = false;
     bool resetsOnClose = false;
--- a/src/streams/tests/rawpeer.h
+++ b/src/streams/tests/rawpeer.h
@@ -3,6 +3,7 @@
 #include "streams/socketlistener.h"
 #include "testing/freeaddress.h"
 
+#include <array>
 #include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -34,6 +35,13 @@
         return send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL)
                == static_cast<ssize_t>(bytes.size());
     }
+    /// @returns how many bytes were waiting to be read
+    auto readWaiting() const -> std::size_t
+    {
+        std::array<char, std::size_t{64} * 1024> buffer{};
+        const auto count = recv(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
     /// Sends the end of the stream; the peer could still read.
     auto finish() const -> void { shutdown(this->descriptor, SHUT_WR); }
     auto reset() -> void
