streams, edge: bound what upstreams' endless answers take

Cause: the pools of orders and of the store had no memory account and allowed 16 MiB an answer, and wherever the budget was exceeded, callers' connections were closed first.

Answers that arrive now take half of the budget together at most (or one answer of the largest size); beyond it, those without an announced length are given up, the largest first. Answers to orders may have 64 KiB, and orders and calls to the store charge the account. Heads of interim answers count towards the limit of one head: they could keep a connection until the request's deadline.

--- a/src/crowd/crowdcell.h
+++ b/src/crowd/crowdcell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crowd/crowdcaller.h"
+#include "crowd/endlessupstream.h"
 #include "crowd/processusage.h"
 #include "crowd/sizedupstream.h"
 #include "crowd/types/crowdcellsettings.h"
@@ -25,13 +26,21 @@
     static constexpr const char *prefix = "/plain/";
     /// Path prefix of requests whose answers have `largeAnswerBytes`.
     static constexpr const char *largeAnswerPrefix = "/plain/large/";
+    /// Path prefixes of requests whose upstreams answer without end: a service without keys, and
+    /// one whose upstreams hold keys and get orders.
+    static constexpr const char *endlessPrefix = "/endless/";
+    static constexpr const char *keyedEndlessPrefix = "/keyed/";
 
     /// Starts the stand-ins and the process.
     /// @throws std::runtime_error if the process can't be started
     explicit CrowdCell(CrowdCellSettings settings);
 
     /// Adds a caller, which sends in the following runs until the cell ends.
-    auto addCaller(CallerPlan plan) -> void;
+    /// @returns the caller, which the cell keeps until dismissCallers()
+    auto addCaller(CallerPlan plan) -> const CrowdCaller &;
+    /// Runs until the caller has an answer or its connection is closed.
+    /// @param limit how long to run at most
+    auto runUntilAnswered(const CrowdCaller &caller, Duration limit) -> void;
     /// Runs until all callers are settled.
     /// @param limit how long to run at most
     auto runUntilSettled(Duration limit) -> void;
@@ -54,6 +63,8 @@
     [[nodiscard]] auto isRunning() -> bool { return this->daemon->isRunning(); }
     /// @returns the highest values that were seen while the cell ran
     [[nodiscard]] auto peakUsage() const -> ProcessUsage { return this->usage; }
+    /// @returns how many calls of the daemon the faulty upstreams have answered
+    [[nodiscard]] auto endlessAnswers() const -> int;
     /// @returns how many callers' last connections are open
     [[nodiscard]] auto openCallers() const -> std::size_t;
     /// @returns whether the daemon's settings have the line `memory_mb`
@@ -62,6 +73,7 @@
 private:
     auto onTick() -> void;
     auto runUntil(const std::function<bool()> &condition, Duration limit) -> void;
+    auto startEndlessUpstreams() -> void;
     auto putConfiguration() -> void;
     [[nodiscard]] auto settingsText(bool withMemory) const -> std::string;
     /// Writes the line `memory_mb` only if the program accepts it.
@@ -78,6 +90,7 @@
     Address metricsAddress;
     KvStoreStub store;
     std::vector<std::unique_ptr<SizedUpstream>> upstreams;
+    std::vector<std::unique_ptr<EndlessUpstream>> endlessUpstreams;
     bool isMemorySet = false;
     std::unique_ptr<DaemonProcess> daemon;
     std::vector<std::unique_ptr<CrowdCaller>> callers;
--- a/src/crowd/internal/crowdcell.cpp
+++ b/src/crowd/internal/crowdcell.cpp
@@ -74,16 +74,52 @@
         this->upstreams.back()->start();
         this->store.put(this->upstreams.back()->storeKey(), this->upstreams.back()->entry());
     }
+    this->startEndlessUpstreams();
     this->putConfiguration();
     this->daemon = std::make_unique<DaemonProcess>(this->settings.program, this->writeSettings());
     this->daemon->start();
     this->onTick();
 }
 
-auto CrowdCell::addCaller(CallerPlan plan) -> void
+auto CrowdCell::startEndlessUpstreams() -> void
+{
+    for (const auto *service : {"endless", "keyed"}) {
+        for (auto index = 0;
+             index < this->settings.endlessUpstreamsPerAnswer * EndlessUpstream::answerCount;
+             ++index) {
+            EndlessUpstream::Settings upstream;
+            upstream.id = std::string(service) + "-" + std::to_string(index);
+            upstream.service = service;
+            upstream.listen = freeAddress();
+            upstream.answer =
+                static_cast<EndlessUpstream::Answer>(index % EndlessUpstream::answerCount);
+            this->endlessUpstreams.push_back(
+                std::make_unique<EndlessUpstream>(this->loop.base(), upstream));
+            this->store.put(this->endlessUpstreams.back()->storeKey(),
+                            this->endlessUpstreams.back()->entry());
+        }
+    }
+}
+
+auto CrowdCell::endlessAnswers() const -> int
+{
+    auto count = 0;
+    for (const auto &upstream : this->endlessUpstreams) {
+        count += upstream->answeredCalls();
+    }
+    return count;
+}
+
+auto CrowdCell::addCaller(CallerPlan plan) -> const CrowdCaller &
 {
     this->callers.push_back(
         std::make_unique<CrowdCaller>(*parseEndpoint(this->callerAddress), std::move(plan)));
+    return *this->callers.back();
+}
+
+auto CrowdCell::runUntilAnswered(const CrowdCaller &caller, Duration limit) -> void
+{
+    this->runUntil([&caller] { return caller.status() != 0 || caller.isClosed(); }, limit);
 }
 
 auto CrowdCell::runUntilSettled(Duration limit) -> void
@@ -178,24 +214,28 @@
 
 auto CrowdCell::putConfiguration() -> void
 {
-    this->store.put("op/config", nlohmann::json{{"version", 1},
-                                                {"routes",
-                                                 {{{"name", "plain"},
-                                                   {"host", "h.example"},
-                                                   {"prefix", prefix},
-                                                   {"route_type", "non_idempotent"},
-                                                   {"timeout_s", 10},
-                                                   {"target_latency_s", 0.5},
-                                                   {"priority", 1},
-                                                   {"max_attempts", 2},
-                                                   {"service", "plain"}}}},
-                                                {"services", {{{"name", "plain"}}}},
-                                                {"limits",
-                                                 {{"max_header_bytes", 16384},
-                                                  {"max_body_bytes", this->settings.maxBodyBytes},
-                                                  {"header_timeout_s", 3},
-                                                  {"idle_timeout_s", 15}}}}
-                                     .dump());
+    const auto route = [](const std::string &service, const std::string &pathPrefix) {
+        return nlohmann::json{{"name", service},      {"host", "h.example"},
+                              {"prefix", pathPrefix}, {"route_type", "non_idempotent"},
+                              {"timeout_s", 10},      {"target_latency_s", 0.5},
+                              {"priority", 1},        {"max_attempts", 2},
+                              {"service", service}};
+    };
+    nlohmann::json configuration{{"version", 1},
+                                 {"routes", {route("plain", prefix)}},
+                                 {"services", {{{"name", "plain"}}}},
+                                 {"limits",
+                                  {{"max_header_bytes", 16384},
+                                   {"max_body_bytes", this->settings.maxBodyBytes},
+                                   {"header_timeout_s", 3},
+                                   {"idle_timeout_s", 15}}}};
+    if (!this->endlessUpstreams.empty()) {
+        configuration["routes"].push_back(route("endless", endlessPrefix));
+        configuration["routes"].push_back(route("keyed", keyedEndlessPrefix));
+        configuration["services"].push_back({{"name", "endless"}});
+        configuration["services"].push_back({{"name", "keyed"}, {"sharded", true}});
+    }
+    this->store.put("op/config", configuration.dump());
 }
 
 auto CrowdCell::settingsText(bool withMemory) const -> std::string
--- a/src/crowd/types/crowdcellsettings.h
+++ b/src/crowd/types/crowdcellsettings.h
@@ -18,6 +18,8 @@
     /// The operators' limit of this name.
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
     std::size_t largeAnswerBytes = 0;
+    /// Faulty upstreams of each kind of endless answer, in services of their own.
+    int endlessUpstreamsPerAnswer = 0;
     auto operator==(const CrowdCellSettings &) const -> bool = default;
 };
 
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -48,9 +48,9 @@
         , memory(memoryBudget(this->settings))
         , memoryLog(logger)
         , upstreamPool(loop.base(), upstreamPoolSettings(wire.echoHeader()), now, &this->memory)
-        , storePool(loop.base(), storePoolSettings(), now)
+        , storePool(loop.base(), storePoolSettings(), now, &this->memory)
         , store(wire, this->storePool, this->settings.store, now, logger)
-        , orderPool(loop.base(), orderPoolSettings(), now)
+        , orderPool(loop.base(), orderPoolSettings(), now, &this->memory)
         , orders(wire, this->orderPool)
         , permits(this->settings.peerListen, incarnation, PermitClientSettings{})
         , statements(UpstreamStatementSettings{this->settings.drainTime})
@@ -430,6 +430,9 @@
         metrics.storeEra = this->store.currentEra();
         metrics.upstreamConnections =
             this->upstreamPool.openedCount() + this->orderPool.openedCount();
+        metrics.givenUpAnswers = this->upstreamPool.givenUpCount() + this->orderPool.givenUpCount()
+                                 + this->storePool.givenUpCount()
+                                 + this->forwardClient.givenUpCount();
         metrics.badDatagrams = this->peers.malformedCount();
         metrics.unsentDatagrams = this->peers.unsentCount();
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
--- a/src/edge/internal/componentsettings.cpp
+++ b/src/edge/internal/componentsettings.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t orderAnswerLimitBytes = std::size_t{64} * 1024;
+
 /// @returns the memory of this VM as the system reports it
 auto systemMemoryBytes() -> std::size_t
 {
@@ -41,6 +43,8 @@
 {
     OutboundPoolSettings result;
     result.reusesAfterErrors = false;
+    // Only the status and the headers of an answer count.
+    result.limits.bodyBytes = orderAnswerLimitBytes;
     return result;
 }
 
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -41,6 +41,7 @@
          {"memory_budget_bytes", metrics.memoryBudgetBytes},
          {"memory_refusals_total", metrics.memoryRefusals},
          {"memory_shed_connections_total", metrics.memoryShedConnections},
+         {"answers_given_up_total", metrics.givenUpAnswers},
          {"silent_callers_total", metrics.silentCallers},
          {"evacuated_domains", metrics.evacuatedDomains},
          {"evacuated_upstreams", metrics.evacuatedUpstreams}}};
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -53,6 +53,8 @@
     /// Requests refused, and connections closed, because memory was short.
     std::uint64_t memoryRefusals = 0;
     std::uint64_t memoryShedConnections = 0;
+    /// Answers that were given up because they took too much memory while they arrived.
+    std::uint64_t givenUpAnswers = 0;
     /// Connections that were reset because the caller didn't acknowledge its answers.
     std::uint64_t silentCallers = 0;
     std::uint64_t evacuatedDomains = 0;
--- a/src/forwarding/forwardclient.h
+++ b/src/forwarding/forwardclient.h
@@ -33,6 +33,7 @@
 
     /// @returns the number of connections opened since the start
     [[nodiscard]] auto openedCount() const -> std::uint64_t { return this->pool.openedCount(); }
+    [[nodiscard]] auto givenUpCount() const -> std::uint64_t { return this->pool.givenUpCount(); }
 
 private:
     OutboundPool pool;
--- a/src/http1/internal/messagereader.cpp
+++ b/src/http1/internal/messagereader.cpp
@@ -171,7 +171,8 @@
     this->headBytes = this->message.head.heldBytes();
     if (this->kind == Kind::Response && this->message.head.status / 100 == 1) {
         this->message.head = {};
-        return Step::NeedMore;
+        this->interimBytes += taken;
+        return this->interimBytes > this->limits.headBytes ? this->fail(431) : Step::NeedMore;
     }
     if (!this->chooseFraming()) {
         return Step::Malformed;
@@ -427,6 +428,7 @@
     this->announced = 0;
     this->headBytes = 0;
     this->trailerBytes = 0;
+    this->interimBytes = 0;
     this->expectsNoBody = false;
     this->hasBegun = false;
 }
--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -97,6 +97,8 @@
     /// Memory of the head, once that is complete.
     std::size_t headBytes = 0;
     std::size_t trailerBytes = 0;
+    /// Heads of interim responses (1xx) before the response.
+    std::size_t interimBytes = 0;
     bool expectsNoBody = false;
     bool hasBegun = false;
     int errorStatus = 400;
--- a/src/http1/tests/http1_tests.cpp
+++ b/src/http1/tests/http1_tests.cpp
@@ -315,3 +315,34 @@
         CHECK(longHead.heldBytes() < 2 * valueBytes);
     }
 }
+
+SCENARIO("MessageReader: interim responses without end are malformed", "[http1]")
+{
+    // Guards against an upstream that keeps a connection busy until the request's deadline.
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const auto repeated = [&](std::size_t bytes) {
+        std::string text;
+        while (text.size() + interim.size() <= bytes) {
+            text += interim;
+        }
+        return text;
+    };
+    MessageLimits limits;
+    limits.headBytes = 2000;
+    MessageReader reader(MessageReader::Kind::Response, limits);
+    std::size_t taken = 0;
+    GIVEN("as many as a head may have bytes, before each of two answers")
+    {
+        const auto text = repeated(limits.headBytes) + answer;
+        for (auto count = 0; count < 2; ++count) {
+            CHECK(reader.read(text, taken) == MessageReader::Step::Whole);
+            CHECK(reader.take().body == "ok");
+        }
+    }
+    GIVEN("more")
+    {
+        const auto text = repeated(2 * limits.headBytes) + answer;
+        CHECK(reader.read(text, taken) == MessageReader::Step::Malformed);
+    }
+}
--- a/src/streams/internal/outboundconnection.cpp
+++ b/src/streams/internal/outboundconnection.cpp
@@ -84,8 +84,15 @@
     this->updateCharge();
 }
 
+auto OutboundPool::Connection::giveUpAnswer() -> void
+{
+    this->stream.resetOnClose();
+    this->finish(OutboundResult::End::BadAnswer, {});
+}
+
 auto OutboundPool::Connection::detach() -> void
 {
+    this->countArriving(0);
     evtimer_del(this->timer.get());
     this->id = 0;
     this->done = {};
@@ -128,12 +135,20 @@
     static_cast<void>(this->isPeerSilent());
 }
 
+auto OutboundPool::Connection::countArriving(std::size_t bytes) -> void
+{
+    this->pool.arrivingBytes += bytes;
+    this->pool.arrivingBytes -= std::exchange(this->countedArriving, bytes);
+}
+
 auto OutboundPool::Connection::updateCharge() -> void
 {
+    const auto answerBytes = this->reader.heldBytes();
+    const auto isLarge = this->id != 0 && answerBytes > MemoryAccount::smallMessageBytes;
+    this->countArriving(isLarge ? answerBytes : 0);
     const auto sending = this->sentText.lock();
     const auto textBytes = this->request.text.size() + (sending ? sending->size() : 0);
-    this->charge.set(connectionBytes + this->stream.inputCapacity() + textBytes
-                     + this->reader.heldBytes());
+    this->charge.set(connectionBytes + this->stream.inputCapacity() + textBytes + answerBytes);
 }
 
 auto OutboundPool::Connection::exceedsMemory() -> bool
@@ -173,15 +188,24 @@
     const auto step = this->reader.read(this->stream.input(), taken);
     this->stream.consume(taken);
     this->updateCharge();
-    const auto isRefused = step == MessageReader::Step::NeedMore && this->exceedsMemory();
-    if (this->id == 0) {
-        // Releasing memory has closed the connection of the request's caller.
+    if (step == MessageReader::Step::NeedMore) {
+        this->boundMemory();
         return;
     }
-    if (step == MessageReader::Step::Malformed || isRefused) {
+    if (step == MessageReader::Step::Malformed) {
         this->finish(OutboundResult::End::BadAnswer, {});
-    } else if (step == MessageReader::Step::Whole) {
-        this->onWholeAnswer(true);
+        return;
+    }
+    this->onWholeAnswer(true);
+}
+
+auto OutboundPool::Connection::boundMemory() -> void
+{
+    // Each of these may end the open request: its answer is given up, or its caller's connection is
+    // closed.
+    this->pool.boundArriving();
+    if (this->id != 0 && this->exceedsMemory() && this->id != 0) {
+        this->giveUpAnswer();
     }
 }
 
@@ -271,6 +295,7 @@
     this->pool.busy.erase(std::exchange(this->id, 0));
     // An assignment would keep the buffer of the text.
     static_cast<void>(std::exchange(this->request, OutboundRequest{}));
+    this->reader.discard();
     this->updateCharge();
     if (this->isReusable) {
         this->isReusable = false;
--- a/src/streams/internal/outboundconnection.h
+++ b/src/streams/internal/outboundconnection.h
@@ -18,6 +18,14 @@
     auto start(std::uint64_t newId, OutboundRequest newRequest, Done newDone) -> void;
     /// Separates the connection from its aborted request.
     auto detach() -> void;
+    /// @returns the memory of the answer that arrives; zero if that is small
+    [[nodiscard]] auto arrivingBytes() const -> std::size_t { return this->countedArriving; }
+    [[nodiscard]] auto isLengthAnnounced() const -> bool
+    {
+        return this->reader.announcedBodyBytes() > 0;
+    }
+    /// Ends the open request, whose answer can't be held.
+    auto giveUpAnswer() -> void;
 
     OutboundPool &pool;
     Address address;
@@ -31,10 +39,13 @@
     [[nodiscard]] auto isPeerSilent() -> bool;
     auto armAnswerTimer() -> void;
     auto sendRequest() -> void;
+    auto countArriving(std::size_t bytes) -> void;
     /// Counts what the connection holds, apart from the shared body of its request.
     auto updateCharge() -> void;
     /// @returns whether the answer is so large that it can't be held any more
     [[nodiscard]] auto exceedsMemory() -> bool;
+    /// Gives up answers that can't be held together with what else is held.
+    auto boundMemory() -> void;
     auto armTimer(Duration duration) -> void;
     auto onConnected(bool isOpen) -> void;
     auto onInput() -> void;
@@ -61,6 +72,8 @@
     bool checksSilence = false;
     /// Requests that were sent on the connection, the open one included.
     std::uint64_t requestCount = 0;
+    /// Part of the pool's bytes of arriving answers.
+    std::size_t countedArriving = 0;
     /// Answers of other requests that came since the open request was sent.
     int skippedAnswers = 0;
     MemoryAccount::Charge charge;
--- a/src/streams/internal/outboundpool.cpp
+++ b/src/streams/internal/outboundpool.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration sweepInterval = std::chrono::seconds{2};
+/// Share of the memory budget that large answers may take together while they arrive.
+constexpr double arrivingShare = 0.5;
 
 } // namespace
 
@@ -60,6 +62,30 @@
     this->discard(connection);
 }
 
+auto OutboundPool::arrivingLimit() const -> std::size_t
+{
+    const auto share = arrivingShare * static_cast<double>(this->memory->budget().totalBytes);
+    // A single answer of the largest size is always taken in.
+    return std::max(static_cast<std::size_t>(share),
+                    this->settings.limits.bodyBytes + this->settings.limits.headBytes);
+}
+
+auto OutboundPool::boundArriving() -> void
+{
+    while (this->memory != nullptr && this->arrivingBytes > this->arrivingLimit()) {
+        const auto rankOf = [](const auto &entry) {
+            const auto *connection = entry.second;
+            return std::pair(connection->arrivingBytes() > 0 && !connection->isLengthAnnounced(),
+                             connection->arrivingBytes());
+        };
+        const auto first = std::max_element(
+            this->busy.begin(), this->busy.end(),
+            [&](const auto &left, const auto &right) { return rankOf(left) < rankOf(right); });
+        ++this->givenUpAnswers;
+        first->second->giveUpAnswer();
+    }
+}
+
 auto OutboundPool::takeIdle(const Address &address) -> Connection *
 {
     const auto found = this->idle.find(address);
--- a/src/streams/outboundpool.h
+++ b/src/streams/outboundpool.h
@@ -46,7 +46,8 @@
     /// @param base runs the connections; must outlive the pool
     /// @param now returns the current time
     /// @param memory counts what the connections hold; large answers end as BadAnswer while it
-    ///        can't be relieved. nullptr: nothing is counted
+    ///        can't be relieved, or while they take more than their share of the budget together.
+    ///        nullptr: nothing is counted
     OutboundPool(event_base *base, OutboundPoolSettings settings, std::function<Instant()> now,
                  MemoryAccount *memory = nullptr);
     ~OutboundPool();
@@ -59,6 +60,8 @@
     /// request has ended.
     auto abort(OutboundId id) -> void;
 
+    /// @returns how many answers were given up since they took too much memory together
+    [[nodiscard]] auto givenUpCount() const -> std::uint64_t { return this->givenUpAnswers; }
     /// @returns the number of connections opened since the start
     [[nodiscard]] auto openedCount() const -> std::uint64_t { return this->openedConnections; }
 
@@ -69,6 +72,12 @@
     auto discard(Connection *connection) -> void;
     auto keep(Connection *connection) -> void;
     auto discardStale() -> void;
+    /// @returns the most bytes that large answers may take while they arrive
+    [[nodiscard]] auto arrivingLimit() const -> std::size_t;
+    /// Gives up answers that arrive while they take more than that: those without an announced
+    /// length first, the largest of them before others. A faulty upstream's answers must not take
+    /// the memory of other callers' requests.
+    auto boundArriving() -> void;
 
     event_base *base;
     OutboundPoolSettings settings;
@@ -81,6 +90,9 @@
     EventPointer cleanupEvent;
     std::uint64_t nextId = 1;
     std::uint64_t openedConnections = 0;
+    std::uint64_t givenUpAnswers = 0;
+    /// Bytes of large answers that arrive.
+    std::size_t arrivingBytes = 0;
     Instant sweptAt{};
 };
 
