--- a/review/standins-3/server.cpp
+++ b/review/standins-3/server.cpp
@@ -11,6 +11,7 @@
 
 /// The store drops an entry after this many heartbeat intervals of silence.
 constexpr int silentHeartbeats = 3;
+constexpr std::size_t bodyLimitBytes = std::size_t{128} * 1024 * 1024;
 
 auto unixMilliseconds() -> std::int64_t
 {
@@ -40,6 +41,8 @@
     this->sequence = 0;
     FrontSettings front;
     front.listen = this->address;
+    // More than the configuration lets clients send.
+    front.limits.bodyBytes = bodyLimitBytes;
     this->listener = std::make_unique<FrontListener>(
         this->base, front, monotonicNow,
         [this](ExchangeId exchange, WholeMessage request) {
