--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -12,7 +12,7 @@
 fi
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 115 "$cell" poison "$program" "$folder" "$here/record.txt" "${TROUBLE:-1}"
+timeout -k 2 115 "$cell" lost-watch "$program" "$folder" "$here/record.txt" "${TROUBLE:-1}"
 result=$?
 tail -n 2 "$here/record.txt"
 [ "$result" -le 1 ] || exit 2
--- a/review/standins-3/callers.cpp
+++ b/review/standins-3/callers.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Duration deadline = std::chrono::seconds{1};
+
 auto poolSettings() -> OutboundPoolSettings
 {
     OutboundPoolSettings settings;
@@ -57,18 +59,18 @@
 }
 
 auto Callers::send(std::size_t daemon, const std::string &method, const std::string &target,
-                   const std::string &body, Done done, Duration timeout) -> std::string
+                   const std::string &body, Done done) -> std::string
 {
     auto id = "request-" + std::to_string(this->nextRequest++);
     MessageHead head;
     head.method = method;
     head.target = target;
     head.headers = {HttpHeader{"Host", "shop.example"}, HttpHeader{"Request-Id", id},
-                    HttpHeader{"Deadline-Ms", std::to_string(timeout / Duration{1000})}};
+                    HttpHeader{"Deadline-Ms", std::to_string(deadline / Duration{1000})}};
     OutboundRequest request;
     request.address = this->daemons.at(daemon)->callerAddress();
     request.text = requestText(head, body, {});
-    request.timeout = timeout;
+    request.timeout = deadline;
     request.needsNewConnection = true;
     this->pool.send(std::move(request), [done = std::move(done)](const OutboundResult &result) {
         done(result.end == OutboundResult::End::Answered ? result.answer.head.status : 0);
