Logger: a quarter of the rate is reserved for lines that aren't about single requests

Cause: in an outage thousands of lines about refused requests filled the rate of the log, so that the lines which tell what a daemon believes (its configuration, grantors, upstreams) were dropped with them. Change: lines about single requests get three quarters of the rate at most; log_lines_dropped tells how many of the dropped lines were such. Test: 'given more lines about requests than the rate allows, other lines are written' writes 1,000 lines of requests and 20 others at a rate of 100; before the change none of the 20 was written.

--- a/src/logging/internal/logger.cpp
+++ b/src/logging/internal/logger.cpp
@@ -16,6 +16,8 @@
 
 /// flushIfDue() writes buffered lines at this interval; a killed process loses at most those.
 constexpr auto flushInterval = std::chrono::milliseconds{100};
+/// One in this many lines of the rate isn't available to lines about single requests.
+constexpr std::int64_t reservedOneIn = 4;
 
 auto toSpdlog(LogLevel level) -> spdlog::level::level_enum
 {
@@ -137,9 +139,19 @@
 }
 
 auto Logger::write(LogLevel level, const std::string &line) -> void
+{
+    this->write(level, line, false);
+}
+
+auto Logger::writeOfRequest(const std::string &line) -> void
+{
+    this->write(LogLevel::Info, line, true);
+}
+
+auto Logger::write(LogLevel level, const std::string &line, bool isOfRequest) -> void
 {
     const std::lock_guard lock(this->mutex);
-    if (!this->target->should_log(toSpdlog(level)) || !this->admit()) {
+    if (!this->target->should_log(toSpdlog(level)) || !this->admit(isOfRequest)) {
         return;
     }
     this->target->log(toSpdlog(level), "{}", line);
@@ -159,25 +171,40 @@
     return this->droppedTotal;
 }
 
-auto Logger::admit() -> bool
+auto Logger::renewWindow() -> void
 {
     const auto now = std::chrono::steady_clock::now();
-    if (now - this->windowStart >= std::chrono::seconds{1}) {
-        if (this->droppedInWindow > 0) {
-            const auto line =
-                LogLine("log_lines_dropped").with("count", this->droppedInWindow).text();
-            this->target->log(spdlog::level::warn, "{}", line);
-        }
-        this->windowStart = now;
-        this->linesInWindow = 0;
-        this->droppedInWindow = 0;
+    if (now - this->windowStart < std::chrono::seconds{1}) {
+        return;
+    }
+    if (this->droppedInWindow > 0) {
+        const auto line = LogLine("log_lines_dropped")
+                              .with("count", this->droppedInWindow)
+                              .with("of_requests", this->droppedOfRequestsInWindow)
+                              .text();
+        this->target->log(spdlog::level::warn, "{}", line);
     }
-    if (this->linesInWindow >= this->linesPerSecond) {
+    this->windowStart = now;
+    this->linesInWindow = 0;
+    this->requestLinesInWindow = 0;
+    this->droppedInWindow = 0;
+    this->droppedOfRequestsInWindow = 0;
+}
+
+auto Logger::admit(bool isOfRequest) -> bool
+{
+    this->renewWindow();
+    const auto requestLimit = this->linesPerSecond - this->linesPerSecond / reservedOneIn;
+    const auto isOverLimit = this->linesInWindow >= this->linesPerSecond
+                             || (isOfRequest && this->requestLinesInWindow >= requestLimit);
+    if (isOverLimit) {
         ++this->droppedInWindow;
         ++this->droppedTotal;
+        this->droppedOfRequestsInWindow += isOfRequest ? 1 : 0;
         return false;
     }
     ++this->linesInWindow;
+    this->requestLinesInWindow += isOfRequest ? 1 : 0;
     return true;
 }
 
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -18,7 +18,8 @@
 
 /// Writes log lines to a descriptor with spdlog, at a limited rate and without ever waiting for the
 /// reader. Lines beyond the rate, and lines that the reader doesn't take, are dropped; how many is
-/// counted and logged.
+/// counted and logged. A quarter of the rate is reserved for lines that aren't about single
+/// requests, so that a flood of requests doesn't hide what the daemon knows and decides.
 /// Callable from any thread.
 class Logger
 {
@@ -33,6 +34,8 @@
     auto operator=(const Logger &) -> Logger & = delete;
 
     auto write(LogLevel level, const std::string &line) -> void;
+    /// Writes a line about a single request, at the info level.
+    auto writeOfRequest(const std::string &line) -> void;
     /// Changes the level and the rate limit.
     auto setLimits(const std::string &level, std::int64_t linesPerSecond) -> void;
 
@@ -51,9 +54,13 @@
 private:
     class PipeSink;
 
+    /// Writes the line unless that exceeds the rate.
+    auto write(LogLevel level, const std::string &line, bool isOfRequest) -> void;
     /// Counts a line against the rate limit.
     /// @returns whether it may be written
-    auto admit() -> bool;
+    auto admit(bool isOfRequest) -> bool;
+    /// Begins a new window of one second where the present one is over.
+    auto renewWindow() -> void;
     /// Adds the lines that the sink has dropped to the counts.
     auto countDroppedBySink() -> void;
 
@@ -61,7 +68,10 @@
     mutable std::mutex mutex;
     std::chrono::steady_clock::time_point windowStart;
     std::int64_t linesInWindow = 0;
+    std::int64_t requestLinesInWindow = 0;
     std::int64_t droppedInWindow = 0;
+    /// Of the dropped lines, those about single requests.
+    std::int64_t droppedOfRequestsInWindow = 0;
     std::int64_t droppedTotal = 0;
     std::chrono::steady_clock::time_point flushedAt;
     std::shared_ptr<PipeSink> sink;
--- a/src/logging/requestlog.h
+++ b/src/logging/requestlog.h
@@ -26,7 +26,7 @@
     }
     /// @param oneIn one in this many requests belongs to the sample from now on; 0: none
     auto setSample(std::uint64_t oneIn) -> void { this->sampleOneIn = oneIn; }
-    auto write(const LogLine &line) -> void { this->logger.write(LogLevel::Info, line.text()); }
+    auto write(const LogLine &line) -> void { this->logger.writeOfRequest(line.text()); }
 
 private:
     Logger &logger;
--- a/src/logging/tests/logging_tests.cpp
+++ b/src/logging/tests/logging_tests.cpp
@@ -102,3 +102,33 @@
         }
     }
 }
+
+// Guards against a flood of lines about requests, as after an outage, that hides which
+// configuration and which grantors a daemon knows.
+SCENARIO("Logger: given more lines about requests than the rate allows, other lines are written",
+         "[logging]")
+{
+    int ends[2] = {};
+    REQUIRE(pipe(ends) == 0);
+    REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+    Logger logger("info", 100, ends[1]);
+    for (auto count = 0; count < 1000; ++count) {
+        logger.writeOfRequest("event=request_refused");
+    }
+    for (auto count = 0; count < 20; ++count) {
+        logger.write(LogLevel::Info, "event=configuration_adopted number=" + std::to_string(count));
+    }
+    std::string text(65536, ' ');
+    const auto size = ::read(ends[0], text.data(), text.size());
+    REQUIRE(size > 0);
+    text.resize(static_cast<std::size_t>(size));
+    for (auto count = 0; count < 20; ++count) {
+        CHECK(text.find("number=" + std::to_string(count) + "\n") != std::string::npos);
+    }
+    THEN("the lines about requests are still bounded, and the dropped ones are counted")
+    {
+        CHECK(logger.droppedLines() > 0);
+    }
+    close(ends[0]);
+    close(ends[1]);
+}
