Copies of the store are confirmed by answers to their own calls only

Cause: nothing but a timeout of 31 s checked a watch, and ConfigurationSource::age took any answered call for a confirmation, so grantors announced the old revision as the newest. Change: PrefixView knows up to which time its copy has all changes, from its own reads and watches; a watch waits for a bounded time, and one that isn't answered 0.4 s later is sent again from the same revision. Grantors announce the age of that evidence as soon as they have it; one of them checks the configuration often, the others while it is silent or newer. The upstreams' entries, the grantors and the evacuations go through the same class. A copy that was polled by stale reads is read anew before it is watched. Logs and metrics tell the revision, the source and the age of the evidence.

--- a/src/edge/configurationlog.h
+++ b/src/edge/configurationlog.h
@@ -1,11 +1,39 @@
 #pragma once
 
+#include "common/types/ids.h"
+#include "common/types/instant.h"
 #include "logging/logger.h"
 #include "routing/types/routeconfiguration.h"
 #include "storelink/types/storecalls.h"
 
+#include <optional>
+#include <string_view>
+
 namespace gooseberrywall {
 
+/// A grantor's statement that its configuration was the newest at a time.
+struct ConfigurationConfirmation
+{
+    Address by;
+    StoreRevision revision;
+    Instant at{};
+    auto operator==(const ConfigurationConfirmation &) const -> bool = default;
+};
+
+/// Logs that a text of the configuration of a newer revision has arrived.
+/// @param from the daemon that it was fetched from, or "store"
+/// @param by the call: "view", "stale_read" or "fetch"
+auto logReceivedConfiguration(Logger &logger, StoreRevision revision, std::string_view from,
+                              std::string_view by) -> void;
+
+/// Logs that this daemon has begun or ceased to follow the store itself.
+/// @param why the reason
+/// @param confirmation the newest one by a grantor; empty where there is none
+auto logConfigurationMode(Logger &logger, bool isFollowingStore, std::string_view why,
+                          StoreRevision revision,
+                          const std::optional<ConfigurationConfirmation> &confirmation, Instant now)
+    -> void;
+
 /// Logs that a configuration is in force from now on.
 auto logAdoptedConfiguration(Logger &logger, const RouteConfiguration &configuration,
                              StoreRevision revision) -> void;
--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -2,6 +2,7 @@
 
 #include "common/types/ids.h"
 #include "common/types/instant.h"
+#include "edge/configurationlog.h"
 #include "permitlink/permitmessages.h"
 #include "storelink/types/storecalls.h"
 
@@ -24,6 +25,9 @@
     /// A grantor is cut off from the store if another one has reached it this much later. Grantors
     /// call the store more than twice in this time.
     Duration cutOffLag = std::chrono::milliseconds{850};
+    /// A grantor checks its configuration against the store less often while one with a lower
+    /// address has confirmed it within this time.
+    Duration checkTimeout = std::chrono::milliseconds{1200};
     /// Pause after a failed fetch.
     Duration retryPause = std::chrono::milliseconds{80};
     auto operator==(const ConfigurationRelaySettings &) const -> bool = default;
@@ -64,6 +68,15 @@
     /// @returns whether this daemon, a grantor, can't reach the store while another grantor can:
     /// what it knows of upstreams is out of date then
     [[nodiscard]] auto isCutOff(Instant ownContact, Instant now) const -> bool;
+    /// @param own address of this daemon, a grantor
+    /// @returns until when this daemon may leave it to a grantor with a lower address to check the
+    /// configuration often; Instant{} where none has confirmed the one that this daemon has
+    [[nodiscard]] auto checkedUntil(const Address &own) const -> Instant;
+    /// @returns the newest statement of a grantor that its configuration was the newest
+    [[nodiscard]] auto confirmation() const -> const std::optional<ConfigurationConfirmation> &
+    {
+        return this->confirmed;
+    }
     /// @returns when the result of fetchSource() or isStoreNeeded() may change by itself
     [[nodiscard]] auto nextDue(Instant now) const -> std::optional<Instant>;
 
@@ -72,6 +85,8 @@
     {
         StoreRevision revision;
         Instant heardAt{};
+        /// When the source last knew that its configuration was the newest.
+        Instant confirmedAt{};
         int failures = 0;
     };
 
@@ -82,8 +97,8 @@
     std::map<Address, Source> sources;
     StoreRevision ownRevision;
     bool isOwnStale = false;
-    /// When a grantor last knew that its configuration was the newest.
-    std::optional<Instant> confirmedAt;
+    /// The latest time at which a grantor knew that its configuration was the newest.
+    std::optional<ConfigurationConfirmation> confirmed;
     /// The same, of grantors that also announce the evacuated failure domains.
     std::optional<Instant> evacuationsConfirmedAt;
     /// Since when a newer configuration is known than this daemon has.
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/configurationrelay.h"
+#include "edge/copylog.h"
 #include "edge/peerserver.h"
 #include "logging/logger.h"
 #include "storelink/prefixview.h"
@@ -34,6 +35,13 @@
     Duration fetchTimeout = std::chrono::milliseconds{500};
     /// Versions in quick succession are read together; well below the time until they must apply.
     Duration gatherPause = std::chrono::milliseconds{400};
+    /// How often the store has to confirm the copy of a daemon that follows it. Twice this time, as
+    /// a lost answer takes, is below the time after which the others follow the store themselves.
+    Duration confirmInterval = std::chrono::milliseconds{800};
+    /// Confirmations that follow each other faster aren't announced at once.
+    Duration announceInterval = std::chrono::milliseconds{400};
+    /// The confirmation interval of a grantor, while another one confirms the same configuration.
+    Duration relaxedConfirmInterval = std::chrono::seconds{5};
     auto operator==(const ConfigurationSourceSettings &) const -> bool = default;
 };
 
@@ -77,10 +85,23 @@
 
     /// @returns the store revision of the configuration; zero where there is none
     [[nodiscard]] auto revision() const -> StoreRevision { return this->textRevision; }
+    /// @returns how long ago the store has shown to this daemon that this configuration is the
+    ///          newest
+    [[nodiscard]] auto age() const -> Duration;
+    /// @returns when the store has last shown that; Instant{} where it hasn't
+    [[nodiscard]] auto confirmedAt() const -> Instant { return this->view.confirmedAt(); }
+    /// @returns whether the store has confirmed the copy since the last call that returned true, so
+    ///          that an announcement at once is as young as it can be; at most each
+    ///          `announceInterval`
+    [[nodiscard]] auto takeConfirmation() -> bool;
+    /// @returns when the configuration was last known to be the newest, by this daemon's own copy
+    ///          or a grantor's
+    [[nodiscard]] auto lastConfirmedAt() const -> Instant;
+    [[nodiscard]] auto lostWatchCount() const -> std::uint64_t
+    {
+        return this->view.lostWatchCount();
+    }
     /// @param storeContact when a call to the store was sent that was answered
-    /// @returns how long ago this configuration was known to be the newest
-    [[nodiscard]] auto age(Instant storeContact) const -> Duration;
-    /// @param storeContact as in age()
     /// @returns whether this daemon can't reach the store while a grantor can
     [[nodiscard]] auto isCutOff(Instant storeContact) const -> bool
     {
@@ -90,7 +111,9 @@
     [[nodiscard]] auto fetchCount() const -> std::uint64_t { return this->fetches; }
 
 private:
-    auto adopt(const std::string &newText, StoreRevision revision, bool isStale) -> void;
+    /// @param from where the text comes from, and `by` which call, as they are logged
+    auto adopt(const std::string &newText, StoreRevision revision, bool isStale,
+               std::string_view from, std::string_view by) -> void;
     /// @returns whether a configuration of this revision replaces the present one
     [[nodiscard]] auto isNewer(StoreRevision revision) const -> bool;
     auto poll() -> void;
@@ -106,6 +129,7 @@
     SendStoreCall store;
     std::function<Instant()> now;
     Logger &logger;
+    CopyLog copyLog;
     OnText onText;
     std::function<void()> onWork;
     OnKeys onKeys;
@@ -118,6 +142,8 @@
     /// As in ConfigurationRelay::onAdopted().
     bool isTextStale = false;
     Instant startedAt;
+    /// The last confirmation that was taken.
+    Instant takenConfirmation{};
     Instant pollDue{};
     bool isPolling = false;
     bool isFollowingStore = false;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -106,10 +106,9 @@
             this->peerServer.shedExcess();
         });
         this->roles.setAnnouncedConfiguration([this] {
-            return AnnouncedConfiguration{
-                this->configurationSource.revision(),
-                this->configurationSource.age(this->store.lastContactAt()),
-                this->evacuations.announced()};
+            return AnnouncedConfiguration{this->configurationSource.revision(),
+                                          this->configurationSource.age(),
+                                          this->evacuations.announced()};
         });
     }
 
@@ -337,6 +336,9 @@
         this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
         this->links.advance();
         this->roles.setUpstreamsReached(!this->links.isIsolated());
+        if (this->configurationSource.takeConfirmation()) {
+            this->roles.announceSoon();
+        }
         this->roles.advance();
         this->watchUpstreams(moment);
         this->permits.advance(moment);
@@ -425,22 +427,21 @@
         addRequestMetrics(metrics, this->flow, this->statements);
         addListenerMetrics(metrics, this->memory, this->entry.listenerCounters(),
                            this->peerServer.counters());
-        metrics.storeCalls = this->store.callCount();
-        metrics.storeFailures = this->store.failureCount();
-        metrics.storeEra = this->store.currentEra();
+        addConfigurationMetrics(metrics, this->configurationSource, this->evacuations, this->now());
+        metrics.upstreamsAgeMs = ageInMilliseconds(this->upstreamWatch.confirmedAt(), this->now());
+        metrics.lostWatches +=
+            this->grantorWatch.lostWatchCount() + this->upstreamWatch.lostWatchCount();
+        addStoreMetrics(metrics, this->store);
         metrics.upstreamConnections =
             this->upstreamPool.openedCount() + this->orderPool.openedCount();
         metrics.givenUpAnswers = this->upstreamPool.givenUpCount() + this->orderPool.givenUpCount()
                                  + this->storePool.givenUpCount()
                                  + this->forwardClient.givenUpCount();
-        metrics.badDatagrams = this->peers.malformedCount();
-        metrics.unsentDatagrams = this->peers.unsentCount();
+        addPeerMetrics(metrics, this->peers);
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         metrics.configurationVersion = this->routes ? this->routes->configuration().version : 0;
-        metrics.configurationFetches = this->configurationSource.fetchCount();
         metrics.isIsolated = this->links.isIsolated() ? 1 : 0;
         metrics.servedForwards = this->forwarder.sentCount();
-        metrics.evacuatedDomains = this->evacuations.domainCount();
         metrics.evacuatedUpstreams = this->upstreamWatch.evacuatedCount();
         return metricsText(this->counters.snapshot(), this->stages.snapshot(), metrics);
     }
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "edge/callclients.h"
+#include "edge/configurationsource.h"
+#include "edge/evacuations.h"
 #include "edge/grantorroles.h"
 #include "edge/metricstext.h"
+#include "edge/peermessages.h"
 #include "entry/requestflow.h"
 #include "entry/upstreamstatements.h"
 #include "memory/memoryaccount.h"
@@ -22,4 +26,23 @@
 auto addListenerMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
                         const FrontCounters &callers, const FrontCounters &peers) -> void;
 
+/// Adds the metrics of the calls to the store.
+template<WireAdapter Wire>
+auto addStoreMetrics(EdgeMetrics &metrics, const StoreClient<Wire> &store) -> void
+{
+    metrics.storeCalls = store.callCount();
+    metrics.storeFailures = store.failureCount();
+    metrics.storeEra = store.currentEra();
+}
+
+/// Adds the metrics of the datagrams between daemons.
+auto addPeerMetrics(EdgeMetrics &metrics, const PeerMessages &peers) -> void;
+
+/// Adds the metrics of the operators' configuration and evacuations, as this daemon knows them.
+auto addConfigurationMetrics(EdgeMetrics &metrics, const ConfigurationSource &source,
+                             const Evacuations &evacuations, Instant now) -> void;
+
+/// @returns the time since `moment`; 0 where that is Instant{}
+[[nodiscard]] auto ageInMilliseconds(Instant moment, Instant now) -> std::uint64_t;
+
 } // namespace gooseberrywall
--- a/src/edge/grantorwatch.h
+++ b/src/edge/grantorwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/copylog.h"
 #include "edge/grantordirectory.h"
 #include "edge/grantorroles.h"
 #include "entry/permitclient.h"
@@ -34,6 +35,9 @@
     /// Changes in the store are batched for this long: new grantors announce themselves, so reading
     /// them from the store isn't urgent.
     Duration gatherPause = std::chrono::milliseconds{600};
+    /// How often the store has to confirm the grantors while one of them isn't heard. Those that
+    /// are heard confirm themselves.
+    Duration confirmInterval = std::chrono::milliseconds{1000};
     /// How often a known grantor that isn't heard is asked to announce itself.
     Duration helloInterval = std::chrono::milliseconds{500};
     auto operator==(const GrantorWatchSettings &) const -> bool = default;
@@ -60,6 +64,10 @@
     auto onStoreEra(std::uint64_t era) -> void { this->view.onStoreEra(era); }
     auto advance() -> void;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant> { return this->view.nextDue(); }
+    [[nodiscard]] auto lostWatchCount() const -> std::uint64_t
+    {
+        return this->view.lostWatchCount();
+    }
     /// @returns the datagrams to send since the last call
     [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
 
@@ -77,6 +85,8 @@
     auto greetGrantors(Instant moment) -> void;
     /// Logs once that a grantor is new, silent, or heard again.
     auto logGrantors(Instant moment) -> void;
+    /// @returns whether a service's grantor isn't heard, so that only the store tells who it is
+    [[nodiscard]] auto isGrantorMissing() const -> bool;
     /// @returns whether this daemon has to watch the store
     [[nodiscard]] auto isNeeded() const -> bool;
     /// Tells the service's role in which era a grantor was last elected.
@@ -99,6 +109,7 @@
     Instant helloDue{};
     std::vector<PermitDatagram> datagrams;
     StoreOutage outage;
+    CopyLog copyLog;
     PrefixView view;
 };
 
--- a/src/edge/internal/configurationlog.cpp
+++ b/src/edge/internal/configurationlog.cpp
@@ -1,7 +1,36 @@
 #include "edge/configurationlog.h"
 
+#include "common/durations.h"
+
+#include <string>
+
 namespace gooseberrywall {
 
+auto logReceivedConfiguration(Logger &logger, StoreRevision revision, std::string_view from,
+                              std::string_view by) -> void
+{
+    LogLine line("configuration_received");
+    line.with("revision", static_cast<std::int64_t>(revision.value))
+        .with("from", std::string(from))
+        .with("by", std::string(by));
+    logger.write(LogLevel::Info, line.text());
+}
+
+auto logConfigurationMode(Logger &logger, bool isFollowingStore, std::string_view why,
+                          StoreRevision revision,
+                          const std::optional<ConfigurationConfirmation> &confirmation, Instant now)
+    -> void
+{
+    LogLine line(isFollowingStore ? "configuration_from_store" : "configuration_from_grantors");
+    line.with("why", std::string(why)).with("revision", static_cast<std::int64_t>(revision.value));
+    if (confirmation) {
+        line.with("confirmed_by", confirmation->by.value)
+            .with("confirmed", static_cast<std::int64_t>(confirmation->revision.value))
+            .with("confirmed_ms", toMilliseconds(now - confirmation->at));
+    }
+    logger.write(LogLevel::Info, line.text());
+}
+
 auto logAdoptedConfiguration(Logger &logger, const RouteConfiguration &configuration,
                              StoreRevision revision) -> void
 {
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -27,11 +27,14 @@
     source.failures = source.revision == revision ? source.failures : 0;
     source.revision = revision;
     source.heardAt = now;
-    const auto confirmed = now - std::max(Duration{0}, announcement.configurationAge);
-    this->confirmedAt = std::max(this->confirmedAt.value_or(confirmed), confirmed);
+    const auto confirmedAt = now - std::max(Duration{0}, announcement.configurationAge);
+    source.confirmedAt = confirmedAt;
+    if (!this->confirmed || this->confirmed->at <= confirmedAt) {
+        this->confirmed = ConfigurationConfirmation{from, revision, confirmedAt};
+    }
     if (announcement.evacuated.revision != 0) {
         this->evacuationsConfirmedAt =
-            std::max(this->evacuationsConfirmedAt.value_or(confirmed), confirmed);
+            std::max(this->evacuationsConfirmedAt.value_or(confirmedAt), confirmedAt);
     }
     if (this->isNewer(revision) && !this->newerKnownSince) {
         this->newerKnownSince = now;
@@ -103,7 +106,7 @@
 auto ConfigurationRelay::isStoreNeeded(Instant now) const -> bool
 {
     const auto isConfirmed =
-        this->confirmedAt && now - *this->confirmedAt < this->settings.confirmationTimeout;
+        this->confirmed && now - this->confirmed->at < this->settings.confirmationTimeout;
     const auto isFetchFailing =
         this->newerKnownSince && now - *this->newerKnownSince >= this->settings.fetchTimeLimit;
     return !isConfirmed || isFetchFailing;
@@ -111,8 +114,19 @@
 
 auto ConfigurationRelay::isCutOff(Instant ownContact, Instant now) const -> bool
 {
-    return this->confirmedAt && now - ownContact >= this->settings.cutOffLag
-           && *this->confirmedAt - ownContact >= this->settings.cutOffLag;
+    return this->confirmed && now - ownContact >= this->settings.cutOffLag
+           && this->confirmed->at - ownContact >= this->settings.cutOffLag;
+}
+
+auto ConfigurationRelay::checkedUntil(const Address &own) const -> Instant
+{
+    Instant result{};
+    for (const auto &[address, source] : this->sources) {
+        if (address < own && source.revision == this->ownRevision) {
+            result = std::max(result, source.confirmedAt + this->settings.checkTimeout);
+        }
+    }
+    return result;
 }
 
 auto ConfigurationRelay::nextDue(Instant now) const -> std::optional<Instant>
@@ -123,8 +137,8 @@
             due = std::min(due.value_or(moment), moment);
         }
     };
-    if (this->confirmedAt) {
-        consider(*this->confirmedAt + this->settings.confirmationTimeout);
+    if (this->confirmed) {
+        consider(this->confirmed->at + this->settings.confirmationTimeout);
     }
     if (this->newerKnownSince) {
         consider(this->fetchDue);
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -1,5 +1,6 @@
 #include "edge/configurationsource.h"
 
+#include "edge/configurationlog.h"
 #include "http1/messagewriter.h"
 
 #include <algorithm>
@@ -24,7 +25,7 @@
 {
     PrefixViewSettings result;
     result.gatherPause = settings.gatherPause;
-    result.mayFirstReadBeStale = true;
+    result.confirmInterval = settings.confirmInterval;
     return result;
 }
 
@@ -62,6 +63,7 @@
     , store(std::move(store))
     , now(now)
     , logger(logger)
+    , copyLog(logger, "operators")
     , onText(std::move(onText))
     , onWork(std::move(onWork))
     , onKeys(std::move(onKeys))
@@ -73,7 +75,7 @@
                }
                const auto found = items.find(this->settings.key);
                if (found != items.end()) {
-                   this->adopt(found->second.value, found->second.revision, false);
+                   this->adopt(found->second.value, found->second.revision, false, "store", "view");
                }
            })
     , pool(base, OutboundPoolSettings{}, now)
@@ -103,11 +105,16 @@
     const auto isFollowing = isGrantor || (!isStarting && isNeeded);
     this->logMode(isFollowing, isGrantor);
     this->view.setPaused(!isFollowing);
+    const auto isOtherChecking =
+        isGrantor && this->relay.checkedUntil(this->settings.listen) > moment;
+    this->view.setConfirmInterval(isOtherChecking ? this->settings.relaxedConfirmInterval
+                                                  : this->settings.confirmInterval);
     this->view.advance();
+    this->copyLog.update(this->view, moment);
     if (!isFollowing && isStarting && this->textRevision.value == 0) {
         this->poll();
     }
-    if (const auto source = this->relay.fetchSource(moment); source && !isGrantor) {
+    if (const auto source = this->relay.fetchSource(moment)) {
         this->fetch(*source);
     }
 }
@@ -129,6 +136,10 @@
         }
     };
     consider(this->relay.nextDue(moment));
+    if (const auto checkedUntil = this->relay.checkedUntil(this->settings.listen);
+        checkedUntil > moment) {
+        consider(checkedUntil);
+    }
     const auto startEnd = this->startedAt + this->settings.startTime;
     if (moment < startEnd) {
         consider(startEnd);
@@ -139,10 +150,26 @@
     return due;
 }
 
-auto ConfigurationSource::age(Instant storeContact) const -> Duration
+auto ConfigurationSource::age() const -> Duration
+{
+    const auto confirmedAt = this->view.confirmedAt();
+    return confirmedAt == Instant{} ? unknownAge : Duration{this->now() - confirmedAt};
+}
+
+auto ConfigurationSource::takeConfirmation() -> bool
+{
+    const auto confirmedAt = this->view.confirmedAt();
+    if (confirmedAt - this->takenConfirmation < this->settings.announceInterval) {
+        return false;
+    }
+    this->takenConfirmation = confirmedAt;
+    return true;
+}
+
+auto ConfigurationSource::lastConfirmedAt() const -> Instant
 {
-    return this->view.isCurrent() ? std::max(Duration{0}, Duration{this->now() - storeContact})
-                                  : unknownAge;
+    const auto &confirmation = this->relay.confirmation();
+    return std::max(this->view.confirmedAt(), confirmation ? confirmation->at : Instant{});
 }
 
 auto ConfigurationSource::isNewer(StoreRevision revision) const -> bool
@@ -150,8 +177,8 @@
     return this->isTextStale ? revision != this->textRevision : revision > this->textRevision;
 }
 
-auto ConfigurationSource::adopt(const std::string &newText, StoreRevision revision, bool isStale)
-    -> void
+auto ConfigurationSource::adopt(const std::string &newText, StoreRevision revision, bool isStale,
+                                std::string_view from, std::string_view by) -> void
 {
     if (!this->isNewer(revision)) {
         if (revision < this->textRevision) {
@@ -164,6 +191,7 @@
         }
         return;
     }
+    logReceivedConfiguration(this->logger, revision, from, by);
     this->textRevision = revision;
     this->isTextStale = isStale;
     this->relay.onAdopted(revision, isStale);
@@ -202,7 +230,7 @@
         this->onKeys(items, answer.revision, true);
     }
     if (const auto found = items.find(this->settings.key); found != items.end()) {
-        this->adopt(found->second.value, found->second.revision, true);
+        this->adopt(found->second.value, found->second.revision, true, "store", "stale_read");
     }
 }
 
@@ -236,7 +264,7 @@
         return;
     }
     ++this->fetches;
-    this->adopt(result.answer.body, revision, false);
+    this->adopt(result.answer.body, revision, false, from.value, "fetch");
 }
 
 auto ConfigurationSource::onAsked(ExchangeId exchange, const MessageHead &request) -> void
@@ -263,12 +291,9 @@
         return;
     }
     this->isFollowingStore = isFollowing;
-    LogLine line(isFollowing ? "configuration_from_store" : "configuration_from_grantors");
-    line.with("why", isGrantor     ? "grantor"
-                     : isFollowing ? "no confirmation"
-                                   : "confirmed")
-        .with("revision", static_cast<std::int64_t>(this->textRevision.value));
-    this->logger.write(LogLevel::Info, line.text());
+    const auto *const why = isGrantor ? "grantor" : isFollowing ? "no confirmation" : "confirmed";
+    logConfigurationMode(this->logger, isFollowing, why, this->textRevision,
+                         this->relay.confirmation(), this->now());
 }
 
 } // namespace gooseberrywall
--- a/src/edge/internal/edgemetrics.cpp
+++ b/src/edge/internal/edgemetrics.cpp
@@ -1,5 +1,7 @@
 #include "edge/edgemetrics.h"
 
+#include "common/durations.h"
+
 namespace gooseberrywall {
 
 auto addGrantorMetrics(EdgeMetrics &metrics, const GrantorRoles &roles) -> void
@@ -35,4 +37,25 @@
     metrics.silentCallers = callers.silentCallers + peers.silentCallers;
 }
 
+auto addPeerMetrics(EdgeMetrics &metrics, const PeerMessages &peers) -> void
+{
+    metrics.badDatagrams = peers.malformedCount();
+    metrics.unsentDatagrams = peers.unsentCount();
+}
+
+auto addConfigurationMetrics(EdgeMetrics &metrics, const ConfigurationSource &source,
+                             const Evacuations &evacuations, Instant now) -> void
+{
+    metrics.configurationRevision = numberOf(source.revision());
+    metrics.configurationAgeMs = ageInMilliseconds(source.lastConfirmedAt(), now);
+    metrics.configurationFetches = source.fetchCount();
+    metrics.lostWatches += source.lostWatchCount();
+    metrics.evacuatedDomains = evacuations.domainCount();
+}
+
+auto ageInMilliseconds(Instant moment, Instant now) -> std::uint64_t
+{
+    return moment == Instant{} ? 0 : static_cast<std::uint64_t>(toMilliseconds(now - moment));
+}
+
 } // namespace gooseberrywall
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -15,7 +15,6 @@
 {
     PrefixViewSettings result;
     result.gatherPause = settings.gatherPause;
-    result.mayFirstReadBeStale = true;
     return result;
 }
 
@@ -31,6 +30,7 @@
     , logger(logger)
     , directory(GrantorDirectorySettings{})
     , startedAt(now())
+    , copyLog(logger, "grantors")
     , view(this->settings.grantorPrefix, viewSettings(this->settings), std::move(store),
            std::move(now), [this](const PrefixView::Items &) { this->publish(); })
 {
@@ -65,7 +65,10 @@
     const auto isStarting = this->now() - this->startedAt < this->settings.startTime;
     this->view.setPolling(isStarting && !this->isStandBy() && this->roles.servingCount() == 0);
     this->view.setPaused(!this->isNeeded());
+    this->view.setConfirmInterval(this->isGrantorMissing() ? this->settings.confirmInterval
+                                                           : PrefixViewSettings{}.confirmInterval);
     this->view.advance();
+    this->copyLog.update(this->view, this->now());
     this->publish();
     this->greetGrantors(this->now());
 }
@@ -103,15 +106,20 @@
            || stableHash(this->settings.daemon.value) % oneIn == 0;
 }
 
-auto GrantorWatch::isNeeded() const -> bool
+auto GrantorWatch::isGrantorMissing() const -> bool
 {
     const auto moment = this->now();
-    return this->isStandBy() || this->roles.servingCount() > 0 || !this->view.isLoaded()
-           || this->services.empty()
+    return this->services.empty()
            || std::any_of(this->services.begin(), this->services.end(),
                           [&](const auto &each) { return this->directory.isSilent(each, moment); });
 }
 
+auto GrantorWatch::isNeeded() const -> bool
+{
+    return this->isStandBy() || this->roles.servingCount() > 0 || !this->view.isLoaded()
+           || this->isGrantorMissing();
+}
+
 auto GrantorWatch::publish() -> void
 {
     if (!this->view.isLoaded()) {
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -21,6 +21,14 @@
     std::uint64_t unsentDatagrams = 0;
     std::uint64_t droppedLogLines = 0;
     std::uint64_t configurationVersion = 0;
+    /// Of the store, of the configuration that this daemon has.
+    std::uint64_t configurationRevision = 0;
+    /// Time since the configuration was last known to be the newest; 0 where it never was.
+    std::uint64_t configurationAgeMs = 0;
+    /// Time since the store last confirmed the entries of upstreams; 0 while they aren't watched.
+    std::uint64_t upstreamsAgeMs = 0;
+    /// Watches of the store that weren't answered in time.
+    std::uint64_t lostWatches = 0;
     std::uint64_t grantedServices = 0;
     std::uint64_t movedKeys = 0;
     std::uint64_t configurationFetches = 0;
--- a/src/edge/tests/configurationsource_tests.cpp
+++ b/src/edge/tests/configurationsource_tests.cpp
@@ -86,3 +86,41 @@
     trial.run(seconds{1});
     CHECK(trial.text == "2");
 }
+
+// Guards against a grantor that keeps and announces an old configuration as the newest because its
+// calls other than the watch are answered.
+SCENARIO("ConfigurationSource: given a lost answer to the watch alone, a grantor has the new "
+         "configuration within the time in which it must apply",
+         "[edge][lostwatch]")
+{
+    constexpr Duration applyTime = seconds{2};
+    for (auto offset = Duration{0}; offset < seconds{2}; offset += milliseconds{130}) {
+        SourceTrial trial;
+        trial.store.put(key, "1");
+        trial.run(seconds{5} + offset);
+        REQUIRE(trial.text == "1");
+        trial.store.lostWatchPrefix = key;
+        trial.store.put(key, "2");
+        trial.run(milliseconds{30});
+        trial.store.lostWatchPrefix.clear();
+        // Announced ages tell other daemons whether to rely on this one.
+        trial.run(seconds{1});
+        CHECK((trial.text == "2" || trial.source.age() >= milliseconds{1030}));
+        trial.run(applyTime - seconds{1});
+        CHECK(trial.text == "2");
+    }
+}
+
+// Guards against daemons that follow a grantor whose own watch isn't answered any more.
+SCENARIO("ConfigurationSource: given answers to all watches lost, the age of the configuration is "
+         "that of the last one",
+         "[edge][lostwatch]")
+{
+    SourceTrial trial;
+    trial.store.put(key, "1");
+    trial.run(seconds{5});
+    CHECK(trial.source.age() <= milliseconds{850});
+    trial.store.lostWatchPrefix = key;
+    trial.run(milliseconds{900});
+    CHECK(trial.source.age() >= milliseconds{900});
+}
--- a/src/edge/tests/evacuationfleet_tests.cpp
+++ b/src/edge/tests/evacuationfleet_tests.cpp
@@ -166,7 +166,11 @@
             return;
         }
         auto &sender = *this->daemons.at(*this->grantor);
-        const auto isDue = this->store.now() - this->announcedAt >= seconds{1};
+        // A confirmation by the store is announced at once.
+        const auto isConfirmed = sender.source.confirmedAt() > this->announcedAt;
+        const auto isDue =
+            this->store.now() - this->announcedAt >= seconds{1}
+            || (isConfirmed && this->store.now() - this->announcedAt >= milliseconds{400});
         if (!isDue && !sender.isAnnouncementDue) {
             return;
         }
@@ -174,7 +178,7 @@
         sender.isAnnouncementDue = false;
         GrantorAnnouncement announcement;
         announcement.configurationRevision = sender.source.revision().value;
-        announcement.configurationAge = sender.source.age(this->store.now());
+        announcement.configurationAge = sender.source.age();
         if (!this->isGrantorEarlier) {
             announcement.evacuated = sender.evacuations.announced();
         }
--- a/src/edge/tests/grantorwatch_tests.cpp
+++ b/src/edge/tests/grantorwatch_tests.cpp
@@ -276,3 +276,26 @@
         }
     }
 }
+
+// Guards against a vacant place that nobody claims until the stand-bys' watches have timed out.
+SCENARIO("GrantorWatch: given lost answers to the stand-bys' watches, lost grantors are replaced "
+         "within 5 s",
+         "[grantorwatch][lostwatch]")
+{
+    for (const auto strong : {0, 4}) {
+        Fleet fleet(30, strong);
+        fleet.run(seconds{3});
+        fleet.store.lostWatchPrefix = GrantorRoleSettings{}.grantorPrefix;
+        REQUIRE(fleet.stopGrantors() > 0);
+        fleet.run(milliseconds{2400});
+        fleet.store.lostWatchPrefix.clear();
+        fleet.run(milliseconds{2600});
+        for (const auto &service : serviceNames) {
+            const auto known = fleet.knownGrantors(service);
+            CHECK(known.size() == 1);
+            CHECK(std::any_of(fleet.daemons.begin(), fleet.daemons.end(), [&](const auto &daemon) {
+                return daemon->isAlive && known.contains(daemon->address.value);
+            }));
+        }
+    }
+}
--- a/src/edge/tests/leaving_tests.cpp
+++ b/src/edge/tests/leaving_tests.cpp
@@ -191,3 +191,26 @@
     CHECK(cell.sentCount() > 0);
     CHECK(cell.unsentCount() == 0);
 }
+
+// Guards against requests to an upstream that has left while the answer that tells so is lost, and
+// other calls are answered.
+SCENARIO("UpstreamWatch: given lost answers to the watch alone, leaves are in force in the time "
+         "allowed",
+         "[edge][leaves][lostwatch]")
+{
+    constexpr Duration drainTime = seconds{2};
+    for (const auto offsetMs : offsetsMs) {
+        LeaveTrial trial;
+        const milliseconds offset{offsetMs};
+        for (auto loss = 0; loss < 4; ++loss) {
+            trial.leaveFor(milliseconds{1000}, offset);
+            trial.cell.store.lostWatchPrefix = "upstreams/";
+            trial.leaveFor(leaveEvery, offset);
+            trial.cell.store.lostWatchPrefix.clear();
+            trial.leaveFor(seconds{2}, offset);
+        }
+        trial.cell.run(seconds{3});
+        INFO(trial.cell.worstLeave());
+        CHECK(trial.cell.longestUseAfterLeave() <= drainTime);
+    }
+}
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "edge/copylog.h"
 #include "edge/evacuations.h"
 #include "edge/upstreamdirectory.h"
 #include "edge/upstreamentrylog.h"
@@ -39,6 +40,7 @@
         , store(std::move(store))
         , now(std::move(now))
         , log(logger)
+        , copyLog(logger, "upstreams")
         , evacuations(evacuations)
         , direct(direct)
         , onEntries(std::move(onEntries))
@@ -121,16 +123,21 @@
             auto settings = PrefixViewSettings{};
             settings.gatherPause = isGrantor ? grantorGatherPause : directGatherPause;
             settings.longestRetryPause = longestRetryPause;
+            settings.confirmInterval = confirmInterval;
+            this->copyLog.onNewView();
+            this->endedViewLosses += this->view ? this->view->lostWatchCount() : 0;
             this->view = std::make_unique<PrefixView>(
                 this->wire.upstreamPrefix(), settings, this->store, this->now,
                 [this](const PrefixView::Items &items) { this->onItems(items); });
         } else if (!isNeeded && this->view) {
+            this->endedViewLosses += this->view->lostWatchCount();
             this->view.reset();
             this->directory.forget();
             this->direct.setTrusted(false);
         }
         if (this->view) {
             this->view->advance();
+            this->copyLog.update(*this->view, this->now());
             if (this->view->readStartedAt() > this->takenInReadAt) {
                 this->onItems(this->view->items());
             }
@@ -151,10 +158,21 @@
     auto listAnewAfter(Instant moment) -> void
     {
         if (this->view && this->viewStartedAt < moment && this->now() >= moment) {
+            this->endedViewLosses += this->view->lostWatchCount();
             this->view.reset();
         }
     }
 
+    /// @returns when the store has last confirmed the entries; Instant{} while they aren't watched
+    [[nodiscard]] auto confirmedAt() const -> Instant
+    {
+        return this->view ? this->view->confirmedAt() : Instant{};
+    }
+    [[nodiscard]] auto lostWatchCount() const -> std::uint64_t
+    {
+        return this->endedViewLosses + (this->view ? this->view->lostWatchCount() : 0);
+    }
+
     /// @returns a time at which no entry was missing from those published; Instant{} before all
     /// have been read
     [[nodiscard]] auto listedAt() const -> Instant { return this->allListedAt; }
@@ -186,6 +204,9 @@
     static constexpr Duration readTimeout = std::chrono::milliseconds{300};
     /// Longest pause after a failed read; another call that is answered ends it.
     static constexpr Duration longestRetryPause = std::chrono::milliseconds{500};
+    /// How often the store has to confirm the entries: with the time after which a watch counts as
+    /// lost, below the time after which a leaving upstream may get no request.
+    static constexpr Duration confirmInterval = std::chrono::milliseconds{1200};
     /// A grantor batches changes that follow another within this time; far below the time after
     /// which a leaving upstream may get no request.
     static constexpr Duration grantorGatherPause = std::chrono::milliseconds{300};
@@ -248,6 +269,7 @@
     SendStoreCall store;
     std::function<Instant()> now;
     UpstreamEntryLog log;
+    CopyLog copyLog;
     Evacuations &evacuations;
     DirectChoice &direct;
     OnEntries onEntries;
@@ -255,6 +277,8 @@
     /// As last published.
     std::vector<UpstreamEntry> lastEntries;
     std::unique_ptr<PrefixView> view;
+    /// Lost watches of earlier views.
+    std::uint64_t endedViewLosses = 0;
     bool isForGrantor = false;
     Instant viewStartedAt{};
     Instant allListedAt{};
--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -20,7 +20,15 @@
 
 auto PrefixView::advance() -> void
 {
-    if (this->isCalling || this->isPaused || this->now() < this->due) {
+    if (this->isPaused) {
+        return;
+    }
+    const auto isOverdue =
+        this->isCalling && this->isWatching && this->now() >= this->watchDeadline();
+    if (isOverdue) {
+        this->replaceWatch();
+    }
+    if (this->isCalling || this->now() < this->due) {
         return;
     }
     if (this->isWatching) {
@@ -29,7 +37,6 @@
     }
     this->newCopy.clear();
     this->newCopyRevision = StoreRevision{};
-    this->hasWatched = false;
     this->newCopyReadStartedAt = this->now();
     this->readPage("");
 }
@@ -40,7 +47,8 @@
         return;
     }
     this->isPolling = polling;
-    this->isWatching = this->isCopyLoaded && !polling && this->failures == 0;
+    // A copy that was polled may lack changes before the revision that it was read at.
+    this->isWatching = false;
     this->due = std::min(this->due, this->now());
 }
 
@@ -70,13 +78,18 @@
 
 auto PrefixView::nextDue() const -> std::optional<Instant>
 {
-    return this->isCalling || this->isPaused ? std::nullopt : std::optional(this->due);
+    if (this->isPaused) {
+        return std::nullopt;
+    }
+    if (!this->isCalling) {
+        return this->due;
+    }
+    return this->isWatching ? std::optional(this->watchDeadline()) : std::nullopt;
 }
 
 auto PrefixView::readPage(const std::string &after) -> void
 {
-    this->isReadStale =
-        this->isPolling || (this->settings.mayFirstReadBeStale && !this->isCopyLoaded);
+    this->isReadStale = this->isPolling;
     this->call(StoreRange{this->prefix, after, this->isReadStale}, this->settings.readTimeout,
                &PrefixView::onPage);
 }
@@ -101,6 +114,7 @@
         this->newCopy[item.key] = item;
     }
     this->failures = 0;
+    this->isWatchRepeated = false;
     if (answer.hasMore) {
         this->readPage(answer.items.back().key);
         return;
@@ -121,6 +135,9 @@
         this->copyReadStartedAt = this->newCopyReadStartedAt;
         this->isCopyLoaded = true;
     }
+    if (!this->isReadStale) {
+        this->copyConfirmedAt = std::max(this->copyConfirmedAt, this->newCopyReadStartedAt);
+    }
     this->newCopy.clear();
     if (isChanged) {
         this->onChange(this->copy);
@@ -129,10 +146,41 @@
 
 auto PrefixView::watch() -> void
 {
-    const auto wait = this->settings.watchWait;
-    this->hasWatched = true;
-    this->call(StoreWatch{this->prefix, this->copyRevision, wait},
-               wait + this->settings.watchAnswerGrace, &PrefixView::onEvents);
+    const auto interval = this->settings.confirmInterval;
+    const auto untilDue = this->copyConfirmedAt + interval - this->now();
+    this->openWait = std::clamp<Duration>(untilDue, this->settings.shortestWait, interval);
+    this->call(StoreWatch{this->prefix, this->copyRevision, this->openWait},
+               this->openWait + this->settings.watchAnswerGrace, &PrefixView::onEvents);
+}
+
+auto PrefixView::watchDeadline() const -> Instant
+{
+    return this->lastCallAt + std::min(this->openWait, this->settings.confirmInterval)
+           + this->settings.watchAnswerGrace;
+}
+
+auto PrefixView::replaceWatch() -> void
+{
+    ++this->callNumber;
+    this->isCalling = false;
+    // After the interval was shortened, the answer to an older watch may not be due yet.
+    const auto isLost =
+        this->now() >= this->lastCallAt + this->openWait + this->settings.watchAnswerGrace;
+    if (isLost) {
+        this->onWatchLost();
+        return;
+    }
+    this->due = this->now();
+}
+
+auto PrefixView::onWatchLost() -> void
+{
+    ++this->lostWatches;
+    if (std::exchange(this->isWatchRepeated, true)) {
+        this->scheduleRetry();
+        return;
+    }
+    this->due = this->now();
 }
 
 auto PrefixView::onEvents(const StoreAnswer &answer) -> void
@@ -142,15 +190,25 @@
         this->due = this->now();
         return;
     }
+    if (answer.kind == StoreAnswer::Kind::Unknown) {
+        this->onWatchLost();
+        return;
+    }
     if (answer.kind != StoreAnswer::Kind::Ok) {
         this->scheduleRetry();
         return;
     }
     this->failures = 0;
+    this->isWatchRepeated = false;
     if (eraOf(answer.revision) != eraOf(this->copyRevision)) {
         this->readAnew();
         return;
     }
+    // A change may have been answered at any time since the watch was sent.
+    const auto isWaitOver =
+        answer.items.empty() && this->now() - this->lastCallAt >= this->openWait;
+    this->copyConfirmedAt = std::max(
+        this->copyConfirmedAt, this->lastCallAt + (isWaitOver ? this->openWait : Duration{0}));
     for (const auto &item : answer.items) {
         const auto copied = this->copy.find(item.key);
         const auto isKnown = copied != this->copy.end() && copied->second.revision >= item.revision;
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -13,27 +13,28 @@
 
 struct PrefixViewSettings
 {
-    /// The store answers a watch after this time even if nothing has changed.
-    Duration watchWait = std::chrono::seconds{29};
-    Duration readTimeout = std::chrono::milliseconds{1500};
+    /// See PrefixView::setConfirmInterval().
+    Duration confirmInterval = std::chrono::seconds{29};
+    Duration readTimeout = std::chrono::milliseconds{1000};
     /// Pause after a failed call: doubled with each further failure, up to the longest.
     Duration firstRetryPause = std::chrono::milliseconds{250};
     Duration longestRetryPause = std::chrono::seconds{2};
     /// Pause between the changes that a watch reports and the next watch, so that one answer brings
     /// all changes that come close together.
     Duration gatherPause = std::chrono::milliseconds{60};
-    /// A watch times out this long after its answer was due.
-    Duration watchAnswerGrace = std::chrono::seconds{2};
+    /// A watch counts as lost this long after its answer was due; longer than a slow store takes.
+    Duration watchAnswerGrace = std::chrono::milliseconds{400};
+    /// Shortest wait of a watch.
+    Duration shortestWait = std::chrono::milliseconds{10};
     /// Time between two reads while polling.
     Duration pollInterval = std::chrono::milliseconds{500};
-    /// The first read may be seconds old; the watch that follows brings what it has missed.
-    bool mayFirstReadBeStale = false;
     auto operator==(const PrefixViewSettings &) const -> bool = default;
 };
 
 /// Keeps a copy of all keys of the store that begin with a prefix: reads them once, then watches
-/// for changes. Does no input or output itself: calls go through `send`, and advance() starts them
-/// when they are due.
+/// for changes. The copy is confirmed by answers to its own reads and watches only: that the store
+/// answers other calls doesn't show that a waiting watch will be answered. Does no input or output
+/// itself: calls go through `send`, and advance() starts them when they are due.
 class PrefixView
 {
 public:
@@ -58,13 +59,19 @@
     /// While polling, the keys are read from time to time instead of watched, and the copy may be
     /// seconds old; this costs the store far less.
     auto setPolling(bool polling) -> void;
+    /// Sets how often an answer to a watch has to confirm the copy. A watch waits no longer than
+    /// that; one that is open for longer is sent again, as its answer may be lost.
+    auto setConfirmInterval(Duration interval) -> void
+    {
+        this->settings.confirmInterval = interval;
+    }
     /// Takes in that the store is in this era: a copy of an earlier one is read anew, as the store
     /// has lost a part of what the copy has.
     auto onStoreEra(std::uint64_t era) -> void;
     /// Reads all keys anew, unless a read that began at `moment` or later is complete or under way.
     /// A watch that waits on a dead connection is dropped with that.
     auto readSince(Instant moment) -> void;
-    /// @returns when to call advance() next; nothing while paused or while a call is open
+    /// @returns when to call advance() next; nothing while paused or while a read is open
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     [[nodiscard]] auto items() const -> const Items & { return this->copy; }
     /// @returns the era of the store in which the copy was read
@@ -79,11 +86,11 @@
     [[nodiscard]] auto isLoaded() const -> bool { return this->isCopyLoaded; }
     /// @returns whether the last call failed
     [[nodiscard]] auto isFailing() const -> bool { return this->failures > 0; }
-    /// @returns whether the copy follows the store by a watch that hasn't failed
-    [[nodiscard]] auto isCurrent() const -> bool
-    {
-        return this->isWatching && !this->isPaused && this->failures == 0 && this->hasWatched;
-    }
+    /// @returns a time up to which the copy has all changes; Instant{} where none is known. Reads
+    ///          that may be stale confirm nothing.
+    [[nodiscard]] auto confirmedAt() const -> Instant { return this->copyConfirmedAt; }
+    /// @returns how many watches weren't answered in time
+    [[nodiscard]] auto lostWatchCount() const -> std::uint64_t { return this->lostWatches; }
 
 private:
     auto readPage(const std::string &after) -> void;
@@ -92,6 +99,12 @@
     auto onPage(const StoreAnswer &answer) -> void;
     auto watch() -> void;
     auto onEvents(const StoreAnswer &answer) -> void;
+    /// @returns when the open watch is to be replaced if it hasn't been answered
+    [[nodiscard]] auto watchDeadline() const -> Instant;
+    /// Drops the open watch, and sends another one.
+    auto replaceWatch() -> void;
+    /// Sends a lost watch again; after the second one in a row, all keys are read.
+    auto onWatchLost() -> void;
     /// Drops the call that is open, and reads all keys at once.
     auto readAnew() -> void;
     auto scheduleRetry() -> void;
@@ -114,7 +127,10 @@
     StoreRevision newCopyRevision;
     Instant copyReadStartedAt{};
     Instant newCopyReadStartedAt{};
+    Instant copyConfirmedAt{};
     Instant lastCallAt{};
+    /// How long the store may keep the open watch waiting.
+    Duration openWait{0};
     bool isCopyLoaded = false;
     bool isWatching = false;
     bool isCalling = false;
@@ -124,10 +140,11 @@
     bool isReadStale = false;
     /// Number of the open call; answers to earlier ones are dropped.
     std::uint64_t callNumber = 0;
-    /// A watch has been sent since the last read.
-    bool hasWatched = false;
     /// Failed calls in a row.
     int failures = 0;
+    /// The watch before was lost.
+    bool isWatchRepeated = false;
+    std::uint64_t lostWatches = 0;
     /// When the next call is to be started.
     Instant due{};
 };
--- a/src/storelink/tests/fakestore.h
+++ b/src/storelink/tests/fakestore.h
@@ -28,6 +28,9 @@
         return [this](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
             this->calls.push_back(Call{std::move(call), this->moment + timeout, std::move(done),
                                        this->moment + this->answerDelay});
+            if (const auto *watch = std::get_if<StoreWatch>(&this->calls.back().call)) {
+                this->calls.back().waitsUntil = this->calls.back().dueAt + watch->wait;
+            }
         };
     }
 
@@ -121,6 +124,8 @@
     Duration answerDelay{0};
     /// This share of the calls is executed and not answered.
     double lostAnswerShare = 0;
+    /// Answers to watches of this prefix are lost; empty: none are.
+    std::string lostWatchPrefix;
     /// Keys in one page; small, so that tests with few keys read several pages.
     std::size_t pageSize = 2;
 
@@ -132,6 +137,8 @@
         std::function<void(StoreAnswer)> done;
         /// Executed then at the earliest.
         Instant dueAt;
+        /// A watch without a change is answered then.
+        Instant waitsUntil = {};
     };
     struct Lease
     {
@@ -167,13 +174,15 @@
             this->keepUntilTimeout(call);
             return;
         }
+        auto isLost = false;
         if (const auto *watch = std::get_if<StoreWatch>(&call.call)) {
             answer = this->watch(*watch);
             if (answer.kind == StoreAnswer::Kind::Ok && answer.items.empty()
-                && call.deadline > this->moment) {
-                this->calls.push_back(std::move(call));
+                && call.waitsUntil > this->moment) {
+                this->keepUntilTimeout(call);
                 return;
             }
+            isLost = !this->lostWatchPrefix.empty() && watch->prefix == this->lostWatchPrefix;
         } else {
             answer = std::visit([this](const auto &each) { return this->answer(each); }, call.call);
         }
@@ -182,7 +191,8 @@
             call.done(StoreAnswer{});
             return;
         }
-        if (std::uniform_real_distribution<double>(0, 1)(this->random) < this->lostAnswerShare) {
+        if (isLost
+            || std::uniform_real_distribution<double>(0, 1)(this->random) < this->lostAnswerShare) {
             this->lostCalls.push_back(std::move(call));
             return;
         }
