--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -43,11 +43,13 @@
 }
 
 SlotBroker::SlotBroker(ServiceName service, bool isSharded, SlotBrokerSettings settings,
-                       RetryWindowSettings retries, std::uint64_t seed)
+                       RetryWindowSettings retries, std::uint64_t seed,
+                       std::shared_ptr<RequestQuarantine> quarantine)
     : service(std::move(service))
     , isSharded(isSharded)
     , settings(settings)
     , retryWindow(retries)
+    , quarantine(std::move(quarantine))
     , paths(settings.paths)
     , random(seed)
     , meanLatency(settings.initialLatency)
@@ -77,7 +79,7 @@
             this->rememberGone(id);
         }
         if (found == next.end() || found->second.entry.incarnation != incarnation) {
-            this->quarantine.onUpstreamLost(id, incarnation, now);
+            this->quarantine->onUpstreamLost(id, incarnation, now);
         }
     }
     this->upstreams = std::move(next);
@@ -131,7 +133,7 @@
         auto *owner = this->ownerOf(request);
         (owner != nullptr ? owner->onTimeArrivals : this->onTimeArrivals).record(now);
     }
-    if (this->quarantine.isQuarantined(RequestFingerprint{request.fingerprint}, now)) {
+    if (this->quarantine->isQuarantined(RequestFingerprint{request.fingerprint}, now)) {
         this->refuse(waiting, Reason::Quarantined, maxRetryAfter, now);
         return;
     }
--- a/src/dispatch/internal/slotbrokerpaths.cpp
+++ b/src/dispatch/internal/slotbrokerpaths.cpp
@@ -250,18 +250,18 @@
     switch (report.end) {
     case AttemptEnd::NoAnswer:
         if (evidence != Evidence::None) {
-            this->quarantine.onUnanswered(fingerprint, upstream.entry.id,
-                                          upstream.entry.incarnation, now);
+            this->quarantine->onUnanswered(fingerprint, upstream.entry.id,
+                                           upstream.entry.incarnation, now, report.id.entry);
         }
         return;
     case AttemptEnd::NotSent:
         if (evidence == Evidence::Full) {
-            this->quarantine.onUpstreamLost(upstream.entry.id, upstream.entry.incarnation, now);
+            this->quarantine->onUpstreamLost(upstream.entry.id, upstream.entry.incarnation, now);
         }
         return;
     case AttemptEnd::Answered:
     case AttemptEnd::Failed:
-        this->quarantine.onAnswered(fingerprint);
+        this->quarantine->onAnswered(fingerprint);
         return;
     case AttemptEnd::NotRun:
     case AttemptEnd::WrongOwner:
--- a/src/dispatch/requestquarantine.h
+++ b/src/dispatch/requestquarantine.h
@@ -1,20 +1,14 @@
 #pragma once
 
-#include "common/types/ids.h"
-#include "common/types/instant.h"
+#include "dispatch/types/suspectrequest.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
-#include <utility>
 #include <vector>
 
 namespace gooseberrywall {
 
-/// Hash by which a request is recognised, whatever id its caller gives it; 0 if unknown.
-using RequestFingerprint = Number<struct RequestFingerprintTag>;
-
 struct RequestQuarantineSettings
 {
     /// Number of upstream crashes at which a request is quarantined.
@@ -25,27 +19,48 @@
     Duration suspectLifetime = std::chrono::minutes{10};
     /// Maximum number of suspects; those with the oldest last crash are forgotten first.
     std::size_t suspectLimit = 10'000;
+    /// Requests with one crash are told to other daemons after this time: most of them are answered
+    /// by another upstream before.
+    Duration firstCrashDelay = std::chrono::seconds{1};
+    /// How often a change is told to other daemons, as datagrams may be lost.
+    int noticeRepeats = 3;
     auto operator==(const RequestQuarantineSettings &) const -> bool = default;
 };
 
 /// Finds requests that crash upstreams: those that were unanswered when several upstreams were
 /// lost. An answer clears a request. Other requests that were running during a crash are answered
-/// by another upstream, whereas the request that causes the crashes never is.
+/// by another upstream, whereas the request that causes the crashes never is. Grantors tell other
+/// daemons about the suspects, as each of them may be the next grantor.
 class RequestQuarantine
 {
 public:
     explicit RequestQuarantine(RequestQuarantineSettings settings);
 
     /// Records that the request got no answer from this incarnation of an upstream.
+    /// @param entry the daemon that sent it
     auto onUnanswered(RequestFingerprint fingerprint, const UpstreamId &upstream,
-                      Incarnation incarnation, Instant now) -> void;
+                      Incarnation incarnation, Instant now, const Address &entry = {}) -> void;
     /// Records that this incarnation of an upstream has ended or accepts no connections.
     auto onUpstreamLost(const UpstreamId &upstream, Incarnation incarnation, Instant now) -> void;
     /// Forgets the crashes of the request: it has been answered.
     auto onAnswered(RequestFingerprint fingerprint) -> void;
+    /// Takes in what a grantor tells. Crashes that are known already count once.
+    auto adopt(const std::vector<SuspectRequest> &suspects, Instant now) -> void;
+    /// Forgets requests that aren't quarantined yet: another grantor, which tells of them, may have
+    /// seen their answers.
+    auto forgetUnconfirmed() -> void;
 
     /// @returns whether the request has crashed `crashLimit` upstreams and must not run again
     [[nodiscard]] auto isQuarantined(RequestFingerprint fingerprint, Instant now) const -> bool;
+    [[nodiscard]] auto quarantinedCount(Instant now) const -> std::size_t;
+    [[nodiscard]] auto suspectCount() const -> std::size_t { return this->suspects.size(); }
+    /// @returns whether a change is due to be told to other daemons
+    [[nodiscard]] auto hasNotices(Instant now) const -> bool;
+    /// @returns the changes that are due, the most serious ones first, and after them further
+    ///          suspects in turn, so that daemons that have started since learn of all
+    [[nodiscard]] auto takeNotices(std::size_t limit, Instant now) -> std::vector<SuspectRequest>;
+    /// @returns the crashes since the last call that count against a request
+    [[nodiscard]] auto takeCrashes() -> std::vector<SuspectedCrash>;
 
 private:
     struct UnansweredAttempt
@@ -53,20 +68,37 @@
         RequestFingerprint fingerprint;
         UpstreamId upstream;
         Incarnation incarnation;
+        Address entry;
         Instant endedAt;
     };
     struct Suspect
     {
         /// Lost upstreams at which the request was unanswered; each incarnation counts once.
-        std::set<std::pair<UpstreamId, Incarnation>> crashes;
+        std::vector<CrashId> crashes;
         Instant lastCrashAt;
     };
+    struct Notice
+    {
+        Instant dueAt;
+        int repeats = 0;
+    };
 
-    auto forgetOldest() -> void;
+    /// @returns whether the crash wasn't known
+    auto addCrash(Suspect &suspect, CrashId crash) const -> bool;
+    /// Sees to it that a change of the request's crashes is told.
+    auto scheduleNotice(RequestFingerprint fingerprint, Instant dueAt) -> void;
+    [[nodiscard]] auto noticeOf(RequestFingerprint fingerprint, Instant now) const
+        -> SuspectRequest;
+    auto forgetBeyondLimit() -> void;
 
     RequestQuarantineSettings settings;
     std::vector<UnansweredAttempt> unanswered;
     std::map<RequestFingerprint, Suspect> suspects;
+    /// Changes that are to be told, of present and former suspects.
+    std::map<RequestFingerprint, Notice> notices;
+    /// The suspect that was told of last in turn.
+    RequestFingerprint lastInTurn;
+    std::vector<SuspectedCrash> crashes;
 };
 
 } // namespace gooseberrywall
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -18,6 +18,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -140,7 +141,9 @@
     /// @param isSharded whether a request with a key may only run at the owner of the key
     /// @param seed of the random numbers that spread retries
     SlotBroker(ServiceName service, bool isSharded, SlotBrokerSettings settings,
-               RetryWindowSettings retries, std::uint64_t seed);
+               RetryWindowSettings retries, std::uint64_t seed,
+               std::shared_ptr<RequestQuarantine> quarantine =
+                   std::make_shared<RequestQuarantine>(RequestQuarantineSettings{}));
 
     /// Replaces the upstreams; those of the same incarnation keep their state.
     auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
@@ -456,7 +459,7 @@
     bool isSharded;
     SlotBrokerSettings settings;
     RetryWindow retryWindow;
-    RequestQuarantine quarantine{RequestQuarantineSettings{}};
+    std::shared_ptr<RequestQuarantine> quarantine;
     EntryPaths paths;
     std::mt19937_64 random;
     std::map<UpstreamId, Upstream> upstreams;
--- a/src/dispatch/tests/requestquarantine_tests.cpp
+++ b/src/dispatch/tests/requestquarantine_tests.cpp
@@ -68,3 +68,132 @@
         }
     }
 }
+
+namespace {
+
+/// A grantor's quarantine, and what another daemon has heard of it.
+struct NoticeTrial
+{
+    RequestQuarantine grantor{RequestQuarantineSettings{}};
+    RequestQuarantine other{RequestQuarantineSettings{}};
+    Instant now{seconds{100}};
+    std::uint64_t nextIncarnation = 1;
+    std::size_t toldCount = 0;
+
+    auto crash(RequestFingerprint fingerprint) -> void
+    {
+        const Incarnation incarnation{this->nextIncarnation++};
+        this->grantor.onUnanswered(fingerprint, UpstreamId{"u"}, incarnation, this->now);
+        this->grantor.onUpstreamLost(UpstreamId{"u"}, incarnation, this->now);
+    }
+
+    /// Tells at most 24 suspects a second.
+    auto tell(Duration time) -> void
+    {
+        for (auto passed = Duration{0}; passed < time; passed += seconds{1}) {
+            this->now += seconds{1};
+            const auto notices = this->grantor.takeNotices(24, this->now);
+            this->toldCount += notices.size();
+            CHECK(notices.size() <= 24);
+            this->other.adopt(notices, this->now);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against crashes that only the grantor knows of when it is lost.
+SCENARIO("RequestQuarantine: given notices, another daemon counts on where the grantor has stopped",
+         "[dispatch][crash][quarantine]")
+{
+    NoticeTrial trial;
+    const RequestFingerprint culprit{7};
+    trial.crash(culprit);
+    trial.crash(culprit);
+    trial.tell(seconds{2});
+    CHECK_FALSE(trial.other.isQuarantined(culprit, trial.now));
+    WHEN("it sees the third crash")
+    {
+        trial.other.onUnanswered(culprit, UpstreamId{"v"}, Incarnation{1}, trial.now);
+        trial.other.onUpstreamLost(UpstreamId{"v"}, Incarnation{1}, trial.now);
+        CHECK(trial.other.isQuarantined(culprit, trial.now));
+    }
+    WHEN("it sees a crash that the grantor has told of")
+    {
+        trial.other.onUnanswered(culprit, UpstreamId{"u"}, Incarnation{2}, trial.now);
+        trial.other.onUpstreamLost(UpstreamId{"u"}, Incarnation{2}, trial.now);
+        THEN("it counts once")
+        {
+            CHECK_FALSE(trial.other.isQuarantined(culprit, trial.now));
+        }
+    }
+    WHEN("the grantor sees an answer to the request")
+    {
+        trial.grantor.onAnswered(culprit);
+        trial.tell(seconds{1});
+        THEN("its crashes don't count elsewhere either")
+        {
+            CHECK(trial.other.suspectCount() == 0);
+        }
+    }
+    WHEN("the grantor was the last one before a change of grantors, and the request is unconfirmed")
+    {
+        trial.other.forgetUnconfirmed();
+        CHECK(trial.other.suspectCount() == 0);
+        trial.tell(seconds{1});
+        THEN("the present grantor's next notice brings it back")
+        {
+            CHECK(trial.other.suspectCount() == 1);
+        }
+    }
+    WHEN("a message names the fingerprint that stands for an unknown request")
+    {
+        trial.other.adopt({SuspectRequest{RequestFingerprint{}, {1, 2, 3}, Duration{0}}},
+                          trial.now);
+        CHECK_FALSE(trial.other.isQuarantined(RequestFingerprint{}, trial.now));
+    }
+}
+
+// Guards against messages about requests that were only running when another one crashed their
+// upstream: thousands of them in a wave of crashes.
+SCENARIO("RequestQuarantine: given requests that are answered within a second of a crash, none is "
+         "told",
+         "[dispatch][crash][quarantine]")
+{
+    NoticeTrial trial;
+    for (std::uint64_t number = 1; number <= 1000; ++number) {
+        trial.crash(RequestFingerprint{number});
+    }
+    trial.now += milliseconds{500};
+    for (std::uint64_t number = 1; number <= 1000; ++number) {
+        trial.grantor.onAnswered(RequestFingerprint{number});
+    }
+    trial.tell(seconds{5});
+    CHECK(trial.toldCount == 0);
+    CHECK(trial.other.suspectCount() == 0);
+}
+
+// Guards against a number of suspects that makes messages or memory grow without bound.
+SCENARIO("RequestQuarantine: given 10,000 suspects, notices are bounded and tell of all in turn",
+         "[dispatch][crash][quarantine]")
+{
+    NoticeTrial trial;
+    for (std::uint64_t number = 1; number <= 12'000; ++number) {
+        trial.crash(RequestFingerprint{number});
+    }
+    CHECK(trial.grantor.suspectCount() == 10'000);
+    const RequestFingerprint culprit{12'000};
+    trial.crash(culprit);
+    trial.crash(culprit);
+    trial.tell(seconds{1});
+    THEN("a request with three crashes is told first")
+    {
+        CHECK(trial.other.isQuarantined(culprit, trial.now));
+    }
+    THEN("all are told in time")
+    {
+        // Each change is told three times, 24 a second, and each that is still known in turn.
+        trial.tell(std::chrono::minutes{30});
+        CHECK(trial.other.suspectCount() == 10'000);
+    }
+}
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -54,7 +54,8 @@
         , orders(wire, this->orderPool)
         , permits(this->settings.peerListen, incarnation, PermitClientSettings{})
         , statements(UpstreamStatementSettings{this->settings.drainTime})
-        , direct(incarnation, this->statements)
+        , direct(incarnation, this->statements,
+                 [this](const PermitRequest &each) { return this->roles.isQuarantined(each); })
         , links(loop.base(), now, logger, [this] { this->onTimer(); })
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
                this->statements, this->links.reach(),
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -40,6 +40,12 @@
     RangePlannerSettings planner;
     /// How often the grantor announces itself to all daemons.
     Duration announceEvery = std::chrono::seconds{1};
+    /// Suspects are told to all daemons at most this often: where there are changes, and in turn.
+    Duration suspectNoticeEvery = std::chrono::milliseconds{500};
+    Duration suspectTurnEvery = std::chrono::seconds{1};
+    /// Bytes a second that the notices in turn may take; with many daemons they are told less
+    /// often.
+    double suspectTurnBytesPerSecond = 10'000;
     /// How often moves of keys are planned.
     Duration planEvery = std::chrono::milliseconds{300};
     /// Pause after a failed store call.
@@ -105,6 +111,16 @@
         this->longestRequest = std::max(this->longestRequest, time);
     }
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
+    /// @returns whether the request must not run, as this daemon or a grantor has seen it crash
+    ///          upstreams
+    [[nodiscard]] auto isQuarantined(RequestFingerprint fingerprint) const -> bool
+    {
+        return this->quarantine->isQuarantined(fingerprint, this->now());
+    }
+    [[nodiscard]] auto quarantinedCount() const -> std::uint64_t
+    {
+        return this->quarantine->quarantinedCount(this->now());
+    }
     /// Takes in what an upstream has stated in an answer to an order.
     auto onStatement(const UpstreamStatement &statement) -> void;
     /// Carries on with the election and, as grantor, with verdicts, ranges and announcements.
@@ -196,6 +212,10 @@
     /// @returns the store key of the daemons to which this service's grantor announces itself
     [[nodiscard]] auto daemonsKey() const -> std::string;
     auto announce() -> void;
+    /// Tells all daemons about requests that crash upstreams, where that is due.
+    auto tellSuspects(Instant moment) -> void;
+    /// Logs the crashes that count against requests.
+    auto logCrashes() -> void;
     [[nodiscard]] auto announcement() const -> GrantorAnnouncement;
     auto plan(Instant moment) -> void;
     auto advanceRanges(Instant moment) -> void;
@@ -237,6 +257,8 @@
     std::shared_ptr<bool> alive;
     Duration ownClaimDelay;
     GrantorElection election;
+    /// Outlives the broker, and has what other grantors of this service have told.
+    std::shared_ptr<RequestQuarantine> quarantine;
     std::unique_ptr<SlotBroker> broker;
     /// Kept over a claim in a restored store; orders that were sent before it are still answered.
     std::shared_ptr<RangeGrantor> ranges;
@@ -277,6 +299,8 @@
     HealthChanges healthChanges;
     Instant healthDue{};
     Instant announceDue{};
+    Instant suspectNoticeDue{};
+    Instant suspectTurnDue{};
     Instant advancedAt{};
     /// When the ends of orders received since the last advance are handled.
     Instant orderEndsDue{};
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -37,6 +37,10 @@
     /// Passes a message to its service's role; a permit request for a service without one is
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
+    /// @returns whether the request must not run, as it is known to crash upstreams
+    [[nodiscard]] auto isQuarantined(const PermitRequest &request) const -> bool;
+    /// @returns how many requests are known to crash upstreams
+    [[nodiscard]] auto quarantinedCount() const -> std::uint64_t;
     /// Takes in what an upstream has stated in an answer to an order.
     auto onStatement(const UpstreamStatement &statement) -> void;
     auto setRetryAllowance(double ratio, double extra) -> void;
--- a/src/edge/internal/edgemetrics.cpp
+++ b/src/edge/internal/edgemetrics.cpp
@@ -8,6 +8,7 @@
 {
     metrics.grantedServices = roles.servingCount();
     metrics.movedKeys = roles.movedKeys();
+    metrics.quarantinedRequests = roles.quarantinedCount();
     metrics.limitedUpstreams = roles.limitedUpstreamCount();
     metrics.coldUpstreams = roles.coldUpstreamCount();
     metrics.grantedLeavingUpstreams = roles.leavingUpstreamCount();
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -37,9 +37,10 @@
     , ownClaimDelay(claimDelayOf(this->spec.name, this->settings))
     , election(this->settings.grantorPrefix + this->spec.name.value, this->ownGrantorText(),
                this->settings.election, this->store, this->now)
+    , quarantine(std::make_shared<RequestQuarantine>(RequestQuarantineSettings{}))
     , broker(std::make_unique<SlotBroker>(this->spec.name, this->spec.isSharded,
                                           this->settings.broker, this->settings.retries,
-                                          this->settings.incarnation))
+                                          this->settings.incarnation, this->quarantine))
     , planner(this->settings.planner)
 {
 }
@@ -112,6 +113,8 @@
     } else if (const auto *report = std::get_if<PermitReport>(&message)) {
         this->broker->report(*report, moment);
         this->takeInChanges();
+    } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
+        this->quarantine->adopt(notice->suspects, moment);
     } else if (const auto *cancel = std::get_if<PermitCancel>(&message)) {
         this->broker->cancel(cancel->id, moment);
     } else if (std::holds_alternative<DaemonHello>(message)) {
@@ -146,6 +149,7 @@
     this->takeInChanges();
     this->flushVerdicts();
     this->logHealth(moment);
+    this->logCrashes();
     // Without authority, this daemon falls silent, so that the others look for a grantor: one of
     // them may have to take over.
     if (this->hasAuthority(moment)) {
@@ -153,6 +157,7 @@
         if (moment >= this->announceDue) {
             this->announce();
         }
+        this->tellSuspects(moment);
     }
 }
 
@@ -336,6 +341,9 @@
             due = std::min(due, *next);
         }
         due = std::min(due, this->announceDue);
+        if (this->quarantine->hasNotices(moment)) {
+            due = std::min(due, this->suspectNoticeDue);
+        }
     }
     if (this->ranges && this->isRecordAdopted) {
         due = std::min(
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -1,6 +1,7 @@
 #include "edge/grantorroles.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace gooseberrywall {
@@ -132,6 +133,20 @@
     }
 }
 
+auto GrantorRoles::isQuarantined(const PermitRequest &request) const -> bool
+{
+    const auto found = this->roles.find(request.service);
+    return found != this->roles.end()
+           && found->second->isQuarantined(RequestFingerprint{request.fingerprint});
+}
+
+auto GrantorRoles::quarantinedCount() const -> std::uint64_t
+{
+    return std::accumulate(
+        this->roles.begin(), this->roles.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const auto &row) { return sum + row.second->quarantinedCount(); });
+}
+
 auto GrantorRoles::onStatement(const UpstreamStatement &statement) -> void
 {
     for (auto &[name, role] : this->roles) {
--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -132,9 +132,10 @@
     this->isRecordAdopted = false;
     // The new broker has no owners yet, even if the next term starts with the same ones.
     this->brokerOwners.clear();
-    this->broker =
-        std::make_unique<SlotBroker>(this->spec.name, this->spec.isSharded, this->settings.broker,
-                                     this->settings.retries, this->settings.incarnation);
+    this->broker = std::make_unique<SlotBroker>(this->spec.name, this->spec.isSharded,
+                                                this->settings.broker, this->settings.retries,
+                                                this->settings.incarnation, this->quarantine);
+    this->quarantine->forgetUnconfirmed();
 }
 
 auto GrantorRole::stepDownIfIsolated(Instant moment) -> void
--- a/src/edge/internal/metricstext.cpp
+++ b/src/edge/internal/metricstext.cpp
@@ -30,6 +30,7 @@
          {"configuration_fetches_total", metrics.configurationFetches},
          {"limited_upstreams", metrics.limitedUpstreams},
          {"cold_upstreams", metrics.coldUpstreams},
+         {"quarantined_requests", metrics.quarantinedRequests},
          {"store_era", metrics.storeEra},
          {"leaving_upstreams", metrics.leavingUpstreams},
          {"paused_upstreams", metrics.pausedUpstreams},
--- a/src/edge/metricstext.h
+++ b/src/edge/metricstext.h
@@ -43,6 +43,8 @@
     /// where this is the highest; 0 where there is too little load to tell.
     std::uint64_t grantedBusiestPercent = 0;
     std::uint64_t storeEra = 0;
+    /// Requests that are refused because they crash upstreams, as far as this daemon knows.
+    std::uint64_t quarantinedRequests = 0;
     /// Upstreams that have stated to this daemon that they are about to stop.
     std::uint64_t leavingUpstreams = 0;
     /// Upstreams that want no requests from this daemon at present.
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -8,6 +8,7 @@
 #include "entry/upstreamstatements.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -31,9 +32,14 @@
 class DirectChoice
 {
 public:
+    /// @returns whether the request must not run, as it crashes upstreams
+    using IsQuarantined = std::function<bool(const PermitRequest &request)>;
+
     /// @param seed for the random choice between equally loaded upstreams
     /// @param statements tells which upstreams want no requests
-    DirectChoice(std::uint64_t seed, UpstreamStatements &statements);
+    /// @param isQuarantined what grantors have told; empty: no request is quarantined
+    DirectChoice(std::uint64_t seed, UpstreamStatements &statements,
+                 IsQuarantined isQuarantined = {});
 
     /// Replaces the known upstreams of all services.
     auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
@@ -72,8 +78,9 @@
                     const std::optional<ReportedLoad> &load, Duration latency, Instant now) -> void;
 
     /// @param request names the service, the key and the upstreams to avoid
-    /// @returns a granted verdict, or a refusal where each upstream that may run the request wants
-    ///          none for a time or is evacuated; empty where no suitable upstream is known
+    /// @returns a granted verdict, or a refusal where the request is quarantined, or each upstream
+    ///          that may run it wants none for a time or is evacuated; empty where no suitable
+    ///          upstream is known
     [[nodiscard]] auto choose(const PermitRequest &request, Instant now)
         -> std::optional<PermitVerdict>;
 
@@ -106,6 +113,7 @@
 
     std::uint64_t seed;
     UpstreamStatements &statements;
+    IsQuarantined isQuarantined;
     std::mt19937_64 random;
     bool isTrusted = false;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -16,6 +16,8 @@
 /// How long refused callers wait where all upstreams are evacuated; operators take longer to
 /// withdraw an evacuation, and upstreams elsewhere to start.
 constexpr Duration evacuatedRetryAfter = std::chrono::milliseconds{600};
+/// As grantors refuse such requests.
+constexpr Duration quarantinedRetryAfter = std::chrono::milliseconds{600};
 /// A larger number of daemons counts for this long.
 constexpr Duration daemonCountMemory = std::chrono::seconds{30};
 /// Ranks of upstreams that are chosen only where there are none of a lower rank.
@@ -50,6 +52,15 @@
     return verdict;
 }
 
+auto refusedForQuarantine() -> PermitVerdict
+{
+    PermitVerdict verdict;
+    verdict.kind = PermitVerdict::Kind::Refused;
+    verdict.reason = Reason::Quarantined;
+    verdict.retryAfter = quarantinedRetryAfter;
+    return verdict;
+}
+
 auto refusedForPause(Duration remaining) -> std::optional<PermitVerdict>
 {
     PermitVerdict verdict;
@@ -61,9 +72,11 @@
 
 } // namespace
 
-DirectChoice::DirectChoice(std::uint64_t seed, UpstreamStatements &statements)
+DirectChoice::DirectChoice(std::uint64_t seed, UpstreamStatements &statements,
+                           IsQuarantined isQuarantined)
     : seed(seed)
     , statements(statements)
+    , isQuarantined(std::move(isQuarantined))
     , random(seed)
     , coldShares(seed)
 {
@@ -152,6 +165,9 @@
 
 auto DirectChoice::choose(const PermitRequest &request, Instant now) -> Verdict
 {
+    if (this->isQuarantined && this->isQuarantined(request)) {
+        return refusedForQuarantine();
+    }
     if (!this->isTrusted) {
         return std::nullopt;
     }
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -24,6 +24,8 @@
 /// Total size of the names of evacuated failure domains in one message, so that it fits into one
 /// packet; a larger set isn't sent, and receivers read it from the store.
 constexpr std::size_t maxEvacuatedBytes = 1000;
+/// More crashes than quarantine a request aren't told.
+constexpr unsigned maxCrashes = 16;
 /// Counted for each name besides its text.
 constexpr std::size_t bytesPerName = 16;
 /// Larger factors are implausible and count as unknown.
@@ -172,6 +174,25 @@
     builder.initHello();
 }
 
+auto write(permitwire::Message::Builder builder, const SuspectNotice &notice) -> void
+{
+    auto out = builder.initSuspects();
+    out.setService(notice.service.value);
+    const auto count = std::min(notice.suspects.size(), SuspectNotice::maxSuspects);
+    auto suspects = out.initSuspects(static_cast<unsigned>(count));
+    for (unsigned index = 0; index < count; ++index) {
+        const auto &suspect = notice.suspects[index];
+        auto item = suspects[index];
+        item.setPrint(suspect.fingerprint.value);
+        item.setSinceLastCrash(suspect.sinceLastCrash.count());
+        const auto crashCount = std::min(static_cast<unsigned>(suspect.crashes.size()), maxCrashes);
+        auto crashes = item.initCrashes(crashCount);
+        for (unsigned crash = 0; crash < crashCount; ++crash) {
+            crashes.set(crash, suspect.crashes[crash]);
+        }
+    }
+}
+
 auto readRequest(permitwire::Request::Reader in, const Address &sender) -> PermitMessage
 {
     PermitRequest request;
@@ -260,6 +281,25 @@
     return evacuated;
 }
 
+auto readSuspects(permitwire::Suspects::Reader in) -> SuspectNotice
+{
+    SuspectNotice notice;
+    notice.service.value = textOf(in.getService());
+    const auto suspects = in.getSuspects();
+    for (unsigned index = 0; index < suspects.size() && index < SuspectNotice::maxSuspects;
+         ++index) {
+        SuspectRequest suspect;
+        suspect.fingerprint.value = suspects[index].getPrint();
+        suspect.sinceLastCrash = durationOf(suspects[index].getSinceLastCrash());
+        const auto crashes = suspects[index].getCrashes();
+        for (unsigned crash = 0; crash < crashes.size() && crash < maxCrashes; ++crash) {
+            suspect.crashes.push_back(crashes[crash]);
+        }
+        notice.suspects.push_back(std::move(suspect));
+    }
+    return notice;
+}
+
 auto readMessage(permitwire::Message::Reader in, const Address &sender, const Address &self)
     -> std::optional<PermitMessage>
 {
@@ -286,6 +326,8 @@
     }
     case permitwire::Message::HELLO:
         return DaemonHello{};
+    case permitwire::Message::SUSPECTS:
+        return readSuspects(in.getSuspects());
     }
     return std::nullopt;
 }
--- a/src/permitlink/permitmessages.h
+++ b/src/permitlink/permitmessages.h
@@ -2,8 +2,10 @@
 
 #include "dispatch/types/evacuateddomains.h"
 #include "dispatch/types/permits.h"
+#include "dispatch/types/suspectrequest.h"
 
 #include <variant>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -38,6 +40,18 @@
     auto operator==(const DaemonHello &) const -> bool = default;
 };
 
+/// A grantor's message to all daemons about requests that were unanswered when upstreams of its
+/// service were lost, and that aren't suspect any more.
+struct SuspectNotice
+{
+    /// More don't fit into one packet; further ones aren't sent.
+    static constexpr std::size_t maxSuspects = 24;
+
+    ServiceName service;
+    std::vector<SuspectRequest> suspects;
+    auto operator==(const SuspectNotice &) const -> bool = default;
+};
+
 /// The grantor's verdict on the permit request with this id.
 struct PermitAnswer
 {
@@ -47,7 +61,7 @@
 };
 
 using PermitMessage = std::variant<PermitRequest, PermitAnswer, PermitReport, PermitCancel,
-                                   GrantorAnnouncement, DaemonHello>;
+                                   GrantorAnnouncement, DaemonHello, SuspectNotice>;
 
 /// A message with the address of its receiver or sender.
 struct PermitDatagram
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -73,6 +73,14 @@
 
 struct Hello {}
 
+struct Suspect {
+  print @0 :UInt64;
+  crashes @1 :List(UInt32);
+  sinceLastCrash @2 :Int64;
+}
+
+struct Suspects { service @0 :Text; suspects @1 :List(Suspect); }
+
 struct Message {
   union {
     request @0 :Request;
@@ -81,5 +89,6 @@
     cancel @3 :Cancel;
     announcement @4 :Announcement;
     hello @5 :Hello;
+    suspects @6 :Suspects;
   }
 }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -23,6 +23,8 @@
 CAPNP_DECLARE_SCHEMA(d999e97e5277248c);
 CAPNP_DECLARE_SCHEMA(e25c50d95b757b6e);
 CAPNP_DECLARE_SCHEMA(f86a7013235fd496);
+CAPNP_DECLARE_SCHEMA(b5cbcf75f5ce9e6f);
+CAPNP_DECLARE_SCHEMA(e97b6dab2600a4ae);
 CAPNP_DECLARE_SCHEMA(c6ae5c726e63bee2);
 
 }  // namespace schemas
@@ -136,6 +138,36 @@
   };
 };
 
+struct Suspect {
+  Suspect() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5cbcf75f5ce9e6f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Suspects {
+  Suspects() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e97b6dab2600a4ae, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -149,6 +181,7 @@
     CANCEL,
     ANNOUNCEMENT,
     HELLO,
+    SUSPECTS,
   };
 
   struct _capnpPrivate {
@@ -1009,6 +1042,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class Suspect::Reader {
+public:
+  typedef Suspect Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPrint() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashes() const;
+
+  inline  ::int64_t getSinceLastCrash() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Suspect::Builder {
+public:
+  typedef Suspect Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPrint();
+  inline void setPrint( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCrashes();
+
+  inline  ::int64_t getSinceLastCrash();
+  inline void setSinceLastCrash( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Suspect::Pipeline {
+public:
+  typedef Suspect Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Suspects::Reader {
+public:
+  typedef Suspects Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Suspects::Builder {
+public:
+  typedef Suspects Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Suspects::Pipeline {
+public:
+  typedef Suspects Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -1051,6 +1267,10 @@
   inline bool hasHello() const;
   inline  ::gooseberrywall::permitwire::Hello::Reader getHello() const;
 
+  inline bool isSuspects() const;
+  inline bool hasSuspects() const;
+  inline  ::gooseberrywall::permitwire::Suspects::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1128,6 +1348,14 @@
   inline void adoptHello(::capnp::Orphan< ::gooseberrywall::permitwire::Hello>&& value);
   inline ::capnp::Orphan< ::gooseberrywall::permitwire::Hello> disownHello();
 
+  inline bool isSuspects();
+  inline bool hasSuspects();
+  inline  ::gooseberrywall::permitwire::Suspects::Builder getSuspects();
+  inline void setSuspects( ::gooseberrywall::permitwire::Suspects::Reader value);
+  inline  ::gooseberrywall::permitwire::Suspects::Builder initSuspects();
+  inline void adoptSuspects(::capnp::Orphan< ::gooseberrywall::permitwire::Suspects>&& value);
+  inline ::capnp::Orphan< ::gooseberrywall::permitwire::Suspects> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2252,6 +2480,140 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Suspect::Reader::getPrint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Suspect::Builder::getPrint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setPrint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Suspect::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspect::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Suspect::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Suspect::Builder::setCrashes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Suspect::Builder::setCrashes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Suspect::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Suspect::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Suspect::Reader::getSinceLastCrash() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Suspect::Builder::getSinceLastCrash() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setSinceLastCrash( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Suspects::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspects::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Suspects::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Suspects::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Suspects::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Suspects::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Suspects::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Suspects::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Suspects::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspects::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Reader Suspects::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Builder Suspects::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Suspects::Builder::setSuspects( ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>::Builder Suspects::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Suspects::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>> Suspects::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrywall::permitwire::Suspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::gooseberrywall::permitwire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2585,6 +2947,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isSuspects() const {
+  return which() == Message::SUSPECTS;
+}
+inline bool Message::Builder::isSuspects() {
+  return which() == Message::SUSPECTS;
+}
+inline bool Message::Reader::hasSuspects() const {
+  if (which() != Message::SUSPECTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasSuspects() {
+  if (which() != Message::SUSPECTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gooseberrywall::permitwire::Suspects::Reader Message::Reader::getSuspects() const {
+  KJ_IREQUIRE((which() == Message::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Suspects>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gooseberrywall::permitwire::Suspects::Builder Message::Builder::getSuspects() {
+  KJ_IREQUIRE((which() == Message::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Suspects>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSuspects( ::gooseberrywall::permitwire::Suspects::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SUSPECTS);
+  ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Suspects>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gooseberrywall::permitwire::Suspects::Builder Message::Builder::initSuspects() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SUSPECTS);
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Suspects>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSuspects(
+    ::capnp::Orphan< ::gooseberrywall::permitwire::Suspects>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SUSPECTS);
+  ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Suspects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gooseberrywall::permitwire::Suspects> Message::Builder::disownSuspects() {
+  KJ_IREQUIRE((which() == Message::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gooseberrywall::permitwire::Suspects>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -263,3 +263,22 @@
     CHECK(read.load->slots >= 0);
     CHECK(*read.pause <= std::chrono::hours{24 * 366 * 100});
 }
+
+TEST_CASE("PermitCodec: given more suspects than one packet holds, the message fits into one",
+          "[permitlink]")
+{
+    constexpr std::size_t packetBytes = 1472;
+    SuspectNotice notice;
+    notice.service = ServiceName{"a-service-with-a-long-name"};
+    for (std::uint64_t number = 1; number <= 10'000; ++number) {
+        const auto crash = static_cast<CrashId>(0xf1234567U + number);
+        notice.suspects.push_back(SuspectRequest{RequestFingerprint{0xf123456789abcdefU - number},
+                                                 {crash, crash + 1, crash + 2},
+                                                 std::chrono::minutes{9}});
+    }
+    const auto bytes = encodePermitMessage(notice);
+    CHECK(bytes.size() <= packetBytes);
+    const auto read = std::get<SuspectNotice>(*decodePermitMessage(bytes, sender, self));
+    notice.suspects.resize(SuspectNotice::maxSuspects);
+    CHECK(read == notice);
+}
