Missing entries are kept after absences in which they can expire only

Cause: any failed call of a daemon counted as an outage in which entries expire, and kept missing entries for 2.3 s more. Change: StoreAbsence measures how long the store may have been away for all, from this daemon's answered calls and from what other grantors announce. Absences shorter than 1.75 heartbeats don't count, as entries expire after three. Ruled out: a shorter time until missing entries are dropped, as upstreams need about two seconds to register again after an outage.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -75,10 +75,9 @@
               },
               [this] { this->processPending(); })
         , evacuations(logger)
-        , upstreamWatch(wire, this->storeSender(), now, logger, this->evacuations, this->direct,
-                        [this](const std::vector<UpstreamEntry> &entries) {
-                            this->roles.onUpstreams(entries);
-                        })
+        , upstreamWatch(wire, UpstreamWatchSettings{this->settings.upstreamHeartbeat},
+                        this->storeSender(), now, logger, this->evacuations, this->direct,
+                        [this](const auto &entries) { this->roles.onUpstreams(entries); })
         , peerServer(loop.base(), this->settings.peerListen, now, logger, &this->memory)
         , forwarder(wire, this->peerServer, this->upstreamPool, this->statements, now,
                     [this] { this->processPending(); })
@@ -291,6 +290,7 @@
             this->onStoreEra(eraOf(StoreRevision{announcement->term}));
             this->grantorWatch.onAnnouncement(from, *announcement);
             this->configurationSource.onAnnouncement(from, *announcement);
+            this->upstreamWatch.onStoreReachedByOther(this->now() - announcement->configurationAge);
             this->onEvacuations(announcement->evacuated, false);
             this->direct.onDaemonCount(announcement->daemonCount, this->now());
             return;
--- a/src/edge/tests/leaving_tests.cpp
+++ b/src/edge/tests/leaving_tests.cpp
@@ -208,9 +208,30 @@
             trial.leaveFor(leaveEvery, offset);
             trial.cell.store.lostWatchPrefix.clear();
             trial.leaveFor(seconds{2}, offset);
+            CHECK(trial.cell.leftUpstreamsInUse(drainTime) == 0);
         }
         trial.cell.run(seconds{3});
         INFO(trial.cell.worstLeave());
         CHECK(trial.cell.longestUseAfterLeave() <= drainTime);
     }
 }
+
+// Guards against an upstream that has left while the store refused the grantor alone, and is taken
+// for one whose entry has expired.
+SCENARIO("UpstreamWatch: given a store that refuses the grantor for 0.9 s, an upstream that leaves "
+         "meanwhile isn't used any more within the time allowed",
+         "[edge][leaves]")
+{
+    constexpr Duration drainTime = seconds{2};
+    for (const auto offsetMs : offsetsMs) {
+        LeavingCell cell{daemonCount, stayingCount};
+        cell.run(seconds{5} + milliseconds{offsetMs});
+        REQUIRE(cell.hasGrantor());
+        cell.refuseGrantor(milliseconds{900});
+        cell.run(milliseconds{100});
+        cell.leave(0, LeaveKind::Removed);
+        cell.run(drainTime + milliseconds{10});
+        REQUIRE(cell.hasGrantor());
+        CHECK(cell.leftUpstreamsInUse(drainTime) == 0);
+    }
+}
--- a/src/edge/tests/leavingcell.cpp
+++ b/src/edge/tests/leavingcell.cpp
@@ -15,6 +15,7 @@
 constexpr Duration deadConnectionTimeout = std::chrono::seconds{3};
 /// An upstream's entry is removed so long after it has started to drain.
 constexpr Duration drainTime = std::chrono::seconds{3};
+constexpr Duration heartbeat = milliseconds{870};
 constexpr Duration answerTime = milliseconds{50};
 constexpr Duration directWatchTime = std::chrono::seconds{3};
 const ServiceName service{"service"};
@@ -101,6 +102,8 @@
     UpstreamWatch<TextWire> upstreams;
     std::vector<UpstreamEntry> entries;
     std::vector<Running> running;
+    /// The store refuses this daemon's calls until then.
+    Instant refusedUntil{};
 
     Daemon(const GrantorRoleSettings &settings, const SendStoreCall &store,
            const std::function<Instant()> &now)
@@ -112,8 +115,9 @@
               this->logger, this->log)
         , grantors(watchSettings(settings), this->senderOf(store, now), now, this->permits,
                    this->roles, this->logger)
-        , upstreams(this->wire, this->senderOf(store, now), now, this->logger, this->evacuations,
-                    this->direct, [this](const std::vector<UpstreamEntry> &entries) {
+        , upstreams(this->wire, UpstreamWatchSettings{heartbeat}, this->senderOf(store, now), now,
+                    this->logger, this->evacuations, this->direct,
+                    [this](const std::vector<UpstreamEntry> &entries) {
                         this->entries = entries;
                         this->roles.onUpstreams(entries);
                     })
@@ -138,11 +142,15 @@
         return [this, store, now](StoreCall call, Duration timeout,
                                   std::function<void(StoreAnswer)> done) {
             store(std::move(call), timeout,
-                  [this, sentAt = now(), done = std::move(done),
-                   watcher = std::weak_ptr<bool>(this->alive)](const StoreAnswer &answer) {
+                  [this, now, sentAt = now(), done = std::move(done),
+                   watcher = std::weak_ptr<bool>(this->alive)](StoreAnswer answer) {
                       if (watcher.expired()) {
                           return;
                       }
+                      if (now() < this->refusedUntil) {
+                          answer = StoreAnswer{};
+                          answer.kind = StoreAnswer::Kind::Refused;
+                      }
                       this->onStoreEra(answer.era.value_or(0));
                       this->upstreams.onStoreAnswer(answer, sentAt);
                       done(answer);
@@ -284,6 +292,15 @@
     }
 }
 
+auto LeavingCell::refuseGrantor(Duration time) -> void
+{
+    for (const auto &[index, daemon] : this->daemons) {
+        if (daemon->roles.servingCount() > 0) {
+            daemon->refusedUntil = this->store.now() + time;
+        }
+    }
+}
+
 auto LeavingCell::resignGrantor() -> void
 {
     for (const auto &[index, daemon] : this->daemons) {
--- a/src/edge/tests/leavingcell.h
+++ b/src/edge/tests/leavingcell.h
@@ -47,6 +47,8 @@
     /// again after `absence`, and those that have left since report so again.
     auto restoreStore(Duration absence) -> void;
     auto killGrantor() -> void;
+    /// Lets the store refuse the calls of the daemon that is grantor now.
+    auto refuseGrantor(Duration time) -> void;
     /// Lets the grantor give up its place; it goes on sending requests.
     auto resignGrantor() -> void;
     /// From now on only the daemon that is grantor now sends requests.
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -28,7 +28,8 @@
 {
     /// When the last list of all entries began; changes since are known.
     Instant listedAt;
-    /// When a call to the store last failed, and when one was first answered after that.
+    /// When a call to the store failed last in an absence of the store in which entries may have
+    /// expired, and when it was back.
     Instant storeFailedAt;
     Instant storeBackAt;
     auto operator==(const UpstreamReading &) const -> bool = default;
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -8,6 +8,7 @@
 #include "entry/directchoice.h"
 #include "keyranges/rangerecordcodec.h"
 #include "storelink/prefixview.h"
+#include "storelink/storeabsence.h"
 #include "storelink/storeoutage.h"
 
 #include <algorithm>
@@ -21,6 +22,13 @@
 
 namespace gooseberrywall {
 
+struct UpstreamWatchSettings
+{
+    /// How often upstreams renew their entries, which expire after three times this; zero: unknown.
+    Duration heartbeat{0};
+    auto operator==(const UpstreamWatchSettings &) const -> bool = default;
+};
+
 /// Watches the upstreams' entries in the store while this daemon needs them, and reads the key
 /// owners for requests that are sent without a grantor.
 template<WireAdapter Wire>
@@ -33,9 +41,9 @@
     /// @param evacuations marks the entries
     /// @param direct receives entries and owners
     /// @param onEntries called after each change of the entries
-    UpstreamWatch(const Wire &wire, SendStoreCall store, std::function<Instant()> now,
-                  Logger &logger, Evacuations &evacuations, DirectChoice &direct,
-                  OnEntries onEntries)
+    UpstreamWatch(const Wire &wire, UpstreamWatchSettings settings, SendStoreCall store,
+                  std::function<Instant()> now, Logger &logger, Evacuations &evacuations,
+                  DirectChoice &direct, OnEntries onEntries)
         : wire(wire)
         , store(std::move(store))
         , now(std::move(now))
@@ -45,6 +53,7 @@
         , direct(direct)
         , onEntries(std::move(onEntries))
         , directory(UpstreamDirectorySettings{})
+        , absence(shortestExpiry(settings.heartbeat))
     {
     }
 
@@ -53,11 +62,15 @@
     /// @param sentAt when the call was sent
     auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
     {
+        this->absence.onAnswer(answer, sentAt, this->now());
         if (this->outage.onAnswer(answer, sentAt, this->now()) && this->view) {
             this->view->readSince(this->outage.failedAt());
         }
     }
 
+    /// Takes in that the store has answered another daemon at this time.
+    auto onStoreReachedByOther(Instant at) -> void { this->absence.onReachedByOther(at); }
+
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void
     {
@@ -214,6 +227,13 @@
     /// time.
     static constexpr Duration directGatherPause = std::chrono::milliseconds{600};
 
+    /// @returns the shortest absence of the store in which an entry can expire that is up to one
+    ///          heartbeat old when it begins; a quarter of one is for heartbeats that come late
+    [[nodiscard]] static auto shortestExpiry(Duration heartbeat) -> Duration
+    {
+        return heartbeat * 7 / 4;
+    }
+
     auto onItems(const PrefixView::Items &items) -> void
     {
         std::vector<UpstreamEntry> entries;
@@ -224,7 +244,7 @@
         }
         const auto listedAt = this->view->readStartedAt();
         this->directory.update(
-            entries, UpstreamReading{listedAt, this->outage.failedAt(), this->outage.backAt()},
+            entries, UpstreamReading{listedAt, this->absence.failedAt(), this->absence.backAt()},
             this->now());
         const auto isRead = std::exchange(this->takenInReadAt, listedAt) != listedAt;
         this->publish(isRead ? "list" : "watch");
@@ -283,6 +303,8 @@
     Instant viewStartedAt{};
     Instant allListedAt{};
     StoreOutage outage;
+    /// In which entries of live upstreams may have expired.
+    StoreAbsence absence;
     /// Begin of the read whose entries the directory has.
     Instant takenInReadAt{};
 };
--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -87,6 +87,10 @@
         {{"drain_time_s", ValueKind::Seconds, "s", 500, 600'000, "2", takesEffectAtStart,
           "From an upstream's first statement that it is about to stop until no request may "
           "reach it; only requests that no other can serve use this time."},
+         {"heartbeat_s", ValueKind::Seconds, "s", 0, 600'000, "0", takesEffectAtStart,
+          "How often upstreams renew their entries in the store, which expire after three times "
+          "this; 0: unknown. An entry that is missing after a shorter failure of the store is "
+          "that of an upstream that has left."},
          {"load_weight", ValueKind::Decimal, "", 0, 10'000, "0.1", takesEffectAtStart,
           "Weight of an upstream's utilisation against its latency where a grantor chooses one. "
           "Low: fast upstreams are filled first; 3: the load is even."}}};
@@ -173,6 +177,7 @@
     settings.longestHold = values->find("grants")->duration("longest_hold_s");
     const auto &upstreams = *values->find("upstreams");
     settings.drainTime = upstreams.duration("drain_time_s");
+    settings.upstreamHeartbeat = upstreams.duration("heartbeat_s");
     settings.loadWeight = static_cast<double>(upstreams.integer("load_weight")) * thousandth;
     settings.logLevel = log.text("level");
     settings.logLinesPerSecond = log.integer("lines_per_second");
--- a/src/settings/types/edgesettings.h
+++ b/src/settings/types/edgesettings.h
@@ -29,6 +29,8 @@
     Duration longestHold{0};
     /// Time from an upstream's first statement that it leaves until requests may not reach it.
     Duration drainTime{0};
+    /// How often upstreams renew their entries in the store; zero: unknown.
+    Duration upstreamHeartbeat{0};
     /// Weight of an upstream's utilisation against its latency in the choice of upstreams.
     double loadWeight = 0.1;
     /// Time from SIGTERM to the end of the process.
