PrefixView: answers of a slow store are waited for

Cause: a watch counted as lost 0.4 s after its answer was due. A store whose answers take longer got each watch twice, then a read, over and over. Change: the grace is twice the time that recent answers took, at most 1.5 s.

--- a/src/storelink/internal/prefixview.cpp
+++ b/src/storelink/internal/prefixview.cpp
@@ -101,6 +101,7 @@
         this->scheduleRetry();
         return;
     }
+    this->onAnswerTime(this->now() - this->lastCallAt);
     // The pages may be read at different revisions. Watching from that of the first page brings
     // every change that a later page may have missed.
     if (this->newCopyRevision.value == 0) {
@@ -150,13 +151,24 @@
     const auto untilDue = this->copyConfirmedAt + interval - this->now();
     this->openWait = std::clamp<Duration>(untilDue, this->settings.shortestWait, interval);
     this->call(StoreWatch{this->prefix, this->copyRevision, this->openWait},
-               this->openWait + this->settings.watchAnswerGrace, &PrefixView::onEvents);
+               this->openWait + this->answerGrace(), &PrefixView::onEvents);
 }
 
 auto PrefixView::watchDeadline() const -> Instant
 {
     return this->lastCallAt + std::min(this->openWait, this->settings.confirmInterval)
-           + this->settings.watchAnswerGrace;
+           + this->answerGrace();
+}
+
+auto PrefixView::answerGrace() const -> Duration
+{
+    return std::clamp(2 * this->answerTime, this->settings.watchAnswerGrace,
+                      this->settings.longestAnswerGrace);
+}
+
+auto PrefixView::onAnswerTime(Duration time) -> void
+{
+    this->answerTime = std::max(time, this->answerTime / 2);
 }
 
 auto PrefixView::replaceWatch() -> void
@@ -164,8 +176,7 @@
     ++this->callNumber;
     this->isCalling = false;
     // After the interval was shortened, the answer to an older watch may not be due yet.
-    const auto isLost =
-        this->now() >= this->lastCallAt + this->openWait + this->settings.watchAnswerGrace;
+    const auto isLost = this->now() >= this->lastCallAt + this->openWait + this->answerGrace();
     if (isLost) {
         this->onWatchLost();
         return;
@@ -207,6 +218,9 @@
     // A change may have been answered at any time since the watch was sent.
     const auto isWaitOver =
         answer.items.empty() && this->now() - this->lastCallAt >= this->openWait;
+    if (isWaitOver) {
+        this->onAnswerTime(this->now() - this->lastCallAt - this->openWait);
+    }
     this->copyConfirmedAt = std::max(
         this->copyConfirmedAt, this->lastCallAt + (isWaitOver ? this->openWait : Duration{0}));
     for (const auto &item : answer.items) {
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -22,8 +22,10 @@
     /// Pause between the changes that a watch reports and the next watch, so that one answer brings
     /// all changes that come close together.
     Duration gatherPause = std::chrono::milliseconds{60};
-    /// A watch counts as lost this long after its answer was due; longer than a slow store takes.
+    /// A watch counts as lost this long after its answer was due, and later where the store is
+    /// slow: after twice the time that its answers take, up to the longest.
     Duration watchAnswerGrace = std::chrono::milliseconds{400};
+    Duration longestAnswerGrace = std::chrono::milliseconds{1500};
     /// Shortest wait of a watch.
     Duration shortestWait = std::chrono::milliseconds{10};
     /// Time between two reads while polling.
@@ -99,6 +101,10 @@
     auto onPage(const StoreAnswer &answer) -> void;
     auto watch() -> void;
     auto onEvents(const StoreAnswer &answer) -> void;
+    /// @returns how long after it was due the answer to a watch may come
+    [[nodiscard]] auto answerGrace() const -> Duration;
+    /// Takes in how long the store took for an answer.
+    auto onAnswerTime(Duration time) -> void;
     /// @returns when the open watch is to be replaced if it hasn't been answered
     [[nodiscard]] auto watchDeadline() const -> Instant;
     /// Drops the open watch, and sends another one.
@@ -131,6 +137,8 @@
     Instant lastCallAt{};
     /// How long the store may keep the open watch waiting.
     Duration openWait{0};
+    /// How long the store has taken for recent answers at most.
+    Duration answerTime{0};
     bool isCopyLoaded = false;
     bool isWatching = false;
     bool isCalling = false;
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -227,3 +227,27 @@
         }
     }
 }
+
+// Guards against a slow store that gets calls over and over, as each answer comes after the time
+// for it.
+SCENARIO("PrefixView: given a slow store, its answers are waited for", "[storelink][lostwatch]")
+{
+    constexpr Duration interval = milliseconds{800};
+    constexpr Duration observedTime = seconds{20};
+    for (const auto delay : {milliseconds{300}, milliseconds{500}, milliseconds{700}}) {
+        Trial trial;
+        trial.store.put("p/a", "1");
+        trial.view.setConfirmInterval(interval);
+        trial.run(seconds{2});
+        trial.store.answerDelay = delay;
+        trial.run(seconds{4});
+        const auto lostBefore = trial.view.lostWatchCount();
+        const auto callsBefore = trial.store.callCount();
+        trial.store.put("p/a", "2");
+        trial.run(observedTime);
+        CHECK(trial.view.items().at("p/a").value == "2");
+        CHECK(trial.view.lostWatchCount() == lostBefore);
+        // One call an interval, and two for the change.
+        CHECK(trial.store.callCount() - callsBefore <= observedTime / interval + 2);
+    }
+}
