Log of a quarantined request's refusal names its fingerprint

permit_refused with reason=quarantined can be joined with the crashes that request_quarantined and request_suspected name. Wording; where things are.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -228,7 +228,7 @@
             permit.repeatAfter *= 2;
             permit.repeatAt = now + permit.repeatAfter;
             this->verdicts.push_back(
-                IssuedVerdict{id, permit.request, permit.verdict, VerdictBasis{}});
+                IssuedVerdict{id, permit.request, permit.fingerprint, permit.verdict, {}});
         }
     }
     std::erase_if(this->permits, [&](const auto &entry) { return entry.second.expiresAt <= now; });
@@ -380,8 +380,9 @@
 auto SlotBroker::issue(const PermitRequest &request, PermitVerdict verdict, VerdictBasis basis)
     -> void
 {
-    this->verdicts.push_back(
-        IssuedVerdict{request.id, request.request, std::move(verdict), std::move(basis)});
+    this->verdicts.push_back(IssuedVerdict{request.id, request.request,
+                                           RequestFingerprint{request.fingerprint},
+                                           std::move(verdict), std::move(basis)});
 }
 
 auto SlotBroker::rangeOf(KeyPosition key) const -> const OwnedRange *
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -103,6 +103,7 @@
 {
     PermitId id;
     RequestId request;
+    RequestFingerprint fingerprint;
     PermitVerdict verdict;
     VerdictBasis basis;
     auto operator==(const IssuedVerdict &) const -> bool = default;
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -35,8 +35,8 @@
     Duration fetchTimeout = std::chrono::milliseconds{500};
     /// Versions in quick succession are read together; well below the time until they must apply.
     Duration gatherPause = std::chrono::milliseconds{400};
-    /// How often the store has to confirm the copy of a daemon that follows it. Twice this time, as
-    /// a lost answer takes, is below the time after which the others follow the store themselves.
+    /// How often the store has to confirm the copy of a daemon that follows it. A lost answer is
+    /// noticed well before other daemons begin to follow the store themselves.
     Duration confirmInterval = std::chrono::milliseconds{800};
     /// Confirmations that follow each other faster aren't announced at once.
     Duration announceInterval = std::chrono::milliseconds{400};
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -265,6 +265,9 @@
         line.with("reason", toString(issued.verdict.reason))
             .with("retry_after_ms", toMilliseconds(issued.verdict.retryAfter));
     }
+    if (isRefused && issued.verdict.reason == Reason::Quarantined) {
+        line.with("fingerprint", std::to_string(issued.fingerprint.value));
+    }
     this->requestLog.write(line);
 }
 
--- a/src/edge/internal/grantorstatements.cpp
+++ b/src/edge/internal/grantorstatements.cpp
@@ -109,7 +109,7 @@
     for (const auto &crash : this->quarantine->takeCrashes()) {
         LogLine line(crash.isQuarantined ? "request_quarantined" : "request_suspected");
         line.with("service", this->spec.name.value)
-            .with("fingerprint", static_cast<std::int64_t>(crash.fingerprint.value))
+            .with("fingerprint", std::to_string(crash.fingerprint.value))
             .with("upstream", crash.upstream.value)
             .with("life", static_cast<std::int64_t>(crash.incarnation.value))
             .with("entry", crash.entry.value)
