Confirmations of copies don't grow with the fleet

Only the grantor that checks the configuration announced young evidence, so that one lost datagram sent a daemon to the store; and daemons that are no grantors confirmed their copies as often as grantors. Change: the other grantors announce the checking grantor's evidence, too, from lower to higher addresses only. Daemons that are no grantors confirm their copies less often in fleets of 80 daemons and more (fleetInterval); of the grantors' keys only stand-bys and grantors do so. Tests: ConfigurationRelay 'news pass to higher addresses only', fleetInterval.

--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -69,9 +69,16 @@
     /// what it knows of upstreams is out of date then
     [[nodiscard]] auto isCutOff(Instant ownContact, Instant now) const -> bool;
     /// @param own address of this daemon, a grantor
-    /// @returns until when this daemon may leave it to a grantor with a lower address to check the
-    /// configuration often; Instant{} where none has confirmed the one that this daemon has
-    [[nodiscard]] auto checkedUntil(const Address &own) const -> Instant;
+    /// @returns when a grantor with a lower address last knew that the configuration which this
+    /// daemon has is the newest; Instant{} where none has. Such news pass from lower to higher
+    /// addresses only, so a grantor never hears its own.
+    [[nodiscard]] auto checkedAt(const Address &own) const -> Instant;
+    /// @returns until when this daemon may leave it to such a grantor to check the configuration
+    /// often
+    [[nodiscard]] auto checkedUntil(const Address &own) const -> Instant
+    {
+        return this->checkedAt(own) + this->settings.checkTimeout;
+    }
     /// @returns the newest statement of a grantor that its configuration was the newest
     [[nodiscard]] auto confirmation() const -> const std::optional<ConfigurationConfirmation> &
     {
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -85,10 +85,10 @@
 
     /// @returns the store revision of the configuration; zero where there is none
     [[nodiscard]] auto revision() const -> StoreRevision { return this->textRevision; }
-    /// @returns how long ago the store has shown to this daemon that this configuration is the
-    ///          newest
+    /// @returns how long ago the store has shown to this daemon, or to a grantor with a lower
+    ///          address, that this configuration is the newest
     [[nodiscard]] auto age() const -> Duration;
-    /// @returns when the store has last shown that; Instant{} where it hasn't
+    /// @returns when the store has last shown that to this daemon; Instant{} where it hasn't
     [[nodiscard]] auto confirmedAt() const -> Instant { return this->view.confirmedAt(); }
     /// @returns whether the store has confirmed the copy since the last call that returned true, so
     ///          that an announcement at once is as young as it can be; at most each
@@ -142,6 +142,8 @@
     /// As in ConfigurationRelay::onAdopted().
     bool isTextStale = false;
     Instant startedAt;
+    /// Size of the fleet as grantors announce it; zero until one is heard.
+    std::uint64_t daemonCount = 0;
     /// The last confirmation that was taken.
     Instant takenConfirmation{};
     Instant pollDue{};
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -293,6 +293,7 @@
             this->upstreamWatch.onStoreReachedByOther(this->now() - announcement->configurationAge);
             this->onEvacuations(announcement->evacuated, false);
             this->direct.onDaemonCount(announcement->daemonCount, this->now());
+            this->upstreamWatch.setDaemonCount(announcement->daemonCount);
             return;
         }
         this->roles.deliver(from, message);
--- a/src/edge/grantorwatch.h
+++ b/src/edge/grantorwatch.h
@@ -35,8 +35,8 @@
     /// Changes in the store are batched for this long: new grantors announce themselves, so reading
     /// them from the store isn't urgent.
     Duration gatherPause = std::chrono::milliseconds{600};
-    /// How often the store has to confirm the grantors while one of them isn't heard. Those that
-    /// are heard confirm themselves.
+    /// How often the store has to confirm the grantors to stand-bys, which claim vacant places,
+    /// while a grantor isn't heard. Those that are heard confirm themselves.
     Duration confirmInterval = std::chrono::milliseconds{1000};
     /// How often a known grantor that isn't heard is asked to announce itself.
     Duration helloInterval = std::chrono::milliseconds{500};
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -118,12 +118,12 @@
            && this->confirmed->at - ownContact >= this->settings.cutOffLag;
 }
 
-auto ConfigurationRelay::checkedUntil(const Address &own) const -> Instant
+auto ConfigurationRelay::checkedAt(const Address &own) const -> Instant
 {
     Instant result{};
     for (const auto &[address, source] : this->sources) {
         if (address < own && source.revision == this->ownRevision) {
-            result = std::max(result, source.confirmedAt + this->settings.checkTimeout);
+            result = std::max(result, source.confirmedAt);
         }
     }
     return result;
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -91,6 +91,7 @@
 auto ConfigurationSource::onAnnouncement(const Address &from,
                                          const GrantorAnnouncement &announcement) -> void
 {
+    this->daemonCount = announcement.daemonCount;
     if (from != this->settings.listen) {
         this->relay.onAnnouncement(from, announcement, this->now());
     }
@@ -107,8 +108,10 @@
     this->view.setPaused(!isFollowing);
     const auto isOtherChecking =
         isGrantor && this->relay.checkedUntil(this->settings.listen) > moment;
-    this->view.setConfirmInterval(isOtherChecking ? this->settings.relaxedConfirmInterval
-                                                  : this->settings.confirmInterval);
+    this->view.setConfirmInterval(
+        isOtherChecking ? this->settings.relaxedConfirmInterval
+        : isGrantor     ? this->settings.confirmInterval
+                        : fleetInterval(this->settings.confirmInterval, this->daemonCount));
     this->view.advance();
     this->copyLog.update(this->view, moment);
     if (!isFollowing && isStarting && this->textRevision.value == 0) {
@@ -152,7 +155,9 @@
 
 auto ConfigurationSource::age() const -> Duration
 {
-    const auto confirmedAt = this->view.confirmedAt();
+    // Several grantors tell the same news, as datagrams may be lost.
+    const auto confirmedAt =
+        std::max(this->view.confirmedAt(), this->relay.checkedAt(this->settings.listen));
     return confirmedAt == Instant{} ? unknownAge : Duration{this->now() - confirmedAt};
 }
 
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -65,8 +65,10 @@
     const auto isStarting = this->now() - this->startedAt < this->settings.startTime;
     this->view.setPolling(isStarting && !this->isStandBy() && this->roles.servingCount() == 0);
     this->view.setPaused(!this->isNeeded());
-    this->view.setConfirmInterval(this->isGrantorMissing() ? this->settings.confirmInterval
-                                                           : PrefixViewSettings{}.confirmInterval);
+    const auto mustBeConfirmed =
+        this->isGrantorMissing() && (this->isStandBy() || this->roles.servingCount() > 0);
+    this->view.setConfirmInterval(mustBeConfirmed ? this->settings.confirmInterval
+                                                  : PrefixViewSettings{}.confirmInterval);
     this->view.advance();
     this->copyLog.update(this->view, this->now());
     this->publish();
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -163,3 +163,27 @@
         CHECK(relay.fetchSource(start) == first);
     }
 }
+
+// Guards against grantors that confirm each other's configuration in a circle while none of them
+// has asked the store.
+SCENARIO("ConfigurationRelay: given grantors with the same configuration, news pass to higher "
+         "addresses only",
+         "[edge][relay]")
+{
+    const Address third{"10.0.0.3:7000"};
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    relay.onAdopted(StoreRevision{7}, false);
+    relay.onAnnouncement(second, announcement(7, milliseconds{300}), start);
+    CHECK(relay.checkedAt(third) == start - milliseconds{300});
+    CHECK(relay.checkedAt(second) == Instant{});
+    CHECK(relay.checkedAt(first) == Instant{});
+    CHECK(relay.checkedUntil(third) > start);
+    WHEN("that grantor has a newer configuration")
+    {
+        relay.onAnnouncement(second, announcement(8, milliseconds{0}), start + milliseconds{1000});
+        THEN("the own one isn't confirmed")
+        {
+            CHECK(relay.checkedAt(third) == Instant{});
+        }
+    }
+}
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -124,6 +124,11 @@
         return this->directory.incarnationOf(upstream, address);
     }
 
+    /// @param count daemons of the fleet: the more there are, the less often each that is no
+    /// grantor
+    ///        has its entries confirmed
+    auto setDaemonCount(std::uint64_t count) -> void { this->daemonCount = count; }
+
     /// Starts or stops watching as needed, and publishes what has changed.
     /// @param isGrantor this daemon grants a service: changes are needed at once
     /// @param isDirect requests are sent without a grantor: changes are needed, but may be batched
@@ -136,7 +141,8 @@
             auto settings = PrefixViewSettings{};
             settings.gatherPause = isGrantor ? grantorGatherPause : directGatherPause;
             settings.longestRetryPause = longestRetryPause;
-            settings.confirmInterval = confirmInterval;
+            settings.confirmInterval =
+                isGrantor ? confirmInterval : fleetInterval(confirmInterval, this->daemonCount);
             this->copyLog.onNewView();
             this->endedViewLosses += this->view ? this->view->lostWatchCount() : 0;
             this->view = std::make_unique<PrefixView>(
@@ -294,6 +300,7 @@
     DirectChoice &direct;
     OnEntries onEntries;
     UpstreamDirectory directory;
+    std::uint64_t daemonCount = 0;
     /// As last published.
     std::vector<UpstreamEntry> lastEntries;
     std::unique_ptr<PrefixView> view;
--- a/src/storelink/prefixview.h
+++ b/src/storelink/prefixview.h
@@ -2,6 +2,7 @@
 
 #include "storelink/types/storecalls.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,6 +34,16 @@
     auto operator==(const PrefixViewSettings &) const -> bool = default;
 };
 
+/// @param daemonCount daemons that may have a copy confirmed at the same time
+/// @returns the interval for each of them: in large fleets it grows with the number of daemons, so
+///          that their calls together don't
+[[nodiscard]] constexpr auto fleetInterval(Duration interval, std::uint64_t daemonCount) -> Duration
+{
+    constexpr std::uint64_t daemonsWithoutDelay = 40;
+    const auto factor = std::max<std::uint64_t>(1, daemonCount / daemonsWithoutDelay);
+    return interval * static_cast<std::int64_t>(factor);
+}
+
 /// Keeps a copy of all keys of the store that begin with a prefix: reads them once, then watches
 /// for changes. The copy is confirmed by answers to its own reads and watches only: that the store
 /// answers other calls doesn't show that a waiting watch will be answered. Does no input or output
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -251,3 +251,18 @@
         CHECK(trial.store.callCount() - callsBefore <= observedTime / interval + 2);
     }
 }
+
+// Guards against calls to the store that grow with the number of daemons.
+TEST_CASE("fleetInterval: given large fleets, their daemons together make as many calls",
+          "[storelink][lostwatch]")
+{
+    const Duration interval = milliseconds{800};
+    CHECK(fleetInterval(interval, 0) == interval);
+    CHECK(fleetInterval(interval, 27) == interval);
+    for (const std::uint64_t count : {144, 295, 3000}) {
+        const auto perSecond =
+            static_cast<double>(count)
+            / std::chrono::duration<double>(fleetInterval(interval, count)).count();
+        CHECK(perSecond < 100);
+    }
+}
