--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -43,30 +43,12 @@
     return verdict;
 }
 
-auto refusedForEvacuation() -> PermitVerdict
+auto refused(Reason reason, Duration retryAfter) -> std::optional<PermitVerdict>
 {
     PermitVerdict verdict;
     verdict.kind = PermitVerdict::Kind::Refused;
-    verdict.reason = Reason::NoOwner;
-    verdict.retryAfter = evacuatedRetryAfter;
-    return verdict;
-}
-
-auto refusedForQuarantine() -> PermitVerdict
-{
-    PermitVerdict verdict;
-    verdict.kind = PermitVerdict::Kind::Refused;
-    verdict.reason = Reason::Quarantined;
-    verdict.retryAfter = quarantinedRetryAfter;
-    return verdict;
-}
-
-auto refusedForPause(Duration remaining) -> std::optional<PermitVerdict>
-{
-    PermitVerdict verdict;
-    verdict.kind = PermitVerdict::Kind::Refused;
-    verdict.reason = Reason::UpstreamPaused;
-    verdict.retryAfter = remaining;
+    verdict.reason = reason;
+    verdict.retryAfter = retryAfter;
     return verdict;
 }
 
@@ -166,7 +148,7 @@
 auto DirectChoice::choose(const PermitRequest &request, Instant now) -> Verdict
 {
     if (this->isQuarantined && this->isQuarantined(request)) {
-        return refusedForQuarantine();
+        return refused(Reason::Quarantined, quarantinedRetryAfter);
     }
     if (!this->isTrusted) {
         return std::nullopt;
@@ -174,7 +156,7 @@
     const auto verdict =
         request.key ? this->chooseOwner(request, now) : this->chooseAny(request, now);
     return !verdict && this->areAllEvacuated(request.service)
-               ? std::optional(refusedForEvacuation())
+               ? refused(Reason::NoOwner, evacuatedRetryAfter)
                : verdict;
 }
 
@@ -203,7 +185,7 @@
     }
     const auto hold = this->statements.holdOf(owned.upstream, incarnation, now);
     if (hold && hold->pause) {
-        return refusedForPause(*hold->pause);
+        return refused(Reason::UpstreamPaused, *hold->pause);
     }
     // Nobody else has the key, and no grantor can move it.
     if (hold && !hold->allowsLastResort) {
@@ -252,7 +234,8 @@
     if (best != nullptr) {
         return granted(best->id, best->incarnation, best->address);
     }
-    return areAllPaused && shortestPause ? refusedForPause(*shortestPause) : std::nullopt;
+    return areAllPaused && shortestPause ? refused(Reason::UpstreamPaused, *shortestPause)
+                                         : std::nullopt;
 }
 
 auto DirectChoice::areAllEvacuated(const ServiceName &service) const -> bool
