UpstreamWatch: a view ends in one place

Three places added a view's lost watches to the sum before they dropped it, and one of them told the log. endView() does both.

--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -124,9 +124,8 @@
         return this->directory.incarnationOf(upstream, address);
     }
 
-    /// @param count daemons of the fleet: the more there are, the less often each that is no
-    /// grantor
-    ///        has its entries confirmed
+    /// @param count daemons of the fleet: the more there are, the less often those that are no
+    ///        grantors have their entries confirmed
     auto setDaemonCount(std::uint64_t count) -> void { this->daemonCount = count; }
 
     /// Starts or stops watching as needed, and publishes what has changed.
@@ -143,14 +142,12 @@
             settings.longestRetryPause = longestRetryPause;
             settings.confirmInterval =
                 isGrantor ? confirmInterval : fleetInterval(confirmInterval, this->daemonCount);
-            this->copyLog.onNewView();
-            this->endedViewLosses += this->view ? this->view->lostWatchCount() : 0;
+            this->endView();
             this->view = std::make_unique<PrefixView>(
                 this->wire.upstreamPrefix(), settings, this->store, this->now,
                 [this](const PrefixView::Items &items) { this->onItems(items); });
         } else if (!isNeeded && this->view) {
-            this->endedViewLosses += this->view->lostWatchCount();
-            this->view.reset();
+            this->endView();
             this->directory.forget();
             this->direct.setTrusted(false);
         }
@@ -177,8 +174,7 @@
     auto listAnewAfter(Instant moment) -> void
     {
         if (this->view && this->viewStartedAt < moment && this->now() >= moment) {
-            this->endedViewLosses += this->view->lostWatchCount();
-            this->view.reset();
+            this->endView();
         }
     }
 
@@ -240,6 +236,13 @@
         return heartbeat * 7 / 4;
     }
 
+    auto endView() -> void
+    {
+        this->endedViewLosses = this->lostWatchCount();
+        this->view.reset();
+        this->copyLog.onNewView();
+    }
+
     auto onItems(const PrefixView::Items &items) -> void
     {
         std::vector<UpstreamEntry> entries;
