ConfigurationConfirmation is a type of its own; the test fleet asks for it

The relay included the log for a value type that the log only prints; it moves to edge/types. The evacuation tests' fleet decided by itself when a confirmation is announced at once, with the interval written out again; it calls ConfigurationSource::takeConfirmation, as the daemon does, and confirmedAt(), which had no other caller, goes.

--- a/src/edge/configurationlog.h
+++ b/src/edge/configurationlog.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "common/types/ids.h"
-#include "common/types/instant.h"
+#include "edge/types/configurationconfirmation.h"
 #include "logging/logger.h"
 #include "routing/types/routeconfiguration.h"
 #include "storelink/types/storecalls.h"
@@ -11,15 +10,6 @@
 
 namespace gooseberrywall {
 
-/// A grantor's statement that its configuration was the newest at a time.
-struct ConfigurationConfirmation
-{
-    Address by;
-    StoreRevision revision;
-    Instant at{};
-    auto operator==(const ConfigurationConfirmation &) const -> bool = default;
-};
-
 /// Logs that a text of the configuration of a newer revision has arrived.
 /// @param from the daemon that it was fetched from, or "store"
 /// @param by the call: "view", "stale_read" or "fetch"
--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -2,7 +2,7 @@
 
 #include "common/types/ids.h"
 #include "common/types/instant.h"
-#include "edge/configurationlog.h"
+#include "edge/types/configurationconfirmation.h"
 #include "permitlink/permitmessages.h"
 #include "storelink/types/storecalls.h"
 
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -88,8 +88,6 @@
     /// @returns how long ago the store has shown to this daemon, or to a grantor with a lower
     ///          address, that this configuration is the newest
     [[nodiscard]] auto age() const -> Duration;
-    /// @returns when the store has last shown that to this daemon; Instant{} where it hasn't
-    [[nodiscard]] auto confirmedAt() const -> Instant { return this->view.confirmedAt(); }
     /// @returns whether the store has confirmed the copy since the last call that returned true, so
     ///          that an announcement at once is as young as it can be; at most each
     ///          `announceInterval`
--- a/src/edge/tests/evacuationfleet_tests.cpp
+++ b/src/edge/tests/evacuationfleet_tests.cpp
@@ -166,11 +166,8 @@
             return;
         }
         auto &sender = *this->daemons.at(*this->grantor);
-        // A confirmation by the store is announced at once.
-        const auto isConfirmed = sender.source.confirmedAt() > this->announcedAt;
-        const auto isDue =
-            this->store.now() - this->announcedAt >= seconds{1}
-            || (isConfirmed && this->store.now() - this->announcedAt >= milliseconds{400});
+        const auto isConfirmed = sender.source.takeConfirmation();
+        const auto isDue = isConfirmed || this->store.now() - this->announcedAt >= seconds{1};
         if (!isDue && !sender.isAnnouncementDue) {
             return;
         }
