Answers that close their connection tell of leaves that the store can't

Cause: the store was the only source for leaves, and a daemon that it refuses can't tell a refusal from an outage. Evidence: heartbeats change neither revision nor value of an entry, so a list shows nothing of the refusal (diagnostic log). Change: entry daemons report whether an answer closes the connection (LeaveHint); orders and requests without a permit count, too. UpstreamDirectory stops using an upstream 1.6 s after it was last known to stay, if a hint isn't refuted by the store or by the answer to a later request, or if its entry alone is missing after an absence. Live upstreams that answer are kept as before. Reports of earlier builds say "unknown". The tests of UpstreamDirectory now name the answers by which a missing entry is kept for 2.3 s; without answers it is dropped after 1.6 s, which they check as well.

--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -177,7 +177,7 @@
     this->release(permit->first, permit->second, now);
     this->takeIn(UpstreamStatement{report.upstream, permit->second.verdict.incarnation,
                                    report.id.entry, permit->second.request, report.isLeaving,
-                                   report.pause},
+                                   report.pause, report.leaveHint},
                  report.forwarder, permit->second.grantedAt, now);
     if (report.end == AttemptEnd::WrongOwner) {
         this->onTurnedAway(permit->second);
--- a/src/dispatch/internal/slotbrokerstatements.cpp
+++ b/src/dispatch/internal/slotbrokerstatements.cpp
@@ -34,7 +34,8 @@
     const auto permit = found->second;
     this->expiredPermits.erase(found);
     this->takeIn(UpstreamStatement{permit.upstream, permit.incarnation, report.id.entry,
-                                   permit.request, report.isLeaving, report.pause},
+                                   permit.request, report.isLeaving, report.pause,
+                                   report.leaveHint},
                  report.forwarder, permit.grantedAt, now);
 }
 
@@ -51,6 +52,11 @@
 auto SlotBroker::takeIn(const UpstreamStatement &statement, const Address &forwarder,
                         Instant grantedAt, Instant now) -> void
 {
+    if (statement.leaveHint != LeaveHint::Unknown) {
+        auto &change = this->changes.emplace_back();
+        change = UpstreamChange{UpstreamChange::Kind::Answered, statement};
+        change.statement.askedAt = grantedAt;
+    }
     const auto isPausing = statement.pause && *statement.pause > Duration{0};
     if (!statement.isLeaving && !isPausing) {
         return;
--- a/src/dispatch/types/permits.h
+++ b/src/dispatch/types/permits.h
@@ -3,6 +3,7 @@
 #include "common/types/ids.h"
 #include "common/types/instant.h"
 #include "common/types/reason.h"
+#include "dispatch/types/leavehint.h"
 
 #include <algorithm>
 #include <cmath>
@@ -166,6 +167,7 @@
     bool isLeaving = false;
     /// Rejections only: for this time the upstream wants no requests from the reporting daemon.
     std::optional<Duration> pause = std::nullopt;
+    LeaveHint leaveHint = LeaveHint::Unknown;
     /// The daemon that forwarded the request; empty where the entry daemon sent it itself. With
     /// AttemptEnd::NotSent, that daemon couldn't be reached, or didn't forward the request.
     Address forwarder = {};
--- a/src/dispatch/types/upstreamstatement.h
+++ b/src/dispatch/types/upstreamstatement.h
@@ -2,6 +2,7 @@
 
 #include "common/types/ids.h"
 #include "common/types/instant.h"
+#include "dispatch/types/leavehint.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,9 @@
     bool isLeaving = false;
     /// For this time the upstream wants no requests from the entry daemon.
     std::optional<Duration> pause = std::nullopt;
+    LeaveHint leaveHint = LeaveHint::Unknown;
+    /// When the answered request was permitted or sent, or later.
+    Instant askedAt = {};
     auto operator==(const UpstreamStatement &) const -> bool = default;
 };
 
@@ -35,6 +39,8 @@
         Paused,
         /// The last pause of the upstream has ended.
         Resumed,
+        /// The upstream has answered, with or without a hint that it leaves.
+        Answered,
     };
 
     Kind kind = Kind::Leaving;
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -75,9 +75,11 @@
               },
               [this] { this->processPending(); })
         , evacuations(logger)
-        , upstreamWatch(wire, UpstreamWatchSettings{this->settings.upstreamHeartbeat},
-                        this->storeSender(), now, logger, this->evacuations, this->direct,
-                        [this](const auto &entries) { this->roles.onUpstreams(entries); })
+        , upstreamWatch(
+              wire,
+              UpstreamWatchSettings{this->settings.upstreamHeartbeat, this->settings.drainTime},
+              this->storeSender(), now, logger, this->evacuations, this->direct,
+              [this](const auto &entries) { this->roles.onUpstreams(entries); })
         , peerServer(loop.base(), this->settings.peerListen, now, logger, &this->memory)
         , forwarder(wire, this->peerServer, this->upstreamPool, this->statements, now,
                     [this] { this->processPending(); })
@@ -199,9 +201,9 @@
             this->orders.send(order, [this, order, incarnation, done = std::move(done)](
                                          const RangeOrderEnd &end, const OrderStatement &stated) {
                 if (incarnation) {
-                    this->roles.onStatement(
-                        UpstreamStatement{order.upstream, *incarnation, this->settings.peerListen,
-                                          RequestId{}, stated.isLeaving, stated.pause});
+                    this->roles.onStatement(UpstreamStatement{
+                        order.upstream, *incarnation, this->settings.peerListen, RequestId{},
+                        stated.isLeaving, stated.pause, stated.leaveHint});
                 }
                 done(end);
                 this->processPending();
@@ -261,13 +263,12 @@
         const auto isRecent = [moment](const std::optional<Instant> &last) {
             return last && moment - *last < directWatchTime;
         };
-        const auto isServing = this->roles.servingCount() > 0;
         const auto isGrantorMissing = isRecent(this->permits.lastNoGrantorAt());
         if (const auto due = this->roles.listingDue()) {
             this->upstreamWatch.listAnewAfter(*due);
         }
         this->isDirect = isGrantorMissing || isRecent(this->directSentAt);
-        this->upstreamWatch.advance(isServing, this->isDirect);
+        this->upstreamWatch.advance(this->roles.servingCount() > 0, this->isDirect);
         this->roles.onUpstreamsListed(this->upstreamWatch.listedAt());
         if (isGrantorMissing && moment >= this->ownersReadDue) {
             this->ownersReadDue = moment + ownersReadEvery;
@@ -317,9 +318,8 @@
                 this->flow.onPermit(result, this->now());
                 this->hasPending = true;
             }
-            for (const auto &each : this->roles.takeLeaving()) {
-                this->upstreamWatch.onLeaving(each.upstream, each.incarnation);
-            }
+            this->upstreamWatch.onStatements(this->roles.takeStatements());
+            this->upstreamWatch.onStatements(this->statements.takeHints());
             this->peers.send(this->roles.takeDatagrams());
             this->peers.send(this->grantorWatch.takeDatagrams());
             this->hasPending = this->peers.deliverOwn() || this->hasPending;
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -324,6 +324,7 @@
             end.requestLimit = fields.requestLimit;
             end.isLeaving = fields.isLeaving;
             end.pause = fields.pause;
+            end.leaveHint = fields.leaveHint;
             entry.answer = std::move(result.answer);
             entry.charge.set(requestBytes(entry) + entry.answer.head.heldBytes()
                              + entry.answer.body.size());
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -149,8 +149,8 @@
 
     [[nodiscard]] auto nextDue() const -> Instant;
     [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
-    /// @returns the statements since the last call by which upstreams leave
-    [[nodiscard]] auto takeLeaving() -> std::vector<UpstreamStatement>;
+    /// @returns what upstreams have stated since the last call: that they leave, may leave, or stay
+    [[nodiscard]] auto takeStatements() -> std::vector<UpstreamStatement>;
     [[nodiscard]] auto isLeading() const -> bool
     {
         return this->election.state() == GrantorElection::State::Leading;
@@ -230,7 +230,7 @@
     auto logHoldWait(Instant moment) -> void;
     auto refreshOwners(Instant moment) -> void;
     auto logHealth(Instant moment) -> void;
-    /// Logs what upstreams have stated, and keeps who leaves for takeLeaving().
+    /// Logs what upstreams have stated, and keeps who leaves, or may, for takeStatements().
     auto takeInChanges() -> void;
     /// Forgets upstreams that have stated that they leave, once they have ended.
     auto endLeaving() -> void;
@@ -313,7 +313,7 @@
     bool isReadingDaemons = false;
     /// Processes that have stated that they leave, by upstream.
     std::map<UpstreamId, Incarnation> leavingUpstreams;
-    std::vector<UpstreamStatement> leavingStatements;
+    std::vector<UpstreamStatement> statements;
     /// The owners last passed to the broker.
     std::vector<OwnedRange> brokerOwners;
     std::vector<PermitDatagram> datagrams;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -55,8 +55,8 @@
     auto resign() -> void;
 
     [[nodiscard]] auto takeDatagrams() -> std::vector<PermitDatagram>;
-    /// @returns the statements since the last call by which upstreams leave
-    [[nodiscard]] auto takeLeaving() -> std::vector<UpstreamStatement>;
+    /// @returns what upstreams have stated since the last call: that they leave, may leave, or stay
+    [[nodiscard]] auto takeStatements() -> std::vector<UpstreamStatement>;
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>;
     /// @returns the time after which a grantor needs a list of all upstreams; nothing where it has
     /// one, or needs none
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -218,11 +218,11 @@
     return result;
 }
 
-auto GrantorRoles::takeLeaving() -> std::vector<UpstreamStatement>
+auto GrantorRoles::takeStatements() -> std::vector<UpstreamStatement>
 {
     std::vector<UpstreamStatement> result;
     for (auto &[name, role] : this->roles) {
-        for (auto &statement : role->takeLeaving()) {
+        for (auto &statement : role->takeStatements()) {
             result.push_back(std::move(statement));
         }
     }
--- a/src/edge/internal/grantorstatements.cpp
+++ b/src/edge/internal/grantorstatements.cpp
@@ -22,6 +22,10 @@
 auto GrantorRole::takeInChanges() -> void
 {
     for (auto &change : this->broker->takeChanges()) {
+        if (change.kind == UpstreamChange::Kind::Answered) {
+            this->statements.push_back(std::move(change.statement));
+            continue;
+        }
         const auto isLeaving = change.kind == UpstreamChange::Kind::Leaving;
         const auto &statement = change.statement;
         LogLine line(isLeaving                                     ? "upstream_leaving"
@@ -39,7 +43,7 @@
         this->log(LogLevel::Info, line);
         if (isLeaving) {
             this->leavingUpstreams[statement.upstream] = statement.incarnation;
-            this->leavingStatements.push_back(std::move(change.statement));
+            this->statements.push_back(std::move(change.statement));
         }
     }
 }
@@ -60,9 +64,9 @@
     });
 }
 
-auto GrantorRole::takeLeaving() -> std::vector<UpstreamStatement>
+auto GrantorRole::takeStatements() -> std::vector<UpstreamStatement>
 {
-    return std::exchange(this->leavingStatements, {});
+    return std::exchange(this->statements, {});
 }
 
 auto GrantorRole::pausedUpstreamCount() const -> std::uint64_t
--- a/src/edge/tests/edge_tests.cpp
+++ b/src/edge/tests/edge_tests.cpp
@@ -36,9 +36,14 @@
             CHECK(directory.entries().size() == 5);
         }
     }
-    GIVEN("an entry that expired in an outage of the store")
+    const auto answer = [&directory](int number, LeaveHint hint, Instant at) {
+        const UpstreamProcess process{UpstreamId{"u" + std::to_string(number)}, Incarnation{}};
+        return directory.onLeaveHint(process, hint, at, at);
+    };
+    GIVEN("an entry that expired in an outage of the store, of an upstream that answers")
     {
         const UpstreamReading reading{start, start - seconds{1}, start};
+        answer(6, LeaveHint::Stays, start);
         directory.update(entries({1, 2, 3, 4, 5}), reading, start);
         CHECK(directory.entries().size() == 6);
         THEN("it is kept if it appears again in time")
@@ -49,11 +54,24 @@
         }
         THEN("it is dropped if it doesn't appear again in time")
         {
+            answer(6, LeaveHint::Stays, start + seconds{1});
             directory.advance(start + seconds{2});
             CHECK(directory.entries().size() == 6);
             directory.advance(start + seconds{3});
             CHECK(directory.entries().size() == 5);
         }
+        THEN("it is dropped some time after its last answer")
+        {
+            directory.advance(start + milliseconds{1590});
+            CHECK(directory.entries().size() == 6);
+            directory.advance(start + milliseconds{1600});
+            CHECK(directory.entries().size() == 5);
+        }
+        THEN("it is dropped at once if an answer hints that it leaves")
+        {
+            CHECK(answer(6, LeaveHint::MayLeave, start + milliseconds{100}));
+            CHECK(directory.entries().size() == 5);
+        }
         THEN("it is dropped at once if another upstream has its address")
         {
             auto next = entries({1, 2, 3, 4, 5, 7});
@@ -77,6 +95,42 @@
             CHECK(after.entries().size() == 5);
         }
     }
+    GIVEN("answers that hint that an upstream leaves, while the store isn't reached")
+    {
+        directory.confirm(start);
+        const auto isDraining = [&directory] { return directory.entries().front().isDraining; };
+        CHECK_FALSE(answer(1, LeaveHint::MayLeave, start + milliseconds{500}));
+        THEN("it gets no requests some time after it was last known to stay")
+        {
+            CHECK(directory.nextDue() == start + milliseconds{1600});
+            directory.advance(start + milliseconds{1600});
+            CHECK(isDraining());
+            AND_THEN("a later answer without a hint ends that")
+            {
+                CHECK(answer(1, LeaveHint::Stays, start + seconds{2}));
+                CHECK_FALSE(isDraining());
+            }
+            AND_THEN("a later list of the store ends that")
+            {
+                CHECK(directory.confirm(start + seconds{2}));
+                CHECK_FALSE(isDraining());
+            }
+        }
+        THEN("an answer to an earlier request refutes nothing")
+        {
+            directory.onLeaveHint(UpstreamProcess{UpstreamId{"u1"}, Incarnation{}},
+                                  LeaveHint::Stays, start + milliseconds{400},
+                                  start + milliseconds{600});
+            directory.advance(start + milliseconds{1600});
+            CHECK(isDraining());
+        }
+        THEN("an answer before it was due to be held refutes it")
+        {
+            answer(1, LeaveHint::Stays, start + seconds{1});
+            directory.advance(start + seconds{10});
+            CHECK_FALSE(isDraining());
+        }
+    }
     GIVEN("half of the entries missing at once")
     {
         directory.update(entries({1, 2, 3}), UpstreamReading{}, start);
@@ -99,6 +153,7 @@
     GIVEN("an entry that is missed some time after the outage has ended")
     {
         const UpstreamReading reading{start, start - seconds{2}, start - seconds{2}};
+        answer(6, LeaveHint::Stays, start);
         directory.update(entries({1, 2, 3, 4, 5}), reading, start);
         CHECK(directory.entries().size() == 6);
         THEN("the time to register again counts from the end of the outage")
--- a/src/edge/tests/leaving_tests.cpp
+++ b/src/edge/tests/leaving_tests.cpp
@@ -235,3 +235,80 @@
         CHECK(cell.leftUpstreamsInUse(drainTime) == 0);
     }
 }
+
+// Guards against an upstream that has left while the store refused the grantor for so long that
+// entries might have expired in an outage.
+SCENARIO(
+    "UpstreamWatch: given a store that refuses the grantor for seconds, an upstream that leaves "
+    "meanwhile isn't used any more within the time allowed",
+    "[edge][leaves][longrefusal]")
+{
+    constexpr Duration drainTime = seconds{2};
+    for (const auto refusalMs : {1600, 2000, 3000}) {
+        for (const auto leaveMs : {100, 600, 1200}) {
+            for (const auto offsetMs : offsetsMs) {
+                LeavingCell cell{daemonCount, stayingCount};
+                cell.run(seconds{5} + milliseconds{offsetMs});
+                REQUIRE(cell.hasGrantor());
+                cell.refuseGrantor(milliseconds{refusalMs});
+                cell.run(milliseconds{leaveMs});
+                cell.leave(0, LeaveKind::Removed);
+                cell.run(drainTime + milliseconds{10});
+                INFO("refused for " << refusalMs << " ms, left after " << leaveMs << " ms, offset "
+                                    << offsetMs);
+                CHECK(cell.leftUpstreamsInUse(drainTime) == 0);
+                cell.run(seconds{3});
+                CHECK(cell.longestUseAfterLeave() <= drainTime);
+            }
+        }
+    }
+}
+
+// Guards against several upstreams that leave together while the store refuses their grantor, and
+// are taken for ones whose entries have expired.
+SCENARIO(
+    "UpstreamWatch: given a store that refuses the grantor for 2 s, upstreams that leave together "
+    "meanwhile aren't used any more within the time allowed",
+    "[edge][leaves][longrefusal]")
+{
+    constexpr Duration drainTime = seconds{2};
+    for (const auto offsetMs : offsetsMs) {
+        LeavingCell cell{daemonCount, stayingCount};
+        cell.run(seconds{5} + milliseconds{offsetMs});
+        REQUIRE(cell.hasGrantor());
+        cell.refuseGrantor(seconds{2});
+        cell.run(milliseconds{100});
+        for (auto number = 0; number < stayingCount / 2; ++number) {
+            cell.leave(number, LeaveKind::Removed);
+        }
+        cell.run(drainTime + milliseconds{10});
+        CHECK(cell.leftUpstreamsInUse(drainTime) == 0);
+        cell.run(seconds{3});
+        CHECK(cell.longestUseAfterLeave() <= drainTime);
+    }
+}
+
+// Guards against live upstreams that are dropped after an outage in which only some entries expire.
+SCENARIO(
+    "UpstreamWatch: given a few entries that have expired in an outage, their upstreams are kept "
+    "while they answer",
+    "[edge][leaves][longrefusal]")
+{
+    LeavingCell cell{daemonCount, stayingCount};
+    cell.run(seconds{5});
+    REQUIRE(cell.hasGrantor());
+    cell.store.areLeasesPaused = true;
+    cell.stopStore();
+    cell.run(seconds{1});
+    cell.loseEntry(0, milliseconds{2500});
+    cell.loseEntry(1, milliseconds{2500});
+    cell.run(seconds{1});
+    cell.startStore();
+    cell.resetCounts();
+    cell.run(milliseconds{1400});
+    CHECK(cell.isGrantorUsing(0));
+    CHECK(cell.isGrantorUsing(1));
+    cell.run(seconds{2});
+    CHECK(cell.unsentCount() == 0);
+    CHECK(cell.isGrantorUsing(0));
+}
--- a/src/edge/tests/leavingcell.cpp
+++ b/src/edge/tests/leavingcell.cpp
@@ -1,6 +1,7 @@
 #include "edge/tests/leavingcell.h"
 
 #include "edge/grantorwatch.h"
+#include "edge/tests/textwire.h"
 
 #include <algorithm>
 
@@ -18,8 +19,8 @@
 constexpr Duration heartbeat = milliseconds{870};
 constexpr Duration answerTime = milliseconds{50};
 constexpr Duration directWatchTime = std::chrono::seconds{3};
-const ServiceName service{"service"};
-const std::string prefix = "upstreams/";
+const std::string prefix = TextWire::upstreamPrefix();
+const ServiceName service = TextWire::service();
 
 auto daemonAddress(std::size_t index) -> Address
 {
@@ -31,49 +32,6 @@
     return UpstreamId{"u" + std::to_string(number)};
 }
 
-/// Keeps the state of an upstream as the entry's value.
-struct TextWire
-{
-    static auto storeCall(const StoreCall &) -> WireCall { return {}; }
-    static auto storeAnswer(const StoreCall &, const WholeMessage &) -> StoreAnswer { return {}; }
-    static auto configurationKey() -> std::string { return "configuration"; }
-    static auto operatorPrefix() -> std::string { return "operators/"; }
-    static auto isEvacuationKey(const std::string &) -> bool { return false; }
-    static auto evacuatedDomain(const StoreItem &) -> std::optional<FailureDomain> { return {}; }
-    static auto configuration(const std::string &) -> std::optional<RouteConfiguration>
-    {
-        return {};
-    }
-    static auto upstreamPrefix() -> std::string { return prefix; }
-    static auto upstreamEntry(const StoreItem &item) -> std::optional<UpstreamEntry>
-    {
-        UpstreamEntry entry;
-        entry.id = UpstreamId{item.key.substr(prefix.size())};
-        entry.service = service;
-        entry.address = Address{entry.id.value + ":80"};
-        entry.slots = 3;
-        entry.isDraining = item.value == "draining";
-        return entry;
-    }
-    static auto order(const RangeOrder &) -> WireCall { return {}; }
-    static auto orderEnd(const RangeOrder &, const WholeMessage &) -> RangeOrderEnd { return {}; }
-    static auto orderStatement(const MessageHead &) -> OrderStatement { return {}; }
-    static auto doReleasesRaiseFences() -> bool { return true; }
-    static auto callerFields(const MessageHead &) -> CallerFields { return {}; }
-    static auto attemptHeaders(const UpstreamId &, Duration) -> std::vector<HttpHeader>
-    {
-        return {};
-    }
-    static auto targetHeaders(const UpstreamId &) -> std::vector<HttpHeader> { return {}; }
-    static auto answerFields(const MessageHead &, bool) -> AnswerFields { return {}; }
-    static auto echoHeader() -> std::string { return {}; }
-    static auto refusalHeaders(const RequestId &, std::optional<Duration>)
-        -> std::vector<HttpHeader>
-    {
-        return {};
-    }
-};
-
 } // namespace
 
 struct LeavingCell::Daemon
@@ -173,6 +131,7 @@
     {
         this->grantors.advance();
         this->roles.advance();
+        this->upstreams.onStatements(this->roles.takeStatements());
         const auto isRecent = [now](const std::optional<Instant> &last) {
             return last && now - *last < directWatchTime;
         };
@@ -301,6 +260,17 @@
     }
 }
 
+auto LeavingCell::isGrantorUsing(int upstream) const -> bool
+{
+    return std::any_of(this->daemons.begin(), this->daemons.end(), [&](const auto &row) {
+        const auto &entries = row.second->entries;
+        return row.second->roles.servingCount() > 0
+               && std::any_of(entries.begin(), entries.end(), [&](const auto &entry) {
+                      return entry.id == upstreamId(upstream) && !entry.isDraining;
+                  });
+    });
+}
+
 auto LeavingCell::resignGrantor() -> void
 {
     for (const auto &[index, daemon] : this->daemons) {
@@ -414,6 +384,7 @@
             if (each.endsAt > now) {
                 return false;
             }
+            const auto hint = this->hasLeft(each.upstream) ? LeaveHint::MayLeave : LeaveHint::Stays;
             if (each.permit) {
                 PermitReport report;
                 report.id = *each.permit;
@@ -421,23 +392,35 @@
                 report.upstream = each.upstream;
                 report.end = AttemptEnd::Answered;
                 report.latency = answerTime;
+                report.leaveHint = hint;
                 daemon->permits.report(report);
             } else {
                 daemon->direct.onEnd(each.upstream, AttemptEnd::Answered, now);
+                UpstreamStatement answer;
+                answer.upstream = each.upstream;
+                answer.leaveHint = hint;
+                answer.askedAt = now - answerTime;
+                daemon->upstreams.onStatements({answer});
             }
             return true;
         });
     }
 }
 
+auto LeavingCell::hasLeft(const UpstreamId &upstream) const -> bool
+{
+    const auto leave = this->leaves.find(upstream);
+    return leave != this->leaves.end() && leave->second.acknowledgedAt;
+}
+
 auto LeavingCell::onSent(std::size_t daemon, const UpstreamId &upstream, bool isDirect) -> void
 {
     ++this->sent;
     this->directlySent += isDirect ? 1 : 0;
-    const auto leave = this->leaves.find(upstream);
-    if (leave == this->leaves.end() || !leave->second.acknowledgedAt) {
+    if (!this->hasLeft(upstream)) {
         return;
     }
+    const auto leave = this->leaves.find(upstream);
     const auto use = this->store.now() - *leave->second.acknowledgedAt
                      - (this->storeAwayTime - leave->second.awayBefore);
     if (use > this->longestUse) {
--- a/src/edge/tests/leavingcell.h
+++ b/src/edge/tests/leavingcell.h
@@ -69,6 +69,8 @@
     /// @returns how many upstreams the grantor would use, at least as a last resort, although they
     /// left more than `since` ago
     [[nodiscard]] auto leftUpstreamsInUse(Duration since) const -> int;
+    /// @returns whether the grantor would send requests to the upstream
+    [[nodiscard]] auto isGrantorUsing(int upstream) const -> bool;
     auto resetCounts() -> void;
 
     FakeStore store;
@@ -89,6 +91,8 @@
     auto sendRequests() -> void;
     auto deliverDatagrams() -> void;
     auto onSent(std::size_t daemon, const UpstreamId &upstream, bool isDirect) -> void;
+    /// @returns whether the store has acknowledged that the upstream leaves; its answers hint at it
+    [[nodiscard]] auto hasLeft(const UpstreamId &upstream) const -> bool;
     [[nodiscard]] auto isStoreAway() const -> bool;
 
     std::map<std::size_t, std::unique_ptr<Daemon>> daemons;
--- a/src/edge/tests/statementfleet.cpp
+++ b/src/edge/tests/statementfleet.cpp
@@ -153,8 +153,9 @@
     this->deliver();
     this->grantor->watch.advance();
     this->grantor->roles.advance();
-    for (const auto &each : this->grantor->roles.takeLeaving()) {
-        if (this->directory.setLeaving(each.upstream, each.incarnation, this->store.now())) {
+    for (const auto &each : this->grantor->roles.takeStatements()) {
+        if (each.isLeaving
+            && this->directory.setLeaving(each.upstream, each.incarnation, this->store.now())) {
             this->grantor->roles.onUpstreams(this->directory.entries());
         }
     }
--- a/src/edge/types/wiretypes.h
+++ b/src/edge/types/wiretypes.h
@@ -33,6 +33,7 @@
     bool isLeaving = false;
     /// Rejections only: for this time the upstream wants no requests from this daemon.
     std::optional<Duration> pause = std::nullopt;
+    LeaveHint leaveHint = LeaveHint::Unknown;
     auto operator==(const AnswerFields &) const -> bool = default;
 };
 
@@ -43,6 +44,7 @@
     bool isLeaving = false;
     /// For this time the upstream wants no requests from this daemon.
     std::optional<Duration> pause = std::nullopt;
+    LeaveHint leaveHint = LeaveHint::Unknown;
     auto operator==(const OrderStatement &) const -> bool = default;
 };
 
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "dispatch/types/leavehint.h"
 #include "dispatch/types/upstreamentry.h"
+#include "dispatch/types/upstreamprocess.h"
 
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace gooseberrywall {
@@ -20,6 +21,8 @@
     /// An upstream that has drained is remembered for this long after it was last known, as a
     /// restored store may show it as ready once more.
     Duration drainedRetention = std::chrono::seconds{60};
+    /// An upstream that may have left is used for this long after it was last known to stay.
+    Duration useAfterLastStay = std::chrono::milliseconds{1600};
     auto operator==(const UpstreamDirectorySettings &) const -> bool = default;
 };
 
@@ -32,12 +35,19 @@
     /// expired, and when it was back.
     Instant storeFailedAt;
     Instant storeBackAt;
+    /// Up to when the store has confirmed the entries.
+    Instant confirmedAt = {};
     auto operator==(const UpstreamReading &) const -> bool = default;
 };
 
 /// Keeps the entries of live upstreams. Entries that have disappeared in an outage of the store are
 /// kept for as long as live upstreams need to register again. An entry that was listed after the
 /// outage and disappears then is that of an upstream that has left.
+///
+/// A daemon that the store refuses can't tell this from an outage. So answers count as well: an
+/// upstream that leaves hints at it with each answer. A hint that neither a later answer nor the
+/// store has refuted, or a missing entry while most others are present, lets the upstream be used
+/// for a limited time after it was last known to stay.
 class UpstreamDirectory
 {
 public:
@@ -50,6 +60,14 @@
     /// now on, whatever the store shows.
     /// @returns whether entries() has changed
     auto setLeaving(const UpstreamId &upstream, Incarnation incarnation, Instant now) -> bool;
+    /// Takes in whether an answer hints that its upstream leaves.
+    /// @param askedAt when the answered request was permitted or sent
+    /// @returns whether entries() has changed
+    auto onLeaveHint(const UpstreamProcess &process, LeaveHint hint, Instant askedAt, Instant now)
+        -> bool;
+    /// Takes in that the store has shown all entries that aren't missing up to this time.
+    /// @returns whether entries() has changed
+    auto confirm(Instant at) -> bool;
     /// Forgets all entries, as changes from now on aren't known: those that are missing later have
     /// left. Processes that have started to drain are remembered.
     auto forget() -> void { this->known.clear(); }
@@ -70,19 +88,33 @@
         Instant listedAt;
         /// When an entry that is missing from the store is dropped; empty where it isn't missing.
         std::optional<Instant> dropAt;
+        /// An answer has last shown then that the upstream stays; for a missing entry also the
+        /// store.
+        Instant staysAt = {};
+        /// When an answer first hinted that the upstream leaves, if nothing has refuted it since.
+        std::optional<Instant> hintedAt = {};
+        /// Missing while most other entries aren't: the upstream has rather left.
+        bool isDoubtful = false;
+        /// It gets no requests, because of the hint.
+        bool isHeld = false;
     };
 
-    /// One of the successive processes with an upstream's id.
-    using Process = std::pair<UpstreamId, Incarnation>;
+    /// @returns when the upstream was last known to stay
+    [[nodiscard]] auto lastStay(const Known &each) const -> Instant;
+    /// @returns when the entry is dropped; empty where it isn't missing
+    [[nodiscard]] auto dropDue(const Known &each) const -> std::optional<Instant>;
+    /// @returns when the upstream gets no requests any more because of a hint
+    [[nodiscard]] auto holdDue(const Known &each) const -> std::optional<Instant>;
 
     /// Marks the entry as draining if its process has started to drain before.
     auto markDrained(UpstreamEntry &entry, Instant now) -> void;
 
     UpstreamDirectorySettings settings;
+    Instant confirmedAt{};
     std::map<UpstreamId, Known> known;
     /// Processes that have started to drain, and when they were last known; they are never ready
     /// again.
-    std::map<Process, Instant> drained;
+    std::map<UpstreamProcess, Instant> drained;
 };
 
 } // namespace gooseberrywall
--- a/src/edge/upstreamentrylog.h
+++ b/src/edge/upstreamentrylog.h
@@ -14,7 +14,7 @@
 /// How a daemon has learned of a change of the upstreams' entries.
 struct UpstreamEntryOrigin
 {
-    /// "list", "watch", "statement", "evacuation" or "time".
+    /// "list", "watch", "confirmation", "statement", "answer", "evacuation" or "time".
     std::string_view cause;
     /// The last one of the store that the daemon has read.
     StoreRevision revision;
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -26,6 +26,8 @@
 {
     /// How often upstreams renew their entries, which expire after three times this; zero: unknown.
     Duration heartbeat{0};
+    /// For how long an upstream that has left may get requests.
+    Duration drainTime{std::chrono::seconds{2}};
     auto operator==(const UpstreamWatchSettings &) const -> bool = default;
 };
 
@@ -52,7 +54,7 @@
         , evacuations(evacuations)
         , direct(direct)
         , onEntries(std::move(onEntries))
-        , directory(UpstreamDirectorySettings{})
+        , directory(directorySettings(settings))
         , absence(shortestExpiry(settings.heartbeat))
     {
     }
@@ -79,11 +81,18 @@
         }
     }
 
-    /// Takes in that an upstream has stated that it is about to stop.
-    auto onLeaving(const UpstreamId &upstream, Incarnation incarnation) -> void
+    /// Takes in which upstreams have stated that they are about to stop, or have answered.
+    auto onStatements(const std::vector<UpstreamStatement> &statements) -> void
     {
-        if (this->directory.setLeaving(upstream, incarnation, this->now())) {
-            this->publish("statement");
+        for (const auto &each : statements) {
+            if (each.isLeaving
+                && this->directory.setLeaving(each.upstream, each.incarnation, this->now())) {
+                this->publish("statement");
+            }
+            if (this->directory.onLeaveHint(UpstreamProcess{each.upstream, each.incarnation},
+                                            each.leaveHint, each.askedAt, this->now())) {
+                this->publish("answer");
+            }
         }
     }
 
@@ -157,6 +166,9 @@
             if (this->view->readStartedAt() > this->takenInReadAt) {
                 this->onItems(this->view->items());
             }
+            if (this->directory.confirm(this->view->confirmedAt())) {
+                this->publish("confirmation");
+            }
             // While the store doesn't answer, it can't have published a change to anybody, so the
             // entries known before are as good as any.
             const auto isOverdue = this->now() - this->viewStartedAt > readTimeout;
@@ -229,6 +241,18 @@
     /// time.
     static constexpr Duration directGatherPause = std::chrono::milliseconds{600};
 
+    /// Requests to an upstream that may have left stop this long before the end of its drain time,
+    /// as they are on their way for a while.
+    static constexpr Duration drainMargin = std::chrono::milliseconds{400};
+
+    [[nodiscard]] static auto directorySettings(const UpstreamWatchSettings &settings)
+        -> UpstreamDirectorySettings
+    {
+        UpstreamDirectorySettings result;
+        result.useAfterLastStay = std::max(Duration{0}, settings.drainTime - drainMargin);
+        return result;
+    }
+
     /// @returns the shortest absence of the store in which an entry can expire that is up to one
     ///          heartbeat old when it begins; a quarter of one is for heartbeats that come late
     [[nodiscard]] static auto shortestExpiry(Duration heartbeat) -> Duration
@@ -252,9 +276,10 @@
             }
         }
         const auto listedAt = this->view->readStartedAt();
-        this->directory.update(
-            entries, UpstreamReading{listedAt, this->absence.failedAt(), this->absence.backAt()},
-            this->now());
+        this->directory.update(entries,
+                               UpstreamReading{listedAt, this->absence.failedAt(),
+                                               this->absence.backAt(), this->view->confirmedAt()},
+                               this->now());
         const auto isRead = std::exchange(this->takenInReadAt, listedAt) != listedAt;
         this->publish(isRead ? "list" : "watch");
         this->allListedAt = this->viewStartedAt;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -303,6 +303,7 @@
         report.requestLimit = end.requestLimit;
         report.isLeaving = end.isLeaving;
         report.pause = end.pause;
+        report.leaveHint = end.leaveHint;
         report.forwarder = flow.forwarder;
         this->permits.report(report);
         flow.permit.reset();
--- a/src/entry/internal/requestflowholds.cpp
+++ b/src/entry/internal/requestflowholds.cpp
@@ -98,6 +98,7 @@
     attempt.isAnswered = isAnswer(end.end);
     attempt.isLeaving = end.isLeaving;
     attempt.pause = end.pause;
+    attempt.leaveHint = end.leaveHint;
     this->statements.onAttemptEnd(attempt, now);
     this->logStatements();
 }
--- a/src/entry/internal/upstreamstatements.cpp
+++ b/src/entry/internal/upstreamstatements.cpp
@@ -50,6 +50,14 @@
 
 auto UpstreamStatements::onAttemptEnd(const AttemptStatement &attempt, Instant now) -> void
 {
+    if (attempt.leaveHint != LeaveHint::Unknown) {
+        UpstreamStatement hint;
+        hint.upstream = attempt.upstream;
+        hint.incarnation = attempt.incarnation;
+        hint.leaveHint = attempt.leaveHint;
+        hint.askedAt = attempt.sentAt;
+        this->hints.push_back(std::move(hint));
+    }
     const auto isPause = attempt.pause && *attempt.pause > Duration{0};
     if (!attempt.isLeaving && !isPause) {
         if (const auto found = this->records.find(attempt.upstream); found != this->records.end()) {
@@ -212,6 +220,11 @@
     return std::exchange(this->changes, {});
 }
 
+auto UpstreamStatements::takeHints() -> std::vector<UpstreamStatement>
+{
+    return std::exchange(this->hints, {});
+}
+
 auto UpstreamStatements::leavingCount() const -> std::size_t
 {
     return static_cast<std::size_t>(
--- a/src/entry/types/flowmessages.h
+++ b/src/entry/types/flowmessages.h
@@ -82,6 +82,7 @@
     bool isLeaving = false;
     /// Rejections only: for this time the upstream wants no requests from this daemon.
     std::optional<Duration> pause = std::nullopt;
+    LeaveHint leaveHint = LeaveHint::Unknown;
     auto operator==(const FlowAttemptEnd &) const -> bool = default;
 };
 
--- a/src/entry/types/statementmessages.h
+++ b/src/entry/types/statementmessages.h
@@ -3,6 +3,7 @@
 #include "common/types/ids.h"
 #include "common/types/instant.h"
 #include "common/types/reason.h"
+#include "dispatch/types/leavehint.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,7 @@
     bool isLeaving = false;
     /// For this time the upstream wants no requests from this daemon.
     std::optional<Duration> pause;
+    LeaveHint leaveHint = LeaveHint::Unknown;
     auto operator==(const AttemptStatement &) const -> bool = default;
 };
 
--- a/src/entry/upstreamstatements.h
+++ b/src/entry/upstreamstatements.h
@@ -2,6 +2,7 @@
 
 #include "common/types/ids.h"
 #include "common/types/instant.h"
+#include "dispatch/types/upstreamstatement.h"
 #include "entry/types/statementmessages.h"
 
 #include <cstddef>
@@ -51,6 +52,8 @@
 
     /// @returns the changes since the last call
     [[nodiscard]] auto takeChanges() -> std::vector<StatementChange>;
+    /// @returns the answers since the last call that tell whether an upstream may leave
+    [[nodiscard]] auto takeHints() -> std::vector<UpstreamStatement>;
     /// @returns how many upstreams are known to leave
     [[nodiscard]] auto leavingCount() const -> std::size_t;
     /// @returns how many upstreams want no requests at present
@@ -102,6 +105,7 @@
     UpstreamStatementSettings settings;
     std::map<UpstreamId, Record> records;
     std::vector<StatementChange> changes;
+    std::vector<UpstreamStatement> hints;
     Instant sweepDue{};
 };
 
--- a/src/permitlink/internal/permitcodec.cpp
+++ b/src/permitlink/internal/permitcodec.cpp
@@ -126,6 +126,7 @@
     out.setHasPause(report.pause.has_value());
     out.setPause(report.pause.value_or(Duration{0}).count());
     out.setForwarder(report.forwarder.value);
+    out.setLeaveHint(static_cast<std::uint8_t>(report.leaveHint));
 }
 
 auto write(permitwire::Message::Builder builder, const PermitCancel &cancel) -> void
@@ -264,6 +265,10 @@
         report.pause = durationOf(in.getPause());
     }
     report.forwarder.value = textOf(in.getForwarder());
+    // A later build may know further hints.
+    if (in.getLeaveHint() <= static_cast<std::uint8_t>(LeaveHint::MayLeave)) {
+        report.leaveHint = static_cast<LeaveHint>(in.getLeaveHint());
+    }
     return report;
 }
 
--- a/src/permitlink/schema/permit.capnp
+++ b/src/permitlink/schema/permit.capnp
@@ -57,6 +57,8 @@
   forwarder @14 :Text;
   # How many times as long as usual work takes at the upstream; 0: unknown.
   slowdown @15 :Float64;
+  # Whether the answer hints that the upstream leaves; 0: unknown.
+  leaveHint @16 :UInt8;
 }
 
 struct Cancel { id @0 :PermitId; service @1 :Text; }
--- a/src/permitlink/schema/permit.capnp.h
+++ b/src/permitlink/schema/permit.capnp.h
@@ -643,6 +643,8 @@
 
   inline double getSlowdown() const;
 
+  inline  ::uint8_t getLeaveHint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -735,6 +737,9 @@
   inline double getSlowdown();
   inline void setSlowdown(double value);
 
+  inline  ::uint8_t getLeaveHint();
+  inline void setLeaveHint( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2265,6 +2270,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Report::Reader::getLeaveHint() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Report::Builder::getLeaveHint() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setLeaveHint( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Cancel::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/permitlink/tests/permitcodec_tests.cpp
+++ b/src/permitlink/tests/permitcodec_tests.cpp
@@ -136,7 +136,10 @@
     report.isLeaving = true;
     report.pause = std::chrono::milliseconds{700};
     report.forwarder = Address{"10.0.0.3:7000"};
-    CHECK(roundTrip(report, sender, self) == PermitMessage{report});
+    for (const auto hint : {LeaveHint::Unknown, LeaveHint::Stays, LeaveHint::MayLeave}) {
+        report.leaveHint = hint;
+        CHECK(roundTrip(report, sender, self) == PermitMessage{report});
+    }
 
     report.requestLimit = RequestLimit{};
     CHECK(roundTrip(report, sender, self) == PermitMessage{report});
