UpstreamWatch publishes once for all statements; comments of the hints

Cause: each answer that changed an entry published the whole list by itself, and two comments left open what a closed connection means. No change of behaviour but fewer publications. edge_tests and dispatch_tests pass as before.

--- a/src/dispatch/internal/slotbrokerstatements.cpp
+++ b/src/dispatch/internal/slotbrokerstatements.cpp
@@ -53,9 +53,10 @@
                         Instant grantedAt, Instant now) -> void
 {
     if (statement.leaveHint != LeaveHint::Unknown) {
-        auto &change = this->changes.emplace_back();
-        change = UpstreamChange{UpstreamChange::Kind::Answered, statement};
-        change.statement.askedAt = grantedAt;
+        auto answered = statement;
+        answered.askedAt = grantedAt;
+        this->changes.push_back(
+            UpstreamChange{UpstreamChange::Kind::Answered, std::move(answered)});
     }
     const auto isPausing = statement.pause && *statement.pause > Duration{0};
     if (!statement.isLeaving && !isPausing) {
--- a/src/dispatch/types/leavehint.h
+++ b/src/dispatch/types/leavehint.h
@@ -9,7 +9,9 @@
 enum class LeaveHint : std::uint8_t {
     /// There was no answer, or the daemon that got it doesn't tell.
     Unknown,
+    /// The connection is kept open: the upstream didn't leave when it answered.
     Stays,
+    /// The connection is closed after the answer.
     MayLeave,
 };
 
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -61,7 +61,8 @@
     /// @returns whether entries() has changed
     auto setLeaving(const UpstreamId &upstream, Incarnation incarnation, Instant now) -> bool;
     /// Takes in whether an answer hints that its upstream leaves.
-    /// @param askedAt when the answered request was permitted or sent
+    /// @param askedAt when the answered request was permitted or sent: an answer to a request from
+    ///        before a hint may be older than the hint, and doesn't refute it
     /// @returns whether entries() has changed
     auto onLeaveHint(const UpstreamProcess &process, LeaveHint hint, Instant askedAt, Instant now)
         -> bool;
@@ -110,6 +111,7 @@
     auto markDrained(UpstreamEntry &entry, Instant now) -> void;
 
     UpstreamDirectorySettings settings;
+    /// The store has last shown all entries that aren't missing.
     Instant confirmedAt{};
     std::map<UpstreamId, Known> known;
     /// Processes that have started to drain, and when they were last known; they are never ready
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -84,15 +84,19 @@
     /// Takes in which upstreams have stated that they are about to stop, or have answered.
     auto onStatements(const std::vector<UpstreamStatement> &statements) -> void
     {
+        auto hasLeaving = false;
+        auto hasHint = false;
         for (const auto &each : statements) {
-            if (each.isLeaving
-                && this->directory.setLeaving(each.upstream, each.incarnation, this->now())) {
-                this->publish("statement");
-            }
-            if (this->directory.onLeaveHint(UpstreamProcess{each.upstream, each.incarnation},
-                                            each.leaveHint, each.askedAt, this->now())) {
-                this->publish("answer");
-            }
+            hasLeaving =
+                (each.isLeaving
+                 && this->directory.setLeaving(each.upstream, each.incarnation, this->now()))
+                || hasLeaving;
+            hasHint = this->directory.onLeaveHint(UpstreamProcess{each.upstream, each.incarnation},
+                                                  each.leaveHint, each.askedAt, this->now())
+                      || hasHint;
+        }
+        if (hasLeaving || hasHint) {
+            this->publish(hasLeaving ? "statement" : "answer");
         }
     }
 
