A grantor that hasn't called the store isn't cut off

Cause: a grantor whose last answered call was 850 ms older than another grantor's took itself for cut off, also where it hadn't run and so hadn't called. Since grantors announce evidence that is milliseconds old, a pause of less than a second is enough. Tests: ConfigurationRelay 'this daemon hasn't run for a second' (the condition before held there: 1,295 ms of lag where 850 are enough), StoreContacts.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -4,6 +4,7 @@
 #include "edge/grantorrole.h"
 #include "edge/wireadapter.h"
 #include "http1/messagewriter.h"
+#include "storelink/storecontacts.h"
 #include "streams/outboundpool.h"
 
 #include <functional>
@@ -37,19 +38,25 @@
         request.address = this->store;
         request.timeout = timeout;
         request.text = callText(message, this->store, {});
-        this->pool.send(std::move(request), [this, call, done = std::move(done),
+        // Watches wait, so their silence tells nothing.
+        const auto isAnsweredAtOnce = !std::holds_alternative<StoreWatch>(call);
+        if (isAnsweredAtOnce) {
+            this->contacts.onSent(this->now());
+        }
+        this->pool.send(std::move(request), [this, call, isAnsweredAtOnce, done = std::move(done),
                                              sentAt = this->now()](const OutboundResult &result) {
             const auto answer = this->answerOf(call, result);
-            if (!isFailure(answer.kind) && !std::holds_alternative<StoreWatch>(call)) {
-                this->contactAt = std::max(this->contactAt, sentAt);
+            if (isAnsweredAtOnce) {
+                this->contacts.onEnd(!isFailure(answer.kind), sentAt);
             }
             done(answer);
         });
     }
 
-    /// @returns when the last call was sent that the store has answered; watches don't count, as
-    /// they wait
-    [[nodiscard]] auto lastContactAt() const -> Instant { return this->contactAt; }
+    [[nodiscard]] auto contact() const -> StoreContact
+    {
+        return this->contacts.contact(this->now());
+    }
     /// @returns the highest era that the store has named; zero where it hasn't named any
     [[nodiscard]] auto currentEra() const -> std::uint64_t { return this->era.value_or(0); }
     [[nodiscard]] auto callCount() const -> std::uint64_t { return this->calls; }
@@ -122,7 +129,7 @@
     Address store;
     std::function<Instant()> now;
     Logger &logger;
-    Instant contactAt{};
+    StoreContacts contacts;
     std::optional<Instant> outageSince;
     /// The highest era that the store has named.
     std::optional<std::uint64_t> era;
--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -5,6 +5,7 @@
 #include "edge/types/configurationconfirmation.h"
 #include "permitlink/permitmessages.h"
 #include "storelink/types/storecalls.h"
+#include "storelink/types/storecontact.h"
 
 #include <map>
 #include <optional>
@@ -64,10 +65,11 @@
         return this->evacuationsConfirmedAt
                && now - *this->evacuationsConfirmedAt < this->settings.confirmationTimeout;
     }
-    /// @param ownContact when this daemon last reached the store
+    /// @param own this daemon's contact to the store
     /// @returns whether this daemon, a grantor, can't reach the store while another grantor can:
-    /// what it knows of upstreams is out of date then
-    [[nodiscard]] auto isCutOff(Instant ownContact, Instant now) const -> bool;
+    /// what it knows of upstreams is out of date then. One that hasn't called, as it didn't run, is
+    /// slow and not cut off.
+    [[nodiscard]] auto isCutOff(const StoreContact &own, Instant now) const -> bool;
     /// @param own address of this daemon, a grantor
     /// @returns when a grantor with a lower address last knew that the configuration which this
     /// daemon has is the newest; Instant{} where none has. Such news pass from lower to higher
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -101,9 +101,9 @@
     }
     /// @param storeContact when a call to the store was sent that was answered
     /// @returns whether this daemon can't reach the store while a grantor can
-    [[nodiscard]] auto isCutOff(Instant storeContact) const -> bool
+    [[nodiscard]] auto isCutOff(const StoreContact &own) const -> bool
     {
-        return this->relay.isCutOff(storeContact, this->now());
+        return this->relay.isCutOff(own, this->now());
     }
     /// @returns how many configurations were fetched from other daemons
     [[nodiscard]] auto fetchCount() const -> std::uint64_t { return this->fetches; }
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -335,7 +335,7 @@
         const auto moment = this->now();
         this->configurationSource.advance(this->roles.servingCount() > 0, this->isDirect);
         this->grantorWatch.advance();
-        this->roles.setCutOff(this->configurationSource.isCutOff(this->store.lastContactAt()));
+        this->roles.setCutOff(this->configurationSource.isCutOff(this->store.contact()));
         this->links.advance();
         this->roles.setUpstreamsReached(!this->links.isIsolated());
         if (this->configurationSource.takeConfirmation()) {
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -112,10 +112,10 @@
     return !isConfirmed || isFetchFailing;
 }
 
-auto ConfigurationRelay::isCutOff(Instant ownContact, Instant now) const -> bool
+auto ConfigurationRelay::isCutOff(const StoreContact &own, Instant now) const -> bool
 {
-    return this->confirmed && now - ownContact >= this->settings.cutOffLag
-           && this->confirmed->at - ownContact >= this->settings.cutOffLag;
+    return own.isUnanswered && this->confirmed && now - own.lastAt >= this->settings.cutOffLag
+           && this->confirmed->at - own.lastAt >= this->settings.cutOffLag;
 }
 
 auto ConfigurationRelay::checkedAt(const Address &own) const -> Instant
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -105,8 +105,17 @@
         relay.onAnnouncement(first, announcement(7, milliseconds{100}), start + milliseconds{1000});
         THEN("it is cut off, well before the others would have to stop using its list of upstreams")
         {
-            CHECK_FALSE(relay.isCutOff(start + milliseconds{500}, start + milliseconds{1000}));
-            CHECK(relay.isCutOff(ownContact, start + milliseconds{1000}));
+            CHECK_FALSE(relay.isCutOff(StoreContact{start + milliseconds{500}, true},
+                                       start + milliseconds{1000}));
+            CHECK(relay.isCutOff(StoreContact{ownContact, true}, start + milliseconds{1000}));
+        }
+    }
+    WHEN("this daemon hasn't run for a second, so it hasn't called the store")
+    {
+        relay.onAnnouncement(first, announcement(7, milliseconds{5}), start + milliseconds{1300});
+        THEN("it isn't cut off")
+        {
+            CHECK_FALSE(relay.isCutOff(StoreContact{start, false}, start + milliseconds{1300}));
         }
     }
     WHEN("nobody can reach the store")
@@ -116,8 +125,10 @@
                              start + milliseconds{1000});
         THEN("no grantor is cut off")
         {
-            CHECK_FALSE(relay.isCutOff(start - milliseconds{700}, start + milliseconds{1000}));
-            CHECK_FALSE(relay.isCutOff(start - milliseconds{700}, start + milliseconds{9000}));
+            CHECK_FALSE(relay.isCutOff(StoreContact{start - milliseconds{700}, true},
+                                       start + milliseconds{1000}));
+            CHECK_FALSE(relay.isCutOff(StoreContact{start - milliseconds{700}, true},
+                                       start + milliseconds{9000}));
         }
     }
     WHEN("a grantor has no configuration yet")
