--- a/src/settings/internal/edgesettingsloader.cpp
+++ b/src/settings/internal/edgesettingsloader.cpp
@@ -86,7 +86,10 @@
         "Requests to upstreams.",
         {{"drain_time_s", ValueKind::Seconds, "s", 500, 600'000, "2", takesEffectAtStart,
           "From an upstream's first statement that it is about to stop until no request may "
-          "reach it; only requests that no other can serve use this time."},
+          "reach it; only requests that no other can serve use this time. An upstream whose "
+          "answers "
+          "hint that it leaves, by closing their connections, is used for 0.4 s less than this "
+          "after it was last known to stay, where the store confirms nothing else."},
          {"heartbeat_s", ValueKind::Seconds, "s", 0, 600'000, "0", takesEffectAtStart,
           "How often upstreams renew their entries in the store, which expire after three times "
           "this; 0: unknown. An entry that is missing after a shorter failure of the store is "
