StoreClient reads the clock once for each call

Cause: the begin of a call was taken twice, for StoreContacts and for the end of the call. On a real clock the two differ, so StoreContacts didn't find the call at its end and kept one entry for each call for good: some 50 bytes, a few times a second at a grantor. Whether a grantor counts as cut off was not affected once a later call was answered. Change: one time for both. Found by reading; no test of its own yet, as StoreContacts itself was right.

--- a/src/edge/callclients.h
+++ b/src/edge/callclients.h
@@ -40,11 +40,12 @@
         request.text = callText(message, this->store, {});
         // Watches wait, so their silence tells nothing.
         const auto isAnsweredAtOnce = !std::holds_alternative<StoreWatch>(call);
+        const auto sentAt = this->now();
         if (isAnsweredAtOnce) {
-            this->contacts.onSent(this->now());
+            this->contacts.onSent(sentAt);
         }
-        this->pool.send(std::move(request), [this, call, isAnsweredAtOnce, done = std::move(done),
-                                             sentAt = this->now()](const OutboundResult &result) {
+        this->pool.send(std::move(request), [this, call, isAnsweredAtOnce, sentAt,
+                                             done = std::move(done)](const OutboundResult &result) {
             const auto answer = this->answerOf(call, result);
             if (isAnsweredAtOnce) {
                 this->contacts.onEnd(!isFailure(answer.kind), sentAt);
