Answers to callers are counted by status and origin; 4xx of one's own are logged

New: gooseberrywall_answers_total{origin,status}; request_turned_away with host, version, its age and since when a newer one is known (AnswerRecord); configuration_fetch_failed names the end, the time and how much had arrived; configuration_received the size; configuration_handled the time that reading took. No decision changes.

--- a/src/edge/configurationlog.h
+++ b/src/edge/configurationlog.h
@@ -4,6 +4,7 @@
 #include "logging/logger.h"
 #include "routing/types/routeconfiguration.h"
 #include "storelink/types/storecalls.h"
+#include "streams/types/outboundmessages.h"
 
 #include <optional>
 #include <string_view>
@@ -13,8 +14,14 @@
 /// Logs that a text of the configuration of a newer revision has arrived.
 /// @param from the daemon that it was fetched from, or "store"
 /// @param by the call: "view", "stale_read" or "fetch"
+/// @param bytes size of the text
 auto logReceivedConfiguration(Logger &logger, StoreRevision revision, std::string_view from,
-                              std::string_view by) -> void;
+                              std::string_view by, std::size_t bytes) -> void;
+
+/// Logs that a configuration couldn't be fetched from another daemon.
+/// @param time since the fetch began
+auto logFailedFetch(Logger &logger, const Address &from, const OutboundResult &result,
+                    Duration time) -> void;
 
 /// Logs that this daemon has begun or ceased to follow the store itself.
 /// @param why the reason
@@ -28,6 +35,9 @@
 auto logAdoptedConfiguration(Logger &logger, const RouteConfiguration &configuration,
                              StoreRevision revision) -> void;
 
+/// Logs how long it took to read a text of the configuration and to apply it.
+auto logConfigurationTime(Logger &logger, StoreRevision revision, Duration time) -> void;
+
 /// Logs that a configuration was ignored.
 /// @param isReadable it could be read, but its version isn't newer
 /// @param knownVersion the version in force; zero where there is none
--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -86,6 +86,11 @@
     {
         return this->confirmed;
     }
+    /// @returns since when a newer configuration is known than this daemon has; empty while none is
+    [[nodiscard]] auto newerSince() const -> const std::optional<Instant> &
+    {
+        return this->newerKnownSince;
+    }
     /// @returns when the result of fetchSource() or isStoreNeeded() may change by itself
     [[nodiscard]] auto nextDue(Instant now) const -> std::optional<Instant>;
 
--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -105,6 +105,11 @@
     {
         return this->relay.isCutOff(own, this->now());
     }
+    /// @returns since when a newer configuration is known than this daemon has; empty while none is
+    [[nodiscard]] auto newerKnownSince() const -> std::optional<Instant>
+    {
+        return this->relay.newerSince();
+    }
     /// @returns how many configurations were fetched from other daemons
     [[nodiscard]] auto fetchCount() const -> std::uint64_t { return this->fetches; }
 
@@ -148,6 +153,7 @@
     bool isPolling = false;
     bool isFollowingStore = false;
     std::uint64_t fetches = 0;
+    Instant fetchStartedAt{};
 };
 
 } // namespace gooseberrywall
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -61,9 +61,11 @@
                this->statements, this->links.reach(),
                FlowRecords{this->requestLog, this->counters, this->stages})
         , forwardClient(loop.base(), now, &this->memory)
+        , answerRecord(this->requestLog, this->counters, now,
+                       [this] { return this->configurationSource.newerKnownSince(); })
         , entry(
               loop.base(), wire, this->settings, this->memory, this->upstreamPool,
-              this->forwardClient, this->flow, this->counters, now,
+              this->forwardClient, this->flow, this->counters, this->answerRecord, now,
               [this] { this->processPending(); }, static_cast<double>(incarnation % 1000) / 1000)
         , pages(
               loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
@@ -434,11 +436,8 @@
         metrics.lostWatches +=
             this->grantorWatch.lostWatchCount() + this->upstreamWatch.lostWatchCount();
         addStoreMetrics(metrics, this->store);
-        metrics.upstreamConnections =
-            this->upstreamPool.openedCount() + this->orderPool.openedCount();
-        metrics.givenUpAnswers = this->upstreamPool.givenUpCount() + this->orderPool.givenUpCount()
-                                 + this->storePool.givenUpCount()
-                                 + this->forwardClient.givenUpCount();
+        addPoolMetrics(metrics, this->upstreamPool, this->orderPool, this->storePool,
+                       this->forwardClient.givenUpCount());
         addPeerMetrics(metrics, this->peers);
         metrics.droppedLogLines = static_cast<std::uint64_t>(this->logger.droppedLines());
         metrics.configurationVersion = this->routes ? this->routes->configuration().version : 0;
@@ -470,6 +469,7 @@
     UpstreamLinks links;
     RequestFlow flow;
     ForwardClient forwardClient;
+    AnswerRecord answerRecord;
     EntryService<Wire> entry;
     EdgePages pages;
     PeerMessages peers;
--- a/src/edge/edgemetrics.h
+++ b/src/edge/edgemetrics.h
@@ -10,6 +10,7 @@
 #include "entry/upstreamstatements.h"
 #include "memory/memoryaccount.h"
 #include "streams/frontlistener.h"
+#include "streams/outboundpool.h"
 
 namespace gooseberrywall {
 
@@ -26,6 +27,11 @@
 auto addListenerMetrics(EdgeMetrics &metrics, const MemoryAccount &memory,
                         const FrontCounters &callers, const FrontCounters &peers) -> void;
 
+/// Adds the metrics of the connections to upstreams, to the store and to forwarders.
+/// @param givenUpForwards how many answers of forwarders were given up
+auto addPoolMetrics(EdgeMetrics &metrics, const OutboundPool &upstreams, const OutboundPool &orders,
+                    const OutboundPool &store, std::uint64_t givenUpForwards) -> void;
+
 /// Adds the metrics of the calls to the store.
 template<WireAdapter Wire>
 auto addStoreMetrics(EdgeMetrics &metrics, const StoreClient<Wire> &store) -> void
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/hash.h"
+#include "edge/answerrecord.h"
 #include "edge/wireadapter.h"
 #include "entry/requestflow.h"
 #include "forwarding/forwardclient.h"
@@ -17,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -28,20 +30,22 @@
 {
 public:
     /// @param forwards sends to upstreams that this VM doesn't reach
+    /// @param record of all answers to callers
     /// @param now reads the clock
     /// @param onWork called after each event for which commands may have to be executed
     /// @param spreadStart first point of each route's EvenSpread, 0 to 1; differs between daemons
     /// @param memory counts what is held for callers
     EntryService(event_base *base, const Wire &wire, const EdgeSettings &settings,
                  MemoryAccount &memory, OutboundPool &upstreams, ForwardClient &forwards,
-                 RequestFlow &flow, Counters &counters, std::function<Instant()> now,
-                 std::function<void()> onWork, double spreadStart)
+                 RequestFlow &flow, Counters &counters, AnswerRecord &record,
+                 std::function<Instant()> now, std::function<void()> onWork, double spreadStart)
         : wire(wire)
         , memory(memory)
         , upstreams(upstreams)
         , forwards(forwards)
         , flow(flow)
         , counters(counters)
+        , record(record)
         , now(now)
         , onWork(std::move(onWork))
         , spreadStart(spreadStart)
@@ -50,7 +54,8 @@
               [this](ExchangeId exchange, WholeMessage request) {
                   this->onRequest(exchange, std::move(request));
               },
-              [this](ExchangeId exchange) { this->onCallerGone(exchange); }, &memory)
+              [this](ExchangeId exchange) { this->onCallerGone(exchange); }, &memory,
+              [&record](const UnreadRequest &request) { record.onUnread(request); })
     {
         this->front.setMemoryRefusal(
             this->refusalHead(RequestId{}, 503, Reason::MemoryShort, memoryRetryAfter));
@@ -68,6 +73,7 @@
         this->front.setLimits(bounds, limits.headerTimeout + limitSlack,
                               limits.idleTimeout + limitSlack);
         this->routes = table;
+        this->record.onConfiguration(table->configuration().version);
     }
 
     /// Executes all commands that RequestFlow has pending.
@@ -126,6 +132,7 @@
         /// Where the request was sent to.
         std::vector<Address> sentTo;
         WholeMessage answer;
+        bool isAnswerSigned = false;
         /// The caller has disconnected; an attempt is still in progress.
         bool isCallerGone = false;
     };
@@ -144,12 +151,20 @@
         return result;
     }
 
+    /// @returns the host that the request names; empty where it names none
+    [[nodiscard]] static auto hostOf(const MessageHead &head) -> std::string_view
+    {
+        const auto *host = head.find("Host");
+        return host == nullptr ? std::string_view{} : std::string_view(*host);
+    }
+
     auto onRequest(ExchangeId exchange, WholeMessage request) -> void
     {
         const auto fields = this->wire.callerFields(request.head);
         if (this->isRefusing || this->routes == nullptr) {
             const auto reason = this->isRefusing ? Reason::ShuttingDown : Reason::NotReady;
             this->counters.countRefusal(ServiceName{noServiceName}, CallerId{}, reason);
+            this->record.onRefused(AnswerOrigin::Daemon, 503, hostOf(request.head));
             this->refuse(exchange, fields.id, 503, reason, notReadyRetryAfter);
             return;
         }
@@ -162,6 +177,7 @@
             const auto status = isCertain ? 404 : 503;
             this->counters.countRefusal(ServiceName{noServiceName}, CallerId{},
                                         Reason::UnknownService);
+            this->record.onRefused(AnswerOrigin::Routes, status, hostOf(request.head));
             this->refuse(exchange, fields.id, status, Reason::UnknownService, std::nullopt);
             return;
         }
@@ -289,6 +305,8 @@
         }
         // The request is released first: answering may lead to the admission of another one.
         auto answer = std::move(found->second.answer);
+        this->record.onPassedOn(found->second.isAnswerSigned, answer.head.status,
+                                hostOf(found->second.head));
         this->exchanges.erase(found);
         this->front.reply(command.exchange, std::move(answer));
     }
@@ -300,6 +318,7 @@
             return;
         }
         const auto id = found->second.fields.id;
+        this->record.onRefused(AnswerOrigin::Daemon, command.status, hostOf(found->second.head));
         this->exchanges.erase(found);
         this->refuse(command.exchange, id, command.status, command.reason, command.retryAfter);
     }
@@ -326,6 +345,7 @@
             end.pause = fields.pause;
             end.leaveHint = fields.leaveHint;
             entry.answer = std::move(result.answer);
+            entry.isAnswerSigned = fields.isSigned;
             entry.charge.set(requestBytes(entry) + entry.answer.head.heldBytes()
                              + entry.answer.body.size());
             break;
@@ -370,6 +390,7 @@
     ForwardClient &forwards;
     RequestFlow &flow;
     Counters &counters;
+    AnswerRecord &record;
     std::function<Instant()> now;
     std::function<void()> onWork;
     double spreadStart;
--- a/src/edge/internal/configurationlog.cpp
+++ b/src/edge/internal/configurationlog.cpp
@@ -6,16 +6,49 @@
 
 namespace gooseberrywall {
 
+namespace {
+
+auto endName(OutboundResult::End end) -> std::string_view
+{
+    switch (end) {
+    case OutboundResult::End::Answered:
+        return "answered";
+    case OutboundResult::End::NotSent:
+        return "not_sent";
+    case OutboundResult::End::NoAnswer:
+        return "no_answer";
+    case OutboundResult::End::BadAnswer:
+        return "bad_answer";
+    }
+    return "no_answer";
+}
+
+} // namespace
+
 auto logReceivedConfiguration(Logger &logger, StoreRevision revision, std::string_view from,
-                              std::string_view by) -> void
+                              std::string_view by, std::size_t bytes) -> void
 {
     LogLine line("configuration_received");
     line.with("revision", static_cast<std::int64_t>(revision.value))
         .with("from", std::string(from))
-        .with("by", std::string(by));
+        .with("by", std::string(by))
+        .with("bytes", static_cast<std::int64_t>(bytes));
     logger.write(LogLevel::Info, line.text());
 }
 
+auto logFailedFetch(Logger &logger, const Address &from, const OutboundResult &result,
+                    Duration time) -> void
+{
+    logger.write(LogLevel::Info,
+                 LogLine("configuration_fetch_failed")
+                     .with("from", from.value)
+                     .with("end", endName(result.end))
+                     .with("status", result.answer.head.status)
+                     .with("partial_bytes", static_cast<std::int64_t>(result.partialBytes))
+                     .with("time_ms", toMilliseconds(time))
+                     .text());
+}
+
 auto logConfigurationMode(Logger &logger, bool isFollowingStore, std::string_view why,
                           StoreRevision revision,
                           const std::optional<ConfigurationConfirmation> &confirmation, Instant now)
@@ -46,6 +79,14 @@
     }
 }
 
+auto logConfigurationTime(Logger &logger, StoreRevision revision, Duration time) -> void
+{
+    logger.write(LogLevel::Info, LogLine("configuration_handled")
+                                     .with("revision", static_cast<std::int64_t>(revision.value))
+                                     .with("time_ms", toMilliseconds(time))
+                                     .text());
+}
+
 auto logIgnoredConfiguration(Logger &logger, bool isReadable, std::uint64_t knownVersion) -> void
 {
     LogLine line("configuration_ignored");
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -196,12 +196,14 @@
         }
         return;
     }
-    logReceivedConfiguration(this->logger, revision, from, by);
+    logReceivedConfiguration(this->logger, revision, from, by, newText.size());
     this->textRevision = revision;
     this->isTextStale = isStale;
     this->relay.onAdopted(revision, isStale);
     // A store that comes back from an older copy may show an older version at a newer revision.
+    const auto startedAt = this->now();
     const auto isNewest = this->onText(newText, revision);
+    logConfigurationTime(this->logger, revision, this->now() - startedAt);
     if (isNewest || this->text.empty()) {
         this->text = newText;
     }
@@ -250,6 +252,7 @@
     head.headers = {HttpHeader{"Host", from.value}};
     request.text = requestText(head, "", {});
     this->relay.onFetchStarted(this->now());
+    this->fetchStartedAt = this->now();
     this->pool.send(std::move(request), [this, from](const OutboundResult &result) {
         this->onFetched(from, result);
         this->onWork();
@@ -262,10 +265,7 @@
     const auto revision = isAnswered ? revisionOf(result.answer) : StoreRevision{};
     if (!this->isNewer(revision)) {
         this->relay.onFetchFailed(from, this->now());
-        this->logger.write(LogLevel::Info, LogLine("configuration_fetch_failed")
-                                               .with("from", from.value)
-                                               .with("status", result.answer.head.status)
-                                               .text());
+        logFailedFetch(this->logger, from, result, this->now() - this->fetchStartedAt);
         return;
     }
     ++this->fetches;
--- a/src/edge/internal/edgemetrics.cpp
+++ b/src/edge/internal/edgemetrics.cpp
@@ -38,6 +38,14 @@
     metrics.silentCallers = callers.silentCallers + peers.silentCallers;
 }
 
+auto addPoolMetrics(EdgeMetrics &metrics, const OutboundPool &upstreams, const OutboundPool &orders,
+                    const OutboundPool &store, std::uint64_t givenUpForwards) -> void
+{
+    metrics.upstreamConnections = upstreams.openedCount() + orders.openedCount();
+    metrics.givenUpAnswers =
+        upstreams.givenUpCount() + orders.givenUpCount() + store.givenUpCount() + givenUpForwards;
+}
+
 auto addPeerMetrics(EdgeMetrics &metrics, const PeerMessages &peers) -> void
 {
     metrics.badDatagrams = peers.malformedCount();
--- a/src/edge/types/wiretypes.h
+++ b/src/edge/types/wiretypes.h
@@ -25,6 +25,8 @@
 struct AnswerFields
 {
     AttemptEnd end = AttemptEnd::NoAnswer;
+    /// The answer bears an upstream's signature.
+    bool isSigned = false;
     /// Empty where the upstream doesn't report its load.
     std::optional<ReportedLoad> load;
     /// Empty where the answer doesn't tell.
--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -53,6 +53,10 @@
     /// @returns the length of the body where the head of the message announces it; zero otherwise
     [[nodiscard]] auto announcedBodyBytes() const -> std::size_t { return this->announced; }
 
+    /// @returns the limits that apply to the current message
+    [[nodiscard]] auto currentLimits() const -> const MessageLimits & { return this->limits; }
+    /// @returns what was read of the current message's head
+    [[nodiscard]] auto head() const -> const MessageHead & { return this->message.head; }
     /// @returns the HTTP status with which a malformed request is to be refused
     [[nodiscard]] auto refusalStatus() const -> int { return this->errorStatus; }
     /// @returns whether a message has begun and isn't complete
--- a/src/insight/counters.h
+++ b/src/insight/counters.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace gooseberrywall {
 
@@ -29,6 +30,8 @@
     auto countUnknownOutcome(const ServiceName &service, const CallerId &caller, Reason reason)
         -> void;
     auto countRetry(const ServiceName &service, const CallerId &caller, Reason reason) -> void;
+    /// Counts the status of an answer to a caller, by who has decided on it.
+    auto countStatus(AnswerOrigin origin, int status) -> void;
 
     [[nodiscard]] auto snapshot() const -> CounterSnapshot;
 
@@ -39,6 +42,7 @@
     std::size_t maximalSeries;
     std::map<CounterKey, std::uint64_t> counts;
     std::map<ServiceName, std::unique_ptr<LatencyHistogram>> latencies;
+    std::map<std::pair<AnswerOrigin, int>, std::uint64_t> statuses;
 };
 
 } // namespace gooseberrywall
--- a/src/insight/internal/counters.cpp
+++ b/src/insight/internal/counters.cpp
@@ -72,6 +72,11 @@
     this->count({service, caller, CountedEvent::Retried, reason});
 }
 
+auto Counters::countStatus(AnswerOrigin origin, int status) -> void
+{
+    ++this->statuses[{origin, status}];
+}
+
 auto Counters::snapshot() const -> CounterSnapshot
 {
     CounterSnapshot result;
@@ -79,6 +84,9 @@
     for (const auto &[key, count] : this->counts) {
         result.counters.push_back({key, count});
     }
+    for (const auto &[key, count] : this->statuses) {
+        result.answers.push_back({key.first, key.second, count});
+    }
     for (const auto &[service, histogram] : this->latencies) {
         result.latencies.push_back(histogram->sample(service));
     }
--- a/src/insight/internal/metricspage.cpp
+++ b/src/insight/internal/metricspage.cpp
@@ -42,6 +42,16 @@
     }
 }
 
+auto writeAnswers(const CounterSnapshot &snapshot, std::ostream &page) -> void
+{
+    page << "# HELP gooseberrywall_answers_total Answers to callers by status and origin.\n"
+         << "# TYPE gooseberrywall_answers_total counter\n";
+    for (const auto &sample : snapshot.answers) {
+        page << "gooseberrywall_answers_total{origin=\"" << toString(sample.origin)
+             << "\",status=\"" << sample.status << "\"} " << sample.count << '\n';
+    }
+}
+
 auto writeStage(const StageSample &sample, std::ostream &page) -> void
 {
     constexpr auto name = "gooseberrywall_stage_seconds";
@@ -88,10 +98,30 @@
     return {};
 }
 
+auto toString(AnswerOrigin origin) -> std::string
+{
+    switch (origin) {
+    case AnswerOrigin::Listener:
+        return "listener";
+    case AnswerOrigin::Routes:
+        return "routes";
+    case AnswerOrigin::Daemon:
+        return "daemon";
+    case AnswerOrigin::Upstream:
+        return "upstream";
+    case AnswerOrigin::Unsigned:
+        return "unsigned";
+    }
+    return {};
+}
+
 auto metricsPage(const CounterSnapshot &snapshot) -> std::string
 {
     std::ostringstream page;
     writeCounters(snapshot, page);
+    if (!snapshot.answers.empty()) {
+        writeAnswers(snapshot, page);
+    }
     page << "# HELP gooseberrywall_latency_seconds From a request's arrival to its answer.\n"
          << "# TYPE gooseberrywall_latency_seconds summary\n";
     for (const auto &sample : snapshot.latencies) {
--- a/src/insight/types/countersnapshot.h
+++ b/src/insight/types/countersnapshot.h
@@ -53,10 +53,38 @@
     auto operator==(const LatencySample &) const -> bool = default;
 };
 
+/// Who has decided on the status of an answer to a caller.
+enum class AnswerOrigin : std::uint8_t {
+    /// The callers' listener, of a request that it couldn't or wouldn't read.
+    Listener,
+    /// The route table: no route matches.
+    Routes,
+    /// The daemon, of a request that has a route.
+    Daemon,
+    /// An upstream that has signed its answer.
+    Upstream,
+    /// Whoever answered at the upstream's address, without a signature.
+    Unsigned,
+};
+
+/// @returns the name of the origin in metrics, such as "routes"
+[[nodiscard]] auto toString(AnswerOrigin origin) -> std::string;
+
+/// How many answers callers got with one status from one origin.
+struct AnswerSample
+{
+    AnswerOrigin origin = AnswerOrigin::Daemon;
+    int status = 0;
+    std::uint64_t count = 0;
+
+    auto operator==(const AnswerSample &) const -> bool = default;
+};
+
 /// All counters at one moment, sorted by key, for the metrics endpoint.
 struct CounterSnapshot
 {
     std::vector<CounterSample> counters;
+    std::vector<AnswerSample> answers;
     std::vector<LatencySample> latencies;
 
     auto operator==(const CounterSnapshot &) const -> bool = default;
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,17 @@
     auto operator==(const FrontSettings &) const -> bool = default;
 };
 
+/// A request that the listener has answered itself, as it couldn't or wouldn't read it whole.
+struct UnreadRequest
+{
+    int status = 0;
+    /// Empty where the head wasn't read as far as that.
+    std::string host;
+    /// The limits that the request was read with.
+    MessageLimits limits;
+    auto operator==(const UnreadRequest &) const -> bool = default;
+};
+
 /// Counts since the listener's start.
 struct FrontCounters
 {
@@ -71,12 +83,15 @@
 public:
     using OnRequest = std::function<void(ExchangeId exchange, WholeMessage request)>;
     using OnDisconnect = std::function<void(ExchangeId exchange)>;
+    using OnUnread = std::function<void(const UnreadRequest &request)>;
 
     /// @param now returns the current time
     /// @param onDisconnect called if the connection ends before the answer was sent
     /// @param memory counts what the connections hold; nullptr: memory isn't limited
+    /// @param onUnread called for each request that the listener answers itself
     FrontListener(event_base *base, FrontSettings settings, std::function<Instant()> now,
-                  OnRequest onRequest, OnDisconnect onDisconnect, MemoryAccount *memory = nullptr);
+                  OnRequest onRequest, OnDisconnect onDisconnect, MemoryAccount *memory = nullptr,
+                  OnUnread onUnread = {});
     ~FrontListener();
     FrontListener(const FrontListener &) = delete;
     auto operator=(const FrontListener &) -> FrontListener & = delete;
@@ -135,6 +150,7 @@
     OnRequest onRequest;
     OnDisconnect onDisconnect;
     MemoryAccount *memory;
+    OnUnread onUnread;
     std::unique_ptr<SocketListener> listener;
     std::map<Connection *, std::unique_ptr<Connection>> connections;
     std::map<ExchangeId, Connection *> exchanges;
--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -324,6 +324,11 @@
 
 auto FrontListener::Connection::refuse(MessageHead head) -> void
 {
+    if (this->front.onUnread) {
+        const auto *host = this->reader.head().find("Host");
+        this->front.onUnread(UnreadRequest{head.status, host == nullptr ? std::string{} : *host,
+                                           this->reader.currentLimits()});
+    }
     this->refusal = std::move(head);
     this->isLastRequestRead = true;
     this->reader.discard();
--- a/src/streams/internal/outboundconnection.cpp
+++ b/src/streams/internal/outboundconnection.cpp
@@ -295,6 +295,7 @@
     this->pool.busy.erase(std::exchange(this->id, 0));
     // An assignment would keep the buffer of the text.
     static_cast<void>(std::exchange(this->request, OutboundRequest{}));
+    const auto partialBytes = this->reader.heldBytes();
     this->reader.discard();
     this->updateCharge();
     if (this->isReusable) {
@@ -304,7 +305,7 @@
         this->pool.discard(this);
     }
     if (callback) {
-        callback(OutboundResult{end, std::move(answer), isFirst});
+        callback(OutboundResult{end, std::move(answer), isFirst, partialBytes});
     }
 }
 
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -4,6 +4,7 @@
 #include "common/types/instant.h"
 #include "http1/types/messagehead.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -54,6 +55,8 @@
     /// No other request was sent on the connection before. Otherwise an answer that names no
     /// request may consist of additional bytes behind an earlier answer.
     bool isFirstOnConnection = true;
+    /// Bytes that had arrived of an answer that didn't complete.
+    std::size_t partialBytes = 0;
     auto operator==(const OutboundResult &) const -> bool = default;
 };
 
