Daemons send each other the configuration as a Zstandard frame

Cause, second part: every daemon fetched the whole text, 538 KB with 3,000 routes, from two or three grantors at the same moment, also where one route had changed. Change: a fetch names the digest of the text that the daemon has; the answer is a frame of libzstd that refers to it where the sender has it, too (it keeps three earlier texts, 2 MiB at most), and a frame of the whole text otherwise. Digests name texts, as revisions don't after the store has lost a version. Builds that don't ask for a frame get the text as before. New package: libzstd-dev.

--- a/src/edge/configurationsource.h
+++ b/src/edge/configurationsource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/configurationrelay.h"
+#include "edge/configurationtexts.h"
 #include "edge/copylog.h"
 #include "edge/peerserver.h"
 #include "logging/logger.h"
@@ -144,7 +145,7 @@
     PrefixView view;
     StoreOutage outage;
     OutboundPool pool;
-    std::string text;
+    ConfigurationTexts texts;
     StoreRevision textRevision;
     /// As in ConfigurationRelay::onAdopted().
     bool isTextStale = false;
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -82,6 +82,7 @@
           },
           std::move(isStoreArriving))
     , pool(base, OutboundPoolSettings{}, now)
+    , texts(ConfigurationTextsSettings{})
     , startedAt(now())
 {
     this->server.serve(configurationPath,
@@ -210,8 +211,8 @@
     const auto startedAt = this->now();
     const auto isNewest = this->onText(newText, revision);
     logConfigurationTime(this->logger, revision, this->now() - startedAt);
-    if (isNewest || this->text.empty()) {
-        this->text = newText;
+    if (isNewest || this->texts.current().empty()) {
+        this->texts.set(newText);
     }
 }
 
@@ -256,7 +257,8 @@
     MessageHead head;
     head.method = "GET";
     head.target = configurationPath;
-    head.headers = {HttpHeader{"Host", from.value}};
+    head.headers = this->texts.requestHeaders();
+    head.headers.push_back(HttpHeader{"Host", from.value});
     request.text = requestText(head, "", {});
     this->relay.onFetchStarted(this->now());
     this->fetchStartedAt = this->now();
@@ -272,13 +274,15 @@
     const auto isAnswered = result.end == OutboundResult::End::Answered;
     const auto revision = isAnswered ? revisionOf(result.answer) : StoreRevision{};
     // Any other revision counts as newer than one that may be stale, but a failure has none.
-    if (revision.value == 0 || !this->isNewer(revision)) {
+    const auto isNewer = revision.value != 0 && this->isNewer(revision);
+    const auto text = isNewer ? this->texts.read(result.answer) : std::nullopt;
+    if (!text) {
         this->relay.onFetchFailed(from, this->now());
         logFailedFetch(this->logger, from, result, this->now() - this->fetchStartedAt);
         return;
     }
     ++this->fetches;
-    this->adopt(result.answer.body, revision, false, from.value, "fetch");
+    this->adopt(*text, revision, false, from.value, "fetch");
 }
 
 auto ConfigurationSource::onAsked(ExchangeId exchange, const MessageHead &request) -> void
@@ -294,9 +298,11 @@
         this->server.reply(exchange, head, "");
         return;
     }
-    head.status = statusOk;
-    head.headers = {HttpHeader{revisionHeader, std::to_string(this->textRevision.value)}};
-    this->server.reply(exchange, head, this->text);
+    auto answer = this->texts.answer(request);
+    answer.head.status = statusOk;
+    answer.head.headers.push_back(
+        HttpHeader{revisionHeader, std::to_string(this->textRevision.value)});
+    this->server.reply(exchange, answer.head, answer.body);
 }
 
 auto ConfigurationSource::logMode(bool isFollowing, bool isGrantor) -> void
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -5,7 +5,7 @@
     g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl
     libevent-dev libevhtp-dev libssl-dev libcapnp-dev
     libspdlog-dev libinih-dev libboost-dev libboost-program-options-dev
-    libxxhash-dev nlohmann-json3-dev
+    libxxhash-dev libzstd-dev nlohmann-json3-dev
     catch2 libtrompeloeil-cpp-dev librapidcheck-dev libbenchmark-dev
 )
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
