A daemon that knows of a newer configuration doesn't call a path unknown

Callers don't repeat a request after 404. Change: such a daemon answers 503 with Retry-After; the request hasn't run, and the caller may repeat it. A path that no route matches is still answered 404 where no newer configuration is known.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -65,7 +65,8 @@
                        [this] { return this->configurationSource.newerKnownSince(); })
         , entry(
               loop.base(), wire, this->settings, this->memory, this->upstreamPool,
-              this->forwardClient, this->flow, this->counters, this->answerRecord, now,
+              this->forwardClient, this->flow, this->counters, this->answerRecord,
+              [this] { return this->configurationSource.newerKnownSince().has_value(); }, now,
               [this] { this->processPending(); }, static_cast<double>(incarnation % 1000) / 1000)
         , pages(
               loop.base(), this->settings.readyListen, this->settings.metricsListen, now,
--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -31,6 +31,7 @@
 public:
     /// @param forwards sends to upstreams that this VM doesn't reach
     /// @param record of all answers to callers
+    /// @param isBehind tells whether a newer configuration is known than the routes are of
     /// @param now reads the clock
     /// @param onWork called after each event for which commands may have to be executed
     /// @param spreadStart first point of each route's EvenSpread, 0 to 1; differs between daemons
@@ -38,7 +39,8 @@
     EntryService(event_base *base, const Wire &wire, const EdgeSettings &settings,
                  MemoryAccount &memory, OutboundPool &upstreams, ForwardClient &forwards,
                  RequestFlow &flow, Counters &counters, AnswerRecord &record,
-                 std::function<Instant()> now, std::function<void()> onWork, double spreadStart)
+                 std::function<bool()> isBehind, std::function<Instant()> now,
+                 std::function<void()> onWork, double spreadStart)
         : wire(wire)
         , memory(memory)
         , upstreams(upstreams)
@@ -46,6 +48,7 @@
         , flow(flow)
         , counters(counters)
         , record(record)
+        , isBehind(std::move(isBehind))
         , now(now)
         , onWork(std::move(onWork))
         , spreadStart(spreadStart)
@@ -113,7 +116,8 @@
     static constexpr Duration memoryRetryAfter = std::chrono::seconds{1};
     /// Added to the configured timeouts, so that a caller that just keeps them isn't disconnected.
     static constexpr Duration limitSlack = std::chrono::milliseconds{500};
-    /// Retry-After while this daemon has no configuration or is shutting down.
+    /// Retry-After while this daemon has no configuration, lacks the newest one, or is shutting
+    /// down.
     static constexpr Duration notReadyRetryAfter = std::chrono::milliseconds{150};
 
     /// Service label in the counters of requests that are refused before they are routed.
@@ -172,13 +176,7 @@
         const auto *route =
             host == nullptr ? nullptr : this->routes->match(*host, request.head.target);
         if (route == nullptr) {
-            // The request may be for a route that couldn't be read, so it isn't called unknown.
-            const auto isCertain = this->routes->configuration().malformedRoutes == 0;
-            const auto status = isCertain ? 404 : 503;
-            this->counters.countRefusal(ServiceName{noServiceName}, CallerId{},
-                                        Reason::UnknownService);
-            this->record.onRefused(AnswerOrigin::Routes, status, hostOf(request.head));
-            this->refuse(exchange, fields.id, status, Reason::UnknownService, std::nullopt);
+            this->refuseUnknown(exchange, fields.id, request.head);
             return;
         }
         auto spread = this->spreads.try_emplace(route->name, EvenSpread(this->spreadStart)).first;
@@ -206,6 +204,20 @@
         this->onWork();
     }
 
+    /// Refuses a request for which no route is known.
+    auto refuseUnknown(ExchangeId exchange, const RequestId &id, const MessageHead &head) -> void
+    {
+        // The route may be in a configuration that this daemon hasn't got yet, or couldn't be read.
+        const auto isBehind = this->isBehind();
+        const auto isCertain = !isBehind && this->routes->configuration().malformedRoutes == 0;
+        const auto status = isCertain ? 404 : 503;
+        const auto reason = isBehind ? Reason::NotReady : Reason::UnknownService;
+        this->counters.countRefusal(ServiceName{noServiceName}, CallerId{}, reason);
+        this->record.onRefused(AnswerOrigin::Routes, status, hostOf(head));
+        this->refuse(exchange, id, status, reason,
+                     isBehind ? std::optional(notReadyRetryAfter) : std::nullopt);
+    }
+
     auto onCallerGone(ExchangeId exchange) -> void
     {
         this->flow.onCallerGone(exchange, this->now());
@@ -391,6 +403,7 @@
     RequestFlow &flow;
     Counters &counters;
     AnswerRecord &record;
+    std::function<bool()> isBehind;
     std::function<Instant()> now;
     std::function<void()> onWork;
     double spreadStart;
