--- a/src/edge/configurationlog.h
+++ b/src/edge/configurationlog.h
@@ -18,6 +18,11 @@
 auto logReceivedConfiguration(Logger &logger, StoreRevision revision, std::string_view from,
                               std::string_view by, std::size_t bytes) -> void;
 
+/// Logs that a configuration was fetched from another daemon.
+/// @param time since the fetch began
+auto logFetchedConfiguration(Logger &logger, const Address &from, const OutboundResult &result,
+                             Duration time) -> void;
+
 /// Logs that a configuration couldn't be fetched from another daemon.
 /// @param time since the fetch began
 auto logFailedFetch(Logger &logger, const Address &from, const OutboundResult &result,
--- a/src/edge/internal/configurationlog.cpp
+++ b/src/edge/internal/configurationlog.cpp
@@ -36,6 +36,17 @@
     logger.write(LogLevel::Info, line.text());
 }
 
+auto logFetchedConfiguration(Logger &logger, const Address &from, const OutboundResult &result,
+                             Duration time) -> void
+{
+    logger.write(LogLevel::Info, LogLine("configuration_fetched")
+                                     .with("from", from.value)
+                                     .with("transferred_bytes",
+                                           static_cast<std::int64_t>(result.answer.body.size()))
+                                     .with("time_ms", toMilliseconds(time))
+                                     .text());
+}
+
 auto logFailedFetch(Logger &logger, const Address &from, const OutboundResult &result,
                     Duration time) -> void
 {
--- a/src/edge/internal/configurationsource.cpp
+++ b/src/edge/internal/configurationsource.cpp
@@ -282,6 +282,7 @@
         return;
     }
     ++this->fetches;
+    logFetchedConfiguration(this->logger, from, result, this->now() - this->fetchStartedAt);
     this->adopt(*text, revision, false, from.value, "fetch");
 }
 
