--- a/src/edge/tests/configurationfetch_tests.cpp
+++ b/src/edge/tests/configurationfetch_tests.cpp
@@ -1,14 +1,10 @@
 #include "edge/configurationsource.h"
 #include "http/clocktimer.h"
-#include "streams/socketlistener.h"
-#include "streams/socketstream.h"
+#include "streams/tests/pacedpeer.h"
 #include "testing/freeaddress.h"
 #include "testing/testloop.h"
 
 #include <catch2/catch.hpp>
-#include <deque>
-#include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,66 +15,14 @@
 
 namespace {
 
-/// A grantor that sends its configuration in pieces, as over a slow link.
-class SlowGrantor
+/// The answer of a grantor that has revision 7.
+auto answerWith(const std::string &text) -> std::string
 {
-public:
-    SlowGrantor(event_base *base, std::string text, std::size_t pieces)
-        : base(base)
-        , answer("HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: "
-                 + std::to_string(text.size()) + "\r\n\r\n" + text)
-        , pieceBytes(this->answer.size() / pieces + 1)
-        , listener(base, this->address, [this](int descriptor) { this->accept(descriptor); })
-        , timer(base, [this] { this->sendPieces(); })
-    {
-        this->sendPieces();
-    }
-
-    Address address = freeAddress();
-    int connections = 0;
-
-private:
-    static constexpr Duration pieceInterval = milliseconds{100};
-
-    struct Transfer
-    {
-        std::unique_ptr<SocketStream> stream;
-        /// Bytes of the answer that were sent; nothing before the request.
-        std::optional<std::size_t> sent;
-    };
-
-    auto accept(int descriptor) -> void
-    {
-        ++this->connections;
-        auto &transfer = this->transfers.emplace_back();
-        transfer.stream = std::make_unique<SocketStream>(
-            this->base, descriptor,
-            SocketStream::Handlers{[](bool) {},
-                                   [&transfer] {
-                                       transfer.stream->consume(transfer.stream->input().size());
-                                       transfer.sent = transfer.sent.value_or(0);
-                                   },
-                                   [](bool) {}});
-    }
-
-    auto sendPieces() -> void
-    {
-        for (auto &transfer : this->transfers) {
-            if (transfer.sent && *transfer.sent < this->answer.size()) {
-                transfer.stream->write(this->answer.substr(*transfer.sent, this->pieceBytes));
-                *transfer.sent += this->pieceBytes;
-            }
-        }
-        this->timer.set(monotonicNow() + pieceInterval);
-    }
+    return "HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: " + std::to_string(text.size())
+           + "\r\n\r\n" + text;
+}
 
-    event_base *base;
-    std::string answer;
-    std::size_t pieceBytes;
-    SocketListener listener;
-    std::deque<Transfer> transfers;
-    ClockTimer timer;
-};
+constexpr std::size_t pieces = 15;
 
 /// A daemon that has read the configuration from a store's copy that may be stale, and hears of
 /// other daemons' configurations.
@@ -166,7 +110,7 @@
 {
     FetchTrial trial;
     const std::string text(600'000, 'r');
-    SlowGrantor grantor(trial.loop.base(), text, 15);
+    PacedPeer grantor(trial.loop.base(), answerWith(text), pieces, milliseconds{100});
     CHECK(trial.announceUntil(
         grantor.address, [&] { return trial.texts.back() == text; }, seconds{8}));
     CHECK(grantor.connections == 1);
@@ -194,7 +138,8 @@
     "[edge][largeconfiguration]")
 {
     FetchTrial trial;
-    SlowGrantor grantor(trial.loop.base(), std::string(600'000, 'r'), 15);
+    PacedPeer grantor(trial.loop.base(), answerWith(std::string(600'000, 'r')), pieces,
+                      milliseconds{100});
     trial.announceUntil(
         grantor.address, [&] { return trial.texts.back().size() > 1000; }, seconds{8});
     CHECK(trial.otherCalls == 0);
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -4,6 +4,7 @@
 
 using namespace gooseberrywall;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -73,6 +74,54 @@
     }
 }
 
+// Guards against a daemon that reads a large text from the store while it arrives from a grantor.
+SCENARIO("ConfigurationRelay: given a fetch that makes progress, the store isn't needed",
+         "[edge][relay]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    const auto hear = [&relay](Instant now) {
+        relay.onAnnouncement(first, announcement(7, milliseconds{0}), now);
+    };
+    hear(start);
+    relay.onFetchStarted(start);
+    for (auto passed = Duration{0}; passed < milliseconds{2000}; passed += milliseconds{100}) {
+        hear(start + passed);
+        relay.onFetchProgress(start + passed);
+        CHECK_FALSE(relay.isStoreNeeded(start + passed + milliseconds{50}));
+    }
+    THEN("it is needed some time after the last progress")
+    {
+        hear(start + milliseconds{2500});
+        CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{2500}));
+        CHECK(relay.nextDue(start + milliseconds{2500}) == start + milliseconds{2600});
+        CHECK(relay.isStoreNeeded(start + milliseconds{2600}));
+    }
+}
+
+// Guards against a daemon that answers as if it were behind after the only grantor that announced a
+// newer configuration has gone.
+SCENARIO("ConfigurationRelay: given a newer revision, it is known while it is announced",
+         "[edge][relay]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    relay.onAdopted(StoreRevision{5}, false);
+    CHECK_FALSE(relay.newerSince(start));
+    relay.onAnnouncement(first, announcement(7, milliseconds{0}), start);
+    relay.onAnnouncement(second, announcement(5, milliseconds{0}), start + milliseconds{100});
+    CHECK(relay.newerSince(start + milliseconds{2500}) == start);
+    CHECK_FALSE(relay.newerSince(start + milliseconds{2501}));
+    WHEN("it is announced again")
+    {
+        relay.onAnnouncement(first, announcement(7, milliseconds{0}), start + seconds{3});
+        CHECK(relay.newerSince(start + seconds{3}));
+        THEN("it isn't newer any more once it is adopted")
+        {
+            relay.onAdopted(StoreRevision{7}, false);
+            CHECK_FALSE(relay.newerSince(start + seconds{3}));
+        }
+    }
+}
+
 SCENARIO("ConfigurationRelay: given grantors that are cut off, the store is followed in time",
          "[edge][relay]")
 {
--- a/src/storelink/tests/storelink_tests.cpp
+++ b/src/storelink/tests/storelink_tests.cpp
@@ -266,3 +266,44 @@
         CHECK(perSecond < 100);
     }
 }
+
+// Guards against a large answer over a slow link that is taken for lost while it arrives, and asked
+// for again.
+SCENARIO("PrefixView: given an answer that is arriving, the watch isn't sent again",
+         "[storelink][largeconfiguration]")
+{
+    FakeStore store;
+    auto isArriving = false;
+    auto watches = 0;
+    PrefixView view(
+        "p/", PrefixViewSettings{},
+        [&](StoreCall call, Duration timeout, std::function<void(StoreAnswer)> done) {
+            const auto isWatch = std::holds_alternative<StoreWatch>(call);
+            watches += isWatch ? 1 : 0;
+            // Watches aren't answered, and their sender doesn't give them up.
+            store.sender()(std::move(call), isWatch ? seconds{60} : timeout, std::move(done));
+        },
+        [&] { return store.now(); }, [](const PrefixView::Items &) {}, [&] { return isArriving; });
+    view.setConfirmInterval(milliseconds{800});
+    const auto run = [&](Duration time) {
+        for (auto passed = Duration{0}; passed < time; passed += milliseconds{10}) {
+            view.advance();
+            store.advance(milliseconds{10});
+        }
+    };
+    store.put("p/a", "1");
+    run(milliseconds{100});
+    store.mode = FakeStore::Mode::Silent;
+    const auto sentBefore = watches;
+    REQUIRE(sentBefore >= 1);
+    isArriving = true;
+    run(seconds{3});
+    CHECK(watches == sentBefore);
+    CHECK(view.nextDue() > store.now());
+    THEN("it is sent again where nothing arrives any more")
+    {
+        isArriving = false;
+        run(milliseconds{100});
+        CHECK(watches == sentBefore + 1);
+    }
+}
