partialBytes counts the bytes of the body that arrived, not the memory they take

Two checks of arrivallimit_tests failed on the commit before: a text of 100,000 bytes given up half-way was counted as 100,064, an empty one as 15.

--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -50,6 +50,8 @@
 
     /// @returns the memory that the message takes which has begun
     [[nodiscard]] auto heldBytes() const -> std::size_t;
+    /// @returns how much of the current message's body was read
+    [[nodiscard]] auto bodyBytes() const -> std::size_t { return this->message.body.size(); }
     /// @returns the length of the body where the head of the message announces it; zero otherwise
     [[nodiscard]] auto announcedBodyBytes() const -> std::size_t { return this->announced; }
 
--- a/src/streams/internal/outboundconnection.cpp
+++ b/src/streams/internal/outboundconnection.cpp
@@ -308,7 +308,7 @@
     this->pool.busy.erase(std::exchange(this->id, 0));
     // An assignment would keep the buffer of the text.
     static_cast<void>(std::exchange(this->request, OutboundRequest{}));
-    const auto partialBytes = this->reader.heldBytes();
+    const auto partialBytes = this->reader.bodyBytes();
     this->reader.discard();
     this->updateCharge();
     if (this->isReusable) {
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -68,7 +68,7 @@
     /// No other request was sent on the connection before. Otherwise an answer that names no
     /// request may consist of additional bytes behind an earlier answer.
     bool isFirstOnConnection = true;
-    /// Bytes that had arrived of an answer that didn't complete.
+    /// Bytes that had arrived of the body of an answer that didn't complete.
     std::size_t partialBytes = 0;
     auto operator==(const OutboundResult &) const -> bool = default;
 };
