--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -61,8 +61,7 @@
 
 auto FrontListener::Connection::isCallerSilent(Instant moment) -> bool
 {
-    return this->stream.mayHaveUndelivered()
-           && this->silence.observe(this->stream.readSendQueue(), moment);
+    return this->stream.isPeerSilent(this->silence, moment);
 }
 
 auto FrontListener::Connection::sweep(Instant moment) -> void
--- a/src/streams/internal/outboundconnection.cpp
+++ b/src/streams/internal/outboundconnection.cpp
@@ -114,8 +114,8 @@
 
 auto OutboundPool::Connection::isPeerSilent() -> bool
 {
-    return this->checksSilence && this->isSent && this->stream.mayHaveUndelivered()
-           && this->silence.observe(this->stream.readSendQueue(), this->pool.now());
+    return this->checksSilence && this->isSent
+           && this->stream.isPeerSilent(this->silence, this->pool.now());
 }
 
 auto OutboundPool::Connection::armAnswerTimer() -> void
--- a/src/streams/internal/socketstream.cpp
+++ b/src/streams/internal/socketstream.cpp
@@ -115,6 +115,11 @@
               static_cast<int>(milliseconds.count()));
 }
 
+auto SocketStream::isPeerSilent(PeerSilence &silence, Instant moment) -> bool
+{
+    return !this->isDelivered && silence.observe(this->readSendQueue(), moment);
+}
+
 auto SocketStream::readSendQueue() -> SendQueueState
 {
     SendQueueState state;
--- a/src/streams/socketstream.h
+++ b/src/streams/socketstream.h
@@ -2,6 +2,7 @@
 
 #include "common/types/ids.h"
 #include "http/endpoint.h"
+#include "streams/peersilence.h"
 #include "streams/types/sendqueuestate.h"
 
 #include <cstdint>
@@ -73,9 +74,11 @@
     /// that fit into a receive buffer that is empty.
     /// @param timeout zero: no limit, as at the start
     auto limitUnacknowledgedTime(Duration timeout) -> void;
-    /// @returns whether the peer's system may not have acknowledged all that was written, without
-    ///          a system call
-    [[nodiscard]] auto mayHaveUndelivered() const -> bool { return !this->isDelivered; }
+    /// Observes whether the peer acknowledges what was written; takes no system call while all is
+    /// known to be acknowledged.
+    /// @param silence what was observed before
+    /// @returns whether the peer is silent
+    [[nodiscard]] auto isPeerSilent(PeerSilence &silence, Instant moment) -> bool;
     /// Asks the kernel for the state of the bytes that were written.
     [[nodiscard]] auto readSendQueue() -> SendQueueState;
     /// @returns whether the connection has failed; what arrived before may still be read
