Limits by progress count from the first bytes; a failed fetch is no progress

The limit in all counted from the sending, so that a watch which had waited for longer than 10 s had its deadline in the past when its answer began; a stalled answer of such a watch was noticed only when the watch's own time was over. And fetches that arrived in part and failed, again and again, kept a daemon from the store for good. Change: the limit in all counts from the first bytes, which also arm the timer; a failed fetch resets the progress that ConfigurationRelay goes by.

--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -120,7 +120,8 @@
     /// Since when a newer configuration is known than this daemon has.
     std::optional<Instant> newerKnownSince;
     Instant fetchDue{};
-    /// When a part of a fetched text last arrived.
+    /// When a part of the text that is being fetched last arrived; Instant{} after a failed fetch,
+    /// so that fetches that fail again and again don't keep the daemon from the store.
     Instant fetchProgressAt{};
     bool isFetching = false;
 };
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -69,6 +69,7 @@
 auto ConfigurationRelay::onFetchFailed(const Address &from, Instant now) -> void
 {
     this->isFetching = false;
+    this->fetchProgressAt = Instant{};
     this->fetchDue = now + this->settings.retryPause;
     if (const auto found = this->sources.find(from); found != this->sources.end()) {
         ++found->second.failures;
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -89,6 +89,11 @@
         relay.onFetchProgress(start + passed);
         CHECK_FALSE(relay.isStoreNeeded(start + passed + milliseconds{50}));
     }
+    THEN("it is needed once the fetch has failed")
+    {
+        relay.onFetchFailed(first, start + milliseconds{2000});
+        CHECK(relay.isStoreNeeded(start + milliseconds{2000}));
+    }
     THEN("it is needed some time after the last progress")
     {
         hear(start + milliseconds{2500});
--- a/src/streams/internal/outboundconnection.cpp
+++ b/src/streams/internal/outboundconnection.cpp
@@ -68,8 +68,8 @@
     this->id = newId;
     this->request = std::move(newRequest);
     this->done = std::move(newDone);
-    this->startedAt = this->pool.now();
-    this->deadline = this->startedAt + this->request.timeout;
+    this->deadline = this->pool.now() + this->request.timeout;
+    this->firstArrivedAt.reset();
     this->arrivedAt.reset();
     this->skippedAnswers = 0;
     ++this->requestCount;
@@ -168,11 +168,18 @@
 
 auto OutboundPool::Connection::noteProgress() -> void
 {
+    const auto isFirst = !this->arrivedAt;
     this->arrivedAt = this->pool.now();
-    if (const auto &limit = this->request.arrival) {
-        // The timer is armed for the earlier deadline; onTimeout() arms it anew.
-        this->deadline = std::min(this->startedAt + limit->total,
-                                  std::max(this->deadline, *this->arrivedAt + limit->stall));
+    const auto &limit = this->request.arrival;
+    if (!limit) {
+        return;
+    }
+    this->firstArrivedAt = this->firstArrivedAt.value_or(*this->arrivedAt);
+    this->deadline =
+        std::min(*this->firstArrivedAt + limit->total, *this->arrivedAt + limit->stall);
+    // Later on, onTimeout() finds that the deadline has moved.
+    if (isFirst) {
+        this->armAnswerTimer();
     }
 }
 
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -19,8 +19,8 @@
 {
     /// The answer is given up when no bytes have arrived for this long.
     Duration stall{0};
-    /// The answer is given up this long after the request was sent, so that a peer that sends
-    /// single bytes doesn't hold it for ever.
+    /// The answer is given up this long after its first bytes, so that a peer that sends single
+    /// bytes doesn't hold it for ever.
     Duration total{0};
     auto operator==(const ArrivalLimit &) const -> bool = default;
 };
