Fetches that fail halfway don't keep a daemon from reading the store

Callers would see routes of an old version, and 503 on new paths, for as long as each fetch of a daemon brings a part of the text and then fails: a damaged frame or one of another base that arrives in several pieces, a link that is cut time and again, or whole texts of a grantor of an earlier build that take more than the 10 s of ArrivalLimit::total. Cause: the time after which a daemon turns to the store counts from the last byte of any fetch, so every further attempt moved it. Change: once a fetch has failed of which a part had arrived, progress doesn't count until a configuration is adopted. A fetch that failed without a byte leaves things as they were, so that a busy grantor doesn't send the fleet to the store. Tests: ConfigurationRelay "given fetches that make progress and fail" and ConfigurationSource "given frames that arrive slowly and can't be read"; both failed before (store not needed 0.9 s after the failure; no read of the store in 6 s), both pass now. ConfigurationRelay "given a fetch that fails before it makes progress" passed before and after; it guards the limit of this change.

--- a/src/edge/configurationrelay.h
+++ b/src/edge/configurationrelay.h
@@ -21,7 +21,8 @@
     /// Announcements of a daemon that is silent for this long are forgotten.
     Duration silenceTimeout = std::chrono::milliseconds{2500};
     /// A daemon follows the store itself where it couldn't fetch a newer configuration for this
-    /// long, and none has been arriving in that time.
+    /// long, and none has been arriving in that time, or a fetch has failed of which a part had
+    /// arrived.
     Duration fetchTimeLimit = std::chrono::milliseconds{700};
     /// A grantor is cut off from the store if another one has reached it this much later. Grantors
     /// call the store more than twice in this time.
@@ -53,8 +54,10 @@
     auto onAdopted(StoreRevision revision, bool isStale) -> void;
     auto onFetchStarted(Instant now) -> void;
     auto onFetchFailed(const Address &from, Instant now) -> void;
-    /// Takes in when a part of the text that is being fetched last arrived.
-    auto onFetchProgress(Instant at) -> void { this->fetchProgressAt = at; }
+    /// Takes in when a part of the text that is being fetched last arrived. After a fetch that
+    /// brought a part and failed, this has no effect until a configuration is adopted: further
+    /// fetches may fail in the same way.
+    auto onFetchProgress(Instant at) -> void;
 
     /// @returns a daemon to fetch a newer configuration from now; empty where there is none, a
     /// fetch is under way, or it isn't due yet
@@ -120,8 +123,11 @@
     /// Since when a newer configuration is known than this daemon has.
     std::optional<Instant> newerKnownSince;
     Instant fetchDue{};
+    Instant fetchStartedAt{};
     /// When a part of a fetched text last arrived.
     Instant fetchProgressAt{};
+    /// A fetch has failed of which a part had arrived.
+    bool hasPartialFetchFailed = false;
     bool isFetching = false;
 };
 
--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -52,6 +52,7 @@
     this->ownRevision = this->isOwnStale ? revision : std::max(this->ownRevision, revision);
     this->isOwnStale = isStale;
     this->isFetching = false;
+    this->hasPartialFetchFailed = false;
     const auto isNewerKnown =
         std::any_of(this->sources.begin(), this->sources.end(),
                     [&](const auto &row) { return this->isNewer(row.second.revision); });
@@ -63,13 +64,25 @@
 auto ConfigurationRelay::onFetchStarted(Instant now) -> void
 {
     this->isFetching = true;
+    this->fetchStartedAt = now;
     this->fetchDue = now + this->settings.retryPause;
 }
 
+auto ConfigurationRelay::onFetchProgress(Instant at) -> void
+{
+    if (!this->hasPartialFetchFailed) {
+        this->fetchProgressAt = at;
+    }
+}
+
 auto ConfigurationRelay::onFetchFailed(const Address &from, Instant now) -> void
 {
     this->isFetching = false;
     this->fetchDue = now + this->settings.retryPause;
+    // Without a newer configuration, the text has come from elsewhere meanwhile.
+    if (this->newerKnownSince && this->fetchProgressAt >= this->fetchStartedAt) {
+        this->hasPartialFetchFailed = true;
+    }
     if (const auto found = this->sources.find(from); found != this->sources.end()) {
         ++found->second.failures;
     }
--- a/src/edge/tests/configurationfetch_tests.cpp
+++ b/src/edge/tests/configurationfetch_tests.cpp
@@ -144,3 +144,21 @@
         grantor.address, [&] { return trial.texts.back().size() > 1000; }, seconds{8});
     CHECK(trial.otherCalls == 0);
 }
+
+// Guards against a daemon that fetches a frame that it can't read over and over, and never reads
+// the store, since a part of each frame arrives slowly.
+SCENARIO(
+    "ConfigurationSource: given frames that arrive slowly and can't be read, the store is asked",
+    "[edge][largeconfiguration]")
+{
+    FetchTrial trial;
+    const std::string damaged(60'000, 'd');
+    PacedPeer grantor(trial.loop.base(),
+                      "HTTP/1.1 200 OK\r\nX-Revision: 7\r\nConnection: close\r\n"
+                      "Content-Encoding: zstd\r\nContent-Length: "
+                          + std::to_string(damaged.size()) + "\r\n\r\n" + damaged,
+                      pieces, milliseconds{50});
+    CHECK(trial.announceUntil(
+        grantor.address, [&] { return trial.otherCalls > 0; }, seconds{6}));
+    CHECK(trial.texts == std::vector<std::string>{"old"});
+}
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -98,6 +98,59 @@
     }
 }
 
+// Guards against a daemon that keeps an old configuration for good since each of its fetches brings
+// a part of the text and fails: it never reads the store.
+SCENARIO("ConfigurationRelay: given fetches that make progress and fail, the store is needed",
+         "[edge][relay][largeconfiguration]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    const auto fetchFor = [&relay](Instant from, Duration time) {
+        relay.onFetchStarted(from);
+        for (auto passed = Duration{0}; passed < time; passed += milliseconds{100}) {
+            relay.onAnnouncement(first, announcement(7, milliseconds{0}), from + passed);
+            relay.onFetchProgress(from + passed);
+        }
+    };
+    relay.onAnnouncement(first, announcement(7, milliseconds{0}), start);
+    fetchFor(start, seconds{2});
+    relay.onFetchFailed(first, start + seconds{2});
+    WHEN("the next fetch makes progress too")
+    {
+        fetchFor(start + milliseconds{2100}, milliseconds{900});
+        THEN("the store is needed some time after the first one's progress")
+        {
+            CHECK(relay.isStoreNeeded(start + seconds{3}));
+        }
+        THEN("it isn't needed once the text has been adopted, also while the next one arrives")
+        {
+            relay.onAdopted(StoreRevision{7}, false);
+            relay.onAnnouncement(first, announcement(8, milliseconds{0}), start + seconds{3});
+            relay.onFetchStarted(start + seconds{3});
+            relay.onFetchProgress(start + seconds{4});
+            relay.onAnnouncement(first, announcement(8, milliseconds{0}), start + seconds{4});
+            CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{4500}));
+        }
+    }
+}
+
+// Guards against a fleet that reads a large text from the store since its first calls of a busy
+// grantor have failed.
+SCENARIO("ConfigurationRelay: given a fetch that fails before it makes progress, the next one's "
+         "progress counts",
+         "[edge][relay][largeconfiguration]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    relay.onAnnouncement(first, announcement(7, milliseconds{0}), start);
+    relay.onFetchStarted(start);
+    relay.onFetchFailed(first, start + milliseconds{250});
+    relay.onFetchStarted(start + milliseconds{330});
+    relay.onFetchProgress(start + milliseconds{600});
+    CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{1200}));
+    relay.onAnnouncement(first, announcement(7, milliseconds{0}), start + milliseconds{1200});
+    relay.onFetchProgress(start + milliseconds{1200});
+    CHECK_FALSE(relay.isStoreNeeded(start + milliseconds{1800}));
+}
+
 // Guards against a daemon that answers as if it were behind after the only grantor that announced a
 // newer configuration has gone.
 SCENARIO("ConfigurationRelay: given a newer revision, it is known while it is announced",
