Soak: configurations of 1,500 routes come and go; turned away requests are violations

The soak's configurations had two routes, so no transfer between daemons took long, and a 4xx of a daemon's own counted as an unknown outcome.

--- a/src/soak/internal/soakcell.cpp
+++ b/src/soak/internal/soakcell.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakcell.h"
 
 #include "http1/messagewriter.h"
+#include "soak/internal/soakconfiguration.h"
 #include "soak/peerprocess.h"
 #include "testing/freeaddress.h"
 
@@ -8,7 +9,6 @@
 #include <csignal>
 #include <event2/event.h>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace gooseberrywall {
@@ -29,6 +29,14 @@
 /// In runs with planned stops only, some requests are long.
 constexpr Duration longServiceTime = milliseconds{250};
 
+/// @returns whether the status tells the caller that its request is wrong; 408, 421 and 429 tell
+/// that it hasn't run
+auto isTurnedAway(int status) -> bool
+{
+    const auto isPromise = status == 408 || status == 421 || status == 429;
+    return status >= 300 && status < 500 && !isPromise;
+}
+
 } // namespace
 
 SoakCell::SoakCell(SoakSettings settings)
@@ -150,18 +158,7 @@
 
 auto SoakCell::putConfiguration(int newVersion) -> void
 {
-    const auto route = [](const std::string &name, const std::string &kind) {
-        return nlohmann::json{
-            {"name", name},       {"host", "h.example"}, {"prefix", "/" + name + "/"},
-            {"route_type", kind}, {"timeout_s", 1.0},    {"target_latency_s", 0.3},
-            {"priority", 1},      {"max_attempts", 2},   {"service", name}};
-    };
-    this->store.put(
-        "op/config",
-        nlohmann::json{{"version", newVersion},
-                       {"routes", {route("keyed", "idempotent"), route("plain", "non_idempotent")}},
-                       {"services", {{{"name", "keyed"}, {"sharded", true}}, {{"name", "plain"}}}}}
-            .dump());
+    this->store.put("op/config", soakConfiguration(newVersion));
 }
 
 auto SoakCell::injectFault() -> void
@@ -406,6 +403,9 @@
         entry.isRefused = true;
     } else {
         ++this->report.unknown;
+        if (isTurnedAway(status)) {
+            this->addViolation(id + " was turned away with status " + std::to_string(status));
+        }
         entry.isCut = monotonicNow() - entry.sentAt < shortestDeadline;
         const auto *signature = result.answer.head.find("Server-Signature");
         entry.failedBy = status == 500 && signature != nullptr ? *signature : std::string{};
