The limit of an answer in all counts from its first bytes

Callers would see a version late on daemons whose watch of the store had waited for more than 10 s: an answer that began within its own transfer time of the watch's end was given up while it arrived, and sent again. Watches wait that long where a daemon that is no grantor follows the store in a fleet of 500 VMs and more (fleetInterval); reads and fetches are hardly affected. Cause: ArrivalLimit::total was counted from the sending, so the time that a watch waits was taken off the time for its answer; the deadline lay in the past then. Change: it counts from the answer's first bytes.

--- a/src/streams/internal/outboundconnection.cpp
+++ b/src/streams/internal/outboundconnection.cpp
@@ -68,8 +68,8 @@
     this->id = newId;
     this->request = std::move(newRequest);
     this->done = std::move(newDone);
-    this->startedAt = this->pool.now();
-    this->deadline = this->startedAt + this->request.timeout;
+    this->deadline = this->pool.now() + this->request.timeout;
+    this->firstArrivedAt.reset();
     this->arrivedAt.reset();
     this->skippedAnswers = 0;
     ++this->requestCount;
@@ -169,9 +169,10 @@
 auto OutboundPool::Connection::noteProgress() -> void
 {
     this->arrivedAt = this->pool.now();
+    this->firstArrivedAt = this->firstArrivedAt.value_or(*this->arrivedAt);
     if (const auto &limit = this->request.arrival) {
         // The timer is armed for the earlier deadline; onTimeout() arms it anew.
-        this->deadline = std::min(this->startedAt + limit->total,
+        this->deadline = std::min(*this->firstArrivedAt + limit->total,
                                   std::max(this->deadline, *this->arrivedAt + limit->stall));
     }
 }
--- a/src/streams/internal/outboundconnection.h
+++ b/src/streams/internal/outboundconnection.h
@@ -68,8 +68,9 @@
     /// The request's text while the stream holds it.
     std::weak_ptr<const std::string> sentText;
     Done done;
-    Instant startedAt{};
     Instant deadline{};
+    /// When bytes of the answer first and last arrived.
+    std::optional<Instant> firstArrivedAt;
     std::optional<Instant> arrivedAt;
     bool isConnected = false;
     bool isSent = false;
--- a/src/streams/types/outboundmessages.h
+++ b/src/streams/types/outboundmessages.h
@@ -19,8 +19,9 @@
 {
     /// The answer is given up when no bytes have arrived for this long.
     Duration stall{0};
-    /// The answer is given up this long after the request was sent, so that a peer that sends
-    /// single bytes doesn't hold it for ever.
+    /// The answer is given up this long after its first bytes have arrived, so that a peer that
+    /// sends single bytes doesn't hold it for ever. The time before isn't part of it, since a watch
+    /// may wait for longer.
     Duration total{0};
     auto operator==(const ArrivalLimit &) const -> bool = default;
 };
