Key owners aren't read again while a read of them arrives

Callers without a grantor would wait longer for the owners of their keys: a record of up to 1 MB that takes more than 2 s to arrive is sent several times at once, on the link that it fills. 295 daemons that lose a grantor at once ask for 393 MB in base64, 3.1 s of the store's link of 1,000 Mbit/s (calculated). Cause: key owners are read every 2 s. Change: UpstreamWatch sends no second read of a record while one is open. A record of another era has another key, so it is still read at once. Tests: UpstreamWatch "given a read of key owners that is open" failed before (2 calls), passes now.

--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -214,9 +215,15 @@
     auto readOwners(const ServiceName &service, const std::string &recordKey, Duration timeout)
         -> void
     {
-        this->store(StoreGet{recordKey, true}, timeout, [this, service](const StoreAnswer &answer) {
-            this->onOwners(service, answer);
-        });
+        // A large record may arrive for longer than the time between two reads.
+        if (!this->openOwnerReads.insert(recordKey).second) {
+            return;
+        }
+        this->store(StoreGet{recordKey, true}, timeout,
+                    [this, service, recordKey](const StoreAnswer &answer) {
+                        this->openOwnerReads.erase(recordKey);
+                        this->onOwners(service, answer);
+                    });
     }
 
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>
@@ -333,6 +340,8 @@
     OnEntries onEntries;
     UpstreamDirectory directory;
     std::uint64_t daemonCount = 0;
+    /// Keys of the records that are being read.
+    std::set<std::string> openOwnerReads;
     /// As last published.
     std::vector<UpstreamEntry> lastEntries;
     std::unique_ptr<PrefixView> view;
