--- a/src/streams/tests/arrivallimit_tests.cpp
+++ b/src/streams/tests/arrivallimit_tests.cpp
@@ -114,3 +114,18 @@
         CHECK_FALSE(fixture.wasArriving);
     }
 }
+
+// Guards against a watch of the store that has waited for longer than a large answer may take: the
+// answer would be given up while it arrives.
+SCENARIO("OutboundPool: given an answer that begins late, the limit in all counts from its first "
+         "bytes",
+         "[streams]")
+{
+    LimitFixture fixture;
+    constexpr std::size_t latePieces = 3;
+    PacedPeer peer(fixture.loop.base(), largeAnswer(), latePieces, milliseconds{500});
+    const auto result =
+        fixture.ask(peer, ArrivalLimit{seconds{2}, milliseconds{1300}}, milliseconds{750});
+    CHECK(result.end == End::Answered);
+    CHECK(result.answer.body.size() == bodyBytes);
+}
