A new grantor is told of quarantined requests by the daemons that know them

Callers saw that a request which had crashed three upstreams reached upstreams again after daemons had been killed: ordinary requests failed while the crashed upstreams restarted.

Cause: a killed grantor that starts again within its lease removes its former claim and is often elected anew, and a daemon that has just started may be elected after another's kill. It knows no suspects, and the daemons that know them told nobody, as only grantors send notices. They asked it for permits, and it counted three crashes anew.

Now a daemon that learns of a grantor of a new term sends it the suspects that it knows, three times in 1 s; the grantor tells on what is new. Of fleets with more than 30 daemons some 30 send. For 10 s after its start a daemon asks a new grantor for its suspects, so that it doesn't wait for its turn.

A grantor that is killed right after each crash is not covered yet.

--- a/src/dispatch/internal/requestquarantine.cpp
+++ b/src/dispatch/internal/requestquarantine.cpp
@@ -78,7 +78,8 @@
     }
 }
 
-auto RequestQuarantine::adopt(const std::vector<SuspectRequest> &suspects, Instant now) -> void
+auto RequestQuarantine::adopt(const std::vector<SuspectRequest> &suspects, Instant now,
+                              bool isToldOn) -> void
 {
     for (const auto &told : suspects) {
         if (told.fingerprint.value == 0) {
@@ -91,8 +92,12 @@
         const auto lastCrashAt = now - std::max(Duration{0}, told.sinceLastCrash);
         auto &suspect = this->suspects[told.fingerprint];
         suspect.lastCrashAt = std::max(suspect.lastCrashAt, lastCrashAt);
+        auto isNew = false;
         for (const auto crash : told.crashes) {
-            this->addCrash(suspect, crash);
+            isNew = this->addCrash(suspect, crash) || isNew;
+        }
+        if (isNew && isToldOn) {
+            this->scheduleNotice(told.fingerprint, now);
         }
     }
     this->forgetBeyondLimit();
@@ -111,7 +116,7 @@
     const auto found = this->suspects.find(fingerprint);
     return found != this->suspects.end()
            && found->second.crashes.size() >= this->settings.crashLimit
-           && now - found->second.lastCrashAt <= this->settings.suspectLifetime;
+           && !this->isForgotten(found->second, now);
 }
 
 auto RequestQuarantine::quarantinedCount(Instant now) const -> std::size_t
@@ -155,7 +160,7 @@
         auto next = this->suspects.upper_bound(this->lastInTurn);
         next = next == this->suspects.end() ? this->suspects.begin() : next;
         this->lastInTurn = next->first;
-        const auto isAlive = now - next->second.lastCrashAt <= this->settings.suspectLifetime;
+        const auto isAlive = !this->isForgotten(next->second, now);
         if (isAlive && !this->notices.contains(next->first) && chosen.insert(next->first).second) {
             result.push_back(this->noticeOf(next->first, now));
         }
@@ -163,6 +168,23 @@
     return result;
 }
 
+auto RequestQuarantine::worstSuspects(std::size_t limit, Instant now) const
+    -> std::vector<SuspectRequest>
+{
+    std::vector<SuspectRequest> result;
+    for (const auto &[fingerprint, suspect] : this->suspects) {
+        if (!this->isForgotten(suspect, now)) {
+            result.push_back(this->noticeOf(fingerprint, now));
+        }
+    }
+    std::stable_sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
+        return std::pair(right.crashes.size(), left.sinceLastCrash)
+               < std::pair(left.crashes.size(), right.sinceLastCrash);
+    });
+    result.resize(std::min(result.size(), limit));
+    return result;
+}
+
 auto RequestQuarantine::takeCrashes() -> std::vector<SuspectedCrash>
 {
     return std::exchange(this->crashes, {});
--- a/src/dispatch/requestquarantine.h
+++ b/src/dispatch/requestquarantine.h
@@ -44,8 +44,10 @@
     auto onUpstreamLost(const UpstreamId &upstream, Incarnation incarnation, Instant now) -> void;
     /// Forgets the crashes of the request: it has been answered.
     auto onAnswered(RequestFingerprint fingerprint) -> void;
-    /// Takes in what a grantor tells. Crashes that are known already count once.
-    auto adopt(const std::vector<SuspectRequest> &suspects, Instant now) -> void;
+    /// Takes in what another daemon tells. Crashes that are known already count once.
+    /// @param isToldOn what is new is told to other daemons
+    auto adopt(const std::vector<SuspectRequest> &suspects, Instant now, bool isToldOn = false)
+        -> void;
     /// Forgets requests that aren't quarantined yet: another grantor, which tells of them, may have
     /// seen their answers.
     auto forgetUnconfirmed() -> void;
@@ -59,6 +61,9 @@
     /// @returns the changes that are due, the most serious ones first, and after them further
     ///          suspects in turn, so that daemons that have started since learn of all
     [[nodiscard]] auto takeNotices(std::size_t limit, Instant now) -> std::vector<SuspectRequest>;
+    /// @returns the suspects with most crashes, and of these the latest ones first
+    [[nodiscard]] auto worstSuspects(std::size_t limit, Instant now) const
+        -> std::vector<SuspectRequest>;
     /// @returns the crashes since the last call that count against a request
     [[nodiscard]] auto takeCrashes() -> std::vector<SuspectedCrash>;
 
@@ -83,6 +88,10 @@
         int repeats = 0;
     };
 
+    [[nodiscard]] auto isForgotten(const Suspect &suspect, Instant now) const -> bool
+    {
+        return now - suspect.lastCrashAt > this->settings.suspectLifetime;
+    }
     /// @returns whether the crash wasn't known
     auto addCrash(Suspect &suspect, CrashId crash) const -> bool;
     /// Sees to it that a change of the request's crashes is told.
--- a/src/dispatch/tests/requestquarantine_tests.cpp
+++ b/src/dispatch/tests/requestquarantine_tests.cpp
@@ -197,3 +197,40 @@
         CHECK(trial.other.suspectCount() == 10'000);
     }
 }
+
+// Guards against a new grantor that is told of minor suspects in place of quarantined requests.
+SCENARIO("RequestQuarantine: given more suspects than are asked for, those with most crashes and "
+         "then the latest ones are named",
+         "[dispatch][crash][quarantine]")
+{
+    NoticeTrial trial;
+    const RequestFingerprint culprit{1};
+    trial.crash(culprit);
+    trial.crash(culprit);
+    trial.crash(RequestFingerprint{2});
+    trial.now += seconds{5};
+    trial.crash(RequestFingerprint{3});
+    const auto worst = trial.grantor.worstSuspects(2, trial.now);
+    REQUIRE(worst.size() == 2);
+    CHECK(worst.front().fingerprint == culprit);
+    CHECK(worst.front().crashes.size() == 2);
+    CHECK(worst.back().fingerprint == RequestFingerprint{3});
+    CHECK(trial.grantor.worstSuspects(2, trial.now + std::chrono::minutes{11}).empty());
+}
+
+// Guards against a grantor that keeps to itself what it was handed over, and against messages
+// without end about what is known.
+SCENARIO("RequestQuarantine: given crashes that another daemon tells, only new ones are told on",
+         "[dispatch][crash][quarantine]")
+{
+    NoticeTrial trial;
+    const std::vector suspects{SuspectRequest{RequestFingerprint{5}, {1, 2, 3}, seconds{1}}};
+    trial.grantor.adopt(suspects, trial.now, true);
+    CHECK(trial.grantor.hasNotices(trial.now));
+    trial.tell(seconds{3});
+    CHECK(trial.other.isQuarantined(RequestFingerprint{5}, trial.now));
+    trial.grantor.adopt(suspects, trial.now, true);
+    CHECK_FALSE(trial.grantor.hasNotices(trial.now));
+    trial.other.adopt({SuspectRequest{RequestFingerprint{6}, {1}, Duration{0}}}, trial.now);
+    CHECK_FALSE(trial.other.hasNotices(trial.now));
+}
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -46,6 +46,18 @@
     /// Bytes a second that the notices in turn may take; with many daemons they are told less
     /// often.
     double suspectTurnBytesPerSecond = 10'000;
+    /// A daemon tells a new grantor the suspects that it knows this often, as datagrams may be
+    /// lost, and at most so many.
+    int handoverRepeats = 3;
+    std::size_t handoverLimit = 4 * SuspectNotice::maxSuspects;
+    /// A daemon asks each new grantor for its suspects for this time after its own start: the
+    /// first grantor that it knows may have ended.
+    Duration suspectAskTime = std::chrono::seconds{10};
+    /// About so many daemons of a larger fleet tell a new grantor what they know.
+    std::uint64_t handoverDaemons = 30;
+    /// The fleet is as large as the largest count that grantors have told in this time, as a new
+    /// grantor knows few daemons at first.
+    Duration daemonCountMemory = std::chrono::seconds{30};
     /// How often moves of keys are planned.
     Duration planEvery = std::chrono::milliseconds{300};
     /// Pause after a failed store call.
@@ -111,6 +123,8 @@
         this->longestRequest = std::max(this->longestRequest, time);
     }
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
+    /// @param count daemons that the service's grantor knows
+    auto onDaemonCount(std::uint64_t count) -> void;
     /// @returns whether the request must not run, as this daemon or a grantor has seen it crash
     ///          upstreams
     [[nodiscard]] auto isQuarantined(RequestFingerprint fingerprint) const -> bool
@@ -214,6 +228,13 @@
     auto announce() -> void;
     /// Tells all daemons about requests that crash upstreams, where that is due.
     auto tellSuspects(Instant moment) -> void;
+    auto onSuspectNotice(const Address &from, const SuspectNotice &notice) -> void;
+    /// Sees to it that a grantor of a new term is told what this daemon knows: it may have
+    /// started after the last notice.
+    auto scheduleHandover(const ElectedGrantor &grantor, Instant moment) -> void;
+    /// Tells the grantor about requests that crash upstreams, where that is due.
+    auto handOverSuspects(Instant moment) -> void;
+    [[nodiscard]] auto isHandoverSender(StoreRevision grantorTerm) const -> bool;
     /// Logs the crashes that count against requests.
     auto logCrashes() -> void;
     [[nodiscard]] auto announcement() const -> GrantorAnnouncement;
@@ -301,6 +322,15 @@
     Instant announceDue{};
     Instant suspectNoticeDue{};
     Instant suspectTurnDue{};
+    /// The last term whose grantor was told suspects, or is being told.
+    StoreRevision handoverTerm;
+    int handoversLeft = 0;
+    Instant handoverDue{};
+    Instant startedAt;
+    /// No grantor has told this daemon suspects since its start.
+    bool mustAskSuspects = true;
+    std::uint64_t daemonCount = 0;
+    Instant daemonCountAt{};
     Instant advancedAt{};
     /// When the ends of orders received since the last advance are handled.
     Instant orderEndsDue{};
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -37,6 +37,8 @@
     /// Passes a message to its service's role; a permit request for a service without one is
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
+    /// @param count daemons that the service's grantor knows
+    auto onDaemonCount(const ServiceName &service, std::uint64_t count) -> void;
     /// @returns whether the request must not run, as it is known to crash upstreams
     [[nodiscard]] auto isQuarantined(const PermitRequest &request) const -> bool;
     /// @returns how many requests are known to crash upstreams
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -42,6 +42,7 @@
                                           this->settings.broker, this->settings.retries,
                                           this->settings.incarnation, this->quarantine))
     , planner(this->settings.planner)
+    , startedAt(this->now())
 {
 }
 
@@ -114,7 +115,7 @@
         this->broker->report(*report, moment);
         this->takeInChanges();
     } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
-        this->quarantine->adopt(notice->suspects, moment);
+        this->onSuspectNotice(from, *notice);
     } else if (const auto *cancel = std::get_if<PermitCancel>(&message)) {
         this->broker->cancel(cancel->id, moment);
     } else if (std::holds_alternative<DaemonHello>(message)) {
@@ -141,6 +142,7 @@
     if (this->ranges) {
         this->advanceRanges(moment);
     }
+    this->handOverSuspects(moment);
     if (!this->serving) {
         return;
     }
@@ -339,6 +341,9 @@
     if (const auto next = this->election.nextDue()) {
         due = std::min(due, *next);
     }
+    if (this->handoversLeft > 0) {
+        due = std::min(due, this->handoverDue);
+    }
     if (this->serving) {
         if (const auto next = this->broker->nextDue(this->advancedAt)) {
             due = std::min(due, *next);
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -133,6 +133,13 @@
     }
 }
 
+auto GrantorRoles::onDaemonCount(const ServiceName &service, std::uint64_t count) -> void
+{
+    if (const auto found = this->roles.find(service); found != this->roles.end()) {
+        found->second->onDaemonCount(count);
+    }
+}
+
 auto GrantorRoles::isQuarantined(const PermitRequest &request) const -> bool
 {
     const auto found = this->roles.find(request.service);
--- a/src/edge/internal/grantorstatements.cpp
+++ b/src/edge/internal/grantorstatements.cpp
@@ -81,45 +81,4 @@
     return static_cast<std::uint64_t>(std::llround(percent * share.value_or(0)));
 }
 
-auto GrantorRole::tellSuspects(Instant moment) -> void
-{
-    const auto isInTurn = moment >= this->suspectTurnDue;
-    const auto isChanged = moment >= this->suspectNoticeDue && this->quarantine->hasNotices(moment);
-    if (!isInTurn && !isChanged) {
-        return;
-    }
-    this->suspectNoticeDue = moment + this->settings.suspectNoticeEvery;
-    this->suspectTurnDue = moment + this->settings.suspectTurnEvery;
-    auto suspects = this->quarantine->takeNotices(SuspectNotice::maxSuspects, moment);
-    if (suspects.empty()) {
-        return;
-    }
-    const auto addresses = this->daemons.addresses();
-    constexpr auto bytesPerSuspect = 40;
-    const auto bytes = static_cast<double>(bytesPerSuspect * suspects.size() * addresses.size());
-    const std::chrono::duration<double> turn(bytes / this->settings.suspectTurnBytesPerSecond);
-    this->suspectTurnDue =
-        std::max(this->suspectTurnDue, moment + std::chrono::duration_cast<Duration>(turn));
-    const SuspectNotice notice{this->spec.name, std::move(suspects)};
-    for (const auto &daemon : addresses) {
-        if (daemon != this->settings.peerAddress) {
-            this->datagrams.push_back(PermitDatagram{daemon, notice});
-        }
-    }
-}
-
-auto GrantorRole::logCrashes() -> void
-{
-    for (const auto &crash : this->quarantine->takeCrashes()) {
-        LogLine line(crash.isQuarantined ? "request_quarantined" : "request_suspected");
-        line.with("service", this->spec.name.value)
-            .with("fingerprint", std::to_string(crash.fingerprint.value))
-            .with("upstream", crash.upstream.value)
-            .with("life", static_cast<std::int64_t>(crash.incarnation.value))
-            .with("entry", crash.entry.value)
-            .with("crashes", static_cast<std::int64_t>(crash.crashCount));
-        this->log(crash.isQuarantined ? LogLevel::Warning : LogLevel::Info, line);
-    }
-}
-
 } // namespace gooseberrywall
--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -26,6 +26,9 @@
     if (this->serving && isReplaced) {
         this->onReplaced();
     }
+    if (grantor) {
+        this->scheduleHandover(*grantor, this->now());
+    }
 }
 
 auto GrantorRole::onStoreEra(std::uint64_t era) -> void
--- a/src/edge/internal/grantorwatch.cpp
+++ b/src/edge/internal/grantorwatch.cpp
@@ -49,6 +49,7 @@
     -> void
 {
     this->daemonCount = announcement.daemonCount;
+    this->roles.onDaemonCount(announcement.service, announcement.daemonCount);
     this->directory.onAnnouncement(announcement.service, from, announcement.term, this->now());
     this->permits.setGrantor(announcement.service, from, announcement.term);
 }
--- a/src/permitlink/permitmessages.h
+++ b/src/permitlink/permitmessages.h
@@ -41,7 +41,8 @@
 };
 
 /// A grantor's message to all daemons about requests that were unanswered when upstreams of its
-/// service were lost, and that aren't suspect any more.
+/// service were lost, and that aren't suspect any more. Other daemons send a new grantor what they
+/// know; without suspects, the message asks the grantor for those that it knows.
 struct SuspectNotice
 {
     /// More don't fit into one packet; further ones aren't sent.
