A configuration that can't be fetched doesn't keep a daemon from an older one

Failures go first now. Test: ConfigurationRelay, "given a newest configuration that can't be fetched"; failed before (the same grantor was named again).

--- a/src/edge/internal/configurationrelay.cpp
+++ b/src/edge/internal/configurationrelay.cpp
@@ -1,6 +1,7 @@
 #include "edge/configurationrelay.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -94,12 +95,13 @@
     if (this->isFetching || !this->newerKnownSince || now < this->fetchDue) {
         return std::nullopt;
     }
-    // The newest revision with the fewest failures; the delay spreads daemons over equal sources.
+    // A grantor that can't be reached must not keep the daemon from an older version than its own,
+    // so failures go before revisions. The delay spreads daemons over equal sources.
     const auto rank = [](const Source &source) {
-        return std::pair(source.revision, -source.failures);
+        return std::pair(-source.failures, source.revision);
     };
     std::vector<Address> best;
-    auto bestRank = std::pair(StoreRevision{}, 1);
+    auto bestRank = std::pair(std::numeric_limits<int>::min(), StoreRevision{});
     for (const auto &[address, source] : this->sources) {
         if (!this->isNewer(source.revision)) {
             continue;
--- a/src/edge/tests/configurationrelay_tests.cpp
+++ b/src/edge/tests/configurationrelay_tests.cpp
@@ -180,6 +180,29 @@
     }
 }
 
+// Guards against a daemon that asks for the newest configuration in vain, again and again, and
+// keeps one that is older than those of grantors it reaches.
+SCENARIO(
+    "ConfigurationRelay: given a newest configuration that can't be fetched, the next newest is "
+    "fetched",
+    "[edge][relay]")
+{
+    ConfigurationRelay relay(ConfigurationRelaySettings{}, Duration{0});
+    relay.onAdopted(StoreRevision{5}, false);
+    relay.onAnnouncement(first, announcement(9, milliseconds{0}), start);
+    relay.onAnnouncement(second, announcement(7, milliseconds{0}), start);
+    CHECK(relay.fetchSource(start) == first);
+    relay.onFetchStarted(start);
+    relay.onFetchFailed(first, start + milliseconds{250});
+    CHECK(relay.fetchSource(start + milliseconds{400}) == second);
+    THEN("the newest is tried again afterwards")
+    {
+        relay.onFetchStarted(start + milliseconds{400});
+        relay.onAdopted(StoreRevision{7}, false);
+        CHECK(relay.fetchSource(start + milliseconds{500}) == first);
+    }
+}
+
 SCENARIO("ConfigurationRelay: given grantors that are cut off, the store is followed in time",
          "[edge][relay]")
 {
