Forwarded uploads share their body with its owner, and may have any permitted size

Cause: EntryService built the whole request as text for the hop, forwardRequestText copied it into the message, and OutboundPool held that beside the body that is kept for retries. The forwarder parsed the text to check it, which copied the body once more without a charge, and the parser's standard limit refused bodies above 16 MiB whatever the operators allow.

Now ForwardRequest has a body that is shared, as OutboundRequest has; the message on the wire is the same (a test compares them), so earlier builds read it. The forwarder parses the head of the request only, compares the announced length with the rest, and moves the text on; the listener's limit on messages between daemons (128 MiB) is the only one left. A chunked request in the message is refused: entry daemons join chunks, and its end can't be found without a copy.

--- a/src/edge/entryservice.h
+++ b/src/edge/entryservice.h
@@ -260,7 +260,7 @@
         request.address = command.address;
         const auto headers = this->wire.attemptHeaders(command.upstream, command.remaining);
         entry.isForwarded = !command.forwarder.empty();
-        if (entry.isForwarded || entry.body->size() <= copiedBodyBytes) {
+        if (entry.body->size() <= copiedBodyBytes) {
             request.text = requestText(entry.head, *entry.body, headers);
         } else {
             request.text = requestHead(entry.head, entry.body->size(), headers);
@@ -300,6 +300,7 @@
         forwarded.needsNewConnection = request.needsNewConnection;
         forwarded.isLastResort = command.isLastResort;
         forwarded.text = std::move(request.text);
+        forwarded.body = std::move(request.body);
         return this->forwards.send(
             command.forwarder, forwarded,
             [this, exchange = command.exchange](ForwardAnswer answer) {
--- a/src/forwarding/forwardcodec.h
+++ b/src/forwarding/forwardcodec.h
@@ -14,7 +14,7 @@
 constexpr const char *forwardIdHeader = "X-Forward-Id";
 
 /// @param id of this hop; differs between the requests of one connection
-/// @returns the HTTP request to the forwarder
+/// @returns the HTTP request to the forwarder without the bytes of `request.body`, which follow it
 [[nodiscard]] auto forwardRequestText(const ForwardRequest &request, const Address &forwarder,
                                       const std::string &id) -> std::string;
 /// @returns nothing where a field is missing, malformed or out of range, or the body isn't exactly
--- a/src/forwarding/internal/forwardclient.cpp
+++ b/src/forwarding/internal/forwardclient.cpp
@@ -58,6 +58,7 @@
     OutboundRequest outbound;
     outbound.address = forwarder;
     outbound.text = forwardRequestText(request, forwarder, hopId);
+    outbound.body = request.body;
     outbound.timeout = request.remaining + endSlack;
     outbound.echoedId = hopId;
     return this->pool.send(
--- a/src/forwarding/internal/forwardcodec.cpp
+++ b/src/forwarding/internal/forwardcodec.cpp
@@ -133,17 +133,26 @@
 
 /// @returns whether the text is one whole request, and a HEAD request if that is expected. The
 /// outcome of a second request in the text would stay unknown; a request to forward would make a
-/// second hop.
+/// second hop. The body has to have a length, as in all requests that entry daemons build, and
+/// isn't parsed: parsing would copy it.
 auto isOneRequest(std::string_view text, bool isHead) -> bool
 {
-    MessageLimits limits;
-    limits.headBytes = limits.bodyBytes;
-    MessageReader reader(MessageReader::Kind::Request, limits);
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    const auto end = text.find(headEnd);
+    if (end == std::string_view::npos) {
+        return false;
+    }
+    // The listener has bounded the text.
+    MessageReader reader(MessageReader::Kind::Request, MessageLimits{text.size(), text.size()});
     std::size_t taken = 0;
-    if (reader.read(text, taken) != MessageReader::Step::Whole || taken != text.size()) {
+    const auto step = reader.read(text.substr(0, end + headEnd.size()), taken);
+    const auto bodyBytes = reader.announcedBodyBytes();
+    const auto hasLength = step == MessageReader::Step::Whole
+                           || (step == MessageReader::Step::NeedMore && bodyBytes > 0);
+    if (!hasLength || taken + bodyBytes != text.size()) {
         return false;
     }
-    const auto head = reader.take().head;
+    const auto &head = reader.head();
     const auto isHop = head.target == forwardPath && head.find(addressHeader) != nullptr;
     return !isHop && (head.method == "HEAD") == isHead;
 }
@@ -231,7 +240,8 @@
     if (request.echoedId) {
         head.headers.push_back(HttpHeader{echoedIdHeader, percentEncode(*request.echoedId)});
     }
-    return requestText(head, request.text, {});
+    const auto bodyBytes = request.body == nullptr ? 0 : request.body->size();
+    return requestHead(head, request.text.size() + bodyBytes, {}).append(request.text);
 }
 
 auto decodeForwardRequest(WholeMessage message) -> std::optional<ForwardRequest>
--- a/src/forwarding/tests/forwardclient_tests.cpp
+++ b/src/forwarding/tests/forwardclient_tests.cpp
@@ -97,6 +97,18 @@
     client.abort(id);
     loop.runFor(milliseconds{20});
     CHECK(memory.heldBytes() == 0);
+    GIVEN("a body that is shared with the owner of the request, who counts it")
+    {
+        request.text = "PUT / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+        request.body = std::make_shared<const std::string>(bodyBytes, 'b');
+        const auto shared = client.send(freeAddress(), request, [](const ForwardAnswer &) {});
+        CHECK(request.body.use_count() == 2);
+        CHECK(memory.heldBytes() < bodyBytes / 10);
+        client.abort(shared);
+        loop.runFor(milliseconds{20});
+        CHECK(request.body.use_count() == 1);
+        CHECK(memory.heldBytes() == 0);
+    }
 }
 
 SCENARIO("ForwardClient calls only those requests not sent that can't be sent any more",
--- a/src/forwarding/tests/forwardcodec_tests.cpp
+++ b/src/forwarding/tests/forwardcodec_tests.cpp
@@ -98,6 +98,15 @@
             "PUT / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         CHECK((decodeForwardRequest(messageOf(request)) == request));
     }
+    GIVEN("a request with a body of 64 MiB, the largest that operators permit")
+    {
+        const std::string body(std::size_t{64} * 1024 * 1024, 'x');
+        request.text =
+            "PUT / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        WholeMessage message = messageOf(sampleRequest(upstreamAddress));
+        message.body = request.text;
+        CHECK((decodeForwardRequest(std::move(message)) == request));
+    }
     GIVEN("remaining times that aren't whole milliseconds, or beyond all bounds")
     {
         request.remaining = Duration{300};
@@ -109,6 +118,26 @@
     }
 }
 
+// Guards against a message that earlier builds can't read, and against a copy of the body in it.
+SCENARIO("ForwardCodec: given a request whose body is apart, the message is the same, and the body "
+         "follows it",
+         "[forwarding]")
+{
+    auto whole = sampleRequest(upstreamAddress);
+    const std::string head = "PUT / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n";
+    const std::string body(100'000, 'x');
+    whole.text = head + body;
+    auto apart = whole;
+    apart.text = head;
+    apart.body = std::make_shared<const std::string>(body);
+    const auto text = forwardRequestText(apart, forwarderAddress, "1");
+    CHECK((text + body == forwardRequestText(whole, forwarderAddress, "1")));
+    CHECK(text.capacity() < body.size());
+    const auto decoded =
+        decodeForwardRequest(wholeMessage(MessageReader::Kind::Request, text + body));
+    CHECK((decoded == whole));
+}
+
 SCENARIO("ForwardCodec rejects requests with malformed control headers", "[forwarding]")
 {
     const auto isRejected = [](const std::string &name, const std::optional<std::string> &value) {
@@ -161,7 +190,12 @@
     CHECK(isRejected(""));
     CHECK(isRejected("GET / HTTP/1.1\r\nHost: h\r\n"));
     CHECK(isRejected("GET / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcd"));
+    CHECK(isRejected("GET / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcdef"));
+    CHECK(isRejected("GET / HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\nabcd"));
+    CHECK(isRejected("GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na"));
     CHECK(isRejected("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n"));
+    // Entry daemons join chunks, and a chunked body can't be measured without a copy of it.
+    CHECK(isRejected("PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"));
     CHECK(isRejected("HTTP/1.1 200 OK\r\n\r\n"));
     CHECK(isRejected("HEAD / HTTP/1.1\r\n\r\n", false));
     CHECK(isRejected("GET / HTTP/1.1\r\n\r\n", true));
--- a/src/forwarding/types/forwardmessages.h
+++ b/src/forwarding/types/forwardmessages.h
@@ -7,6 +7,7 @@
 #include "streams/types/outboundmessages.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -35,6 +36,8 @@
     bool isLastResort = false;
     /// The HTTP request for the upstream: start line, headers and body as they are to be sent.
     std::string text;
+    /// Further bytes of the body, as in OutboundRequest. A forwarder receives all of it in `text`.
+    std::shared_ptr<const std::string> body = nullptr;
     auto operator==(const ForwardRequest &) const -> bool = default;
 };
 
