A request that a forwarder can't take in ends at once, as not sent

Callers saw: a forwarded request that the forwarder refused to read lasted until its deadline and ended with 504, although another forwarder, or this one a moment later, could have served it.

Cause: the 400 of ForwardService, and the answers that the peers' listener gives itself (503 where memory is short, 413, 408), named no hop. On a kept connection OutboundPool takes such an answer for one to an earlier request and skips it; on a new one the outcome counted as unknown.

Now these answers repeat the id of the hop and state not_sent with the refusal "unread". The listener passes the head of the request to the server, whose handler adds the headers. That the request wasn't sent is certain: the listener hands over whole requests only. ForwardClient reads a NotSent in an answer with an error status only with that refusal, which in turn isn't read with status 200.

--- a/src/edge/forwardhandler.h
+++ b/src/edge/forwardhandler.h
@@ -21,7 +21,7 @@
                                  service.onRequest(exchange, std::move(request));
                              },
                              [&service](ExchangeId exchange) { service.onDisconnect(exchange); },
-                             idleTimeout});
+                             idleTimeout, unreadHeaders});
 }
 
 /// @returns what the answer of a forwarded request states to the forwarder
--- a/src/edge/internal/peerserver.cpp
+++ b/src/edge/internal/peerserver.cpp
@@ -34,7 +34,10 @@
           [this](ExchangeId exchange, WholeMessage request) {
               this->onRequest(exchange, std::move(request));
           },
-          [this](ExchangeId exchange) { this->onDisconnect(exchange); }, memory)
+          [this](ExchangeId exchange) { this->onDisconnect(exchange); }, memory,
+          [this](MessageHead head, const UnreadRequest &request) {
+              return this->answerUnread(std::move(head), request.head);
+          })
 {
 }
 
@@ -67,6 +70,17 @@
     found->second.onRequest(exchange, std::move(request));
 }
 
+auto PeerServer::answerUnread(MessageHead head, const MessageHead &request) const -> MessageHead
+{
+    const auto found = this->handlers.find(request.target);
+    if (found != this->handlers.end() && found->second.unreadHeaders) {
+        for (auto &header : found->second.unreadHeaders(request)) {
+            head.headers.push_back(std::move(header));
+        }
+    }
+    return head;
+}
+
 auto PeerServer::reply(ExchangeId exchange, const MessageHead &head, std::string_view body) -> void
 {
     this->open.erase(exchange);
--- a/src/edge/peerserver.h
+++ b/src/edge/peerserver.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 struct event_base;
 
@@ -21,6 +22,9 @@
     FrontListener::OnDisconnect onDisconnect;
     /// A connection is closed that was idle for this long after a request for this path.
     Duration idleTimeout = std::chrono::seconds{2};
+    /// Returns headers of the answer to a request for this path that wasn't read whole; may be
+    /// empty.
+    std::function<std::vector<HttpHeader>(const MessageHead &request)> unreadHeaders = {};
 };
 
 /// The HTTP server on the address at which this daemon's peers reach it; each path has one handler.
@@ -60,6 +64,9 @@
 private:
     auto onRequest(ExchangeId exchange, WholeMessage request) -> void;
     auto onDisconnect(ExchangeId exchange) -> void;
+    /// @param head of the answer that the listener would give
+    [[nodiscard]] auto answerUnread(MessageHead head, const MessageHead &request) const
+        -> MessageHead;
 
     Logger &logger;
     std::map<std::string, PeerHandler> handlers;
--- a/src/edge/tests/forwardmemory_tests.cpp
+++ b/src/edge/tests/forwardmemory_tests.cpp
@@ -206,3 +206,38 @@
     CHECK(fixture.end->answer.body == "ok");
     CHECK(fixture.upstream.takenBytes == request.text.size() + largestBodyBytes);
 }
+
+// Guards against refusals that an entry daemon takes for the answer to an earlier request: the
+// attempt would last until its deadline, with an unknown outcome.
+SCENARIO(
+    "ForwardService: given a request that a forwarder can't take in, the attempt ends at once as "
+    "not sent",
+    "[edge][forwardmemory]")
+{
+    MemoryFixture fixture;
+    fixture.askBefore();
+    const auto isEndedAtOnce = [&](const ForwardRequest &request) {
+        const auto isEnded = fixture.ask(request, seconds{2});
+        return isEnded && fixture.end->end == End::NotSent && !fixture.end->hold;
+    };
+    GIVEN("a request that isn't one")
+    {
+        auto request = sampleRequest(fixture.upstream.address);
+        request.remaining = uploadTime;
+        request.text = "PUT / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcd";
+        CHECK(isEndedAtOnce(request));
+        CHECK(fixture.service.counters().malformed == 1);
+    }
+    GIVEN("an upload for which the forwarder has no memory")
+    {
+        MemoryAccount::Charge others(&fixture.forwarderMemory);
+        others.set(40 * mebibyte);
+        CHECK(isEndedAtOnce(uploadOf(fixture.upstream.address, 40 * mebibyte)));
+        CHECK(fixture.server.counters().memoryRefusals == 1);
+    }
+    GIVEN("an upload that is longer than all messages between daemons")
+    {
+        CHECK(isEndedAtOnce(uploadOf(fixture.upstream.address, 130 * mebibyte)));
+    }
+    CHECK(fixture.upstream.takenBytes == 0);
+}
--- a/src/forwarding/forwardcodec.h
+++ b/src/forwarding/forwardcodec.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -21,6 +22,11 @@
 ///          one HTTP request, or is itself a request to forward
 [[nodiscard]] auto decodeForwardRequest(WholeMessage message) -> std::optional<ForwardRequest>;
 
+/// @param request head of a request to a forwarder, as far as it could be read
+/// @returns headers which tell that the request wasn't sent, for an answer with an error status;
+///          empty where the head names no hop
+[[nodiscard]] auto unreadHeaders(const MessageHead &request) -> std::vector<HttpHeader>;
+
 /// @param id of the request's hop
 [[nodiscard]] auto encodeForwardAnswer(const ForwardAnswer &answer, const std::string &id)
     -> WholeMessage;
--- a/src/forwarding/internal/forwardcodec.cpp
+++ b/src/forwarding/internal/forwardcodec.cpp
@@ -34,6 +34,7 @@
 constexpr const char *pauseHeader = "X-Forward-Pause-Ms";
 
 constexpr int statusOk = 200;
+constexpr int lowestErrorStatus = 400;
 /// Longer times are taken for malformed.
 constexpr std::uint64_t longestTimeMs = std::uint64_t{24} * 60 * 60 * 1000;
 
@@ -45,7 +46,8 @@
     std::pair{ForwardRefusal::Full, std::string_view{"full"}},
     std::pair{ForwardRefusal::Stopping, std::string_view{"stopping"}},
     std::pair{ForwardRefusal::Held, std::string_view{"held"}},
-    std::pair{ForwardRefusal::Expired, std::string_view{"expired"}}};
+    std::pair{ForwardRefusal::Expired, std::string_view{"expired"}},
+    std::pair{ForwardRefusal::Unread, std::string_view{"unread"}}};
 
 template<typename Names, typename Value>
 auto nameOf(const Names &names, Value value) -> std::string
@@ -281,6 +283,16 @@
     return isValid ? std::optional(std::move(request)) : std::nullopt;
 }
 
+auto unreadHeaders(const MessageHead &request) -> std::vector<HttpHeader>
+{
+    const auto *const id = singleField(request, forwardIdHeader);
+    if (id == nullptr || id->empty()) {
+        return {};
+    }
+    return {HttpHeader{forwardIdHeader, *id}, HttpHeader{endHeader, nameOf(endNames, End::NotSent)},
+            HttpHeader{refusalHeader, nameOf(refusalNames, ForwardRefusal::Unread)}};
+}
+
 auto encodeForwardAnswer(const ForwardAnswer &answer, const std::string &id) -> WholeMessage
 {
     WholeMessage message;
@@ -308,11 +320,18 @@
     const auto &head = message.head;
     const auto *const echoed = singleField(head, forwardIdHeader);
     const auto end = namedField(head, endHeader, endNames);
-    if (head.status != statusOk || echoed == nullptr || *echoed != id || !end) {
+    const auto isError = head.status >= lowestErrorStatus;
+    if ((head.status != statusOk && !isError) || echoed == nullptr || *echoed != id || !end) {
         return std::nullopt;
     }
     ForwardAnswer answer;
     answer.end = *end;
+    if (isError) {
+        answer.refusal = namedField(head, refusalHeader, refusalNames);
+        const auto isRefusal = answer.end == End::NotSent && message.body.empty()
+                               && answer.refusal == ForwardRefusal::Unread;
+        return isRefusal ? std::optional(std::move(answer)) : std::nullopt;
+    }
     if (answer.end == End::Answered) {
         auto parsed = parsedAnswer(message.body, isHead);
         if (!parsed) {
@@ -328,7 +347,8 @@
         answer.refusal = namedField(head, refusalHeader, refusalNames);
         const auto isHeld = answer.refusal == ForwardRefusal::Held;
         answer.hold = isHeld ? holdFields(head) : std::nullopt;
-        if (!answer.refusal || (isHeld && !answer.hold)) {
+        const auto isUnread = answer.refusal == ForwardRefusal::Unread;
+        if (!answer.refusal || isUnread || (isHeld && !answer.hold)) {
             return std::nullopt;
         }
     }
--- a/src/forwarding/internal/forwardservice.cpp
+++ b/src/forwarding/internal/forwardservice.cpp
@@ -45,12 +45,13 @@
 {
     const auto *const id = message.head.find(forwardIdHeader);
     auto hopId = id == nullptr ? std::string{} : *id;
+    MessageHead refused;
+    refused.status = statusBadRequest;
+    refused.headers = unreadHeaders(message.head);
     auto request = decodeForwardRequest(std::move(message));
     if (!request) {
         ++this->counts.malformed;
-        MessageHead head;
-        head.status = statusBadRequest;
-        this->reply(exchange, head, "");
+        this->reply(exchange, refused, "");
         return;
     }
     const auto moment = this->now();
--- a/src/forwarding/tests/forwardcodec_tests.cpp
+++ b/src/forwarding/tests/forwardcodec_tests.cpp
@@ -302,6 +302,47 @@
     CHECK(afterHop(ForwardAnswer{}) == ForwardAnswer{});
 }
 
+SCENARIO("ForwardCodec: given a request that wasn't read, the answer says that it wasn't sent",
+         "[forwarding]")
+{
+    // Guards against an attempt of unknown outcome where the forwarder has sent nothing.
+    const auto request = messageOf(sampleRequest(upstreamAddress));
+    WholeMessage answer;
+    answer.head.headers = unreadHeaders(request.head);
+    for (const auto status : {400, 408, 413, 503}) {
+        answer.head.status = status;
+        CHECK(decodeForwardAnswer(answer, "1", false)
+              == ForwardAnswer{End::NotSent, ForwardRefusal::Unread});
+        CHECK(!decodeForwardAnswer(answer, "2", false));
+    }
+    GIVEN("an answer without an error status, or with an unreadable end")
+    {
+        answer.head.status = 200;
+        CHECK(!decodeForwardAnswer(answer, "1", false));
+        answer.head.status = 204;
+        CHECK(!decodeForwardAnswer(answer, "1", false));
+        answer.head.status = 503;
+        for (std::size_t index = 0; index < answer.head.headers.size(); ++index) {
+            auto damaged = answer;
+            damaged.head.headers[index].value = "answered";
+            CHECK(!decodeForwardAnswer(damaged, "1", false));
+            damaged = answer;
+            damaged.head.headers.push_back(answer.head.headers[index]);
+            CHECK(!decodeForwardAnswer(damaged, "1", false));
+        }
+        answer.body = "x";
+        CHECK(!decodeForwardAnswer(answer, "1", false));
+    }
+    GIVEN("requests that name no hop, or two")
+    {
+        CHECK(unreadHeaders(MessageHead{}).empty());
+        CHECK(unreadHeaders(messageWith(forwardIdHeader, "").head).empty());
+        auto doubled = request.head;
+        doubled.headers.push_back(HttpHeader{forwardIdHeader, "2"});
+        CHECK(unreadHeaders(doubled).empty());
+    }
+}
+
 SCENARIO("ForwardCodec takes no malformed answer for one that tells how the request ended",
          "[forwarding]")
 {
--- a/src/forwarding/tests/forwardhop_tests.cpp
+++ b/src/forwarding/tests/forwardhop_tests.cpp
@@ -352,7 +352,7 @@
         auto request = sampleRequest(other.address);
         request.text =
             forwardRequestText(sampleRequest(fixture.upstream.address), other.address, "1");
-        CHECK(fixture.ask(request) == ForwardAnswer{});
+        CHECK(fixture.ask(request) == ForwardAnswer{End::NotSent, ForwardRefusal::Unread});
         CHECK(fixture.forwarder->service.counters().malformed == 1);
         CHECK(fixture.forwarder->service.counters().sent == 0);
         CHECK(other.asked == 0);
--- a/src/forwarding/tests/forwardservice_tests.cpp
+++ b/src/forwarding/tests/forwardservice_tests.cpp
@@ -130,6 +130,9 @@
     REQUIRE(fixture.replies.size() == 2);
     CHECK(fixture.replies[1].head.status == 400);
     CHECK(fixture.replies[2].head.status == 400);
+    // Guards against a refusal that the entry daemon can't tell from another request's answer.
+    CHECK(fixture.answerTo(1) == ForwardAnswer{End::NotSent, ForwardRefusal::Unread});
+    CHECK(fixture.replies[2].head.headers.empty());
     fixture.loop.runFor(milliseconds{20});
     CHECK(fixture.upstream.connections == 0);
     CHECK(fixture.service.counters().malformed == 2);
--- a/src/forwarding/types/forwardmessages.h
+++ b/src/forwarding/types/forwardmessages.h
@@ -54,6 +54,8 @@
     /// The request's time was over when the forwarder read it, or its entry daemon may have given
     /// it up.
     Expired,
+    /// The forwarder couldn't read the request, or had no memory for it.
+    Unread,
 };
 
 /// How a forwarded request ended.
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -54,6 +54,8 @@
     std::string host;
     /// The limits that the request was read with.
     MessageLimits limits;
+    /// What was read of the request's head; without headers where it isn't complete.
+    MessageHead head = {};
     auto operator==(const UnreadRequest &) const -> bool = default;
 };
 
--- a/src/streams/internal/frontconnection.cpp
+++ b/src/streams/internal/frontconnection.cpp
@@ -328,8 +328,8 @@
     if (this->front.answerUnread) {
         const auto *host = this->reader.head().find("Host");
         head = this->front.answerUnread(
-            std::move(head),
-            UnreadRequest{host == nullptr ? std::string{} : *host, this->reader.currentLimits()});
+            std::move(head), UnreadRequest{host == nullptr ? std::string{} : *host,
+                                           this->reader.currentLimits(), this->reader.head()});
     }
     this->refusal = std::move(head);
     this->isLastRequestRead = true;
