--- a/src/forwarding/forwardcodec.h
+++ b/src/forwarding/forwardcodec.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace gooseberrywall {
 
@@ -14,13 +15,18 @@
 constexpr const char *forwardIdHeader = "X-Forward-Id";
 
 /// @param id of this hop; differs between the requests of one connection
-/// @returns the HTTP request to the forwarder
+/// @returns the HTTP request to the forwarder without the bytes of `request.body`, which follow it
 [[nodiscard]] auto forwardRequestText(const ForwardRequest &request, const Address &forwarder,
                                       const std::string &id) -> std::string;
 /// @returns nothing where a field is missing, malformed or out of range, or the body isn't exactly
 ///          one HTTP request, or is itself a request to forward
 [[nodiscard]] auto decodeForwardRequest(WholeMessage message) -> std::optional<ForwardRequest>;
 
+/// @param request head of a request to a forwarder, as far as it could be read
+/// @returns headers which tell that the request wasn't sent, for an answer with an error status;
+///          empty where the head names no hop
+[[nodiscard]] auto unreadHeaders(const MessageHead &request) -> std::vector<HttpHeader>;
+
 /// @param id of the request's hop
 [[nodiscard]] auto encodeForwardAnswer(const ForwardAnswer &answer, const std::string &id)
     -> WholeMessage;
--- a/src/forwarding/internal/forwardcodec.cpp
+++ b/src/forwarding/internal/forwardcodec.cpp
@@ -34,6 +34,7 @@
 constexpr const char *pauseHeader = "X-Forward-Pause-Ms";
 
 constexpr int statusOk = 200;
+constexpr int lowestErrorStatus = 400;
 /// Longer times are taken for malformed.
 constexpr std::uint64_t longestTimeMs = std::uint64_t{24} * 60 * 60 * 1000;
 
@@ -45,7 +46,8 @@
     std::pair{ForwardRefusal::Full, std::string_view{"full"}},
     std::pair{ForwardRefusal::Stopping, std::string_view{"stopping"}},
     std::pair{ForwardRefusal::Held, std::string_view{"held"}},
-    std::pair{ForwardRefusal::Expired, std::string_view{"expired"}}};
+    std::pair{ForwardRefusal::Expired, std::string_view{"expired"}},
+    std::pair{ForwardRefusal::Unread, std::string_view{"unread"}}};
 
 template<typename Names, typename Value>
 auto nameOf(const Names &names, Value value) -> std::string
@@ -133,17 +135,26 @@
 
 /// @returns whether the text is one whole request, and a HEAD request if that is expected. The
 /// outcome of a second request in the text would stay unknown; a request to forward would make a
-/// second hop.
+/// second hop. The body has to have a length, as in all requests that entry daemons build, and
+/// isn't parsed: parsing would copy it.
 auto isOneRequest(std::string_view text, bool isHead) -> bool
 {
-    MessageLimits limits;
-    limits.headBytes = limits.bodyBytes;
-    MessageReader reader(MessageReader::Kind::Request, limits);
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    const auto end = text.find(headEnd);
+    if (end == std::string_view::npos) {
+        return false;
+    }
+    // The listener has bounded the text.
+    MessageReader reader(MessageReader::Kind::Request, MessageLimits{text.size(), text.size()});
     std::size_t taken = 0;
-    if (reader.read(text, taken) != MessageReader::Step::Whole || taken != text.size()) {
+    const auto step = reader.read(text.substr(0, end + headEnd.size()), taken);
+    const auto bodyBytes = reader.announcedBodyBytes();
+    const auto hasLength = step == MessageReader::Step::Whole
+                           || (step == MessageReader::Step::NeedMore && bodyBytes > 0);
+    if (!hasLength || taken + bodyBytes != text.size()) {
         return false;
     }
-    const auto head = reader.take().head;
+    const auto &head = reader.head();
     const auto isHop = head.target == forwardPath && head.find(addressHeader) != nullptr;
     return !isHop && (head.method == "HEAD") == isHead;
 }
@@ -231,7 +242,8 @@
     if (request.echoedId) {
         head.headers.push_back(HttpHeader{echoedIdHeader, percentEncode(*request.echoedId)});
     }
-    return requestText(head, request.text, {});
+    const auto bodyBytes = request.body == nullptr ? 0 : request.body->size();
+    return requestHead(head, request.text.size() + bodyBytes, {}).append(request.text);
 }
 
 auto decodeForwardRequest(WholeMessage message) -> std::optional<ForwardRequest>
@@ -271,6 +283,16 @@
     return isValid ? std::optional(std::move(request)) : std::nullopt;
 }
 
+auto unreadHeaders(const MessageHead &request) -> std::vector<HttpHeader>
+{
+    const auto *const id = singleField(request, forwardIdHeader);
+    if (id == nullptr || id->empty()) {
+        return {};
+    }
+    return {HttpHeader{forwardIdHeader, *id}, HttpHeader{endHeader, nameOf(endNames, End::NotSent)},
+            HttpHeader{refusalHeader, nameOf(refusalNames, ForwardRefusal::Unread)}};
+}
+
 auto encodeForwardAnswer(const ForwardAnswer &answer, const std::string &id) -> WholeMessage
 {
     WholeMessage message;
@@ -298,11 +320,18 @@
     const auto &head = message.head;
     const auto *const echoed = singleField(head, forwardIdHeader);
     const auto end = namedField(head, endHeader, endNames);
-    if (head.status != statusOk || echoed == nullptr || *echoed != id || !end) {
+    const auto isError = head.status >= lowestErrorStatus;
+    if ((head.status != statusOk && !isError) || echoed == nullptr || *echoed != id || !end) {
         return std::nullopt;
     }
     ForwardAnswer answer;
     answer.end = *end;
+    if (isError) {
+        answer.refusal = namedField(head, refusalHeader, refusalNames);
+        const auto isRefusal = answer.end == End::NotSent && message.body.empty()
+                               && answer.refusal == ForwardRefusal::Unread;
+        return isRefusal ? std::optional(std::move(answer)) : std::nullopt;
+    }
     if (answer.end == End::Answered) {
         auto parsed = parsedAnswer(message.body, isHead);
         if (!parsed) {
@@ -318,7 +347,8 @@
         answer.refusal = namedField(head, refusalHeader, refusalNames);
         const auto isHeld = answer.refusal == ForwardRefusal::Held;
         answer.hold = isHeld ? holdFields(head) : std::nullopt;
-        if (!answer.refusal || (isHeld && !answer.hold)) {
+        const auto isUnread = answer.refusal == ForwardRefusal::Unread;
+        if (!answer.refusal || isUnread || (isHeld && !answer.hold)) {
             return std::nullopt;
         }
     }
--- a/src/forwarding/types/forwardmessages.h
+++ b/src/forwarding/types/forwardmessages.h
@@ -7,6 +7,7 @@
 #include "streams/types/outboundmessages.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -35,6 +36,8 @@
     bool isLastResort = false;
     /// The HTTP request for the upstream: start line, headers and body as they are to be sent.
     std::string text;
+    /// Further bytes of the body, as in OutboundRequest. A forwarder receives all of it in `text`.
+    std::shared_ptr<const std::string> body = nullptr;
     auto operator==(const ForwardRequest &) const -> bool = default;
 };
 
@@ -51,6 +54,8 @@
     /// The request's time was over when the forwarder read it, or its entry daemon may have given
     /// it up.
     Expired,
+    /// The forwarder couldn't read the request, or had no memory for it.
+    Unread,
 };
 
 /// How a forwarded request ended.
