Extra retries are earned by authority, so changes of the grantor keep the budget

Cause: a grantor forgets the retries of the window with its term, and each successor began with half of the extra retries at once. Three grantors in one window exceed the budget; a frozen one that goes on adds its own half once more. Evidence: GrantorRoles in virtual time, ratio 0.2, extra 144, far more retries asked for than allowed. Change: of the extra retries, a grantor may use the share of the last window in which it had authority, by its election and its lease. Authority of two daemons never overlaps, so all grantors together have at most two windows' worth, of which each uses half. The first grantor of a system has all of them at once: it is the one that creates the list of daemons in the store. No message changes; one more write at the first start of a service. What it costs: none of the extra retries just after a change, all after a window; and they run out within a window during an outage of the store, until the lease is renewed.

--- a/src/dispatch/internal/retrywindow.cpp
+++ b/src/dispatch/internal/retrywindow.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/retrywindow.h"
 
+#include <algorithm>
+
 namespace gooseberrywall {
 
 RetryWindow::RetryWindow(RetryWindowSettings settings)
@@ -30,8 +32,8 @@
             retries += slice.retries;
         }
     }
-    const auto allowed =
-        (this->settings.ratio * requests + this->settings.extra) * this->settings.usableShare;
+    const auto extra = this->settings.extra * this->earnedShare(now);
+    const auto allowed = (this->settings.ratio * requests + extra) * this->settings.usableShare;
     if (retries + 1 > allowed) {
         return false;
     }
@@ -39,6 +41,17 @@
     return true;
 }
 
+auto RetryWindow::earnedShare(Instant now) const -> double
+{
+    const auto from = std::max(this->authority.from, now - this->settings.window);
+    const auto until = std::min(this->authority.until, now);
+    if (until <= from) {
+        return 0;
+    }
+    return std::chrono::duration<double>(until - from)
+           / std::chrono::duration<double>(this->settings.window);
+}
+
 auto RetryWindow::sliceAt(Instant now) -> Slice &
 {
     const auto index = this->sliceIndexAt(now);
--- a/src/dispatch/internal/slotbroker.cpp
+++ b/src/dispatch/internal/slotbroker.cpp
@@ -56,6 +56,11 @@
 {
 }
 
+auto SlotBroker::setAuthority(const AuthorityPeriod &period) -> void
+{
+    this->retryWindow.setAuthority(period);
+}
+
 auto SlotBroker::setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void
 {
     std::map<UpstreamId, Incarnation> former;
--- a/src/dispatch/slotbroker.h
+++ b/src/dispatch/slotbroker.h
@@ -158,6 +158,8 @@
     {
         this->retryWindow.setAllowance(ratio, extra);
     }
+    /// Sets for which time extra retries are earned, as RetryWindow::setAuthority().
+    auto setAuthority(const AuthorityPeriod &period) -> void;
 
     /// Sets how many requests per second a cold upstream gets at most; 0: no bound.
     auto setWarmUpRate(double perSecond, Instant now) -> void;
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -208,6 +208,9 @@
     auto adoptRecord(const StoreAnswer &answer, bool isOutdated) -> void;
     auto onRecordWritten(const StoreAnswer &answer, std::uint64_t version) -> void;
     auto readDaemons() -> void;
+    /// Creates the list of daemons in the store. Only the first grantor ever succeeds: retries of
+    /// an earlier one can't be in the window, so it has its whole allowance at once.
+    auto createDaemons() -> void;
     auto writeDaemons(Instant moment) -> void;
     /// @returns the store key of the daemons to which this service's grantor announces itself
     [[nodiscard]] auto daemonsKey() const -> std::string;
@@ -236,6 +239,8 @@
     auto endLeaving() -> void;
     /// @returns whether this daemon leads, and its lease surely lasts
     [[nodiscard]] auto hasAuthority(Instant moment) const -> bool;
+    /// Passes the time of this daemon's authority to the broker, which earns retries by it.
+    auto updateAuthority(Instant moment) -> void;
     /// Passes the bound for cold upstreams to the broker; it is lower without authority.
     auto updateWarmUpRate(Instant moment) -> void;
     auto flushVerdicts() -> void;
@@ -282,6 +287,10 @@
     std::optional<ElectedGrantor> knownGrantor;
     /// The last term for which this daemon was elected.
     std::optional<StoreRevision> term;
+    /// Since when and until when no other daemon can have been grantor since this one was elected.
+    AuthorityPeriod authority{Instant{}, Instant{}};
+    /// Another process has been grantor.
+    bool hasKnownOther = false;
     /// Term of the claim that removeFormerClaim() last removed.
     StoreRevision removedClaimTerm;
     /// The era of the store when this daemon first heard of it; zero until then.
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -102,6 +102,7 @@
 {
     const auto moment = this->now();
     this->updateWarmUpRate(moment);
+    this->updateAuthority(moment);
     if (const auto *request = std::get_if<PermitRequest>(&message)) {
         if (!this->serving || this->isCutOff) {
             this->datagrams.push_back(
@@ -145,6 +146,7 @@
         return;
     }
     this->updateWarmUpRate(moment);
+    this->updateAuthority(moment);
     this->broker->advance(moment);
     this->takeInChanges();
     this->flushVerdicts();
@@ -168,6 +170,17 @@
     return (isAuthorized || this->election.isReclaiming()) && !this->isCutOff;
 }
 
+auto GrantorRole::updateAuthority(Instant moment) -> void
+{
+    // After the election, onElected() or onReclaimed() decide first what the new term adds to.
+    const auto isInTerm = this->election.term() == this->term;
+    // A renewal tells that no other daemon has led since the one before, however long that took.
+    this->authority.until = isInTerm
+                                ? std::max(this->authority.until, this->election.authorityEnd())
+                                : std::min(this->authority.until, moment);
+    this->broker->setAuthority(this->authority);
+}
+
 auto GrantorRole::setCutOff(bool cutOff) -> void
 {
     // Other daemons have no need to call the store, so they aren't cut off by their silence.
@@ -286,6 +299,22 @@
         }
         this->areDaemonsKnown = true;
         this->announce();
+        if (answer.items.empty() && this->isFirstStart() && !this->hasKnownOther) {
+            this->createDaemons();
+        }
+    });
+}
+
+auto GrantorRole::createDaemons() -> void
+{
+    StoreTransaction transaction;
+    transaction.conditions = {StoreCondition{this->daemonsKey(), StoreRevision{}}};
+    transaction.writes = {StoreWrite{this->daemonsKey(), KnownDaemons::emptyText(), StoreLease{}}};
+    this->call(transaction, [this, askedTerm = this->term](const StoreAnswer &answer) {
+        if (answer.kind == StoreAnswer::Kind::Ok && this->term == askedTerm) {
+            this->authority.from -= this->settings.retries.window;
+            this->updateAuthority(this->now());
+        }
     });
 }
 
--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -21,6 +21,7 @@
     this->knownGrantor = grantor;
     if (grantor) {
         this->removeFormerClaim(*grantor);
+        this->hasKnownOther = this->hasKnownOther || grantor->identity != this->ownGrantorText();
     }
     const auto isReplaced = grantor && this->term && grantor->term > *this->term;
     if (this->serving && isReplaced) {
@@ -82,6 +83,8 @@
     this->isRecordUncertain = false;
     this->recordDue = moment;
     this->updateWarmUpRate(moment);
+    this->authority = AuthorityPeriod{moment, moment};
+    this->updateAuthority(moment);
     this->broker->setUpstreams(this->upstreams, moment);
     LogLine line("grantor_elected");
     line.with("service", this->spec.name.value).with("term", static_cast<std::int64_t>(term.value));
@@ -99,6 +102,10 @@
 {
     const auto moment = this->now();
     this->term = term;
+    if (!this->election.hasLedThroughout()) {
+        this->authority = AuthorityPeriod{moment, moment};
+    }
+    this->updateAuthority(moment);
     this->unwrittenRecord.reset();
     this->isRecordUncertain = false;
     this->recordRevision = StoreRevision{};
@@ -150,6 +157,7 @@
     line.with("service", this->spec.name.value).with("why", "no upstream reached");
     this->log(LogLevel::Warning, line);
     this->election.stepDown();
+    this->updateAuthority(moment);
 }
 
 auto GrantorRole::resign() -> void
@@ -160,6 +168,8 @@
         this->log(LogLevel::Info, line);
     }
     this->election.resign();
+    // Another daemon may be elected from now on.
+    this->updateAuthority(this->now());
 }
 
 } // namespace gooseberrywall
--- a/src/edge/internal/knowndaemons.cpp
+++ b/src/edge/internal/knowndaemons.cpp
@@ -50,13 +50,18 @@
                   [&](const auto &row) { return now - row.second > this->settings.retention; });
 }
 
+auto KnownDaemons::emptyText() -> std::string
+{
+    return std::string(header);
+}
+
 auto KnownDaemons::takeText(Instant now) -> std::optional<std::string>
 {
     if (!this->storeDue || now < *this->storeDue) {
         return std::nullopt;
     }
     this->storeDue.reset();
-    std::string text(header);
+    auto text = emptyText();
     for (const auto &[address, moment] : this->heardAt) {
         text += address.value + "\n";
     }
--- a/src/edge/knowndaemons.h
+++ b/src/edge/knowndaemons.h
@@ -36,6 +36,8 @@
     /// Drops daemons that haven't been heard for long.
     auto advance(Instant now) -> void;
 
+    /// @returns the text to store where no daemon is known
+    [[nodiscard]] static auto emptyText() -> std::string;
     /// @returns the text to store, if it has changed and storing it is due; nothing otherwise
     [[nodiscard]] auto takeText(Instant now) -> std::optional<std::string>;
     /// Makes takeText() return the text again after a failed write.
