A crash counts alone once the earlier ones are forgotten

A request with two crashes was quarantined at a third one however late, though suspects are forgotten 10 minutes after their last crash: the time was checked only where suspects were read.

RequestQuarantine now drops the crashes of a forgotten suspect before it adds one. The new test "given two crashes and a third one after the time for which suspects are kept" failed before.

--- a/src/dispatch/internal/requestquarantine.cpp
+++ b/src/dispatch/internal/requestquarantine.cpp
@@ -45,6 +45,9 @@
             continue;
         }
         auto &suspect = this->suspects[attempt.fingerprint];
+        if (this->isForgotten(suspect, now)) {
+            suspect.crashes.clear();
+        }
         suspect.lastCrashAt = now;
         if (!this->addCrash(suspect, crashIdOf(upstream, incarnation))) {
             continue;
--- a/src/dispatch/tests/requestquarantine_tests.cpp
+++ b/src/dispatch/tests/requestquarantine_tests.cpp
@@ -234,3 +234,20 @@
     trial.other.adopt({SuspectRequest{RequestFingerprint{6}, {1}, Duration{0}}}, trial.now);
     CHECK_FALSE(trial.other.hasNotices(trial.now));
 }
+
+// Guards against a request that is quarantined for crashes long ago.
+SCENARIO("RequestQuarantine: given two crashes and a third one after the time for which suspects "
+         "are kept, it counts alone",
+         "[dispatch][crash][quarantine]")
+{
+    NoticeTrial trial;
+    const RequestFingerprint culprit{1};
+    trial.crash(culprit);
+    trial.crash(culprit);
+    trial.now += std::chrono::minutes{11};
+    trial.crash(culprit);
+    CHECK_FALSE(trial.grantor.isQuarantined(culprit, trial.now));
+    trial.crash(culprit);
+    trial.crash(culprit);
+    CHECK(trial.grantor.isQuarantined(culprit, trial.now));
+}
