Entry daemons remember crashes that a lost grantor may not have counted

Callers saw that a request which crashes upstreams went on to reach them where the grantor was killed within some seconds of each crash.

Cause: only the grantor counted crashes, and only of requests with its permit. The entry of a crashed upstream goes after up to 2.6 s, so a grantor that is killed before loses the unanswered attempt; without a grantor, crashes weren't counted at all.

Now each entry daemon counts the crashes of its own requests for 6 s, with a permit or without one, and tells a new grantor of them, also where a crash shows within 6 s after the change. It refuses what it has quarantined itself while it has no grantor. It forgets what it, or a grantor's notice, tells to have been answered.

Evidence: the new test kills the grantor 0, 0.3 or 1.5 s after each crash of a request that another daemon sent.

--- a/src/dispatch/types/suspectrequest.h
+++ b/src/dispatch/types/suspectrequest.h
@@ -2,6 +2,7 @@
 
 #include "common/types/ids.h"
 #include "common/types/instant.h"
+#include "dispatch/types/permits.h"
 
 #include <cstdint>
 #include <vector>
@@ -26,6 +27,17 @@
     auto operator==(const SuspectRequest &) const -> bool = default;
 };
 
+/// How an entry daemon's attempt at an upstream ended.
+struct EndedAttempt
+{
+    ServiceName service;
+    RequestFingerprint fingerprint;
+    UpstreamId upstream;
+    Incarnation incarnation;
+    AttemptEnd end = AttemptEnd::Unused;
+    auto operator==(const EndedAttempt &) const -> bool = default;
+};
+
 /// A crash that has made a request suspect, for logs.
 struct SuspectedCrash
 {
--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -54,8 +54,10 @@
         , orders(wire, this->orderPool)
         , permits(this->settings.peerListen, incarnation, PermitClientSettings{})
         , statements(UpstreamStatementSettings{this->settings.drainTime})
-        , direct(incarnation, this->statements,
-                 [this](const PermitRequest &each) { return this->roles.isQuarantined(each); })
+        , direct(
+              incarnation, this->statements,
+              [this](const PermitRequest &each) { return this->roles.isQuarantined(each); },
+              [this](const EndedAttempt &each) { this->roles.onAttemptEnd(each); })
         , links(loop.base(), now, logger, [this] { this->onTimer(); })
         , flow(RequestFlowSettings{this->settings.domain}, this->permits, this->direct,
                this->statements, this->links.reach(),
@@ -243,8 +245,7 @@
         }
     }
 
-    /// Takes in an era of the store, as the store or another daemon names it. Copies of what the
-    /// store had in an earlier one are read anew.
+    /// Takes in an era of the store. Copies of what it had in an earlier one are read anew.
     auto onStoreEra(std::uint64_t era) -> void
     {
         if (era <= this->storeEra) {
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -50,6 +50,10 @@
     /// lost, and at most so many.
     int handoverRepeats = 3;
     std::size_t handoverLimit = 4 * SuspectNotice::maxSuspects;
+    /// An entry daemon keeps the crashes that it has seen itself for this time: a crash shows
+    /// within 3 s, and its grantor tells of it 1.5 s later at most, or is replaced within 2 s.
+    /// Longer would keep crashes of requests that other daemons have seen answered.
+    Duration ownCrashLifetime = std::chrono::seconds{6};
     /// A daemon asks each new grantor for its suspects for this time after its own start: the
     /// first grantor that it knows may have ended.
     Duration suspectAskTime = std::chrono::seconds{10};
@@ -123,13 +127,18 @@
         this->longestRequest = std::max(this->longestRequest, time);
     }
     auto onMessage(const Address &from, const PermitMessage &message) -> void;
+    /// Takes in how an attempt of this daemon ended: a grantor that is lost soon afterwards may not
+    /// have counted the crash, or there is none.
+    auto onAttemptEnd(const EndedAttempt &attempt) -> void;
     /// @param count daemons that the service's grantor knows
     auto onDaemonCount(std::uint64_t count) -> void;
     /// @returns whether the request must not run, as this daemon or a grantor has seen it crash
     ///          upstreams
     [[nodiscard]] auto isQuarantined(RequestFingerprint fingerprint) const -> bool
     {
-        return this->quarantine->isQuarantined(fingerprint, this->now());
+        const auto moment = this->now();
+        return this->quarantine->isQuarantined(fingerprint, moment)
+               || this->ownCrashes.isQuarantined(fingerprint, moment);
     }
     [[nodiscard]] auto quarantinedCount() const -> std::uint64_t
     {
@@ -229,6 +238,10 @@
     /// Tells all daemons about requests that crash upstreams, where that is due.
     auto tellSuspects(Instant moment) -> void;
     auto onSuspectNotice(const Address &from, const SuspectNotice &notice) -> void;
+    /// Forgets the own crashes of requests that a grantor tells to have been answered.
+    auto forgetAnswered(const std::vector<SuspectRequest> &suspects) -> void;
+    /// Counts the crashes of this daemon's own requests at upstreams that are gone.
+    auto noteLostUpstreams(const std::vector<UpstreamEntry> &former, Instant moment) -> void;
     /// Sees to it that a grantor of a new term is told what this daemon knows: it may have
     /// started after the last notice.
     auto scheduleHandover(const ElectedGrantor &grantor, Instant moment) -> void;
@@ -280,6 +293,8 @@
     GrantorElection election;
     /// Outlives the broker, and has what other grantors of this service have told.
     std::shared_ptr<RequestQuarantine> quarantine;
+    /// Of requests that this daemon has sent, as entry daemon; told to new grantors only.
+    RequestQuarantine ownCrashes;
     std::unique_ptr<SlotBroker> broker;
     /// Kept over a claim in a restored store; orders that were sent before it are still answered.
     std::shared_ptr<RangeGrantor> ranges;
@@ -324,6 +339,8 @@
     Instant suspectTurnDue{};
     /// The last term whose grantor was told suspects, or is being told.
     StoreRevision handoverTerm;
+    /// Since when the grantor of that term has been known.
+    Instant handoverTermAt{};
     int handoversLeft = 0;
     Instant handoverDue{};
     Instant startedAt;
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -39,6 +39,8 @@
     auto deliver(const Address &from, const PermitMessage &message) -> void;
     /// @param count daemons that the service's grantor knows
     auto onDaemonCount(const ServiceName &service, std::uint64_t count) -> void;
+    /// Takes in how an attempt of this daemon at an upstream ended.
+    auto onAttemptEnd(const EndedAttempt &attempt) -> void;
     /// @returns whether the request must not run, as it is known to crash upstreams
     [[nodiscard]] auto isQuarantined(const PermitRequest &request) const -> bool;
     /// @returns how many requests are known to crash upstreams
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -21,6 +21,13 @@
 /// successor may grant the whole rate at the same time, and bounds.warmup_overage is 1.5.
 constexpr double shareWithoutAuthority = 0.1;
 
+auto ownCrashSettings(const GrantorRoleSettings &settings) -> RequestQuarantineSettings
+{
+    RequestQuarantineSettings result;
+    result.suspectLifetime = settings.ownCrashLifetime;
+    return result;
+}
+
 } // namespace
 
 GrantorRole::GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
@@ -38,6 +45,7 @@
     , election(this->settings.grantorPrefix + this->spec.name.value, this->ownGrantorText(),
                this->settings.election, this->store, this->now)
     , quarantine(std::make_shared<RequestQuarantine>(RequestQuarantineSettings{}))
+    , ownCrashes(ownCrashSettings(this->settings))
     , broker(std::make_unique<SlotBroker>(this->spec.name, this->spec.isSharded,
                                           this->settings.broker, this->settings.retries,
                                           this->settings.incarnation, this->quarantine))
@@ -86,7 +94,8 @@
     if (own == this->upstreams) {
         return;
     }
-    this->upstreams = std::move(own);
+    const auto former = std::exchange(this->upstreams, std::move(own));
+    this->noteLostUpstreams(former, this->now());
     this->endLeaving();
     if (!this->serving) {
         return;
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -140,6 +140,13 @@
     }
 }
 
+auto GrantorRoles::onAttemptEnd(const EndedAttempt &attempt) -> void
+{
+    if (const auto found = this->roles.find(attempt.service); found != this->roles.end()) {
+        found->second->onAttemptEnd(attempt);
+    }
+}
+
 auto GrantorRoles::isQuarantined(const PermitRequest &request) const -> bool
 {
     const auto found = this->roles.find(request.service);
--- a/src/edge/internal/grantorsuspects.cpp
+++ b/src/edge/internal/grantorsuspects.cpp
@@ -31,6 +31,7 @@
     const std::chrono::duration<double> turn(bytes / this->settings.suspectTurnBytesPerSecond);
     this->suspectTurnDue =
         std::max(this->suspectTurnDue, moment + std::chrono::duration_cast<Duration>(turn));
+    this->forgetAnswered(suspects);
     const SuspectNotice notice{this->spec.name, std::move(suspects)};
     for (const auto &daemon : addresses) {
         this->datagrams.push_back(PermitDatagram{daemon, notice});
@@ -56,6 +57,7 @@
     const auto moment = this->now();
     this->mustAskSuspects = this->mustAskSuspects && (this->serving || notice.suspects.empty());
     this->quarantine->adopt(notice.suspects, moment, this->serving);
+    this->forgetAnswered(notice.suspects);
     const auto isAsked = notice.suspects.empty() && this->serving && this->hasAuthority(moment);
     if (!isAsked) {
         return;
@@ -67,6 +69,45 @@
     }
 }
 
+auto GrantorRole::forgetAnswered(const std::vector<SuspectRequest> &suspects) -> void
+{
+    for (const auto &suspect : suspects) {
+        if (suspect.crashes.empty()) {
+            this->ownCrashes.onAnswered(suspect.fingerprint);
+        }
+    }
+}
+
+auto GrantorRole::onAttemptEnd(const EndedAttempt &attempt) -> void
+{
+    if (attempt.end == AttemptEnd::NoAnswer) {
+        this->ownCrashes.onUnanswered(attempt.fingerprint, attempt.upstream, attempt.incarnation,
+                                      this->now(), this->settings.peerAddress);
+    } else if (attempt.end == AttemptEnd::Answered || attempt.end == AttemptEnd::Failed) {
+        this->ownCrashes.onAnswered(attempt.fingerprint);
+    }
+}
+
+auto GrantorRole::noteLostUpstreams(const std::vector<UpstreamEntry> &former, Instant moment)
+    -> void
+{
+    for (const auto &entry : former) {
+        const auto isKnown =
+            std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &each) {
+                return each.id == entry.id && each.incarnation == entry.incarnation;
+            });
+        if (!isKnown) {
+            this->ownCrashes.onUpstreamLost(entry.id, entry.incarnation, moment);
+        }
+    }
+    const auto isCrash = !this->ownCrashes.takeCrashes().empty();
+    // The request may have had its permit from the grantor before.
+    if (isCrash && moment - this->handoverTermAt <= this->settings.ownCrashLifetime) {
+        this->handoversLeft = this->settings.handoverRepeats;
+        this->handoverDue = moment;
+    }
+}
+
 auto GrantorRole::onDaemonCount(std::uint64_t count) -> void
 {
     const auto moment = this->now();
@@ -90,8 +131,8 @@
         return;
     }
     this->handoverTerm = grantor.term;
-    const auto isOwn = GrantorDirectory::addressOf(grantor) == this->settings.peerAddress;
-    this->handoversLeft = isOwn ? 0 : this->settings.handoverRepeats;
+    this->handoverTermAt = moment;
+    this->handoversLeft = this->settings.handoverRepeats;
     this->handoverDue = moment;
 }
 
@@ -102,10 +143,15 @@
     }
     --this->handoversLeft;
     this->handoverDue = moment + this->settings.suspectNoticeEvery;
+    auto suspects = this->ownCrashes.worstSuspects(this->settings.handoverLimit, moment);
     const auto grantor = GrantorDirectory::addressOf(*this->knownGrantor);
-    std::vector<SuspectRequest> suspects;
+    if (grantor == this->settings.peerAddress) {
+        this->quarantine->adopt(suspects, moment, this->serving);
+        return;
+    }
     if (this->isHandoverSender(this->handoverTerm)) {
-        suspects = this->quarantine->worstSuspects(this->settings.handoverLimit, moment);
+        const auto told = this->quarantine->worstSuspects(this->settings.handoverLimit, moment);
+        suspects.insert(suspects.end(), told.begin(), told.end());
     }
     if (this->mustAskSuspects && moment - this->startedAt <= this->settings.suspectAskTime) {
         this->datagrams.push_back(PermitDatagram{grantor, SuspectNotice{this->spec.name, {}}});
--- a/src/edge/tests/quarantinekills_tests.cpp
+++ b/src/edge/tests/quarantinekills_tests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -62,6 +63,10 @@
     int ordinarySent = 0;
     int ordinaryServed = 0;
     std::vector<std::string> lateTexts;
+    /// Called after each crash of a request with a permit, with the daemon that sent it.
+    std::function<void(std::size_t entry)> onCrash = [](std::size_t) {};
+    /// Another request whose next run ends with the loss of its upstream, which it doesn't cause.
+    std::uint64_t unluckyPrint = 0;
 
     explicit KillTrial(std::uint64_t seed)
         : random(seed)
@@ -162,6 +167,20 @@
         }
     }
 
+    /// @returns the daemon that is the service's grantor
+    auto grantor() -> std::optional<std::size_t>
+    {
+        for (std::size_t number = 0; number < daemonCount; ++number) {
+            auto &daemon = *this->fleet.daemons.at(number);
+            const auto *known = daemon.permits.grantorOf(this->service);
+            if (daemon.isAlive && known != nullptr && *known == daemon.address
+                && daemon.roles.servingCount() > 0) {
+                return number;
+            }
+        }
+        return std::nullopt;
+    }
+
     auto nextEntry() -> std::optional<std::size_t>
     {
         for (std::size_t tried = 0; tried < daemonCount; ++tried) {
@@ -202,13 +221,14 @@
         return none;
     }
 
-    auto send(std::uint64_t fingerprint) -> void
+    /// @returns how the attempt ended; empty where there was none
+    auto send(std::uint64_t fingerprint) -> std::optional<AttemptEnd>
     {
         const auto number = this->nextEntry();
         if (!number) {
-            return;
+            return {};
         }
-        const auto &entry = *this->fleet.daemons.at(*number);
+        auto &entry = *this->fleet.daemons.at(*number);
         PermitRequest request;
         request.id = PermitId{entry.address, this->fleet.lastIncarnation, this->nextSequence++};
         request.service = this->service;
@@ -217,27 +237,34 @@
         request.fingerprint = fingerprint;
         const auto verdict = this->ask(entry, request);
         if (verdict.kind == PermitVerdict::Kind::Refused || !entry.isAlive) {
-            return;
+            return {};
         }
         const auto isDirect = verdict.kind != PermitVerdict::Kind::Granted;
         if (isDirect && entry.roles.isQuarantined(request)) {
-            return;
+            return {};
         }
         auto &upstream = isDirect ? this->upstreams.at(this->random() % upstreamCount)
                                   : this->upstreamOf(verdict.upstream);
-        const auto end = this->reach(upstream, *number, fingerprint, isDirect);
+        const EndedAttempt ended{this->service, RequestFingerprint{fingerprint}, upstream.id,
+                                 upstream.incarnation,
+                                 this->reach(upstream, *number, fingerprint, isDirect)};
+        entry.roles.onAttemptEnd(ended);
         if (isDirect) {
-            return;
+            return ended.end;
         }
         PermitReport report;
         report.id = request.id;
         report.service = this->service;
         report.upstream = verdict.upstream;
-        report.end = end;
+        report.end = ended.end;
         report.latency = milliseconds{50};
         if (auto *grantor = this->findDaemon(entry.permits.grantorOf(this->service))) {
             grantor->roles.deliver(entry.address, report);
         }
+        if (ended.end == AttemptEnd::NoAnswer) {
+            this->onCrash(*number);
+        }
+        return ended.end;
     }
 
     auto upstreamOf(const UpstreamId &id) -> UpstreamLife &
@@ -254,6 +281,11 @@
         if (upstream.crashedAt) {
             return AttemptEnd::NotSent;
         }
+        if (fingerprint == this->unluckyPrint) {
+            this->unluckyPrint = 0;
+            upstream.crashedAt = this->now();
+            return AttemptEnd::NoAnswer;
+        }
         if (fingerprint != crashingPrint) {
             ++this->ordinaryServed;
             return AttemptEnd::Answered;
@@ -327,6 +359,29 @@
     }
 }
 
+// Guards against crashes that only the grantor has counted, and that are lost with it.
+SCENARIO("GrantorRoles: given a grantor that is killed right after each crash, a request that "
+         "crashes upstreams is quarantined",
+         "[edge][quarantine][quarantinekills]")
+{
+    for (const auto delay : {milliseconds{0}, milliseconds{300}, milliseconds{1500}}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            KillTrial trial(seed);
+            trial.onCrash = [&](std::size_t entry) {
+                const auto grantor = trial.grantor();
+                // A daemon that is killed loses what it has seen itself.
+                if (grantor && *grantor != entry) {
+                    trial.run(delay);
+                    trial.kill(*grantor);
+                }
+            };
+            trial.run(seconds{60});
+            INFO("delay " << delay.count() << " ms, seed " << seed);
+            trial.check();
+        }
+    }
+}
+
 // Guards against notices that come too late for a series of kills.
 SCENARIO("GrantorRoles: given kills in series faster than notices are told, a request that has "
          "crashed three upstreams stays quarantined",
@@ -353,6 +408,49 @@
     }
 }
 
+// Guards against ordinary requests that are refused because entry daemons keep crashes of requests
+// that were answered since.
+SCENARIO("GrantorRoles: given ordinary requests that run at crashes and are answered afterwards, "
+         "none is quarantined though grantors are killed",
+         "[edge][quarantine][quarantinekills]")
+{
+    constexpr std::uint64_t firstPrint = 1;
+    constexpr std::uint64_t endPrint = 4;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        KillTrial trial(seed);
+        trial.crashingDue = Instant::max();
+        for (auto wave = 0; wave < 12; ++wave) {
+            for (auto print = firstPrint; print < endPrint; ++print) {
+                trial.unluckyPrint = print;
+                trial.send(print);
+                trial.unluckyPrint = 0;
+            }
+            trial.run(milliseconds{500});
+            for (auto print = firstPrint; print < endPrint; ++print) {
+                auto tries = 0;
+                while (trial.send(print) != AttemptEnd::Answered && ++tries < 30) {
+                    trial.run(milliseconds{100});
+                }
+                CHECK(tries < 30);
+            }
+            // Time for a notice that the requests have been answered.
+            trial.run(milliseconds{700});
+            if (const auto grantor = trial.grantor()) {
+                trial.kill(*grantor);
+            }
+            trial.run(seconds{4});
+        }
+        for (auto print = firstPrint; print < endPrint; ++print) {
+            PermitRequest request;
+            request.service = trial.service;
+            request.fingerprint = print;
+            for (const auto &daemon : trial.fleet.daemons) {
+                CHECK_FALSE(daemon->roles.isQuarantined(request));
+            }
+        }
+    }
+}
+
 // Guards against a new grantor that all daemons of a large fleet send their suspects to at once.
 SCENARIO("GrantorRoles: given a new grantor, some 30 daemons of a large fleet tell it their "
          "suspects",
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/types/permits.h"
+#include "dispatch/types/suspectrequest.h"
 #include "dispatch/types/upstreamentry.h"
 #include "entry/coldshares.h"
 #include "entry/directloads.h"
@@ -34,12 +35,15 @@
 public:
     /// @returns whether the request must not run, as it crashes upstreams
     using IsQuarantined = std::function<bool(const PermitRequest &request)>;
+    /// Takes in how an attempt ended, with a permit or without one.
+    using OnAttemptEnd = std::function<void(const EndedAttempt &attempt)>;
 
     /// @param seed for the random choice between equally loaded upstreams
     /// @param statements tells which upstreams want no requests
     /// @param isQuarantined what grantors have told; empty: no request is quarantined
+    /// @param onAttemptEnd counts crashes that no grantor may have counted; may be empty
     DirectChoice(std::uint64_t seed, UpstreamStatements &statements,
-                 IsQuarantined isQuarantined = {});
+                 IsQuarantined isQuarantined = {}, OnAttemptEnd onAttemptEnd = {});
 
     /// Replaces the known upstreams of all services.
     auto setUpstreams(const std::vector<UpstreamEntry> &entries, Instant now) -> void;
@@ -71,6 +75,13 @@
     auto onLimitStated(const UpstreamId &upstream, RequestLimit limit, Instant sentAt, Instant now)
         -> void;
     auto onEnd(const UpstreamId &upstream, AttemptEnd end, Instant now) -> void;
+    /// Takes in how a request's attempt ended, for the count of its crashes.
+    auto onRequestEnd(const EndedAttempt &attempt) -> void
+    {
+        if (this->onAttemptEnd) {
+            this->onAttemptEnd(attempt);
+        }
+    }
     /// Takes in what an answer tells about the upstream's load and speed; called after onEnd().
     /// @param load as the answer reports it; empty where it reports none
     /// @param latency from sending the request to its answer
@@ -114,6 +125,7 @@
     std::uint64_t seed;
     UpstreamStatements &statements;
     IsQuarantined isQuarantined;
+    OnAttemptEnd onAttemptEnd;
     std::mt19937_64 random;
     bool isTrusted = false;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -55,10 +55,11 @@
 } // namespace
 
 DirectChoice::DirectChoice(std::uint64_t seed, UpstreamStatements &statements,
-                           IsQuarantined isQuarantined)
+                           IsQuarantined isQuarantined, OnAttemptEnd onAttemptEnd)
     : seed(seed)
     , statements(statements)
     , isQuarantined(std::move(isQuarantined))
+    , onAttemptEnd(std::move(onAttemptEnd))
     , random(seed)
     , coldShares(seed)
 {
--- a/src/entry/internal/requestflowforward.cpp
+++ b/src/entry/internal/requestflowforward.cpp
@@ -67,6 +67,9 @@
 
 auto RequestFlow::noteWay(const Flow &flow, AttemptEnd end, Instant now) -> void
 {
+    this->direct.onRequestEnd(EndedAttempt{flow.request.service,
+                                           RequestFingerprint{flow.request.fingerprint},
+                                           flow.upstream, flow.incarnation, end});
     if (flow.forwarder.empty()) {
         this->reach.onEnd(flow.address, end, flow.sentAt, now);
         this->direct.onEnd(flow.upstream, end, now);
--- a/src/entry/tests/requestflowfixture.h
+++ b/src/entry/tests/requestflowfixture.h
@@ -21,7 +21,10 @@
     RequestLog log{logger, 0};
     PermitClient permits{self, 1, PermitClientSettings{}};
     UpstreamStatements statements{UpstreamStatementSettings{}};
-    DirectChoice direct{1, statements};
+    /// The ends of attempts that were passed on for the count of crashes.
+    std::vector<EndedAttempt> ended;
+    DirectChoice direct{
+        1, statements, {}, [this](const EndedAttempt &attempt) { this->ended.push_back(attempt); }};
     Counters counters;
     StageHistograms stages;
     UpstreamReach reach{UpstreamReachSettings{}};
@@ -63,6 +66,7 @@
         request.key = key;
         request.id = RequestId{"r-" + std::to_string(exchange.value)};
         request.service = service;
+        request.fingerprint = 9;
         request.route.name = "route";
         request.route.isIdempotent = isRepeatable;
         request.route.maximalAttempts = attempts;
