--- a/src/crowd/crowdcell.h
+++ b/src/crowd/crowdcell.h
@@ -17,8 +17,8 @@
 
 namespace gooseberrywall {
 
-/// One edge daemon in a process of its own, with stand-ins of the store and of two upstreams in
-/// this process, on loopback.
+/// One edge daemon in a process of its own, or two, with stand-ins of the store and of two
+/// upstreams in this process, on loopback. Callers reach the first daemon.
 class CrowdCell
 {
 public:
@@ -59,10 +59,17 @@
     /// Waits until the daemon serves a small request, and retries also if it doesn't listen yet.
     /// @returns whether it did
     auto waitUntilServed(Duration limit) -> bool;
+    /// As waitUntilServed(), at the second daemon.
+    auto waitUntilForwarderServes(Duration limit) -> bool;
+    /// From now on the upstreams refuse new connections; open ones continue.
+    auto stopAcceptingAtUpstreams() -> void;
 
     [[nodiscard]] auto isRunning() -> bool { return this->daemon->isRunning(); }
     /// @returns the highest values that were seen while the cell ran
     [[nodiscard]] auto peakUsage() const -> ProcessUsage { return this->usage; }
+    /// @returns the same of the second daemon
+    [[nodiscard]] auto forwarderUsage() const -> ProcessUsage { return this->usageOfForwarder; }
+    [[nodiscard]] auto isForwarderRunning() -> bool { return this->forwarder->isRunning(); }
     /// @returns how many calls of the daemon the faulty upstreams have answered
     [[nodiscard]] auto endlessAnswers() const -> int;
     /// @returns how many callers' last connections are open
@@ -71,31 +78,50 @@
     [[nodiscard]] auto hasMemorySetting() const -> bool { return this->isMemorySet; }
 
 private:
+    /// Where one daemon listens.
+    struct Addresses
+    {
+        Address caller;
+        Address ready;
+        Address peer;
+        Address metrics;
+    };
+
+    [[nodiscard]] static auto freeAddresses() -> Addresses;
+    /// As ask() and waitUntilServed(), at the daemon with this address.
+    auto askAt(const Address &address,
+               const std::function<CrowdRequest(const std::string &id)> &makeRequest,
+               Duration limit) -> std::string;
+    auto waitUntilServedAt(const Address &address, Duration limit) -> bool;
     auto onTick() -> void;
     auto runUntil(const std::function<bool()> &condition, Duration limit) -> void;
     auto startEndlessUpstreams() -> void;
     auto putConfiguration() -> void;
-    [[nodiscard]] auto settingsText(bool withMemory) const -> std::string;
+    [[nodiscard]] auto settingsText(const std::string &id, const Addresses &addresses,
+                                    bool withMemory) const -> std::string;
     /// Writes the line `memory_mb` only if the program accepts it.
+    /// @param id of the daemon
     /// @returns the path of the settings file
-    [[nodiscard]] auto writeSettings() -> std::string;
+    [[nodiscard]] auto writeSettings(const std::string &id, const Addresses &addresses)
+        -> std::string;
     auto updateUsage() -> void;
 
     CrowdCellSettings settings;
     EventLoop loop;
     Address storeAddress;
-    Address callerAddress;
-    Address readyAddress;
-    Address peerAddress;
-    Address metricsAddress;
+    Addresses addresses;
+    Addresses forwarderAddresses;
     KvStoreStub store;
     std::vector<std::unique_ptr<SizedUpstream>> upstreams;
     std::vector<std::unique_ptr<EndlessUpstream>> endlessUpstreams;
     bool isMemorySet = false;
     std::unique_ptr<DaemonProcess> daemon;
+    /// nullptr where there is one daemon.
+    std::unique_ptr<DaemonProcess> forwarder;
     std::vector<std::unique_ptr<CrowdCaller>> callers;
     /// The highest values so far.
     ProcessUsage usage;
+    ProcessUsage usageOfForwarder;
     std::size_t currentDescriptors = 0;
     int nextRequest = 0;
     ClockTimer tick;
--- a/src/crowd/internal/crowdcell.cpp
+++ b/src/crowd/internal/crowdcell.cpp
@@ -54,10 +54,8 @@
 CrowdCell::CrowdCell(CrowdCellSettings settings)
     : settings(std::move(settings))
     , storeAddress(freeAddress())
-    , callerAddress(freeAddress())
-    , readyAddress(freeAddress())
-    , peerAddress(freeAddress())
-    , metricsAddress(freeAddress())
+    , addresses(freeAddresses())
+    , forwarderAddresses(freeAddresses())
     , store(this->loop.base(), this->storeAddress, monotonicNow)
     , tick(this->loop.base(), [this] { this->onTick(); })
 {
@@ -76,11 +74,22 @@
     }
     this->startEndlessUpstreams();
     this->putConfiguration();
-    this->daemon = std::make_unique<DaemonProcess>(this->settings.program, this->writeSettings());
+    this->daemon = std::make_unique<DaemonProcess>(this->settings.program,
+                                                   this->writeSettings("d0", this->addresses));
     this->daemon->start();
+    if (this->settings.hasForwarder) {
+        this->forwarder = std::make_unique<DaemonProcess>(
+            this->settings.program, this->writeSettings("d1", this->forwarderAddresses));
+        this->forwarder->start();
+    }
     this->onTick();
 }
 
+auto CrowdCell::freeAddresses() -> Addresses
+{
+    return Addresses{freeAddress(), freeAddress(), freeAddress(), freeAddress()};
+}
+
 auto CrowdCell::startEndlessUpstreams() -> void
 {
     for (const auto *service : {"endless", "keyed"}) {
@@ -113,7 +122,7 @@
 auto CrowdCell::addCaller(CallerPlan plan) -> const CrowdCaller &
 {
     this->callers.push_back(
-        std::make_unique<CrowdCaller>(*parseEndpoint(this->callerAddress), std::move(plan)));
+        std::make_unique<CrowdCaller>(*parseEndpoint(this->addresses.caller), std::move(plan)));
     return *this->callers.back();
 }
 
@@ -146,6 +155,13 @@
 
 auto CrowdCell::ask(const std::function<CrowdRequest(const std::string &id)> &makeRequest,
                     Duration limit) -> std::string
+{
+    return this->askAt(this->addresses.caller, makeRequest, limit);
+}
+
+auto CrowdCell::askAt(const Address &address,
+                      const std::function<CrowdRequest(const std::string &id)> &makeRequest,
+                      Duration limit) -> std::string
 {
     const auto end = monotonicNow() + limit;
     std::string answer;
@@ -154,7 +170,7 @@
         CallerPlan plan;
         plan.request = makeRequest("ask-" + std::to_string(this->nextRequest++));
         plan.connectionLimit = 1;
-        CrowdCaller caller(*parseEndpoint(this->callerAddress), std::move(plan));
+        CrowdCaller caller(*parseEndpoint(address), std::move(plan));
         this->runUntil(
             [&caller] {
                 caller.advance();
@@ -171,13 +187,30 @@
 }
 
 auto CrowdCell::waitUntilServed(Duration limit) -> bool
+{
+    return this->waitUntilServedAt(this->addresses.caller, limit);
+}
+
+auto CrowdCell::waitUntilForwarderServes(Duration limit) -> bool
+{
+    return this->waitUntilServedAt(this->forwarderAddresses.caller, limit);
+}
+
+auto CrowdCell::stopAcceptingAtUpstreams() -> void
+{
+    for (auto &upstream : this->upstreams) {
+        upstream->stopAccepting();
+    }
+}
+
+auto CrowdCell::waitUntilServedAt(const Address &address, Duration limit) -> bool
 {
     const auto end = monotonicNow() + limit;
     const auto request = [](const std::string &id) {
         return announcedRequest(prefix + id, id, 1, 1, false);
     };
     while (monotonicNow() < end) {
-        if (this->ask(request, limit).starts_with("HTTP/1.1 200")) {
+        if (this->askAt(address, request, limit).starts_with("HTTP/1.1 200")) {
             return true;
         }
         this->runFor(retryInterval);
@@ -238,25 +271,26 @@
     this->store.put("op/config", configuration.dump());
 }
 
-auto CrowdCell::settingsText(bool withMemory) const -> std::string
+auto CrowdCell::settingsText(const std::string &id, const Addresses &addresses,
+                             bool withMemory) const -> std::string
 {
-    return "[daemon]\nid = d0\nfailure_domain = north-1\ncaller_listen = "
-           + this->callerAddress.value + "\nready_listen = " + this->readyAddress.value
-           + "\npeer_listen = " + this->peerAddress.value
-           + "\nmetrics_listen = " + this->metricsAddress.value
+    return "[daemon]\nid = " + id
+           + "\nfailure_domain = north-1\ncaller_listen = " + addresses.caller.value
+           + "\nready_listen = " + addresses.ready.value + "\npeer_listen = " + addresses.peer.value
+           + "\nmetrics_listen = " + addresses.metrics.value
            + (withMemory ? "\nmemory_mb = " + std::to_string(this->settings.memoryMb) : "")
            + "\n[store]\naddress = " + this->storeAddress.value
            + "\n[log]\nlines_per_second = 1000\n";
 }
 
-auto CrowdCell::writeSettings() -> std::string
+auto CrowdCell::writeSettings(const std::string &id, const Addresses &addresses) -> std::string
 {
     std::filesystem::create_directories(this->settings.folder);
-    auto file = this->settings.folder + "/" + this->settings.name + ".ini";
-    std::ofstream(file) << this->settingsText(true);
+    auto file = this->settings.folder + "/" + this->settings.name + "-" + id + ".ini";
+    std::ofstream(file) << this->settingsText(id, addresses, true);
     this->isMemorySet = isAccepted(this->settings.program, file);
     if (!this->isMemorySet) {
-        std::ofstream(file) << this->settingsText(false);
+        std::ofstream(file) << this->settingsText(id, addresses, false);
     }
     return file;
 }
@@ -267,6 +301,12 @@
     this->usage.peakMemoryKiB = std::max(this->usage.peakMemoryKiB, current.peakMemoryKiB);
     this->usage.descriptors = std::max(this->usage.descriptors, current.descriptors);
     this->currentDescriptors = current.descriptors;
+    if (this->forwarder != nullptr) {
+        const auto other = readProcessUsage(this->forwarder->processId());
+        auto &highest = this->usageOfForwarder;
+        highest.peakMemoryKiB = std::max(highest.peakMemoryKiB, other.peakMemoryKiB);
+        highest.descriptors = std::max(highest.descriptors, other.descriptors);
+    }
 }
 
 } // namespace gooseberrywall
--- a/src/crowd/sizedupstream.h
+++ b/src/crowd/sizedupstream.h
@@ -30,6 +30,8 @@
     SizedUpstream(event_base *base, Settings settings, const std::function<Instant()> &now);
 
     auto start() -> void { this->listener.start(); }
+    /// From now on refuses new connections; open ones continue.
+    auto stopAccepting() -> void { this->listener.stopAccepting(); }
     /// @returns the JSON with which the upstream registers in the store
     [[nodiscard]] auto entry() const -> std::string;
     [[nodiscard]] auto storeKey() const -> std::string { return "servers/" + this->settings.id; }
--- a/src/crowd/types/crowdcellsettings.h
+++ b/src/crowd/types/crowdcellsettings.h
@@ -20,6 +20,9 @@
     std::size_t largeAnswerBytes = 0;
     /// Faulty upstreams of each kind of endless answer, in services of their own.
     int endlessUpstreamsPerAnswer = 0;
+    /// Whether a second daemon with the same settings runs, through which the first one can reach
+    /// upstreams.
+    bool hasForwarder = false;
     auto operator==(const CrowdCellSettings &) const -> bool = default;
 };
 
--- a/src/edge/tests/forwardmemory_tests.cpp
+++ b/src/edge/tests/forwardmemory_tests.cpp
@@ -36,6 +36,7 @@
 {
     explicit DrainingUpstream(event_base *base)
         : listener(base, this->address, [this, base](int descriptor) {
+            ++this->connections;
             this->stream = std::make_unique<SocketStream>(
                 base, descriptor,
                 SocketStream::Handlers{[](bool) {}, [this] { this->onInput(); }, [](bool) {}});
@@ -62,6 +63,7 @@
 
     Address address = freeAddress();
     std::unique_ptr<SocketStream> stream;
+    int connections = 0;
     std::size_t takenBytes = 0;
     std::size_t requestBytes = 0;
     bool isReading = false;
@@ -105,7 +107,7 @@
     }
 
     /// Has a small request served, so that the connections are kept and used again.
-    auto askBefore() -> void
+    auto askSmall() -> void
     {
         const auto request = sampleRequest(this->upstream.address);
         this->start(request);
@@ -198,13 +200,20 @@
          "[edge][forwardmemory]")
 {
     MemoryFixture fixture;
-    fixture.askBefore();
+    fixture.askSmall();
     const auto request = uploadOf(fixture.upstream.address, largestBodyBytes);
     fixture.upstream.takeIn(request.text.size() + largestBodyBytes);
     REQUIRE(fixture.ask(request, uploadTime));
     CHECK(fixture.end->end == End::Answered);
     CHECK(fixture.end->answer.body == "ok");
     CHECK(fixture.upstream.takenBytes == request.text.size() + largestBodyBytes);
+    THEN("its connections are used again")
+    {
+        fixture.upstream.takenBytes = 0;
+        fixture.askSmall();
+        CHECK(fixture.upstream.connections == 1);
+        CHECK(fixture.client.openedCount() == 1);
+    }
 }
 
 // Guards against refusals that an entry daemon takes for the answer to an earlier request: the
@@ -215,7 +224,7 @@
     "[edge][forwardmemory]")
 {
     MemoryFixture fixture;
-    fixture.askBefore();
+    fixture.askSmall();
     const auto isEndedAtOnce = [&](const ForwardRequest &request) {
         const auto isEnded = fixture.ask(request, seconds{2});
         return isEnded && fixture.end->end == End::NotSent && !fixture.end->hold;
--- a/src/streams/frontlistener.h
+++ b/src/streams/frontlistener.h
@@ -102,6 +102,8 @@
 
     /// @throws std::runtime_error if the address can't be bound
     auto start() -> void;
+    /// From now on refuses new connections; open ones continue.
+    auto stopAccepting() -> void { this->listener.reset(); }
     auto setLimits(MessageLimits limits, Duration headerTimeout, Duration idleTimeout) -> void;
     /// Sets how long the connection of an open exchange may be idle from now on, in place of the
     /// listener's idle timeout.
