A grantor grants no permits from a list of upstreams that is old

Cause: a daemon that is no grantor doesn't watch the upstreams. After its election, it granted permits from the list that it had read when it last watched, until the store had answered its first read. Seen in virtual time: at its election, all upstreams that had left meanwhile were among those in use. A grantor that had been cut off from the store did the same from its first answered call on.

Fix: from an election, or the end of being cut off, requests for permits wait until the list is current (confirmed within the drain time less 0.4 s), for 300 ms at most; a read takes one round trip to the store that has just answered.

Test: [newgrantor], refusals in virtual time in which the store refuses all daemons or all but one. The cell (LeavingCell) can now keep calls from the store, silently or by resets; before, refused calls were executed all the same.

--- a/src/edge/edgedaemon.h
+++ b/src/edge/edgedaemon.h
@@ -273,7 +273,8 @@
         }
         this->isDirect = isGrantorMissing || isRecent(this->directSentAt);
         this->upstreamWatch.advance(this->roles.servingCount() > 0, this->isDirect);
-        this->roles.onUpstreamsListed(this->upstreamWatch.listedAt());
+        this->roles.onUpstreamsListed(this->upstreamWatch.listedAt(),
+                                      this->upstreamWatch.isCurrent());
         if (isGrantorMissing && moment >= this->ownersReadDue) {
             this->ownersReadDue = moment + ownersReadEvery;
             for (const auto &service : this->roles.shardedNotServed()) {
--- a/src/edge/grantorrole.h
+++ b/src/edge/grantorrole.h
@@ -104,7 +104,10 @@
     /// @param entries upstreams of all services
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     /// @param listedAt a time at which no upstream of the store was missing from onUpstreams()
-    auto onUpstreamsListed(Instant listedAt) -> void { this->upstreamsListedAt = listedAt; }
+    /// @param areCurrent onUpstreams() has told all that the store has shown up to now, but for
+    ///        what a grantor may learn late. A new grantor answers no request for a permit before,
+    ///        for a limited time.
+    auto onUpstreamsListed(Instant listedAt, bool areCurrent) -> void;
     /// Takes in that requests to the service may last this long; upstreams end them then.
     auto onRequestTime(Duration time) -> void
     {
@@ -238,6 +241,11 @@
     [[nodiscard]] auto hasAuthority(Instant moment) const -> bool;
     /// Passes the bound for cold upstreams to the broker; it is lower without authority.
     auto updateWarmUpRate(Instant moment) -> void;
+    /// Where what this daemon has read of the upstreams is old, lets requests for permits wait
+    /// until it is current: upstreams may have left since.
+    auto holdUntilListed() -> void;
+    /// Asks the broker for the permits that have been requested meanwhile.
+    auto askHeld() -> void;
     auto flushVerdicts() -> void;
     /// Answers all verdicts of the broker with NotGrantor, and takes their permits back.
     auto declineVerdicts() -> void;
@@ -266,6 +274,10 @@
     std::vector<UpstreamEntry> upstreams;
     bool hasUpstreams = false;
     Instant upstreamsListedAt{};
+    bool areUpstreamsCurrent = true;
+    /// Requests for permits wait until then, or until the upstreams are current; empty: they don't.
+    std::optional<Instant> heldUntil;
+    std::vector<std::pair<Address, PermitRequest>> heldRequests;
     /// The longest request in any configuration so far, as earlier ones may still run; zero: not
     /// known.
     Duration longestRequest{0};
--- a/src/edge/grantorroles.h
+++ b/src/edge/grantorroles.h
@@ -33,7 +33,8 @@
     auto onEraSettled(const ServiceName &service, std::uint64_t era) -> void;
     auto onUpstreams(const std::vector<UpstreamEntry> &entries) -> void;
     /// @param listedAt a time at which no upstream of the store was missing from onUpstreams()
-    auto onUpstreamsListed(Instant listedAt) -> void;
+    /// @param areCurrent onUpstreams() has told all that the store has shown up to now
+    auto onUpstreamsListed(Instant listedAt, bool areCurrent) -> void;
     /// Passes a message to its service's role; a permit request for a service without one is
     /// answered with NotGrantor.
     auto deliver(const Address &from, const PermitMessage &message) -> void;
--- a/src/edge/internal/grantorrole.cpp
+++ b/src/edge/internal/grantorrole.cpp
@@ -21,6 +21,10 @@
 /// successor may grant the whole rate at the same time, and bounds.warmup_overage is 1.5.
 constexpr double shareWithoutAuthority = 0.1;
 
+/// A new grantor waits no longer than this for the list of upstreams: the store has just answered
+/// its claim, and entry daemons look for another way by then.
+constexpr Duration longestListWait = std::chrono::milliseconds{300};
+
 } // namespace
 
 GrantorRole::GrantorRole(ServiceSpec spec, GrantorRoleSettings settings, SendStoreCall store,
@@ -109,6 +113,10 @@
             return;
         }
         this->daemons.onHeard(from, moment);
+        if (this->heldUntil) {
+            this->heldRequests.emplace_back(from, *request);
+            return;
+        }
         this->broker->ask(*request, moment);
     } else if (const auto *report = std::get_if<PermitReport>(&message)) {
         this->broker->report(*report, moment);
@@ -116,6 +124,8 @@
     } else if (const auto *notice = std::get_if<SuspectNotice>(&message)) {
         this->quarantine->adopt(notice->suspects, moment);
     } else if (const auto *cancel = std::get_if<PermitCancel>(&message)) {
+        std::erase_if(this->heldRequests,
+                      [&](const auto &each) { return each.second.id == cancel->id; });
         this->broker->cancel(cancel->id, moment);
     } else if (std::holds_alternative<DaemonHello>(message)) {
         // Also before this daemon is elected: it then announces itself at once.
@@ -127,6 +137,30 @@
     this->flushVerdicts();
 }
 
+auto GrantorRole::onUpstreamsListed(Instant listedAt, bool areCurrent) -> void
+{
+    this->upstreamsListedAt = listedAt;
+    this->areUpstreamsCurrent = areCurrent;
+    if (areCurrent) {
+        this->askHeld();
+    }
+}
+
+auto GrantorRole::holdUntilListed() -> void
+{
+    if (!this->areUpstreamsCurrent) {
+        this->heldUntil = this->now() + longestListWait;
+    }
+}
+
+auto GrantorRole::askHeld() -> void
+{
+    this->heldUntil.reset();
+    for (const auto &[from, request] : std::exchange(this->heldRequests, {})) {
+        this->onMessage(from, request);
+    }
+}
+
 auto GrantorRole::advance() -> void
 {
     this->election.advance();
@@ -144,6 +178,9 @@
     if (!this->serving) {
         return;
     }
+    if (this->heldUntil && moment >= *this->heldUntil) {
+        this->askHeld();
+    }
     this->updateWarmUpRate(moment);
     this->broker->advance(moment);
     this->takeInChanges();
@@ -175,6 +212,7 @@
         return;
     }
     this->isCutOff = cutOff;
+    this->holdUntilListed();
     LogLine line(cutOff ? "grantor_cut_off" : "grantor_reconnected");
     line.with("service", this->spec.name.value)
         .with("why", cutOff ? "another grantor reaches the store" : "store reached");
@@ -343,7 +381,7 @@
         if (const auto next = this->broker->nextDue(this->advancedAt)) {
             due = std::min(due, *next);
         }
-        due = std::min(due, this->announceDue);
+        due = std::min({due, this->announceDue, this->heldUntil.value_or(due)});
         if (this->quarantine->hasNotices(moment)) {
             due = std::min(due, this->suspectNoticeDue);
         }
--- a/src/edge/internal/grantorroles.cpp
+++ b/src/edge/internal/grantorroles.cpp
@@ -89,10 +89,10 @@
     }
 }
 
-auto GrantorRoles::onUpstreamsListed(Instant listedAt) -> void
+auto GrantorRoles::onUpstreamsListed(Instant listedAt, bool areCurrent) -> void
 {
     for (auto &[name, role] : this->roles) {
-        role->onUpstreamsListed(listedAt);
+        role->onUpstreamsListed(listedAt, areCurrent);
     }
 }
 
--- a/src/edge/internal/grantorterms.cpp
+++ b/src/edge/internal/grantorterms.cpp
@@ -75,6 +75,7 @@
     const auto moment = this->now();
     this->term = term;
     this->serving = true;
+    this->holdUntilListed();
     this->isRecordAdopted = false;
     this->isProlonging = false;
     this->ranges.reset();
@@ -128,6 +129,8 @@
     this->log(LogLevel::Warning, line);
     this->serving = false;
     this->isCutOff = false;
+    this->heldUntil.reset();
+    this->heldRequests.clear();
     this->ranges.reset();
     this->isRecordAdopted = false;
     // The new broker has no owners yet, even if the next term starts with the same ones.
--- a/src/edge/tests/leavingcell.cpp
+++ b/src/edge/tests/leavingcell.cpp
@@ -1,7 +1,6 @@
 #include "edge/tests/leavingcell.h"
 
-#include "edge/grantorwatch.h"
-#include "edge/tests/textwire.h"
+#include "edge/tests/leavingdaemon.h"
 
 #include <algorithm>
 
@@ -11,14 +10,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration stepTime = milliseconds{10};
 /// A dead connection is found by its probes after this time.
 constexpr Duration deadConnectionTimeout = std::chrono::seconds{3};
 /// An upstream's entry is removed so long after it has started to drain.
 constexpr Duration drainTime = std::chrono::seconds{3};
-constexpr Duration heartbeat = milliseconds{870};
 constexpr Duration answerTime = milliseconds{50};
-constexpr Duration directWatchTime = std::chrono::seconds{3};
 const std::string prefix = TextWire::upstreamPrefix();
 const ServiceName service = TextWire::service();
 
@@ -34,114 +30,6 @@
 
 } // namespace
 
-struct LeavingCell::Daemon
-{
-    struct Running
-    {
-        UpstreamId upstream;
-        /// Empty for a request that was sent without a permit.
-        std::optional<PermitId> permit;
-        Instant endsAt;
-    };
-
-    /// Expires with the daemon, so that answers that arrive later are dropped.
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-    TextWire wire;
-    Logger logger{"error", 1};
-    RequestLog log{this->logger, 0};
-    std::uint64_t storeEra = 0;
-    std::optional<Instant> directSentAt;
-    PermitClient permits;
-    UpstreamStatements statements{UpstreamStatementSettings{}};
-    DirectChoice direct;
-    GrantorRoles roles;
-    GrantorWatch grantors;
-    Evacuations evacuations{this->logger};
-    UpstreamWatch<TextWire> upstreams;
-    std::vector<UpstreamEntry> entries;
-    std::vector<Running> running;
-    /// The store refuses this daemon's calls until then.
-    Instant refusedUntil{};
-
-    Daemon(const GrantorRoleSettings &settings, const SendStoreCall &store,
-           const std::function<Instant()> &now)
-        : permits(settings.peerAddress, settings.incarnation, PermitClientSettings{})
-        , direct(settings.incarnation, this->statements)
-        , roles(
-              settings, this->senderOf(store, now),
-              [](const RangeOrder &, const std::function<void(RangeOrderEnd)> &) {}, now,
-              this->logger, this->log)
-        , grantors(watchSettings(settings), this->senderOf(store, now), now, this->permits,
-                   this->roles, this->logger)
-        , upstreams(this->wire, UpstreamWatchSettings{heartbeat}, this->senderOf(store, now), now,
-                    this->logger, this->evacuations, this->direct,
-                    [this](const std::vector<UpstreamEntry> &entries) {
-                        this->entries = entries;
-                        this->roles.onUpstreams(entries);
-                    })
-    {
-        ServiceSpec spec;
-        spec.name = service;
-        this->roles.setServices({spec});
-        this->grantors.setServices({spec});
-    }
-
-    static auto watchSettings(const GrantorRoleSettings &settings) -> GrantorWatchSettings
-    {
-        GrantorWatchSettings result;
-        result.grantorPrefix = settings.grantorPrefix;
-        result.daemon = settings.daemon;
-        result.processorCores = settings.processorCores;
-        return result;
-    }
-
-    auto senderOf(const SendStoreCall &store, const std::function<Instant()> &now) -> SendStoreCall
-    {
-        return [this, store, now](StoreCall call, Duration timeout,
-                                  std::function<void(StoreAnswer)> done) {
-            store(std::move(call), timeout,
-                  [this, now, sentAt = now(), done = std::move(done),
-                   watcher = std::weak_ptr<bool>(this->alive)](StoreAnswer answer) {
-                      if (watcher.expired()) {
-                          return;
-                      }
-                      if (now() < this->refusedUntil) {
-                          answer = StoreAnswer{};
-                          answer.kind = StoreAnswer::Kind::Refused;
-                      }
-                      this->onStoreEra(answer.era.value_or(0));
-                      this->upstreams.onStoreAnswer(answer, sentAt);
-                      done(answer);
-                  });
-        };
-    }
-
-    auto onStoreEra(std::uint64_t era) -> void
-    {
-        if (era <= this->storeEra) {
-            return;
-        }
-        this->storeEra = era;
-        this->grantors.onStoreEra(era);
-        this->upstreams.onStoreEra(era);
-        this->roles.onStoreEra(era);
-    }
-
-    auto advance(Instant now) -> void
-    {
-        this->grantors.advance();
-        this->roles.advance();
-        this->upstreams.onStatements(this->roles.takeStatements());
-        const auto isRecent = [now](const std::optional<Instant> &last) {
-            return last && now - *last < directWatchTime;
-        };
-        this->upstreams.advance(this->roles.servingCount() > 0,
-                                isRecent(this->permits.lastNoGrantorAt())
-                                    || isRecent(this->directSentAt));
-        this->permits.advance(now);
-    }
-};
-
 LeavingCell::LeavingCell(int daemonCount, int upstreamCount)
 {
     this->store.pageSize = 500;
@@ -155,7 +43,7 @@
         settings.peerAddress = daemonAddress(index);
         settings.incarnation = index + 1;
         settings.processorCores = 0.5;
-        this->daemons[index] = std::make_unique<Daemon>(settings, this->store.sender(),
+        this->daemons[index] = std::make_unique<Daemon>(settings, this->store, this->store.sender(),
                                                         [this] { return this->store.now(); });
     }
 }
@@ -260,6 +148,17 @@
     }
 }
 
+auto LeavingCell::refuseDaemons(const StoreRefusal &refusal) -> void
+{
+    auto reachingCount = refusal.reachingCount;
+    for (const auto &[index, daemon] : this->daemons) {
+        if (daemon->roles.servingCount() > 0 || reachingCount-- <= 0) {
+            daemon->refusedUntil = this->store.now() + refusal.time;
+            daemon->refusal = refusal;
+        }
+    }
+}
+
 auto LeavingCell::isGrantorUsing(int upstream) const -> bool
 {
     return std::any_of(this->daemons.begin(), this->daemons.end(), [&](const auto &row) {
@@ -359,7 +258,10 @@
         request.service = service;
         request.remaining = milliseconds{800};
         request.untilTarget = milliseconds{300};
-        if (!this->quiet.contains(index)) {
+        if (!this->quiet.contains(index) && now >= daemon->nextRequestAt) {
+            daemon->nextRequestAt =
+                now
+                + this->sendInterval * std::uniform_int_distribution<int>(5, 15)(this->random) / 10;
             daemon->permits.ask(ExchangeId{this->nextRequest++}, request, now);
         }
         for (const auto &result : daemon->permits.takeResults()) {
@@ -396,17 +298,22 @@
                 daemon->permits.report(report);
             } else {
                 daemon->direct.onEnd(each.upstream, AttemptEnd::Answered, now);
-                UpstreamStatement answer;
-                answer.upstream = each.upstream;
-                answer.leaveHint = hint;
-                answer.askedAt = now - answerTime;
-                daemon->upstreams.onStatements({answer});
             }
+            this->onAnswer(*daemon, each.upstream, each.endsAt - answerTime);
             return true;
         });
     }
 }
 
+auto LeavingCell::onAnswer(Daemon &daemon, const UpstreamId &upstream, Instant askedAt) -> void
+{
+    UpstreamStatement answer;
+    answer.upstream = upstream;
+    answer.leaveHint = this->hasLeft(upstream) ? LeaveHint::MayLeave : LeaveHint::Stays;
+    answer.askedAt = askedAt;
+    daemon.upstreams.onStatements({answer});
+}
+
 auto LeavingCell::hasLeft(const UpstreamId &upstream) const -> bool
 {
     const auto leave = this->leaves.find(upstream);
--- a/src/edge/tests/leavingcell.h
+++ b/src/edge/tests/leavingcell.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,24 @@
     Removed,
 };
 
+/// How the store refuses calls of some daemons.
+enum class RefusalKind : std::uint8_t {
+    /// Calls never arrive, and time out.
+    Silent,
+    /// Calls never arrive, and fail at once.
+    Reset,
+};
+
+struct StoreRefusal
+{
+    RefusalKind kind = RefusalKind::Silent;
+    Duration time{0};
+    /// Daemons that reach the store all the same.
+    int reachingCount = 0;
+    /// The grantor of another service reaches the store, so that those refused are cut off.
+    bool isOtherGrantorReaching = false;
+};
+
 /// Daemons that send requests, with or without permits of the grantor among them, and upstreams
 /// that leave, in virtual time. Datagrams take one step of 10 ms; calls to the store as long as it
 /// takes for them.
@@ -49,6 +68,10 @@
     auto killGrantor() -> void;
     /// Lets the store refuse the calls of the daemon that is grantor now.
     auto refuseGrantor(Duration time) -> void;
+    /// Keeps calls of daemons from the store, those of the grantor among them.
+    auto refuseDaemons(const StoreRefusal &refusal) -> void;
+    /// Lets each daemon send a request so often in the mean, at random times; initially each 10 ms.
+    auto setSendInterval(Duration interval) -> void { this->sendInterval = interval; }
     /// Lets the grantor give up its place; it goes on sending requests.
     auto resignGrantor() -> void;
     /// From now on only the daemon that is grantor now sends requests.
@@ -76,6 +99,8 @@
     FakeStore store;
 
 private:
+    static constexpr Duration stepTime = std::chrono::milliseconds{10};
+
     struct Daemon;
     struct Leave
     {
@@ -90,6 +115,8 @@
     auto advanceLeaves() -> void;
     auto sendRequests() -> void;
     auto deliverDatagrams() -> void;
+    /// @param askedAt when the answered request was sent
+    auto onAnswer(Daemon &daemon, const UpstreamId &upstream, Instant askedAt) -> void;
     auto onSent(std::size_t daemon, const UpstreamId &upstream, bool isDirect) -> void;
     /// @returns whether the store has acknowledged that the upstream leaves; its answers hint at it
     [[nodiscard]] auto hasLeft(const UpstreamId &upstream) const -> bool;
@@ -104,6 +131,8 @@
     /// Daemons that send no requests.
     std::set<std::size_t> quiet;
     Instant grantorsSilentUntil{};
+    Duration sendInterval{0};
+    std::mt19937_64 random{3};
     Duration storeAwayTime{0};
     Duration longestUse{0};
     std::string worst;
--- a/src/edge/tests/restoredstorecell.cpp
+++ b/src/edge/tests/restoredstorecell.cpp
@@ -120,7 +120,7 @@
     }
     for (const auto &[index, daemon] : this->daemons) {
         daemon->roles.onUpstreams(listed);
-        daemon->roles.onUpstreamsListed(this->store.now());
+        daemon->roles.onUpstreamsListed(this->store.now(), true);
     }
 }
 
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -55,6 +55,7 @@
         , direct(direct)
         , onEntries(std::move(onEntries))
         , directory(directorySettings(settings))
+        , useAfterLastStay(directorySettings(settings).useAfterLastStay)
         , absence(shortestExpiry(settings.heartbeat))
     {
     }
@@ -199,6 +200,14 @@
     {
         return this->view ? this->view->confirmedAt() : Instant{};
     }
+    /// @returns whether the store has confirmed the entries so lately that an upstream that has
+    /// left
+    ///          since may still get requests
+    [[nodiscard]] auto isCurrent() const -> bool
+    {
+        return this->view && this->view->isLoaded()
+               && this->now() - this->view->confirmedAt() < this->useAfterLastStay;
+    }
     [[nodiscard]] auto lostWatchCount() const -> std::uint64_t
     {
         return this->endedViewLosses + (this->view ? this->view->lostWatchCount() : 0);
@@ -342,6 +351,8 @@
     Instant viewStartedAt{};
     Instant allListedAt{};
     StoreOutage outage;
+    /// An upstream that may have left is used for this long after it was last known to stay.
+    Duration useAfterLastStay;
     /// In which entries of live upstreams may have expired.
     StoreAbsence absence;
     /// Begin of the read whose entries the directory has.
