Daemons without a grantor don't use old entries while the store answers others

Cause: a daemon watches the upstreams only while it has no grantor. Where the store didn't answer its first read in 300 ms, it trusted the entries that it had read when it last watched, however old, on the ground that a store that doesn't answer has published no change. That holds in an outage for all, not where the store refuses this daemon. Answers that hinted at a leave were ignored meanwhile, as the directory had forgotten the entries.

Fix: the directory keeps the entries until they have been read anew, so hints count; none of them is listed as watched meanwhile. Where the store is known to have been reached (by this daemon's other calls, or as grantors announce) after it should have confirmed the entries, or in the last 1.2 s while they haven't been read yet, an upstream is chosen only within the drain time less 0.4 s of the last answer or confirmation that shows that it stays. Without such news, entries stay in use as before.

Weighed: a rank that uses such upstreams last, in outages as well, was tried and dropped: a daemon then sent all its requests to the one upstream that had answered it lately, and used one that had left once that one was gone.

--- a/src/edge/tests/daemonsrefused_tests.cpp
+++ b/src/edge/tests/daemonsrefused_tests.cpp
@@ -80,6 +80,19 @@
 
 } // namespace
 
+// Guards against requests without a permit to upstreams that have left while the store refused the
+// daemons, whose grantor was cut off.
+SCENARIO("UpstreamWatch: given a store that refuses the daemons until they have no grantor, "
+         "upstreams that leave meanwhile aren't used any more within the time allowed",
+         "[edge][leaves][longrefusal][nograntor]")
+{
+    // With twelve upstreams, most of them get no request of a certain daemon within the drain time.
+    for (const auto intervalMs : {40, 300}) {
+        CHECK(checkRefusals(0, true, milliseconds{intervalMs}) > 0);
+        CHECK(checkRefusals(1, true, milliseconds{intervalMs}) > 0);
+    }
+}
+
 // Guards against permits of a grantor that is elected after a refusal, and has read the upstreams
 // long before.
 SCENARIO("UpstreamWatch: given a store that refuses the daemons, a grantor that is elected then "
@@ -89,3 +102,31 @@
     checkRefusals(0, false, milliseconds{20});
     checkRefusals(1, false, milliseconds{20});
 }
+
+// Guards against callers who are refused in an outage that all daemons see, in which the grantor is
+// lost, too: the entries are old then, and the upstreams stay.
+SCENARIO("UpstreamWatch: given an outage of the store in which the grantor is lost, upstreams that "
+         "have been read long before stay in use",
+         "[edge][leaves][longrefusal][outageuse]")
+{
+    // A daemon stops watching 3 s after its last request without a permit, and trusts the entries
+    // anew only some time after the next one.
+    for (const auto intervalMs : {40, 300, 1000}) {
+        LeavingCell cell{daemonCount, upstreamCount};
+        cell.setSendInterval(milliseconds{intervalMs});
+        cell.run(seconds{5});
+        REQUIRE(cell.hasGrantor());
+        cell.silenceGrantors(seconds{4});
+        cell.run(seconds{12});
+        REQUIRE(cell.hasGrantor());
+        cell.stopStore();
+        cell.killGrantor();
+        cell.run(seconds{3});
+        cell.resetCounts();
+        cell.run(seconds{5});
+        INFO("a request each " << intervalMs << " ms: " << cell.sentDirectly() << " sent, "
+                               << cell.unsentCount() << " not sent");
+        CHECK(cell.sentDirectly() > 0);
+        CHECK(cell.unsentCount() == 0);
+    }
+}
--- a/src/edge/upstreamdirectory.h
+++ b/src/edge/upstreamdirectory.h
@@ -69,6 +69,8 @@
     /// Takes in that the store has shown all entries that aren't missing up to this time.
     /// @returns whether entries() has changed
     auto confirm(Instant at) -> bool;
+    /// @returns up to when the store has shown all entries that aren't missing
+    [[nodiscard]] auto confirmedUpTo() const -> Instant { return this->confirmedAt; }
     /// Forgets all entries, as changes from now on aren't known: those that are missing later have
     /// left. Processes that have started to drain are remembered.
     auto forget() -> void { this->known.clear(); }
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -66,13 +66,20 @@
     auto onStoreAnswer(const StoreAnswer &answer, Instant sentAt) -> void
     {
         this->absence.onAnswer(answer, sentAt, this->now());
+        if (!isFailure(answer.kind)) {
+            this->reachedAt = std::max(this->reachedAt, sentAt);
+        }
         if (this->outage.onAnswer(answer, sentAt, this->now()) && this->view) {
             this->view->readSince(this->outage.failedAt());
         }
     }
 
     /// Takes in that the store has answered another daemon at this time.
-    auto onStoreReachedByOther(Instant at) -> void { this->absence.onReachedByOther(at); }
+    auto onStoreReachedByOther(Instant at) -> void
+    {
+        this->absence.onReachedByOther(at);
+        this->reachedAt = std::max(this->reachedAt, at);
+    }
 
     /// Takes in that the store is in this era.
     auto onStoreEra(std::uint64_t era) -> void
@@ -88,6 +95,9 @@
         auto hasLeaving = false;
         auto hasHint = false;
         for (const auto &each : statements) {
+            if (each.leaveHint == LeaveHint::Stays) {
+                this->direct.onStays(each.upstream, this->now());
+            }
             hasLeaving =
                 (each.isLeaving
                  && this->directory.setLeaving(each.upstream, each.incarnation, this->now()))
@@ -104,7 +114,7 @@
     /// Publishes the entries anew after a change of the evacuated failure domains.
     auto onEvacuations() -> void
     {
-        if (this->view && !this->directory.entries().empty()) {
+        if (this->view && !this->entries().empty()) {
             this->publish("evacuation");
             return;
         }
@@ -119,7 +129,7 @@
     /// @returns the entries in use now; none while they aren't watched
     [[nodiscard]] auto entries() const -> std::vector<UpstreamEntry>
     {
-        return this->directory.entries();
+        return this->isOutdated ? std::vector<UpstreamEntry>{} : this->directory.entries();
     }
 
     /// @returns how many of the entries in use now are evacuated
@@ -135,7 +145,7 @@
     [[nodiscard]] auto incarnationOf(const UpstreamId &upstream, const Address &address) const
         -> std::optional<Incarnation>
     {
-        return this->directory.incarnationOf(upstream, address);
+        return this->isOutdated ? std::nullopt : this->directory.incarnationOf(upstream, address);
     }
 
     /// @param count daemons of the fleet: the more there are, the less often those that are no
@@ -156,13 +166,14 @@
             settings.longestRetryPause = longestRetryPause;
             settings.confirmInterval =
                 isGrantor ? confirmInterval : fleetInterval(confirmInterval, this->daemonCount);
+            this->confirmationLimit = settings.confirmInterval + confirmationGrace;
             this->endView();
             this->view = std::make_unique<PrefixView>(
                 this->wire.upstreamPrefix(), settings, this->store, this->now,
                 [this](const PrefixView::Items &items) { this->onItems(items); });
         } else if (!isNeeded && this->view) {
             this->endView();
-            this->directory.forget();
+            this->isOutdated = true;
             this->direct.setTrusted(false);
         }
         if (this->view) {
@@ -174,6 +185,7 @@
             if (this->directory.confirm(this->view->confirmedAt())) {
                 this->publish("confirmation");
             }
+            this->direct.setOutdated(this->outdatedEntries());
             // While the store doesn't answer, it can't have published a change to anybody, so the
             // entries known before are as good as any.
             const auto isOverdue = this->now() - this->viewStartedAt > readTimeout;
@@ -200,13 +212,12 @@
     {
         return this->view ? this->view->confirmedAt() : Instant{};
     }
-    /// @returns whether the store has confirmed the entries so lately that an upstream that has
-    /// left
-    ///          since may still get requests
+    /// @returns whether the entries are watched, and the store has confirmed them so lately that an
+    ///          upstream that has left since may still get requests
     [[nodiscard]] auto isCurrent() const -> bool
     {
-        return this->view && this->view->isLoaded()
-               && this->now() - this->view->confirmedAt() < this->useAfterLastStay;
+        return this->view && !this->isOutdated
+               && this->now() - this->directory.confirmedUpTo() < this->useAfterLastStay;
     }
     [[nodiscard]] auto lostWatchCount() const -> std::uint64_t
     {
@@ -247,6 +258,10 @@
     /// How often the store has to confirm the entries: with the time after which a watch counts as
     /// lost, below the time after which a leaving upstream may get no request.
     static constexpr Duration confirmInterval = std::chrono::milliseconds{1200};
+    /// While a grantor reaches the store, it announces so at intervals that are shorter than this.
+    static constexpr Duration reachedNewsAge = std::chrono::milliseconds{1200};
+    /// A confirmation is overdue this long after its interval.
+    static constexpr Duration confirmationGrace = std::chrono::milliseconds{400};
     /// A grantor batches changes that follow another within this time; far below the time after
     /// which a leaving upstream may get no request.
     static constexpr Duration grantorGatherPause = std::chrono::milliseconds{300};
@@ -273,6 +288,21 @@
         return heartbeat * 7 / 4;
     }
 
+    /// @returns up to when the entries are known, where the store has been reached although it
+    ///          hasn't confirmed them when this was due; empty otherwise. In an outage that all
+    ///          daemons see, no leave is acknowledged, and entries stay in use.
+    [[nodiscard]] auto outdatedEntries() const -> std::optional<OutdatedEntries>
+    {
+        const auto confirmed = this->directory.confirmedUpTo();
+        const auto isLoaded = this->view->isLoaded();
+        const auto due =
+            isLoaded ? confirmed + this->confirmationLimit : this->viewStartedAt + readTimeout;
+        const auto isStoreThere = !isLoaded && this->now() - this->reachedAt < reachedNewsAge;
+        return isStoreThere || this->reachedAt >= due
+                   ? std::optional(OutdatedEntries{confirmed, this->useAfterLastStay})
+                   : std::nullopt;
+    }
+
     auto endView() -> void
     {
         this->endedViewLosses = this->lostWatchCount();
@@ -289,6 +319,9 @@
             }
         }
         const auto listedAt = this->view->readStartedAt();
+        if (std::exchange(this->isOutdated, false)) {
+            this->directory.forget();
+        }
         this->directory.update(entries,
                                UpstreamReading{listedAt, this->absence.failedAt(),
                                                this->absence.backAt(), this->view->confirmedAt()},
@@ -341,6 +374,10 @@
     DirectChoice &direct;
     OnEntries onEntries;
     UpstreamDirectory directory;
+    /// The directory has the entries of an earlier view, which missed the changes since it ended.
+    /// Until they have been read anew, they may be used without a grantor, and answers tell of
+    /// upstreams that have left since.
+    bool isOutdated = false;
     std::uint64_t daemonCount = 0;
     /// As last published.
     std::vector<UpstreamEntry> lastEntries;
@@ -349,8 +386,12 @@
     std::uint64_t endedViewLosses = 0;
     bool isForGrantor = false;
     Instant viewStartedAt{};
+    /// Entries that the store hasn't confirmed for this long are overdue.
+    Duration confirmationLimit{0};
     Instant allListedAt{};
     StoreOutage outage;
+    /// The store has last answered then, this daemon or another one.
+    Instant reachedAt{};
     /// An upstream that may have left is used for this long after it was last known to stay.
     Duration useAfterLastStay;
     /// In which entries of live upstreams may have expired.
--- a/src/entry/directchoice.h
+++ b/src/entry/directchoice.h
@@ -27,6 +27,17 @@
     auto operator==(const DirectOwner &) const -> bool = default;
 };
 
+/// Entries that this daemon can't read anew, although the store answers others: it may have
+/// acknowledged leaves that this daemon doesn't know of.
+struct OutdatedEntries
+{
+    /// Up to when the store has confirmed them.
+    Instant confirmedAt;
+    /// An upstream that may have left is used for this long after it was last known to stay.
+    Duration useAfterLastStay{0};
+    auto operator==(const OutdatedEntries &) const -> bool = default;
+};
+
 /// Chooses upstreams for an entry daemon while its grantor is unreachable, from the entries last
 /// read from the store and from the key owners named in earlier permits.
 class DirectChoice
@@ -57,6 +68,11 @@
     /// Sets whether the known upstreams are trusted; initially they aren't. While they aren't,
     /// none is chosen, because an upstream may have started draining since they were read.
     auto setTrusted(bool trusted) -> void { this->isTrusted = trusted; }
+    /// @param outdated which of the known upstreams may have left; empty: none. Such an upstream
+    ///        isn't chosen unless an answer has shown lately that it stays.
+    auto setOutdated(std::optional<OutdatedEntries> outdated) -> void { this->outdated = outdated; }
+    /// Takes in that an answer has shown that the upstream stays.
+    auto onStays(const UpstreamId &upstream, Instant now) -> void { this->staysAt[upstream] = now; }
     /// Records the owner of the keys that a granted permit names, and stops avoiding its upstream.
     /// @param verdict a granted permit
     auto onGranted(const ServiceName &service, const PermitVerdict &verdict) -> void;
@@ -108,6 +124,8 @@
 
     /// @returns whether all upstreams of the service that don't drain are evacuated
     [[nodiscard]] auto areAllEvacuated(const ServiceName &service) const -> bool;
+    /// @returns whether the upstream may have left too long ago to get requests
+    [[nodiscard]] auto mayHaveLeft(const UpstreamEntry &entry, Instant now) const -> bool;
     [[nodiscard]] auto isUsable(const UpstreamId &id, Instant now) const -> bool;
     [[nodiscard]] auto limitAllows(const UpstreamId &id, Instant now) const -> bool;
 
@@ -116,6 +134,9 @@
     IsQuarantined isQuarantined;
     std::mt19937_64 random;
     bool isTrusted = false;
+    std::optional<OutdatedEntries> outdated;
+    /// When answers have last shown that upstreams stay.
+    std::map<UpstreamId, Instant> staysAt;
     std::map<ServiceName, std::vector<UpstreamEntry>> services;
     /// By the first key of the range; a newer range replaces those that it overlaps.
     std::map<ServiceName, std::map<KeyPosition, DirectOwner>> owners;
--- a/src/entry/internal/directchoice.cpp
+++ b/src/entry/internal/directchoice.cpp
@@ -74,6 +74,7 @@
         listed.insert(entry.id);
     }
     this->loads.retain(listed);
+    std::erase_if(this->staysAt, [&](const auto &row) { return !listed.contains(row.first); });
 }
 
 auto DirectChoice::onGranted(const ServiceName &service, const PermitVerdict &verdict) -> void
@@ -176,7 +177,8 @@
     if (const auto known = this->services.find(request.service); known != this->services.end()) {
         const auto &entries = known->second;
         const auto entry = std::find_if(entries.begin(), entries.end(), [&](const auto &each) {
-            return each.id == owned.upstream && each.isOwnerServing(now);
+            return each.id == owned.upstream && each.isOwnerServing(now)
+                   && !this->mayHaveLeft(each, now);
         });
         if (entry == entries.end()) {
             return std::nullopt;
@@ -210,7 +212,8 @@
     std::optional<Duration> shortestPause;
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (const auto &entry : known->second) {
-        if (!entry.takesNewWork() || isAvoided(request, entry.id)) {
+        if (!entry.takesNewWork() || isAvoided(request, entry.id)
+            || this->mayHaveLeft(entry, now)) {
             continue;
         }
         const auto hold = this->statements.holdOf(entry.id, entry.incarnation, now);
@@ -263,6 +266,7 @@
     for (auto draw = 0; draw < maxDraws; ++draw) {
         const auto &entry = entries[position(this->random)];
         if (&entry == first || !entry.takesNewWork() || entry.isMissing
+            || this->mayHaveLeft(entry, now)
             || share(this->random) >= this->loads.drawWeight(entry.service, entry.id, entry.slots)
             || isAvoided(request, entry.id) || !this->isUsable(entry.id, now)
             || !this->limitAllows(entry.id, now)
@@ -279,6 +283,17 @@
     return {};
 }
 
+auto DirectChoice::mayHaveLeft(const UpstreamEntry &entry, Instant now) const -> bool
+{
+    if (!this->outdated) {
+        return false;
+    }
+    const auto found = this->staysAt.find(entry.id);
+    const auto answeredAt = found == this->staysAt.end() ? Instant{} : found->second;
+    return now - std::max(this->outdated->confirmedAt, answeredAt)
+           >= this->outdated->useAfterLastStay;
+}
+
 auto DirectChoice::isUsable(const UpstreamId &id, Instant now) const -> bool
 {
     const auto found = this->avoidedUntil.find(id);
