--- a/src/edge/tests/quarantinekills_tests.cpp
+++ b/src/edge/tests/quarantinekills_tests.cpp
@@ -434,7 +434,7 @@
                 CHECK(tries < 30);
             }
             // Time for a notice that the requests have been answered.
-            trial.run(milliseconds{700});
+            trial.run(milliseconds{200});
             if (const auto grantor = trial.grantor()) {
                 trial.kill(*grantor);
             }
