A daemon that doesn't watch the upstreams doesn't look at their entries

Since, UpstreamDirectory keeps the entries of daemons that have ceased to watch them, and each event of such a daemon went through all of them twice, as nextDue() does. Entries that aren't watched have no due time now. GrantorRole compares the lists of upstreams only while an unanswered attempt of this daemon may turn out to be a crash. Not shown: that this is the cause.

--- a/src/dispatch/internal/requestquarantine.cpp
+++ b/src/dispatch/internal/requestquarantine.cpp
@@ -35,6 +35,13 @@
     this->unanswered.push_back(UnansweredAttempt{fingerprint, upstream, incarnation, entry, now});
 }
 
+auto RequestQuarantine::hasUnanswered(Instant now) const -> bool
+{
+    return std::any_of(this->unanswered.begin(), this->unanswered.end(), [&](const auto &attempt) {
+        return now - attempt.endedAt <= this->settings.crashWindow;
+    });
+}
+
 auto RequestQuarantine::onUpstreamLost(const UpstreamId &upstream, Incarnation incarnation,
                                        Instant now) -> void
 {
--- a/src/dispatch/requestquarantine.h
+++ b/src/dispatch/requestquarantine.h
@@ -56,6 +56,8 @@
     [[nodiscard]] auto isQuarantined(RequestFingerprint fingerprint, Instant now) const -> bool;
     [[nodiscard]] auto quarantinedCount(Instant now) const -> std::size_t;
     [[nodiscard]] auto suspectCount() const -> std::size_t { return this->suspects.size(); }
+    /// @returns whether an unanswered attempt may still turn out to be a crash
+    [[nodiscard]] auto hasUnanswered(Instant now) const -> bool;
     /// @returns whether a change is due to be told to other daemons
     [[nodiscard]] auto hasNotices(Instant now) const -> bool;
     /// @returns the changes that are due, the most serious ones first, and after them further
--- a/src/edge/internal/grantorsuspects.cpp
+++ b/src/edge/internal/grantorsuspects.cpp
@@ -91,6 +91,10 @@
 auto GrantorRole::noteLostUpstreams(const std::vector<UpstreamEntry> &former, Instant moment)
     -> void
 {
+    // The lists are long, and most changes of them aren't crashes of own requests.
+    if (!this->ownCrashes.hasUnanswered(moment)) {
+        return;
+    }
     for (const auto &entry : former) {
         const auto isKnown =
             std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &each) {
--- a/src/edge/upstreamwatch.h
+++ b/src/edge/upstreamwatch.h
@@ -194,7 +194,7 @@
                 this->direct.setTrusted(true);
             }
         }
-        if (const auto due = this->directory.nextDue(); due && *due <= this->now()) {
+        if (const auto due = this->directoryDue(); due && *due <= this->now()) {
             this->directory.advance(this->now());
             this->publish("time");
         }
@@ -248,7 +248,7 @@
 
     [[nodiscard]] auto nextDue() const -> std::optional<Instant>
     {
-        auto due = this->directory.nextDue();
+        auto due = this->directoryDue();
         const auto next = this->view ? this->view->nextDue() : std::nullopt;
         if (next && (!due || *next < *due)) {
             due = next;
@@ -310,6 +310,13 @@
                    : std::nullopt;
     }
 
+    /// @returns when the directory changes by itself. Entries that are kept without being watched
+    ///          aren't looked at: a daemon's work would grow with the number of upstreams.
+    [[nodiscard]] auto directoryDue() const -> std::optional<Instant>
+    {
+        return this->view ? this->directory.nextDue() : std::nullopt;
+    }
+
     auto endView() -> void
     {
         this->endedViewLosses = this->lostWatchCount();
