--- a/src/edge/tests/leavingdaemon.h
+++ b/src/edge/tests/leavingdaemon.h
@@ -106,18 +106,24 @@
                 this->loseCall(deadline, end);
                 return;
             }
-            store(std::move(call), timeout, [this, now, deadline, end](StoreAnswer answer) {
-                const auto isRefused = now() < this->refusedUntil;
-                if (isRefused && this->refusal && this->refusal->kind == RefusalKind::Silent) {
-                    this->loseCall(deadline, end);
-                    return;
-                }
-                if (isRefused) {
-                    answer = StoreAnswer{};
-                    answer.kind = StoreAnswer::Kind::Refused;
-                }
-                end(answer);
-            });
+            store(std::move(call), timeout,
+                  [this, now, deadline, end,
+                   watcher = std::weak_ptr<bool>(this->alive)](StoreAnswer answer) {
+                      if (watcher.expired()) {
+                          return;
+                      }
+                      const auto isRefused = now() < this->refusedUntil;
+                      if (isRefused && this->refusal
+                          && this->refusal->kind == RefusalKind::Silent) {
+                          this->loseCall(deadline, end);
+                          return;
+                      }
+                      if (isRefused) {
+                          answer = StoreAnswer{};
+                          answer.kind = StoreAnswer::Kind::Refused;
+                      }
+                      end(answer);
+                  });
         };
     }
 
